--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Each target sets up its own virtual environment, so that a fresh machine needs only python3 and make.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint format demo bench slopes clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -e '.[dev]' 2>&1 | grep -v 'is ignored' || true
+	$(BIN)/python -c 'import circuits, capnp, h11, hypothesis, black'
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m tools.run_tests
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet rhubarbhinge standins tools
+	$(BIN)/ruff check rhubarbhinge standins tools
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix --quiet rhubarbhinge standins tools
+	$(BIN)/black --quiet rhubarbhinge standins tools
+
+demo: $(STAMP)
+	$(BIN)/python -m tools.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m tools.bench
+
+slopes: $(STAMP)
+	$(BIN)/python -m tools.slopes
+
+clean:
+	rm -rf $(VENV) build *.egg-info out
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools: tests, demo, bench and slopes."""
