wire: frames, signed hello, sub-query and reply messages

Cause: entry and relay need a bounded, checked protocol, and encode cost bounds sub-queries a second. Change: lists of numbers side by side; generic codec from dataclasses; HMAC hello and datagrams.

--- /dev/null
+++ b/rhubarbhinge/wire/__init__.py
@@ -0,0 +1,77 @@
+"""Messages between the system's own nodes: schema, frames, signatures and limits."""
+
+from typing import Any
+
+from rhubarbhinge.wire._cancelbatch import CancelBatch
+from rhubarbhinge.wire._codec import Codec
+from rhubarbhinge.wire._frameerror import FrameError
+from rhubarbhinge.wire._frames import MAX_FRAME_BYTES, FrameSplitter, frame
+from rhubarbhinge.wire._hello import Hello
+from rhubarbhinge.wire._hellocheck import (
+    NONCE_BYTES,
+    check_hello,
+    open_datagram,
+    sign_datagram,
+    signed_hello,
+)
+from rhubarbhinge.wire._holdingreport import HoldingReport
+from rhubarbhinge.wire._replybatch import ReplyBatch
+from rhubarbhinge.wire._subbatch import SubBatch
+from rhubarbhinge.wire._subcode import SubCode
+from rhubarbhinge.wire._upstreamid import upstream_id
+from rhubarbhinge.wire._upstreamreport import UpstreamReport
+from rhubarbhinge.wire._upstreamstate import UpstreamState
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "NONCE_BYTES",
+    "CancelBatch",
+    "FrameError",
+    "FrameSplitter",
+    "Hello",
+    "HoldingReport",
+    "ReplyBatch",
+    "SubBatch",
+    "SubCode",
+    "UpstreamReport",
+    "UpstreamState",
+    "check_hello",
+    "decode",
+    "encode",
+    "frame",
+    "open_datagram",
+    "sign_datagram",
+    "signed_hello",
+    "upstream_id",
+]
+
+#: Every message class, in the order of the schema's union.
+MESSAGE_TYPES = (
+    Hello,
+    SubBatch,
+    ReplyBatch,
+    CancelBatch,
+    UpstreamReport,
+    HoldingReport,
+)
+
+_CODEC = Codec(MESSAGE_TYPES)
+
+
+def encode(message: Any) -> bytes:
+    """Encode one message without framing.
+
+    :param message: an instance of one of :data:`MESSAGE_TYPES`.
+    :returns: its bytes.
+    """
+    return _CODEC.encode(message)
+
+
+def decode(data: bytes) -> Any:
+    """Decode one message.
+
+    :param data: bytes from anyone.
+    :returns: the message.
+    :raises FrameError: with code ``malformed``.
+    """
+    return _CODEC.decode(data)
--- /dev/null
+++ b/rhubarbhinge/wire/_subcode.py
@@ -0,0 +1,28 @@
+"""How a sub-query ended."""
+
+from enum import IntEnum
+
+
+class SubCode(IntEnum):
+    """How a sub-query ended, as the relay saw it."""
+
+    #: The searcher answered; the body is its answer.
+    ANSWERED = 0
+    #: The searcher shed it; not run.
+    SHED = 1
+    #: The searcher is leaving; not run.
+    DRAINING = 2
+    #: The searcher no longer holds the pinned version.
+    VERSION_GONE = 3
+    #: The searcher no longer holds the whole range.
+    RANGE_MOVED = 4
+    #: The deadline passed before an answer.
+    DEADLINE = 5
+    #: The connection failed or the answer was malformed.
+    BROKEN = 6
+    #: The relay's queue cannot serve it in time; not run.
+    QUEUE_FULL = 7
+    #: The message was meant for another life of the relay, or another owner; not run.
+    WRONG_RECEIVER = 8
+    #: The call was cancelled.
+    CANCELLED = 9
--- /dev/null
+++ b/rhubarbhinge/wire/messages.capnp
@@ -0,0 +1,80 @@
+@0xc6f1a53f0be0b2d1;
+# Messages between the nodes of the system. Every struct mirrors the frozen dataclass of the same
+# name, field by field (snake_case there, camelCase here). Lists of numbers stand side by side
+# instead of a list of structs: encoding and decoding 150 sub-queries takes 1.7 us each that way and
+# 11 us as structs (docs/wire.md).
+
+struct Hello {
+  name @0 :Text;
+  role @1 :Text;
+  failureDomain @2 :Text;
+  incarnation @3 :UInt64;
+  nonce @4 :Data;
+  answersNonce @5 :Data;
+  mac @6 :Data;
+}
+
+struct SubBatch {
+  callId @0 :UInt64;
+  receiverIncarnation @1 :UInt64;
+  registerRevision @2 :UInt64;
+  collection @3 :Text;
+  version @4 :UInt64;
+  text @5 :Text;
+  limit @6 :UInt16;
+  deadlineMs @7 :UInt32;
+  weight @8 :UInt16;
+  parts @9 :List(UInt16);
+  attempts @10 :List(UInt8);
+  upstreamIds @11 :List(UInt64);
+  los @12 :List(UInt32);
+  his @13 :List(UInt32);
+}
+
+struct ReplyBatch {
+  registerRevision @0 :UInt64;
+  callIds @1 :List(UInt64);
+  parts @2 :List(UInt16);
+  attempts @3 :List(UInt8);
+  outcomes @4 :List(UInt8);
+  retryAfterMs @5 :List(UInt32);
+  queueMs @6 :List(UInt32);
+  serviceMs @7 :List(UInt32);
+  bodies @8 :List(Data);
+}
+
+struct CancelBatch {
+  callIds @0 :List(UInt64);
+  parts @1 :List(UInt16);
+  attempts @2 :List(UInt8);
+}
+
+struct UpstreamReport {
+  upstreamIds @0 :List(UInt64);
+  states @1 :List(UInt8);
+  queued @2 :List(UInt32);
+  inFlight @3 :List(UInt16);
+  slots @4 :List(UInt16);
+}
+
+struct HoldingReport {
+  upstreamId @0 :UInt64;
+  incarnation @1 :UInt64;
+  collections @2 :List(Text);
+  versions @3 :List(UInt64);
+  totalRecords @4 :List(UInt64);
+  los @5 :List(UInt32);
+  his @6 :List(UInt32);
+  records @7 :List(UInt64);
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    subBatch @1 :SubBatch;
+    replyBatch @2 :ReplyBatch;
+    cancelBatch @3 :CancelBatch;
+    upstreamReport @4 :UpstreamReport;
+    holdingReport @5 :HoldingReport;
+  }
+}
