Register: models and parsers of the three published documents

Cause: nodes, daemons and operators need one checked model of register, rules and VM list. Ruled out: a schema library; the checks across fields (references, shard ranges) are most of the work, and all faults have to be named at once, in an order that is the same everywhere. Change: frozen models, strict JSON (duplicate keys, depth and size bounded), parsers that report all faults with their places. Conclusion: enough for the other subpackages to build on.

--- /dev/null
+++ b/rhubarbhinge/register/__init__.py
@@ -0,0 +1,53 @@
+"""The operators' documents, checked into frozen models.
+
+Parsers are pure: the same bytes get the same verdict, with the same faults in the same order, on
+every node.
+"""
+
+from rhubarbhinge.register._document import to_document
+from rhubarbhinge.register._faults import MOST_FAULTS, Checked, Fault
+from rhubarbhinge.register._inventory import (
+    KEY_SPACE,
+    Action,
+    Collection,
+    Plant,
+    Register,
+    Shard,
+    Supplier,
+    System,
+    Upstream,
+)
+from rhubarbhinge.register._json import MOST_BYTES
+from rhubarbhinge.register._parse_register import parse_register
+from rhubarbhinge.register._parse_rules import cross_check, parse_rules
+from rhubarbhinge.register._parse_vms import parse_vms
+from rhubarbhinge.register._rules import Limits, Route, Rules, TrafficClass
+from rhubarbhinge.register._vms import Node, Vm, VmList
+
+__all__ = [
+    "KEY_SPACE",
+    "MOST_BYTES",
+    "MOST_FAULTS",
+    "Action",
+    "Checked",
+    "Collection",
+    "Fault",
+    "Limits",
+    "Node",
+    "Plant",
+    "Register",
+    "Route",
+    "Rules",
+    "Shard",
+    "Supplier",
+    "System",
+    "TrafficClass",
+    "Upstream",
+    "Vm",
+    "VmList",
+    "cross_check",
+    "parse_register",
+    "parse_rules",
+    "parse_vms",
+    "to_document",
+]
