--- a/rhubarbhinge/register/_json.py
+++ b/rhubarbhinge/register/_json.py
@@ -18,7 +18,7 @@
 MOST_DEPTH = 16
 """Levels of nesting; the published documents need six."""
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[{]|[\]}]', re.DOTALL)
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"?|[\[{]|[\]}]', re.DOTALL)
 _OPENING = (b"[", b"{")
 _CLOSING = (b"]", b"}")
 
--- a/rhubarbhinge/register/_parse_rules.py
+++ b/rhubarbhinge/register/_parse_rules.py
@@ -72,12 +72,13 @@
     :returns: The faults; none when the two fit.
     """
     log = FaultLog()
-    for index, route in enumerate(rules.routes):
-        placed = [(f"routes[{index}].collection", route.collection)]
-        known = register._collections
-        raws.check_known(log, placed, known, "collection", "the register's collections")
+    collections = {collection.name for collection in register.collections}
+    routes = enumerate(rules.routes)
+    placed = [(f"routes[{index}].collection", route.collection) for index, route in routes]
+    raws.check_known(log, placed, collections, "collection", "the register's collections")
+    actions = {action.name for action in register.actions}
     placed = [(f"never_repeat[{index}]", name) for index, name in enumerate(rules.never_repeat)]
-    raws.check_known(log, placed, register._actions, "action", "the register's actions")
+    raws.check_known(log, placed, actions, "action", "the register's actions")
     return log.faults()
 
 
