--- /dev/null
+++ b/rhubarbhinge/query/_call.py
@@ -0,0 +1,163 @@
+"""State of one query that is being answered."""
+
+from rhubarbhinge.query._missing import Missing
+from rhubarbhinge.query._plan import Gap, Plan
+from rhubarbhinge.query._searchrequest import SearchRequest
+from rhubarbhinge.query._tile import Tile
+
+
+class Attempt:
+    """One sub-query that was sent.
+
+    :ivar upstream_id: the searcher.
+    :ivar relay: the relay's node name.
+    :ivar sent_ms: when.
+    :ivar extra: whether it spent a token of the budget.
+    """
+
+    __slots__ = ("upstream_id", "relay", "sent_ms", "extra", "overdue")
+
+    def __init__(self, upstream_id: int, relay: str, sent_ms: float, extra: bool) -> None:
+        self.upstream_id = upstream_id
+        self.relay = relay
+        self.sent_ms = sent_ms
+        self.extra = extra
+        self.overdue = False
+
+
+class Part:
+    """One range of a query.
+
+    :ivar tile: the range and its replicas.
+    :ivar attempts: outstanding attempts by number.
+    :ivar tried: searchers that were sent to.
+    :ivar sent: attempts sent so far.
+    :ivar done: whether it was answered or given up.
+    :ivar why: the last reason for going without an answer.
+    :ivar wait_ms: what the last refusal said of when to come back.
+    :ivar retry_at_ms: when all replicas may be asked again; 0 when that is not planned.
+    """
+
+    __slots__ = ("number", "tile", "attempts", "tried", "sent", "done", "why", "wait_ms", "retry_at_ms")
+
+    def __init__(self, number: int, tile: Tile) -> None:
+        self.number = number
+        self.tile = tile
+        self.attempts: dict[int, Attempt] = {}
+        self.tried: set[int] = set()
+        self.sent = 0
+        self.done = False
+        self.why = "no-replica"
+        self.wait_ms = 0
+        self.retry_at_ms = 0.0
+
+
+class Call:
+    """One query that is being answered.
+
+    :ivar call_id: the entry's sequence number.
+    :ivar request: the search as admitted.
+    :ivar started_ms: when it began.
+    :ivar deadline_ms: when it has to be answered, on the same clock.
+    """
+
+    __slots__ = (
+        "call_id",
+        "request",
+        "started_ms",
+        "deadline_ms",
+        "plan",
+        "parts",
+        "open_parts",
+        "next_part",
+        "hits",
+        "covered_records",
+        "lost",
+        "gone_versions",
+        "base",
+        "hedges",
+        "retries",
+        "redirects",
+    )
+
+    def __init__(self, call_id: int, request: SearchRequest, now_ms: float) -> None:
+        self.call_id = call_id
+        self.request = request
+        self.started_ms = now_ms
+        self.deadline_ms = now_ms + request.deadline_ms
+        self.gone_versions: frozenset[int] = frozenset()
+        self.next_part = 0
+        self.base = 0
+        self.hedges = 0
+        self.retries = 0
+        self.redirects = 0
+        self.begin(Plan(0, 0, (), ()))
+
+    def begin(self, plan: Plan) -> None:
+        """Start over on a plan; part numbers go on, so that late answers match nothing.
+
+        :param plan: the plan, with its pinned version.
+        """
+        self.plan = plan
+        self.parts: dict[int, Part] = {}
+        self.open_parts = 0
+        self.hits: list[dict] = []
+        self.covered_records = 0
+        self.lost: list[Missing] = [_missing_gap(gap, plan) for gap in plan.gaps]
+
+    def add_part(self, tile: Tile) -> Part:
+        """Add a range.
+
+        :param tile: the range.
+        :returns: its part.
+        """
+        part = Part(self.next_part, tile)
+        self.next_part += 1
+        self.parts[part.number] = part
+        self.open_parts += 1
+        return part
+
+    def close_part(self, part: Part) -> None:
+        """Mark a part as answered or given up.
+
+        :param part: the part.
+        """
+        part.done = True
+        self.open_parts -= 1
+
+    def lose(self, part: Part) -> None:
+        """Give a part up.
+
+        :param part: the part.
+        """
+        self.close_part(part)
+        tile = part.tile
+        self.lost.append(Missing(tile.lo, tile.hi, tile.records, part.why))
+
+    def best_coverage(self) -> float:
+        """Give the coverage if all open parts are answered.
+
+        :returns: between 0 and 1.
+        """
+        total = self.plan.total_records
+        if total == 0:
+            return 0.0 if self.lost else 1.0
+        return (self.covered_records + self._open_records()) / total
+
+    def coverage(self) -> float:
+        """Give the coverage so far.
+
+        :returns: between 0 and 1.
+        """
+        total = self.plan.total_records
+        if total == 0:
+            return 0.0 if self.lost or self.open_parts else 1.0
+        return self.covered_records / total
+
+    def _open_records(self) -> int:
+        return sum(part.tile.records for part in self.parts.values() if not part.done)
+
+
+def _missing_gap(gap: Gap, plan: Plan) -> Missing:
+    records = plan.total_records - plan.reachable_records() if len(plan.gaps) == 1 else None
+    return Missing(gap.lo, gap.hi, records, "no-replica")
--- /dev/null
+++ b/rhubarbhinge/query/_catalog.py
@@ -0,0 +1,189 @@
+"""What the searchers announce: which index versions and ranges they hold, and whether they serve."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from rhubarbhinge.query._plan import Gap, Plan
+from rhubarbhinge.query._tile import Tile
+from rhubarbhinge.query._tiling import tiling
+from rhubarbhinge.wire import HoldingReport, UpstreamState
+
+#: The key space of every collection (docs/architecture.md).
+FIRST_KEY = 0
+LAST_KEY = 65_536
+
+_Range = tuple[int, int]
+_USABLE = frozenset({UpstreamState.READY, UpstreamState.WARMING, UpstreamState.UNKNOWN})
+
+
+class Catalog:
+    """The announcements of all searchers, and the plans that follow from them."""
+
+    def __init__(self) -> None:
+        self._report_by_upstream: dict[int, HoldingReport] = {}
+        self._state_by_upstream: dict[int, UpstreamState] = {}
+        self._holders: dict[str, dict[int, dict[_Range, set[int]]]] = {}
+        self._records: dict[tuple[str, int], dict[_Range, int]] = {}
+        self._totals: dict[tuple[str, int], int] = {}
+        self._plans: dict[tuple[str, frozenset[int]], Plan] = {}
+        self._stale = False
+
+    def on_holdings(self, report: HoldingReport) -> None:
+        """Take a searcher's announcement; one of an older life is ignored.
+
+        :param report: all that the searcher holds.
+        """
+        known = self._report_by_upstream.get(report.upstream_id)
+        if known is not None and report.incarnation < known.incarnation:
+            return
+        self._report_by_upstream[report.upstream_id] = report
+        self._stale = True
+
+    def on_state(self, upstream_id: int, state: UpstreamState) -> None:
+        """Take a searcher's state.
+
+        :param upstream_id: the searcher.
+        :param state: what its relay sees.
+        """
+        before = self._state_by_upstream.get(upstream_id, UpstreamState.UNKNOWN)
+        self._state_by_upstream[upstream_id] = state
+        if (before in _USABLE) != (state in _USABLE):
+            self._plans.clear()
+
+    def forget(self, upstream_ids: Iterable[int]) -> None:
+        """Drop searchers that are no longer in the register.
+
+        :param upstream_ids: the searchers.
+        """
+        for upstream_id in upstream_ids:
+            self._report_by_upstream.pop(upstream_id, None)
+            self._state_by_upstream.pop(upstream_id, None)
+        self._stale = True
+
+    def known(self) -> frozenset[int]:
+        """Give the searchers that have announced something.
+
+        :returns: their numbers.
+        """
+        return frozenset(self._report_by_upstream)
+
+    def usable(self, upstream_id: int) -> bool:
+        """Say whether a searcher takes new work, as far as is known.
+
+        :param upstream_id: the searcher.
+        :returns: False when it drains or is down.
+        """
+        return self._state_by_upstream.get(upstream_id, UpstreamState.UNKNOWN) in _USABLE
+
+    def state(self, upstream_id: int) -> UpstreamState:
+        """Give a searcher's state.
+
+        :param upstream_id: the searcher.
+        :returns: what its relay reported last.
+        """
+        return self._state_by_upstream.get(upstream_id, UpstreamState.UNKNOWN)
+
+    def versions(self, collection: str) -> tuple[int, ...]:
+        """Give the announced index versions of a collection.
+
+        :param collection: its name.
+        :returns: the versions, newest first.
+        """
+        self._refresh()
+        return tuple(sorted(self._holders.get(collection, ()), reverse=True))
+
+    def plan(self, collection: str, without: frozenset[int] = frozenset()) -> Plan:
+        """Pin an index version and choose the ranges that answer.
+
+        The version that reaches the most records wins, the newest among equals.
+
+        :param collection: its name.
+        :param without: versions that were tried and are gone.
+        :returns: the plan; without tiles when nothing is announced.
+        """
+        self._refresh()
+        key = (collection, without)
+        plan = self._plans.get(key)
+        if plan is None:
+            plan = self._plans[key] = self._make_plan(collection, without)
+        return plan
+
+    def tiles(self, collection: str, version: int, lo: int, hi: int) -> tuple[Tile, ...]:
+        """Cut a range anew, after its shard has moved.
+
+        :param collection: its name.
+        :param version: the pinned version.
+        :param lo: first key.
+        :param hi: key after the last.
+        :returns: disjoint tiles within the range.
+        """
+        self._refresh()
+        return tiling(self._announced(collection, version), lo, hi)[0]
+
+    def _make_plan(self, collection: str, without: frozenset[int]) -> Plan:
+        best = Plan(0, 0, (), (Gap(FIRST_KEY, LAST_KEY),))
+        best_share = -1.0
+        for version in self.versions(collection):
+            if version in without:
+                continue
+            plan = self._plan_of(collection, version)
+            share = plan.reachable_records() / max(1, plan.total_records)
+            if share > best_share:
+                best = plan
+                best_share = share
+        return best
+
+    def _plan_of(self, collection: str, version: int) -> Plan:
+        tiles, gaps = tiling(self._announced(collection, version), FIRST_KEY, LAST_KEY)
+        return Plan(version, self._totals[collection, version], tiles, gaps)
+
+    def _announced(self, collection: str, version: int) -> list[Tile]:
+        holders = self._holders.get(collection, {}).get(version, {})
+        records = self._records.get((collection, version), {})
+        tiles = []
+        for span, exact in holders.items():
+            usable = [upstream_id for upstream_id in exact if self.usable(upstream_id)]
+            wider = self._wider(holders, span)
+            usable += [upstream_id for upstream_id in wider if self.usable(upstream_id)]
+            if usable:
+                tiles.append(Tile(*span, records[span], tuple(sorted(set(usable)))))
+        return tiles
+
+    @staticmethod
+    def _wider(holders: dict[_Range, set[int]], span: _Range) -> list[int]:
+        lo, hi = span
+        found = []
+        for other, upstream_ids in holders.items():
+            if other != span and other[0] <= lo and hi <= other[1]:
+                found.extend(upstream_ids)
+        return found
+
+    def _refresh(self) -> None:
+        if self._stale:
+            self._stale = False
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        self._plans.clear()
+        holders: dict[str, dict[int, dict[_Range, set[int]]]] = {}
+        records: dict[tuple[str, int], dict[_Range, int]] = defaultdict(dict)
+        totals: dict[tuple[str, int], int] = {}
+        for report in self._report_by_upstream.values():
+            rows = zip(
+                report.collections,
+                report.versions,
+                report.total_records,
+                report.los,
+                report.his,
+                report.records,
+                strict=True,
+            )
+            for collection, version, total, lo, hi, count in rows:
+                by_range = holders.setdefault(collection, {}).setdefault(version, {})
+                by_range.setdefault((lo, hi), set()).add(report.upstream_id)
+                known = records[collection, version].get((lo, hi), count)
+                records[collection, version][lo, hi] = min(known, count)
+                totals[collection, version] = max(totals.get((collection, version), 0), total)
+        self._holders = holders
+        self._records = records
+        self._totals = totals
--- /dev/null
+++ b/rhubarbhinge/query/_policy.py
@@ -0,0 +1,31 @@
+"""How queries are carried out, apart from what the rules say of each class."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class QueryPolicy:
+    """Constants and switches of the query core; the switches exist for measuring.
+
+    :param answer_margin_ms: kept back from the deadline for merging and answering.
+    :param hop_margin_ms: kept back from the deadline on the way to the relay and back.
+    :param first_hedge_ms: hedge delay before there are latencies to go by.
+    :param least_hedge_ms: no hedge is sent sooner.
+    :param budget_tokens: most extra sub-queries saved up.
+    :param least_wait_ms: least time before replicas that all refused are asked again.
+    :param most_attempts: attempts a part may take.
+    :param hedging: whether slow parts are sent to a second replica.
+    :param own_observation: whether replicas are chosen by what was seen; else at random.
+    :param budgeted: whether hedges and retries have a budget.
+    """
+
+    answer_margin_ms: float = 4.0
+    hop_margin_ms: float = 2.0
+    first_hedge_ms: float = 40.0
+    least_hedge_ms: float = 1.0
+    budget_tokens: float = 100.0
+    least_wait_ms: float = 5.0
+    most_attempts: int = 6
+    hedging: bool = True
+    own_observation: bool = True
+    budgeted: bool = True
--- /dev/null
+++ b/rhubarbhinge/query/_relaytarget.py
@@ -0,0 +1,15 @@
+"""The relay that owns a searcher."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTarget:
+    """A relay that can be sent to.
+
+    :param name: its node name.
+    :param incarnation: its life number.
+    """
+
+    name: str
+    incarnation: int
--- /dev/null
+++ b/rhubarbhinge/query/_subanswer.py
@@ -0,0 +1,41 @@
+"""Check a searcher's answer against what was asked."""
+
+import orjson
+
+from rhubarbhinge.query._call import Call, Part
+
+
+def checked_hits(body: bytes, call: Call, part: Part) -> list[dict] | None:
+    """Read a searcher's answer.
+
+    An answer for another collection, version or range, or with another count of records than was
+    announced for this range and version, is not merged: it would mix snapshots or misstate coverage.
+
+    :param body: the answer, JSON.
+    :param call: the call.
+    :param part: the part that was asked for.
+    :returns: the hits, or None when the answer is not the one asked for.
+    """
+    try:
+        answer = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(answer, dict):
+        return None
+    tile = part.tile
+    if (
+        answer.get("version") != call.plan.version
+        or answer.get("collection") != call.request.collection
+        or answer.get("lo") != tile.lo
+        or answer.get("hi") != tile.hi
+        or answer.get("records") != tile.records
+    ):
+        return None
+    hits = answer.get("hits")
+    if not isinstance(hits, list):
+        return None
+    return hits if all(map(_is_hit, hits)) else None
+
+
+def _is_hit(hit: object) -> bool:
+    return isinstance(hit, dict) and isinstance(hit.get("score"), int | float) and "id" in hit
