First cut of timers, sockets and HTTP on circuits

The daemons need sockets, timers and HTTP before they can be written. circuits.web was ruled out by the faults that the design lists (deferred answers, pipelining, no limits or timeouts). One component owns all TCP links on the shared poller; HTTP is parsed by h11.

--- /dev/null
+++ b/rhubarbhinge/net/_links.py
@@ -0,0 +1,415 @@
+"""One component that owns many TCP connections."""
+
+import errno
+import itertools
+import socket
+from collections.abc import Callable
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller, EPoll
+
+from rhubarbhinge.net._link import Link, LinkState
+from rhubarbhinge.net._reason import CloseReason
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.failstop import fail_stop
+from rhubarbhinge.utils.shared import shared_component
+
+DEFAULT_MAX_PENDING_BYTES = 8 * 1024 * 1024
+"""Bytes pending to one peer above which the link is closed."""
+
+RECEIVE_BYTES = 64 * 1024
+"""Most bytes read from a link in one loop turn."""
+
+BACKLOG = 1024
+"""Connections that the kernel holds until they are accepted."""
+
+ACCEPTS_PER_TURN = 64
+"""Most connections accepted in one loop turn."""
+
+ACCEPT_PAUSE_MS = 100.0
+"""How long accepting rests when the process is out of descriptors, in milliseconds."""
+
+CLOSE_BOUND_MS = 2000.0
+"""Longest that a close waits for its flush and for the peer's close, in milliseconds."""
+
+BUFFERS_PER_SEND = 512
+"""Most buffers in one ``sendmsg``; Linux takes up to 1024 (``IOV_MAX``)."""
+
+NOTIFY_PRIORITY = 5
+"""Closes are told after due timers have run."""
+
+FLUSH_PRIORITY = -5
+"""Writes happen after all callbacks of a turn and before the poll."""
+
+_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
+_CONNECT_STARTED = (0, errno.EINPROGRESS, errno.EAGAIN)
+_ACCEPT_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_CONNECT_FAULTS = {
+    errno.ECONNREFUSED: CloseReason.REFUSED,
+    errno.ETIMEDOUT: CloseReason.CONNECT_TIMEOUT,
+}
+_channels = itertools.count(1)
+
+
+class Links(BaseComponent):
+    """Owns TCP connections, inbound and outbound, and hands their data to plain callbacks.
+
+    Callbacks run in the loop's thread and never from inside a method of this class.
+
+    :param on_open: called with the link and whether it is inbound.
+    :param on_data: called with the link and the bytes read.
+    :param on_close: called once for each link, with the link and a :class:`CloseReason`.
+    :param bind: IP address and port to listen at, None to only make connections.
+    :param max_pending_bytes: bytes pending to a peer above which its link is closed.
+    :param channel: the circuits channel, unique by default.
+    :raises OSError: when the port can not be bound.
+    """
+
+    def __init__(
+        self,
+        on_open: Callable[[int, bool], None],
+        on_data: Callable[[int, bytes], None],
+        on_close: Callable[[int, CloseReason], None],
+        bind: tuple[str, int] | None = None,
+        max_pending_bytes: int = DEFAULT_MAX_PENDING_BYTES,
+        channel: str | None = None,
+    ):
+        super().__init__(channel=channel or f"links-{next(_channels)}")
+        self._on_open = on_open
+        self._on_data = on_data
+        self._on_close = on_close
+        self._max_pending_bytes = max_pending_bytes
+        self._numbers = itertools.count(1)
+        self._links: dict[int, Link] = {}
+        self._by_sock: dict[socket.socket, Link] = {}
+        self._dirty: list[Link] = []
+        self._ended: list[tuple[int, CloseReason]] = []
+        self._poller: BasePoller | None = None
+        self._timers: TimerService | None = None
+        self._listener = None if bind is None else _listen(bind)
+        self._port = 0 if bind is None else self._listener.getsockname()[1]
+
+    @property
+    def bound_port(self) -> int:
+        """The port listened at, 0 when made without one."""
+        return self._port
+
+    def open(self, ip: str, port: int, timeout_ms: float) -> int:
+        """Start a connection; ``on_open`` or ``on_close`` is called later.
+
+        :param ip: the peer's IP address.
+        :param port: the peer's port.
+        :param timeout_ms: longest that the connection may take, in milliseconds.
+        :returns: the link.
+        """
+        self._attach()
+        number = next(self._numbers)
+        try:
+            sock = _tcp_socket()
+        except OSError:
+            self._ended.append((number, CloseReason.UNREACHABLE))
+            return number
+        link = self._add(number, sock, LinkState.CONNECTING, ip)
+        fault = sock.connect_ex((ip, port))
+        if fault not in _CONNECT_STARTED:
+            self._end(link, _CONNECT_FAULTS.get(fault, CloseReason.UNREACHABLE))
+            return number
+        self._poll_for_write(link)
+        late = CloseReason.CONNECT_TIMEOUT
+        link.timer = self._timers.after(timeout_ms, lambda: self._end(link, late))
+        return number
+
+    def send(self, link: int, data: bytes) -> None:
+        """Send bytes at the end of this loop turn; nothing happens if the link is closed.
+
+        :param link: the link.
+        :param data: the bytes.
+        """
+        found = self._links.get(link)
+        if found is None or found.state.value > LinkState.OPEN.value:
+            return
+        found.pending.append(data)
+        found.pending_bytes += len(data)
+        if found.pending_bytes > self._max_pending_bytes:
+            self._end(found, CloseReason.OVERFLOW)
+        elif not found.dirty:
+            found.dirty = True
+            self._dirty.append(found)
+
+    def close(self, link: int) -> None:
+        """Close a link after what is pending has been written, within a bound.
+
+        :param link: the link.
+        """
+        found = self._links.get(link)
+        if found is None or found.state.value > LinkState.OPEN.value:
+            return
+        if found.state is LinkState.CONNECTING:
+            self._end(found, CloseReason.LOCAL)
+            return
+        found.state = LinkState.FLUSHING
+        found.timer = self._timers.after(
+            CLOSE_BOUND_MS, lambda: self._end(found, CloseReason.LOCAL)
+        )
+        if not found.dirty:
+            found.dirty = True
+            self._dirty.append(found)
+
+    def abort(self, link: int) -> None:
+        """Close a link at once; what is pending is dropped.
+
+        :param link: the link.
+        """
+        found = self._links.get(link)
+        if found is not None:
+            self._end(found, CloseReason.LOCAL)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open stay."""
+        if self._listener is None:
+            return
+        if self._poller is not None:
+            self._poller.discard(self._listener)
+        self._listener.close()
+        self._listener = None
+
+    def peer_ip(self, link: int) -> str:
+        """Tell the IP address of a link's peer.
+
+        :param link: the link.
+        :returns: the address, empty when the link is closed.
+        """
+        found = self._links.get(link)
+        return "" if found is None else found.peer_ip
+
+    @handler("registered", channel="*")
+    def _on_registered(self, component, manager) -> None:
+        if component is self:
+            self._attach()
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, manager) -> None:
+        self.stop_listening()
+        for link in list(self._links.values()):
+            self._forget(link)
+
+    @handler("_read")
+    def _on_read(self, sock) -> None:
+        try:
+            if self._timers.asleep:
+                self._timers.wake()
+            link = self._by_sock.get(sock)
+            if link is not None:
+                self._receive(link)
+            elif sock is self._listener:
+                self._accept_all()
+        except Exception as error:
+            fail_stop(error)
+
+    @handler("_write")
+    def _on_write(self, sock) -> None:
+        link = self._by_sock.get(sock)
+        if link is None:
+            return
+        try:
+            if self._timers.asleep:
+                self._timers.wake()
+            if link.state is LinkState.CONNECTING:
+                self._connected(link)
+            else:
+                self._flush(link)
+        except Exception as error:
+            fail_stop(error)
+
+    @handler("_disconnect", "_error")
+    def _on_broken(self, sock, *_) -> None:
+        link = self._by_sock.get(sock)
+        if link is not None:
+            self._broken(link, sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+    @handler("generate_events", priority=NOTIFY_PRIORITY)
+    def _on_notify(self, event) -> None:
+        if not self._ended:
+            return
+        ended, self._ended = self._ended, []
+        try:
+            for number, reason in ended:
+                self._on_close(number, reason)
+        except Exception as error:
+            fail_stop(error)
+
+    @handler("generate_events", priority=FLUSH_PRIORITY)
+    def _on_flush(self, event) -> None:
+        if self._dirty:
+            dirty, self._dirty = self._dirty, []
+            for link in dirty:
+                link.dirty = False
+                if not link.polled_for_write:
+                    self._flush(link)
+        if self._ended:
+            event.reduce_time_left(0)
+
+    def _attach(self) -> None:
+        if self._poller is not None:
+            return
+        self._timers = shared_component(self, TimerService)
+        self._poller = shared_component(self, BasePoller, EPoll)
+        if self._listener is not None:
+            self._poller.addReader(self, self._listener)
+
+    def _add(self, number: int, sock: socket.socket, state: LinkState, peer_ip: str) -> Link:
+        link = Link(number, sock, state, peer_ip)
+        self._links[number] = link
+        self._by_sock[sock] = link
+        return link
+
+    def _accept_all(self) -> None:
+        for _ in range(ACCEPTS_PER_TURN):
+            if self._listener is None:
+                return
+            try:
+                sock, address = self._listener.accept()
+            except OSError as error:
+                if error.errno in _ACCEPT_EXHAUSTED:
+                    self._rest_accepting()
+                return
+            self._accepted(sock, address[0])
+
+    def _accepted(self, sock: socket.socket, peer_ip: str) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
+        self._poller.addReader(self, sock)
+        self._on_open(link.number, True)
+
+    def _rest_accepting(self) -> None:
+        self._poller.discard(self._listener)
+        self._timers.after(ACCEPT_PAUSE_MS, self._accept_again)
+
+    def _accept_again(self) -> None:
+        if self._listener is not None:
+            self._poller.addReader(self, self._listener)
+
+    def _connected(self, link: Link) -> None:
+        fault = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if fault:
+            self._broken(link, fault)
+            return
+        self._cancel_timer(link)
+        link.state = LinkState.OPEN
+        link.polled_for_write = False
+        self._poller.removeWriter(link.sock)
+        self._poller.addReader(self, link.sock)
+        if link.pending:
+            self._flush(link)
+        if link.number in self._links:
+            self._on_open(link.number, False)
+
+    def _broken(self, link: Link, fault: int) -> None:
+        if link.state is LinkState.CONNECTING:
+            self._end(link, _CONNECT_FAULTS.get(fault, CloseReason.UNREACHABLE))
+        elif link.state is LinkState.OPEN:
+            self._end(link, CloseReason.RESET)
+        else:
+            self._end(link, CloseReason.LOCAL)
+
+    def _receive(self, link: Link) -> None:
+        try:
+            data = link.sock.recv(RECEIVE_BYTES)
+        except OSError as error:
+            if error.errno not in _AGAIN:
+                self._broken(link, error.errno)
+            return
+        if link.state is not LinkState.OPEN:
+            if not data:
+                self._end(link, CloseReason.LOCAL)
+        elif data:
+            self._on_data(link.number, data)
+        else:
+            self._end(link, CloseReason.PEER)
+
+    def _flush(self, link: Link) -> None:
+        if link.number not in self._links or link.state is LinkState.CONNECTING:
+            return
+        try:
+            while link.pending:
+                if not self._write_some(link):
+                    self._poll_for_write(link)
+                    return
+        except OSError as error:
+            if error.errno not in _AGAIN:
+                self._broken(link, error.errno)
+            else:
+                self._poll_for_write(link)
+            return
+        self._flushed(link)
+
+    def _write_some(self, link: Link) -> bool:
+        if len(link.pending) == 1:
+            offered_bytes = len(link.pending[0])
+            written_bytes = link.sock.send(link.pending[0])
+        else:
+            buffers = link.pending[:BUFFERS_PER_SEND]
+            offered_bytes = sum(map(len, buffers))
+            written_bytes = link.sock.sendmsg(buffers)
+        link.drop_written(written_bytes)
+        return written_bytes == offered_bytes
+
+    def _flushed(self, link: Link) -> None:
+        if link.polled_for_write:
+            link.polled_for_write = False
+            self._poller.removeWriter(link.sock)
+        if link.state is LinkState.FLUSHING:
+            self._shut_down(link)
+
+    def _shut_down(self, link: Link) -> None:
+        link.state = LinkState.DRAINING
+        try:
+            link.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._end(link, CloseReason.LOCAL)
+
+    def _poll_for_write(self, link: Link) -> None:
+        if not link.polled_for_write:
+            link.polled_for_write = True
+            self._poller.addWriter(self, link.sock)
+
+    def _cancel_timer(self, link: Link) -> None:
+        if link.timer is not None:
+            link.timer.cancel()
+            link.timer = None
+
+    def _end(self, link: Link, reason: CloseReason) -> None:
+        if self._forget(link):
+            self._ended.append((link.number, reason))
+
+    def _forget(self, link: Link) -> bool:
+        if self._links.pop(link.number, None) is None:
+            return False
+        del self._by_sock[link.sock]
+        self._cancel_timer(link)
+        link.pending.clear()
+        link.pending_bytes = 0
+        self._poller.discard(link.sock)
+        link.sock.close()
+        return True
+
+
+def _listen(bind: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(bind)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _tcp_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
--- /dev/null
+++ b/rhubarbhinge/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that several subpackages share."""
--- /dev/null
+++ b/rhubarbhinge/utils/failstop.py
@@ -0,0 +1,21 @@
+"""Stopping the process on a broken invariant."""
+
+import traceback
+from typing import NoReturn
+
+from absl import logging
+
+EXIT_SOFTWARE = 70
+"""Exit code of a process that found a broken invariant (``EX_SOFTWARE`` of ``sysexits.h``)."""
+
+
+def fail_stop(error: BaseException) -> NoReturn:
+    """Log a broken invariant with its traceback and stop the process.
+
+    circuits swallows exceptions of event handlers, but lets ``SystemExit`` end its main loop.
+
+    :param error: what was raised.
+    :raises SystemExit: always, with :data:`EXIT_SOFTWARE`.
+    """
+    logging.error("event=fail_stop error=%r\n%s", error, "".join(traceback.format_exception(error)))
+    raise SystemExit(EXIT_SOFTWARE) from error
--- /dev/null
+++ b/rhubarbhinge/web/_connections.py
@@ -0,0 +1,173 @@
+"""HTTP connections to upstreams, whose use the caller decides on."""
+
+from collections.abc import Callable
+
+import h11
+from circuits import BaseComponent
+
+from rhubarbhinge.net import CloseReason, Links
+from rhubarbhinge.timing import Subscription, TimerService
+from rhubarbhinge.web._reply import Reply
+from rhubarbhinge.web._reply_parser import MalformedReply, ReplyParser
+
+TIMEOUT = "timeout"
+"""Close reason of a connection whose reply did not come in time."""
+
+MALFORMED = "malformed"
+"""Close reason of a connection that brought no well-formed reply."""
+
+UNASKED = "unasked"
+"""Close reason of a connection that brought bytes that no request asked for."""
+
+
+class _Conn:
+    """State of one connection.
+
+    :param host: value of the ``Host`` header.
+    """
+
+    __slots__ = ("host", "is_open", "parser", "timer", "closing")
+
+    def __init__(self, host: str):
+        self.host = host
+        self.is_open = False
+        self.parser: ReplyParser | None = None
+        self.timer: Subscription | None = None
+        self.closing = ""
+
+
+class HttpConnections(BaseComponent):
+    """Makes requests on connections that the caller opens, one at a time on each.
+
+    A connection whose reply is late, malformed or unasked is closed and never used again, so a
+    reply can only be that of the one request under way on its connection.
+
+    :param timers: the timer service.
+    :param on_open: called with a connection that has opened.
+    :param on_reply: called with a connection and the reply to its request.
+    :param on_close: called once for each connection, with the reason.
+    """
+
+    channel = "http-connections"
+
+    def __init__(
+        self,
+        timers: TimerService,
+        on_open: Callable[[int], None],
+        on_reply: Callable[[int, Reply], None],
+        on_close: Callable[[int, str], None],
+    ):
+        super().__init__()
+        self._timers = timers
+        self._on_open = on_open
+        self._on_reply = on_reply
+        self._on_close = on_close
+        self._conns: dict[int, _Conn] = {}
+        self._links = Links(self._opened, self._received, self._closed).register(self)
+
+    def open(self, ip: str, port: int, timeout_ms: float) -> int:
+        """Start a connection; ``on_open`` or ``on_close`` is called later.
+
+        :param ip: the upstream's IP address.
+        :param port: the upstream's port.
+        :param timeout_ms: longest that connecting may take, in milliseconds.
+        :returns: the connection.
+        """
+        conn = self._links.open(ip, port, timeout_ms)
+        self._conns[conn] = _Conn(f"{ip}:{port}")
+        return conn
+
+    def request(
+        self,
+        conn: int,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout_ms: float = 30_000.0,
+    ) -> None:
+        """Send a request; ``on_reply`` or ``on_close`` is called later.
+
+        Nothing happens on a connection that is closed and whose ``on_close`` is still to come.
+
+        :param conn: an open connection without a request under way.
+        :param method: the method.
+        :param path: the path with its query, percent-encoded.
+        :param body: the whole body.
+        :param headers: more headers, besides those of host and length.
+        :param timeout_ms: longest that the reply may take, in milliseconds.
+        :raises RuntimeError: when the connection is not open or has a request under way.
+        """
+        found = self._conns.get(conn)
+        if found is None or not found.is_open or found.parser is not None:
+            raise RuntimeError(f"connection {conn} can not take a request")
+        if found.closing:
+            return
+        found.parser = ReplyParser(method)
+        found.timer = self._timers.after(timeout_ms, lambda: self._abort(conn, found, TIMEOUT))
+        self._links.send(conn, _encode(method, path, found.host, body, headers))
+
+    def close(self, conn: int) -> None:
+        """Close a connection at once; ``on_close`` is called later with ``local``.
+
+        :param conn: the connection.
+        """
+        found = self._conns.get(conn)
+        if found is not None:
+            self._abort(conn, found, CloseReason.LOCAL.value)
+
+    def reusable(self, conn: int) -> bool:
+        """Tell whether a connection can take a request now.
+
+        :param conn: the connection.
+        :returns: whether it is open, without a request under way, and not being closed.
+        """
+        found = self._conns.get(conn)
+        return bool(found and found.is_open and found.parser is None and not found.closing)
+
+    def _opened(self, conn: int, inbound: bool) -> None:
+        self._conns[conn].is_open = True
+        self._on_open(conn)
+
+    def _received(self, conn: int, data: bytes) -> None:
+        found = self._conns[conn]
+        if found.parser is None:
+            self._abort(conn, found, UNASKED)
+            return
+        outcome = found.parser.feed(data)
+        if outcome is None:
+            return
+        if isinstance(outcome, MalformedReply):
+            self._abort(conn, found, MALFORMED)
+            return
+        self._finish(conn, found, outcome)
+
+    def _finish(self, conn: int, found: _Conn, reply: Reply) -> None:
+        reusable, unasked = found.parser.reusable, found.parser.unasked
+        found.parser = None
+        found.timer.cancel()
+        if unasked:
+            self._abort(conn, found, UNASKED)
+        elif not reusable:
+            self._abort(conn, found, CloseReason.PEER.value)
+        self._on_reply(conn, reply)
+
+    def _closed(self, conn: int, reason: CloseReason) -> None:
+        found = self._conns.pop(conn)
+        if found.timer is not None:
+            found.timer.cancel()
+        self._on_close(conn, found.closing or reason.value)
+
+    def _abort(self, conn: int, found: _Conn, reason: str) -> None:
+        if not found.closing:
+            found.closing = reason
+            self._links.abort(conn)
+
+
+def _encode(
+    method: str, path: str, host: str, body: bytes, headers: tuple[tuple[str, str], ...]
+) -> bytes:
+    fields = [("Host", host), ("Content-Length", str(len(body))), *headers]
+    writer = h11.Connection(h11.CLIENT)
+    head = writer.send(h11.Request(method=method, target=path, headers=fields))
+    return head + body
--- /dev/null
+++ b/rhubarbhinge/web/_reply.py
@@ -0,0 +1,17 @@
+"""An upstream's answer to a request of ours."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An upstream's answer to a request of ours.
+
+    :param status: the status code.
+    :param headers: the headers, names in lower case.
+    :param body: the whole body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
--- /dev/null
+++ b/rhubarbhinge/web/_response.py
@@ -0,0 +1,21 @@
+"""An answer to a caller's request."""
+
+from dataclasses import dataclass
+
+JSON_TYPE = "application/json"
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer to a caller's request.
+
+    :param status: the status code.
+    :param body: the whole body.
+    :param headers: more headers, besides those of length, type and connection.
+    :param content_type: the body's media type.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = JSON_TYPE
--- /dev/null
+++ b/rhubarbhinge/web/_server.py
@@ -0,0 +1,203 @@
+"""The HTTP server."""
+
+import gzip
+from collections.abc import Callable
+
+import h11
+from circuits import BaseComponent
+
+from rhubarbhinge.net import CloseReason, Links
+from rhubarbhinge.timing import Subscription, TimerService
+from rhubarbhinge.web._errors import too_many_connections
+from rhubarbhinge.web._limits import HttpLimits
+from rhubarbhinge.web._parser import Refusal, RequestParser
+from rhubarbhinge.web._request import Request
+from rhubarbhinge.web._responder import Responder
+from rhubarbhinge.web._response import Response
+
+GZIP_LEVEL = 5
+"""Between speed (1) and size (9): answers are small, callers' networks slow."""
+
+
+class _Caller:
+    """State of one caller's connection.
+
+    :param link: its link.
+    :param parser: reads its requests.
+    """
+
+    __slots__ = ("link", "parser", "responder", "request", "timer", "timing")
+
+    def __init__(self, link: int, parser: RequestParser):
+        self.link = link
+        self.parser = parser
+        self.responder: Responder | None = None
+        self.request: Request | None = None
+        self.timer: Subscription | None = None
+        self.timing = ""
+
+
+class HttpServer(BaseComponent):
+    """Serves HTTP/1.1; pipelined requests are answered one at a time, in order.
+
+    :param timers: the timer service.
+    :param handle: called with each whole request and the handle to answer it by.
+    :param bind: IP address and port to listen at.
+    :param limits: what is granted to callers.
+    :raises OSError: when the port can not be bound.
+    """
+
+    channel = "http-server"
+
+    def __init__(
+        self,
+        timers: TimerService,
+        handle: Callable[[Request, Responder], None],
+        bind: tuple[str, int],
+        limits: HttpLimits | None = None,
+    ):
+        super().__init__()
+        self._timers = timers
+        self._handle = handle
+        self._limits = limits or HttpLimits()
+        self._callers: dict[int, _Caller] = {}
+        self._open_requests = 0
+        self._links = Links(self._opened, self._received, self._closed, bind).register(self)
+
+    @property
+    def bound_port(self) -> int:
+        """The port listened at."""
+        return self._links.bound_port
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests have been handed over and not answered or abandoned."""
+        return self._open_requests
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open are served on."""
+        self._links.stop_listening()
+
+    def _opened(self, link: int, inbound: bool) -> None:
+        if len(self._callers) >= self._limits.connections:
+            self._links.send(link, _plain_answer(too_many_connections()))
+            self._links.close(link)
+            return
+        caller = _Caller(link, RequestParser(self._limits, self._links.peer_ip(link)))
+        self._callers[link] = caller
+        self._time(caller, "header", self._limits.header_timeout_ms)
+
+    def _received(self, link: int, data: bytes) -> None:
+        caller = self._callers.get(link)
+        if caller is None:
+            return
+        caller.parser.feed(data)
+        if caller.responder is None:
+            self._read_on(caller)
+
+    def _closed(self, link: int, reason: CloseReason) -> None:
+        caller = self._callers.pop(link, None)
+        if caller is not None:
+            self._drop(caller)
+
+    def _read_on(self, caller: _Caller) -> None:
+        outcome = caller.parser.next()
+        if isinstance(outcome, Refusal):
+            self._refuse(caller, outcome.response)
+        elif outcome is not None:
+            self._hand_over(caller, outcome)
+        elif caller.parser.reading_body:
+            self._time(caller, "body", self._limits.body_timeout_ms)
+            interim = caller.parser.wants_continue()
+            if interim:
+                self._links.send(caller.link, interim)
+        elif caller.parser.started:
+            self._time(caller, "header", self._limits.header_timeout_ms)
+        else:
+            self._time(caller, "idle", self._limits.idle_timeout_ms)
+
+    def _hand_over(self, caller: _Caller, request: Request) -> None:
+        self._stop_timing(caller)
+        caller.request = request
+        caller.responder = Responder(lambda response: self._answer(caller, response))
+        self._open_requests += 1
+        self._handle(request, caller.responder)
+
+    def _answer(self, caller: _Caller, response: Response) -> None:
+        self._open_requests -= 1
+        head, body = _encoded(caller.request, response, self._limits.gzip_least_bytes)
+        sent, reusable = caller.parser.answer(head, body)
+        caller.responder = None
+        caller.request = None
+        self._links.send(caller.link, sent)
+        if reusable:
+            self._timers.after(0, lambda: self._read_next(caller))
+        else:
+            self._close(caller)
+
+    def _read_next(self, caller: _Caller) -> None:
+        if caller.link in self._callers and caller.responder is None:
+            self._read_on(caller)
+
+    def _refuse(self, caller: _Caller, response: Response) -> None:
+        self._links.send(caller.link, _plain_answer(response))
+        self._close(caller)
+
+    def _close(self, caller: _Caller) -> None:
+        self._callers.pop(caller.link, None)
+        self._drop(caller)
+        self._links.close(caller.link)
+
+    def _drop(self, caller: _Caller) -> None:
+        self._stop_timing(caller)
+        responder, caller.responder = caller.responder, None
+        if responder is not None:
+            self._open_requests -= 1
+            responder.abandon()
+
+    def _time(self, caller: _Caller, timing: str, timeout_ms: float) -> None:
+        if caller.timing == timing:
+            return
+        self._stop_timing(caller)
+        caller.timing = timing
+        caller.timer = self._timers.after(timeout_ms, lambda: self._close(caller))
+
+    def _stop_timing(self, caller: _Caller) -> None:
+        if caller.timer is not None:
+            caller.timer.cancel()
+        caller.timer = None
+        caller.timing = ""
+
+
+def _encoded(
+    request: Request, response: Response, gzip_least_bytes: int
+) -> tuple[h11.Response, bytes]:
+    body = response.body
+    headers = [("Content-Type", response.content_type), *response.headers]
+    if len(body) >= gzip_least_bytes and _accepts_gzip(request):
+        body = gzip.compress(body, GZIP_LEVEL, mtime=0)
+        headers += [("Content-Encoding", "gzip"), ("Vary", "Accept-Encoding")]
+    headers.append(("Content-Length", str(len(body))))
+    if request.method == "HEAD":
+        body = b""
+    return h11.Response(status_code=response.status, headers=headers), body
+
+
+def _accepts_gzip(request: Request) -> bool:
+    for choice in request.headers.get("accept-encoding", "").split(","):
+        coding, _, quality = choice.partition(";")
+        if coding.strip().lower() == "gzip":
+            return quality.replace(" ", "") not in ("q=0", "q=0.0", "q=0.00", "q=0.000")
+    return False
+
+
+def _plain_answer(response: Response) -> bytes:
+    writer = h11.Connection(h11.SERVER)
+    headers = [
+        ("Content-Type", response.content_type),
+        ("Content-Length", str(len(response.body))),
+        ("Connection", "close"),
+        *response.headers,
+    ]
+    head = writer.send(h11.Response(status_code=response.status, headers=headers))
+    return head + writer.send(h11.Data(response.body))
