once: tickets, their book, key book and relay guard, first cut

Cause: a payment or a parts order must run at most once without shared state. Ruled out: a store of requests already run (nothing lasts on our VMs), and a retry by another entry (two entries can't know that neither has sent). Change: signed tickets that only the minting incarnation may run, consumed before the send; idempotency keys bound at two owners; a guard on the relay. Messages as private wire modules. Not tested yet: book, keys, guard.

--- /dev/null
+++ b/rhubarbhinge/once/__init__.py
@@ -0,0 +1,51 @@
+"""Tickets for requests that must not repeat."""
+
+from rhubarbhinge.once._asker import LocalAsker, PeerAsker
+from rhubarbhinge.once._book import TicketBook
+from rhubarbhinge.once._codes import Code
+from rhubarbhinge.once._digest import body_digest
+from rhubarbhinge.once._drain_report import DrainReport
+from rhubarbhinge.once._effects import (
+    AnswerOutcome,
+    AnswerRedirect,
+    Effect,
+    Forward,
+    ReplyForward,
+    SendClaim,
+    StartRun,
+)
+from rhubarbhinge.once._fault import TicketFault
+from rhubarbhinge.once._guard import RunGuard
+from rhubarbhinge.once._incarnation import draw_incarnation
+from rhubarbhinge.once._keybook import KeyBook
+from rhubarbhinge.once._outcome import Outcome, OutcomeKind
+from rhubarbhinge.once._permit import SendPermit
+from rhubarbhinge.once._settings import OnceSettings
+from rhubarbhinge.once._signer import Signer
+from rhubarbhinge.once._ticket import Ticket
+
+__all__ = [
+    "AnswerOutcome",
+    "AnswerRedirect",
+    "Code",
+    "DrainReport",
+    "Effect",
+    "Forward",
+    "KeyBook",
+    "LocalAsker",
+    "OnceSettings",
+    "Outcome",
+    "OutcomeKind",
+    "PeerAsker",
+    "ReplyForward",
+    "RunGuard",
+    "SendClaim",
+    "SendPermit",
+    "Signer",
+    "StartRun",
+    "Ticket",
+    "TicketBook",
+    "TicketFault",
+    "body_digest",
+    "draw_incarnation",
+]
--- /dev/null
+++ b/rhubarbhinge/once/_asker.py
@@ -0,0 +1,30 @@
+"""Who waits for an outcome."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LocalAsker:
+    """A caller's request on this entry.
+
+    :param request: number of the request at the daemon.
+    """
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAsker:
+    """A call from another entry.
+
+    :param entry: name of the other entry.
+    :param incarnation: its incarnation.
+    :param call: number of the call there.
+    """
+
+    entry: str
+    incarnation: int
+    call: int
+
+
+Asker = LocalAsker | PeerAsker
--- /dev/null
+++ b/rhubarbhinge/once/_codes.py
@@ -0,0 +1,115 @@
+"""Codes of outcomes, with the sentence and the advice that go with each."""
+
+from enum import StrEnum
+
+from rhubarbhinge.once._outcome import Outcome, OutcomeKind
+
+READ_AGAIN = "Read the ticket's outcome again with GET; do not send the request anew."
+ASK_PEOPLE = "Check at the upstream whether it ran before you send the request anew."
+NEW_TICKET = "It did not run: ask for a new ticket (and use a new key) to try again."
+
+
+class Code(StrEnum):
+    """What happened, as a short code."""
+
+    DONE = "done"
+    RESULT_TOO_LARGE = "result-too-large"
+    FORGED = "ticket-forged"
+    MALFORMED = "ticket-malformed"
+    EXPIRED = "ticket-expired"
+    EXPIRED_UNUSED = "ticket-expired-unused"
+    OTHER_INCARNATION = "ticket-other-incarnation"
+    BODY_MISMATCH = "body-mismatch"
+    NOT_STARTED = "not-started"
+    FULL = "tickets-full"
+    DRAINING = "draining"
+    FORWARDS_FULL = "forwards-full"
+    WAITERS_FULL = "waiters-full"
+    OWNER_GONE = "owner-gone"
+    OWNER_SILENT = "owner-silent"
+    DEADLINE = "run-deadline"
+    LATE_SEND = "late-send"
+    DUPLICATE = "run-duplicate"
+    UPSTREAM_REFUSED = "upstream-refused"
+    UPSTREAM_UNKNOWN = "upstream-unknown"
+    KEY_OWNER_YOUNG = "key-owner-young"
+    KEY_OWNER_GONE = "key-owner-gone"
+    KEY_FULL = "key-full"
+    KEY_CONFLICT = "key-conflict"
+    KEY_MISMATCH = "key-mismatch"
+
+
+_TEXTS: dict[Code, tuple[str, str]] = {
+    Code.DONE: ("The request ran.", ""),
+    Code.RESULT_TOO_LARGE: ("The request ran; its result was too large to keep.", ""),
+    Code.FORGED: ("The ticket's signature is wrong.", "Ask for a new ticket."),
+    Code.MALFORMED: ("This is not a ticket.", "Ask for a new ticket."),
+    Code.EXPIRED: ("The ticket expired and its outcome is no longer kept.", ASK_PEOPLE),
+    Code.EXPIRED_UNUSED: ("The ticket expired before it was used.", NEW_TICKET),
+    Code.OTHER_INCARNATION: ("The process that held the ticket is gone.", ASK_PEOPLE),
+    Code.BODY_MISMATCH: (
+        "The ticket is for another body; this body was not run.",
+        "Send the body that the ticket was asked for, or ask for a new ticket.",
+    ),
+    Code.NOT_STARTED: ("The ticket has not been used yet.", "Send the request to the ticket."),
+    Code.FULL: ("No more tickets can be held at present.", "Ask again after the given time."),
+    Code.DRAINING: ("This entry is stopping and gives no tickets.", "Ask another entry."),
+    Code.FORWARDS_FULL: ("The ticket's owner was not asked: too many calls.", READ_AGAIN),
+    Code.WAITERS_FULL: ("The request is running and too many wait for it.", READ_AGAIN),
+    Code.OWNER_GONE: ("The process that holds the ticket can't be reached.", ASK_PEOPLE),
+    Code.OWNER_SILENT: ("The process that holds the ticket did not answer.", READ_AGAIN),
+    Code.DEADLINE: ("The upstream did not answer in time.", READ_AGAIN),
+    Code.LATE_SEND: ("The request was too late to be sent, and was not.", NEW_TICKET),
+    Code.DUPLICATE: ("The relay was given this run before.", ASK_PEOPLE),
+    Code.UPSTREAM_REFUSED: ("The upstream refused the request.", NEW_TICKET),
+    Code.UPSTREAM_UNKNOWN: ("The upstream's answer was lost.", ASK_PEOPLE),
+    Code.KEY_OWNER_YOUNG: (
+        "A process that could know this key has not been up for the key's window.",
+        "Ask again after the given time, or check at the upstream.",
+    ),
+    Code.KEY_OWNER_GONE: (
+        "A process that could know this key can't be reached.",
+        "Ask again after the given time, or check at the upstream.",
+    ),
+    Code.KEY_FULL: ("No more keys can be held at present.", "Ask again after the given time."),
+    Code.KEY_CONFLICT: ("The key is bound to two tickets.", ASK_PEOPLE),
+    Code.KEY_MISMATCH: (
+        "The key was used with another action or body; this one was not run.",
+        "Use a new key for a new request.",
+    ),
+}
+
+
+def outcome(
+    kind: OutcomeKind, code: Code, *, retry_after_ms: int = 0, result: bytes = b""
+) -> Outcome:
+    """Make an outcome with the texts of its code.
+
+    :param kind: what is known.
+    :param code: what happened.
+    :param retry_after_ms: earliest useful time of another attempt, in ms from now.
+    :param result: the upstream's result, when it ran.
+    :returns: the outcome.
+    """
+    message, todo = _TEXTS[code]
+    return Outcome(kind, code.value, message, todo, retry_after_ms, result)
+
+
+def not_run(code: Code, retry_after_ms: int = 0) -> Outcome:
+    """Make a refusal of a request that is known not to have run.
+
+    :param code: why.
+    :param retry_after_ms: earliest useful time of another attempt, in ms from now.
+    :returns: the outcome.
+    """
+    return outcome(OutcomeKind.REFUSED_NOT_RUN, code, retry_after_ms=retry_after_ms)
+
+
+def unknown(code: Code, retry_after_ms: int = 0) -> Outcome:
+    """Make an outcome for a request of which it isn't known whether it ran.
+
+    :param code: why.
+    :param retry_after_ms: earliest useful time of another read, in ms from now.
+    :returns: the outcome.
+    """
+    return outcome(OutcomeKind.UNKNOWN, code, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/rhubarbhinge/once/_guard.py
@@ -0,0 +1,76 @@
+"""The relay's own check that it sends a ticket once."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.once._codes import Code
+from rhubarbhinge.once._outcome import OutcomeKind
+from rhubarbhinge.wire._run_reply import RunReply
+from rhubarbhinge.wire._run_request import RunRequest
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    deadline_ms: int
+    until_ms: int
+
+
+class RunGuard:
+    """Remembers the tickets that a relay was given, and refuses a second sight of one.
+
+    A restarted relay knows nothing of earlier tickets. So an entry sends a ticket to one relay,
+    once, and the message names the relay's incarnation, which a restart changes.
+
+    :param relay: name of this relay.
+    :param incarnation: its incarnation.
+    :param window_ms: how long a ticket is remembered; at least the life of a ticket and a run.
+    :param most: tickets remembered at once; one more is refused as not run.
+    """
+
+    def __init__(self, relay: str, incarnation: int, window_ms: int, most: int):
+        self._relay = relay
+        self._incarnation = incarnation
+        self._window_ms = window_ms
+        self._most = most
+        self._seen: dict[str, _Seen] = {}
+
+    def on_request(self, request: RunRequest, now_ms: int) -> RunReply | None:
+        """Take a run from an entry.
+
+        :param request: the message.
+        :param now_ms: time on this relay's clock.
+        :returns: None to go on to ``may_send``, else the reply to send back.
+        """
+        self._forget(now_ms)
+        if (request.relay, request.relay_incarnation) != (self._relay, self._incarnation):
+            return _reply(request, OutcomeKind.UNKNOWN, Code.OTHER_INCARNATION)
+        if request.ticket in self._seen:
+            return _reply(request, OutcomeKind.UNKNOWN, Code.DUPLICATE)
+        if len(self._seen) >= self._most:
+            return _reply(request, OutcomeKind.REFUSED_NOT_RUN, Code.FULL)
+        deadline_ms = now_ms + request.budget_ms
+        until_ms = now_ms + self._window_ms
+        self._seen[request.ticket] = _Seen(deadline_ms, until_ms)
+        return None
+
+    def may_send(self, request: RunRequest, now_ms: int) -> RunReply | None:
+        """Check once more, just before the first byte to the upstream leaves.
+
+        :param request: the message.
+        :param now_ms: time on this relay's clock, read after everything that can block.
+        :returns: None to send, else the reply to send back; nothing has been sent then.
+        """
+        seen = self._seen.get(request.ticket)
+        if seen is None or now_ms >= seen.deadline_ms:
+            return _reply(request, OutcomeKind.REFUSED_NOT_RUN, Code.LATE_SEND)
+        return None
+
+    def _forget(self, now_ms: int) -> None:
+        while self._seen:
+            ticket, seen = next(iter(self._seen.items()))
+            if now_ms < seen.until_ms:
+                return
+            del self._seen[ticket]
+
+
+def _reply(request: RunRequest, kind: OutcomeKind, code: Code) -> RunReply:
+    return RunReply(request.entry_incarnation, request.ticket, kind.value, code.value, 0, b"")
