--- /dev/null
+++ b/rhubarbhinge/api/__init__.py
@@ -0,0 +1,20 @@
+"""The callers' HTTP interface: requests checked, answers rendered."""
+
+from rhubarbhinge.api._apierror import ApiError
+from rhubarbhinge.api._commands import RunCommand, SearchCommand
+from rhubarbhinge.api._parse import parse_run, parse_search, run_fields
+from rhubarbhinge.api._render import answer, error, outcome, redirect, shortfall
+
+__all__ = [
+    "ApiError",
+    "RunCommand",
+    "SearchCommand",
+    "answer",
+    "error",
+    "outcome",
+    "parse_run",
+    "parse_search",
+    "redirect",
+    "run_fields",
+    "shortfall",
+]
--- a/rhubarbhinge/query/_budget.py
+++ b/rhubarbhinge/query/_budget.py
@@ -4,8 +4,8 @@
 class ExtraLoadBudget:
     """Lets extra sub-queries through as a share of the base ones.
 
-    Every base sub-query earns a share of a token; a hedge or a retry spends a whole one. Tokens kept
-    are bounded, so that a quiet hour does not pay for a burst.
+    Every base sub-query earns a share of a token; a hedge or a retry spends a whole one. Tokens
+    kept are bounded, so that a quiet hour does not pay for a burst.
 
     :param most_tokens: the bound.
     """
--- a/rhubarbhinge/query/_call.py
+++ b/rhubarbhinge/query/_call.py
@@ -38,7 +38,17 @@
     :ivar retry_at_ms: when all replicas may be asked again; 0 when that is not planned.
     """
 
-    __slots__ = ("number", "tile", "attempts", "tried", "sent", "done", "why", "wait_ms", "retry_at_ms")
+    __slots__ = (
+        "number",
+        "tile",
+        "attempts",
+        "tried",
+        "sent",
+        "done",
+        "why",
+        "wait_ms",
+        "retry_at_ms",
+    )
 
     def __init__(self, number: int, tile: Tile) -> None:
         self.number = number
--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -1,4 +1,4 @@
-"""What the searchers announce: which index versions and ranges they hold, and whether they serve."""
+"""What the searchers announce: index versions, ranges, and whether they take work."""
 
 from collections import defaultdict
 from collections.abc import Iterable
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -366,9 +366,7 @@
                 self._scores.on_overdue(attempt.upstream_id, waited_ms, now_ms)
             self._hedge_part(call, part, budget, now_ms)
 
-    def _hedge_part(
-        self, call: Call, part: Part, budget: ExtraLoadBudget, now_ms: float
-    ) -> None:
+    def _hedge_part(self, call: Call, part: Part, budget: ExtraLoadBudget, now_ms: float) -> None:
         if self._policy.budgeted and not budget.spend():
             return
         if self._send(call, part, now_ms, extra=True):
@@ -461,9 +459,7 @@
         call.covered_records,
         call.plan.total_records,
         tuple(sorted(call.lost, key=_first_key)),
-        QueryStats(
-            now_ms - call.started_ms, call.base, call.hedges, call.retries, call.redirects
-        ),
+        QueryStats(now_ms - call.started_ms, call.base, call.hedges, call.retries, call.redirects),
     )
 
 
--- a/rhubarbhinge/query/_subanswer.py
+++ b/rhubarbhinge/query/_subanswer.py
@@ -9,7 +9,8 @@
     """Read a searcher's answer.
 
     An answer for another collection, version or range, or with another count of records than was
-    announced for this range and version, is not merged: it would mix snapshots or misstate coverage.
+    announced for this range and version, is not merged: it would mix snapshots or misstate
+    coverage.
 
     :param body: the answer, JSON.
     :param call: the call.
--- a/rhubarbhinge/wire/__init__.py
+++ b/rhubarbhinge/wire/__init__.py
@@ -15,9 +15,15 @@
     signed_hello,
 )
 from rhubarbhinge.wire._holdingreport import HoldingReport
+from rhubarbhinge.wire._key_claim import KeyClaim
+from rhubarbhinge.wire._key_claim_reply import KeyClaimReply
 from rhubarbhinge.wire._replybatch import ReplyBatch
+from rhubarbhinge.wire._run_reply import RunReply
+from rhubarbhinge.wire._run_request import RunRequest
 from rhubarbhinge.wire._subbatch import SubBatch
 from rhubarbhinge.wire._subcode import SubCode
+from rhubarbhinge.wire._ticket_forward import TicketForward
+from rhubarbhinge.wire._ticket_forward_reply import TicketForwardReply
 from rhubarbhinge.wire._upstreamid import upstream_id
 from rhubarbhinge.wire._upstreamreport import UpstreamReport
 from rhubarbhinge.wire._upstreamstate import UpstreamState
@@ -30,9 +36,15 @@
     "FrameSplitter",
     "Hello",
     "HoldingReport",
+    "KeyClaim",
+    "KeyClaimReply",
     "ReplyBatch",
+    "RunReply",
+    "RunRequest",
     "SubBatch",
     "SubCode",
+    "TicketForward",
+    "TicketForwardReply",
     "UpstreamReport",
     "UpstreamState",
     "check_hello",
@@ -53,6 +65,12 @@
     CancelBatch,
     UpstreamReport,
     HoldingReport,
+    RunRequest,
+    RunReply,
+    TicketForward,
+    TicketForwardReply,
+    KeyClaim,
+    KeyClaimReply,
 )
 
 _CODEC = Codec(MESSAGE_TYPES)
--- a/rhubarbhinge/wire/_run_request.py
+++ b/rhubarbhinge/wire/_run_request.py
@@ -15,6 +15,7 @@
     :param action: name of the action in the register.
     :param body: the caller's body.
     :param budget_ms: time left to the run's deadline at the send, in ms.
+    :param upstream_id: the upstream, by :func:`rhubarbhinge.wire.upstream_id`.
     """
 
     entry: str
@@ -25,3 +26,4 @@
     action: str
     body: bytes
     budget_ms: int
+    upstream_id: int = 0
--- a/rhubarbhinge/wire/messages.capnp
+++ b/rhubarbhinge/wire/messages.capnp
@@ -68,6 +68,71 @@
   records @7 :List(UInt64);
 }
 
+struct KeyClaim {
+  call @0 :UInt64;
+  fromEntry @1 :Text;
+  fromIncarnation @2 :UInt64;
+  toEntry @3 :Text;
+  key @4 :Text;
+  digest @5 :Data;
+  ticket @6 :Text;
+}
+
+struct KeyClaimReply {
+  call @0 :UInt64;
+  toIncarnation @1 :UInt64;
+  fromEntry @2 :Text;
+  key @3 :Text;
+  ticket @4 :Text;
+  digest @5 :Data;
+  code @6 :Text;
+  retryAfterMs @7 :UInt32;
+}
+
+struct RunRequest {
+  entry @0 :Text;
+  entryIncarnation @1 :UInt64;
+  relay @2 :Text;
+  relayIncarnation @3 :UInt64;
+  ticket @4 :Text;
+  action @5 :Text;
+  body @6 :Data;
+  budgetMs @7 :UInt32;
+  upstreamId @8 :UInt64;
+}
+
+struct RunReply {
+  entryIncarnation @0 :UInt64;
+  ticket @1 :Text;
+  kind @2 :Text;
+  code @3 :Text;
+  retryAfterMs @4 :UInt32;
+  result @5 :Data;
+}
+
+struct TicketForward {
+  call @0 :UInt64;
+  fromEntry @1 :Text;
+  fromIncarnation @2 :UInt64;
+  ownerEntry @3 :Text;
+  ownerIncarnation @4 :UInt64;
+  ticket @5 :Text;
+  body @6 :Data;
+  read @7 :Bool;
+}
+
+struct TicketForwardReply {
+  call @0 :UInt64;
+  toIncarnation @1 :UInt64;
+  ticket @2 :Text;
+  kind @3 :Text;
+  code @4 :Text;
+  message @5 :Text;
+  todo @6 :Text;
+  retryAfterMs @7 :UInt32;
+  result @8 :Data;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -76,5 +141,11 @@
     cancelBatch @3 :CancelBatch;
     upstreamReport @4 :UpstreamReport;
     holdingReport @5 :HoldingReport;
+    runRequest @6 :RunRequest;
+    runReply @7 :RunReply;
+    ticketForward @8 :TicketForward;
+    ticketForwardReply @9 :TicketForwardReply;
+    keyClaim @10 :KeyClaim;
+    keyClaimReply @11 :KeyClaimReply;
   }
 }
