--- /dev/null
+++ b/rhubarbhinge/routing/_answers.py
@@ -0,0 +1,98 @@
+"""What a searcher's HTTP answer means."""
+
+from typing import Any
+
+import orjson
+
+from rhubarbhinge.routing._runkind import RunKind
+from rhubarbhinge.wire import SubCode
+
+_CODE_OF_CONFLICT = {
+    "version-gone": SubCode.VERSION_GONE,
+    "range-moved": SubCode.RANGE_MOVED,
+}
+#: Longest retry-after that is believed.
+MOST_RETRY_AFTER_MS = 60_000
+
+
+def search_outcome(status: int, call: bytes, body: bytes) -> tuple[int, int]:
+    """Read the answer to a search.
+
+    :param status: HTTP status.
+    :param call: the call that the request carried.
+    :param body: the answer's body.
+    :returns: a :class:`rhubarbhinge.wire.SubCode` value and the retry-after in ms.
+    """
+    if status == 200 and body.startswith(b'{"call":"' + call + b'"') and body.endswith(b"}"):
+        return SubCode.ANSWERED, 0
+    doc = _object(body)
+    if doc is None or not _is_own(doc, status, call):
+        return SubCode.BROKEN, 0
+    if status == 200:
+        return SubCode.ANSWERED, 0
+    if status == 503:
+        code = SubCode.DRAINING if doc.get("code") == "draining" else SubCode.SHED
+        return code, retry_after_ms(doc)
+    if status == 409:
+        return _CODE_OF_CONFLICT.get(doc.get("code"), SubCode.BROKEN), 0
+    if status == 504:
+        return SubCode.DEADLINE, 0
+    return SubCode.BROKEN, 0
+
+
+def run_outcome(status: int, ticket: str, body: bytes) -> tuple[RunKind, int]:
+    """Read the answer to a run; what proves nothing is unknown.
+
+    :param status: HTTP status.
+    :param ticket: the run's ticket.
+    :param body: the answer's body.
+    :returns: the outcome and the retry-after in ms.
+    """
+    doc = _object(body)
+    if doc is None or doc.get("ticket", ticket) != ticket:
+        return RunKind.UNKNOWN, 0
+    if status == 200 and "ticket" in doc:
+        return RunKind.RAN, 0
+    if status == 503 and doc.get("not_run") is True:
+        return RunKind.REFUSED_NOT_RUN, retry_after_ms(doc)
+    return RunKind.UNKNOWN, 0
+
+
+def retry_after_ms(doc: dict[str, Any]) -> int:
+    """Read a refusal's retry-after.
+
+    :param doc: the refusal.
+    :returns: the time in ms, 0 when it is missing or malformed.
+    """
+    value = doc.get("retry_after_ms")
+    if type(value) is not int:
+        return 0
+    return max(0, min(value, MOST_RETRY_AFTER_MS))
+
+
+def says_draining(status: int, body: bytes) -> bool:
+    """Tell whether a refusal says that the searcher leaves.
+
+    :param status: HTTP status.
+    :param body: the answer's body.
+    :returns: True for 503 with the code ``draining``.
+    """
+    if status != 503:
+        return False
+    doc = _object(body)
+    return doc is not None and doc.get("code") == "draining"
+
+
+def _is_own(doc: dict[str, Any], status: int, call: bytes) -> bool:
+    if status == 200 and "call" not in doc:
+        return False
+    named = doc.get("call", call.decode())
+    return named == call.decode()
+
+
+def _object(body: bytes) -> dict[str, Any] | None:
+    try:
+        doc = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    return doc if isinstance(doc, dict) else None
--- /dev/null
+++ b/rhubarbhinge/routing/_droppeer.py
@@ -0,0 +1,15 @@
+"""Effect: close the link of a peer that broke the protocol."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class DropPeer:
+    """Close a peer's link; the shell then calls ``on_peer_gone``.
+
+    :param peer: the entry's link.
+    :param code: what was wrong, for the log.
+    """
+
+    peer: str
+    code: str
--- /dev/null
+++ b/rhubarbhinge/routing/_publishholding.py
@@ -0,0 +1,15 @@
+"""Effect: tell every entry what a searcher holds."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.wire import HoldingReport
+
+
+@dataclass(frozen=True, slots=True)
+class PublishHolding:
+    """Send a holding report to every entry.
+
+    :param report: the report.
+    """
+
+    report: HoldingReport
--- /dev/null
+++ b/rhubarbhinge/routing/_publishload.py
@@ -0,0 +1,15 @@
+"""Effect: tell every entry the searchers' load."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.wire import UpstreamReport
+
+
+@dataclass(frozen=True, slots=True)
+class PublishLoad:
+    """Send a load report to every entry.
+
+    :param report: the report.
+    """
+
+    report: UpstreamReport
--- /dev/null
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -0,0 +1,51 @@
+"""Settings of the relay's decisions."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPolicy:
+    """Settings of the relay's decisions; the defaults suit searches of 10 to 100 ms.
+
+    :param reply_margin_ms: kept from each deadline for the answer's way back to the entry.
+    :param upstream_margin_ms: kept from each deadline for the searcher's answer to the relay.
+    :param queue_limit: most queued requests in front of one searcher.
+    :param spare_connections: idle connections kept ready for each searcher.
+    :param control_connections: connections kept out of the pool, for health polls and cancels.
+    :param assumed_service_ms: service time assumed until one was observed.
+    :param service_gain: weight of a new service time in the moving average.
+    :param ramp_ms: time in which a cold searcher's concurrency rises to all its slots.
+    :param shed_hold_ms: time for which the concurrency stays down after a shed answer.
+    :param shed_raise_ms: time between two steps of one slot up again.
+    :param least_retry_after_ms: least retry-after given with a refusal.
+    :param most_pause_ms: longest pause of a searcher that sheds even single requests.
+    :param connect_timeout_ms: time after which an unfinished connection is given up.
+    :param least_connect_wait_ms: wait after the first failed connection; doubles from there.
+    :param most_connect_wait_ms: longest wait between two connection attempts.
+    :param late_answer_ms: time for which a timed-out request may keep its connection and slot.
+    :param down_failures: failures in a row after which a searcher counts as down.
+    :param health_period_ms: mean time between two health polls of a searcher.
+    :param report_period_ms: time between two load reports.
+    :param ticket_memory_ms: time for which a sent run's ticket is refused; above a ticket's life.
+    """
+
+    reply_margin_ms: int = 4
+    upstream_margin_ms: int = 4
+    queue_limit: int = 256
+    spare_connections: int = 2
+    control_connections: int = 1
+    assumed_service_ms: float = 20.0
+    service_gain: float = 0.1
+    ramp_ms: int = 2000
+    shed_hold_ms: int = 100
+    shed_raise_ms: int = 200
+    least_retry_after_ms: int = 5
+    most_pause_ms: int = 1000
+    connect_timeout_ms: int = 1000
+    least_connect_wait_ms: int = 20
+    most_connect_wait_ms: int = 2000
+    late_answer_ms: int = 200
+    down_failures: int = 3
+    health_period_ms: int = 500
+    report_period_ms: int = 100
+    ticket_memory_ms: int = 600_000
--- /dev/null
+++ b/rhubarbhinge/routing/_reply.py
@@ -0,0 +1,29 @@
+"""Effect: answer a sub-query."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer one sub-query; the shell batches the answers of one turn for each peer.
+
+    :param peer: the entry's link.
+    :param call_id: the call.
+    :param part: part number within the call.
+    :param attempt: attempt number within the part.
+    :param code: a :class:`rhubarbhinge.wire.SubCode` value.
+    :param retry_after_ms: when to come back, for refusals; else 0.
+    :param queue_ms: time in the queue.
+    :param service_ms: time between sending and the answer.
+    :param body: the searcher's answer, or empty.
+    """
+
+    peer: str
+    call_id: int
+    part: int
+    attempt: int
+    code: int
+    retry_after_ms: int
+    queue_ms: int
+    service_ms: int
+    body: bytes
--- /dev/null
+++ b/rhubarbhinge/routing/_sendsearch.py
@@ -0,0 +1,17 @@
+"""Effect: send a search on a connection."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SendSearch:
+    """Send ``POST /search``; the core itself expires it and closes the connection.
+
+    :param conn: the connection, idle until now.
+    :param body: the JSON body.
+    :param timeout_ms: time after which the core stops waiting.
+    """
+
+    conn: int
+    body: bytes
+    timeout_ms: int
