Settings: one variable and one flag a field, all faults at once

Cause: each node learns its addresses, failure domain and limits from flags and environment. Ruled out: absl flags or fire's own parsing, which stop at the first fault and turn texts into numbers; unknown RHUBARBHINGE_ variables passed over, since a misspelt one would go unnoticed. Change: NodeSettings, load_settings, a table of settings that help and docs can go by. The deployment key comes from a variable or a file, is refused as a flag and never shown.

--- a/rhubarbhinge/register/__init__.py
+++ b/rhubarbhinge/register/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from rhubarbhinge.register._document import to_document
-from rhubarbhinge.register._faults import MOST_FAULTS, Checked, Fault
+from rhubarbhinge.register._faults import MOST_FAULTS, Checked, Fault, FaultLog
 from rhubarbhinge.register._inventory import (
     KEY_SPACE,
     Action,
@@ -32,6 +32,7 @@
     "Checked",
     "Collection",
     "Fault",
+    "FaultLog",
     "Limits",
     "Node",
     "Plant",
--- /dev/null
+++ b/rhubarbhinge/settings/__init__.py
@@ -0,0 +1,14 @@
+"""Settings of one node, from flags and environment variables."""
+
+from rhubarbhinge.settings._load import load_settings
+from rhubarbhinge.settings._node_settings import NodeSettings
+from rhubarbhinge.settings._setting import ENVIRONMENT_PREFIX, KEY_FILE, SETTINGS, Setting
+
+__all__ = [
+    "ENVIRONMENT_PREFIX",
+    "KEY_FILE",
+    "SETTINGS",
+    "NodeSettings",
+    "Setting",
+    "load_settings",
+]
--- a/tools/make_examples.py
+++ b/tools/make_examples.py
@@ -22,7 +22,7 @@
 REPLICA_STEP = 3
 """Positions between the replicas of a shard, so that the same upstreams aren't always together."""
 
-LINE_LENGTH = 200
+LINE_LENGTH = 240
 """Long enough for one upstream or shard a line."""
 
 
