--- a/rhubarbhinge/wire/_frames.py
+++ b/rhubarbhinge/wire/_frames.py
@@ -30,6 +30,10 @@
         self._max_frame_bytes = max_frame_bytes
         self._pending = bytearray()
 
+    def allow_largest(self) -> None:
+        """Accept frames up to :data:`MAX_FRAME_BYTES`, once the other side is known."""
+        self._max_frame_bytes = MAX_FRAME_BYTES
+
     def feed(self, data: bytes) -> list[bytes]:
         """Take bytes from the stream.
 
