telemetry: metrics, event lines and summary

Cause: operators need histograms by tenant and class, and one log line an event. Change: plain counts, rendered through the library's registry and formatter.

--- /dev/null
+++ b/rhubarbhinge/telemetry/__init__.py
@@ -0,0 +1,19 @@
+"""Metrics and event log lines."""
+
+from rhubarbhinge.telemetry._events import format_event, log_event
+from rhubarbhinge.telemetry._exposition import CONTENT_TYPE
+from rhubarbhinge.telemetry._loghistogram import RELATIVE_ERROR, LogHistogram
+from rhubarbhinge.telemetry._metrics import Metrics
+from rhubarbhinge.telemetry._setup import setup_logging
+from rhubarbhinge.telemetry._subquerykind import SubQueryKind
+
+__all__ = [
+    "CONTENT_TYPE",
+    "LogHistogram",
+    "Metrics",
+    "RELATIVE_ERROR",
+    "SubQueryKind",
+    "format_event",
+    "log_event",
+    "setup_logging",
+]
--- /dev/null
+++ b/rhubarbhinge/telemetry/_boundhistogram.py
@@ -0,0 +1,25 @@
+"""A histogram with given bounds."""
+
+from bisect import bisect_left
+
+
+class BoundHistogram:
+    """Counts values in buckets with given upper bounds.
+
+    :param bounds: upper bounds, inclusive, in rising order.
+    """
+
+    __slots__ = ("bounds", "counts", "total")
+
+    def __init__(self, bounds: tuple[float, ...]):
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count one value.
+
+        :param value: the value.
+        """
+        self.counts[bisect_left(self.bounds, value)] += 1
+        self.total += value
