--- /dev/null
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -0,0 +1,151 @@
+"""The entry: faces callers."""
+
+from typing import Any
+
+from rhubarbhinge import api
+from rhubarbhinge.admission import Limiter
+from rhubarbhinge.daemons._node import Node, no_such_path
+from rhubarbhinge.daemons._peer import Peer
+from rhubarbhinge.daemons._relaydirectory import RelayDirectory
+from rhubarbhinge.daemons._runs import Runs
+from rhubarbhinge.daemons._searches import Searches
+from rhubarbhinge.query import QueryPolicy
+from rhubarbhinge.settings import NodeSettings
+from rhubarbhinge.web import Request, Responder
+from rhubarbhinge.wire import HoldingReport, ReplyBatch, UpstreamReport
+
+#: Queries in flight before the rules are known; the rules' own limit replaces it.
+_FIRST_IN_FLIGHT = 64
+#: When a caller may come back to an entry that is not ready or is stopping.
+_ELSEWHERE_RETRY_MS = 500
+
+
+class EntryDaemon(Node):
+    """Turns callers' requests into work for the cores, and their effects into answers.
+
+    :param settings: the node's settings.
+    :param policy: constants and switches of the query core.
+    """
+
+    def __init__(self, settings: NodeSettings, policy: QueryPolicy | None = None) -> None:
+        super().__init__(settings, "entry")
+        self._directory = RelayDirectory(self.control.live_relays, self.links.peer)
+        self._searches = Searches(
+            self.timers,
+            self.control.config,
+            self._directory.relay_of,
+            self.links.send,
+            self.metrics,
+            self.rng,
+            policy or QueryPolicy(),
+            Limiter(_FIRST_IN_FLIGHT, 1.0, self.rng),
+        )
+        self._runs = Runs(
+            self.timers,
+            self.control.config,
+            self.identity,
+            settings.deployment_key,
+            self._directory.relay_of,
+            self._searches.catalog,
+            self.links.send,
+            self.metrics,
+            self.rng,
+        )
+
+    def config_changed(self) -> None:
+        """Follow a new register, rules or VM list."""
+        self._searches.config_changed()
+        self.members_changed()
+
+    def members_changed(self) -> None:
+        """Follow a change among the nodes or the links to them."""
+        register = self.control.config.register
+        if register is not None:
+            self._directory.follow(register)
+        self._runs.members_changed(self.control.live_entries(self.identity.failure_domain))
+
+    def on_peer_down(self, peer: Peer) -> None:
+        """Act on the loss of a relay or an entry.
+
+        :param peer: the node.
+        """
+        self.members_changed()
+        self._runs.on_peer_gone(peer)
+        if peer.role == "relay":
+            self._searches.on_relay_gone(peer.name)
+
+    def on_message(self, peer: Peer, message: Any) -> None:
+        """Take answers and reports of relays, and tickets of other entries.
+
+        :param peer: the sender.
+        :param message: the message.
+        """
+        match message:
+            case ReplyBatch():
+                self._searches.on_reply(peer.name, message)
+            case UpstreamReport():
+                self._searches.on_report(message)
+            case HoldingReport():
+                self._searches.on_holding(message)
+            case _:
+                self._runs.on_message(peer, message)
+
+    def on_request(self, request: Request, responder: Responder) -> None:
+        """Take a caller's request.
+
+        :param request: the request.
+        :param responder: answers it.
+        """
+        ticket_given = request.path.startswith("/v1/run/")
+        if not self._is_known(request):
+            responder.answer(no_such_path(request))
+        elif not self.control.ready():
+            responder.answer(api.error(_elsewhere("not-ready", "This entry is starting.")))
+        elif self.refusing and not ticket_given:
+            responder.answer(api.error(_elsewhere("draining", "This entry is stopping.")))
+        elif request.path == "/v1/search":
+            self._searches.start(request, responder)
+        else:
+            self._runs.start(request, responder)
+
+    def open_work(self) -> int:
+        """Count what a graceful stop waits for.
+
+        :returns: open searches and runs.
+        """
+        return self._searches.in_flight() + self._runs.in_flight()
+
+    def open_work_left_ms(self) -> float:
+        """Say how long tickets that are out may still be run.
+
+        :returns: milliseconds.
+        """
+        return self._runs.open_left_ms() if self.refusing else 0.0
+
+    def status(self) -> dict[str, Any]:
+        """Describe the entry for operators.
+
+        :returns: open work and limits.
+        """
+        return {
+            "in_flight": self._searches.in_flight(),
+            "limit": round(self._searches.limiter.limit, 1),
+            "waiting_runs": self._runs.in_flight(),
+            "searchers_announced": len(self._searches.catalog.known()),
+        }
+
+    @staticmethod
+    def _is_known(request: Request) -> bool:
+        if request.path in ("/v1/search", "/v1/run"):
+            return request.method == "POST"
+        return request.path.startswith("/v1/run/") and request.method in ("GET", "POST")
+
+
+def _elsewhere(code: str, message: str) -> api.ApiError:
+    return api.ApiError(
+        503,
+        code,
+        f"{message} The request was not run.",
+        "Ask again; the balancer will choose another entry.",
+        retry_after_ms=_ELSEWHERE_RETRY_MS,
+    )
--- /dev/null
+++ b/rhubarbhinge/daemons/_relaydirectory.py
@@ -0,0 +1,56 @@
+"""Which relay to send a searcher's work to."""
+
+from collections.abc import Callable
+
+from rhubarbhinge.daemons._peer import Peer
+from rhubarbhinge.query import RelayTarget
+from rhubarbhinge.register import Register
+from rhubarbhinge.routing import owners
+from rhubarbhinge.wire import upstream_id
+
+
+class RelayDirectory:
+    """The owner of each searcher, by the same rule that the relays follow.
+
+    :param live_relays: gives the live relays of a failure domain.
+    :param peer_of: gives a linked node by name.
+    """
+
+    def __init__(
+        self,
+        live_relays: Callable[[str], tuple[str, ...]],
+        peer_of: Callable[[str], Peer | None],
+    ) -> None:
+        self._live_relays = live_relays
+        self._peer_of = peer_of
+        self._targets: dict[int, RelayTarget] = {}
+
+    def relay_of(self, upstream_id: int) -> RelayTarget | None:
+        """Give a searcher's owner.
+
+        :param upstream_id: the searcher.
+        :returns: its relay, None when no relay of its failure domain can be sent to.
+        """
+        return self._targets.get(upstream_id)
+
+    def follow(self, register: Register) -> None:
+        """Work out all owners anew, after the register, the relays or the links changed.
+
+        :param register: the register in force.
+        """
+        live = {domain: self._linked(domain) for domain in register.failure_domains}
+        targets = {}
+        for upstream in register.upstreams:
+            owner, _ = owners(upstream.name, tuple(live[upstream.failure_domain]))
+            if owner is not None:
+                target = live[upstream.failure_domain][owner]
+                targets[upstream_id(upstream.name)] = target
+        self._targets = targets
+
+    def _linked(self, domain: str) -> dict[str, RelayTarget]:
+        linked = {}
+        for name in self._live_relays(domain):
+            peer = self._peer_of(name)
+            if peer is not None:
+                linked[name] = RelayTarget(name, peer.incarnation)
+        return linked
