--- /dev/null
+++ b/rhubarbhinge/wire/_config_digest.py
@@ -0,0 +1,26 @@
+"""The configuration revisions that a node holds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigDigest:
+    """Revision and content hash of each accepted document; zeros where there is none.
+
+    :param register_revision: revision of the asset register.
+    :param rules_revision: revision of the rules.
+    :param vms_revision: revision of the VM list.
+    :param register_hash: 63-bit hash of the asset register's bytes.
+    :param rules_hash: 63-bit hash of the rules' bytes.
+    :param vms_hash: 63-bit hash of the VM list's bytes.
+    :param platform_age_ms: time since a node in reach last had an answer of the platform; -1 for
+        never.
+    """
+
+    register_revision: int
+    rules_revision: int
+    vms_revision: int
+    register_hash: int
+    rules_hash: int
+    vms_hash: int
+    platform_age_ms: int = -1
