--- /dev/null
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -0,0 +1,360 @@
+"""Carries out what the control cores decide: datagrams, peer messages, calls to the platform."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from circuits import Component
+
+from rhubarbhinge.control import (
+    Adopted,
+    ControlNode,
+    Member,
+    MemberChanged,
+    PlatformOutcome,
+    PollPlatform,
+    Refused,
+    SendDatagram,
+    SendPeer,
+    VmNode,
+)
+from rhubarbhinge.daemons._configview import ConfigView, validate
+from rhubarbhinge.daemons._identity import Identity
+from rhubarbhinge.daemons._peer import Peer
+from rhubarbhinge.daemons._peeraddress import PeerAddress
+from rhubarbhinge.daemons._peerlinks import PeerLinks
+from rhubarbhinge.net import Datagrams
+from rhubarbhinge.register import parse_vms
+from rhubarbhinge.settings import NodeSettings
+from rhubarbhinge.telemetry import Metrics, log_event
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.web import Failure, HttpClient, Reply
+from rhubarbhinge.wire import (
+    ConfigBusy,
+    ConfigChunk,
+    ConfigNotice,
+    ConfigRequest,
+    FrameError,
+    ReplyBatch,
+    decode,
+    encode,
+    open_datagram,
+    sign_datagram,
+)
+
+_TICK_MS = 50.0
+#: Kept on top of the time that a watch may wait at the platform.
+_CALL_MARGIN_MS = 2_000.0
+_CONFIG_MESSAGES = (ConfigNotice, ConfigRequest, ConfigChunk, ConfigBusy)
+_OUTCOME_BY_STATUS = {
+    200: PlatformOutcome.CHANGED,
+    204: PlatformOutcome.UNCHANGED,
+    404: PlatformOutcome.MISSING,
+    503: PlatformOutcome.OVERLOADED,
+}
+
+
+class ControlShell(Component):
+    """The configuration and the members, as the rest of a node sees them.
+
+    :param settings: the node's settings.
+    :param identity: this node.
+    :param timers: the timer service.
+    :param links: links to other nodes.
+    :param client: calls the platform.
+    :param rng: source of random choices.
+    :param metrics: gauges.
+    :ivar config: the configuration in force.
+    :ivar on_config: called when it has changed.
+    :ivar on_members: called when the members have changed.
+    """
+
+    channel = "control"
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        identity: Identity,
+        timers: TimerService,
+        links: PeerLinks,
+        client: HttpClient,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.config = ConfigView()
+        self.on_config: Callable[[], None] = _nothing
+        self.on_members: Callable[[], None] = _nothing
+        self._settings = settings
+        self._identity = identity
+        self._timers = timers
+        self._links = links
+        self._client = client
+        self._metrics = metrics
+        self._platform_turn = 0
+        me = Member(
+            identity.name,
+            identity.role,
+            identity.failure_domain,
+            identity.ip,
+            identity.peer_port,
+            identity.incarnation,
+            "alive",
+        )
+        seeds = [_address(text) for text in settings.peers]
+        self._core = ControlNode(me, rng, validate, _vm_nodes, seeds)
+        self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
+            self
+        )
+        self._actions: dict[type, Callable[[Any], None]] = {
+            SendDatagram: self._send_datagram,
+            SendPeer: self._send_peer,
+            PollPlatform: self._poll,
+            Adopted: self._adopted,
+            Refused: self._refused,
+            MemberChanged: self._member_changed,
+        }
+        timers.every(_TICK_MS, self._tick)
+
+    def ready(self) -> bool:
+        """Say whether there is a configuration to serve by.
+
+        :returns: False until the platform or a peer has answered.
+        """
+        return self._core.ready() and self.config.complete()
+
+    def live_relays(self, failure_domain: str) -> tuple[str, ...]:
+        """Give the relays of a failure domain that can be worked with.
+
+        :param failure_domain: the failure domain.
+        :returns: node names: members that are live and linked, and this node itself.
+        """
+        return tuple(
+            member.name
+            for member in self._core.membership.live("relay", failure_domain)
+            if self._reachable(member.name)
+        )
+
+    def alive_relays(self, failure_domain: str) -> frozenset[str]:
+        """Give the relays of a failure domain that are not known to be dead.
+
+        :param failure_domain: the failure domain.
+        :returns: node names, whether linked or not.
+        """
+        members = self._core.membership.live("relay", failure_domain)
+        return frozenset(member.name for member in members)
+
+    def live_entries(self, failure_domain: str) -> frozenset[str]:
+        """Give the entries of a failure domain.
+
+        :param failure_domain: the failure domain.
+        :returns: node names of live members.
+        """
+        members = self._core.membership.live("entry", failure_domain)
+        return frozenset(member.name for member in members)
+
+    def peer_up(self, peer: Peer) -> None:
+        """Follow a new link.
+
+        :param peer: the other node.
+        """
+
+    def peer_message(self, peer: Peer, message: Any) -> bool:
+        """Take a message, if it is about configuration.
+
+        :param peer: its sender.
+        :param message: the message.
+        :returns: whether it was.
+        """
+        now_ms = self._now_ms()
+        if isinstance(message, _CONFIG_MESSAGES):
+            self._carry_out(self._core.on_peer(peer.name, message, now_ms))
+            return True
+        if isinstance(message, ReplyBatch):
+            register = self.config.register
+            if register is None or message.register_revision > register.revision:
+                seen = self._core.on_seen_revision(
+                    peer.name, "register", message.register_revision, now_ms
+                )
+                self._carry_out(seen)
+        return False
+
+    def paused(self, gap_ms: float) -> None:
+        """Act on having been paused.
+
+        :param gap_ms: how long.
+        """
+        self._carry_out(self._core.on_pause(int(gap_ms), self._now_ms()))
+
+    def leave(self) -> None:
+        """Announce that this node takes no new work."""
+        self._carry_out(self._core.leave(self._now_ms()))
+
+    def status(self) -> dict[str, Any]:
+        """Describe configuration and members for operators.
+
+        :returns: plain data.
+        """
+        ages = self._core.dissemination.ages(self._now_ms())
+        return {
+            "config": {age.key: _age_document(age) for age in ages},
+            "cross_faults": self.config.cross_faults(),
+            "members": {member.name: member.state for member in self._core.membership.members()},
+        }
+
+    def fill(self, metrics: Metrics) -> None:
+        """Fill the gauges.
+
+        :param metrics: the node's metrics.
+        """
+        for age in self._core.dissemination.ages(self._now_ms()):
+            metrics.set_config(age.key, age.revision, age.platform_age_ms)
+        counts: dict[str, int] = {}
+        for member in self._core.membership.members():
+            counts[member.state] = counts.get(member.state, 0) + 1
+        metrics.set_members(counts)
+
+    def _reachable(self, name: str) -> bool:
+        return name == self._identity.name or self._links.peer(name) is not None
+
+    def _now_ms(self) -> int:
+        return int(self._timers.now_ms())
+
+    def _tick(self) -> None:
+        self._carry_out(self._core.tick(self._now_ms()))
+
+    def _datagram(self, ip: str, port: int, datagram: bytes) -> None:
+        try:
+            message = decode(open_datagram(self._settings.deployment_key, datagram))
+        except FrameError:
+            return
+        self._carry_out(self._core.on_datagram(message, ip, port, self._now_ms()))
+
+    # Effects.
+
+    def _carry_out(self, effects: Iterable[Any]) -> None:
+        for effect in effects:
+            self._actions[type(effect)](effect)
+
+    def _send_datagram(self, effect: SendDatagram) -> None:
+        signed = sign_datagram(self._settings.deployment_key, encode(effect.message))
+        self._datagrams.send(effect.ip, effect.port, signed)
+
+    def _send_peer(self, effect: SendPeer) -> None:
+        self._links.send(effect.member_name, effect.message)
+
+    def _poll(self, effect: PollPlatform) -> None:
+        if not self._settings.platform:
+            return
+        place = self._platform_turn % len(self._settings.platform)
+        ip, port = _address(self._settings.platform[place])
+        path = f"/v1/config/{effect.key}?after={effect.after_revision}&wait_ms={effect.wait_ms}"
+        self._client.call(
+            ip,
+            port,
+            "GET",
+            path,
+            timeout_ms=effect.wait_ms + _CALL_MARGIN_MS,
+            on_done=lambda result: self._polled(effect.key, result),
+        )
+
+    def _polled(self, key: str, result: Reply | Failure) -> None:
+        outcome, revision, data = _platform_answer(result)
+        if outcome in (PlatformOutcome.FAILED, PlatformOutcome.OVERLOADED):
+            self._platform_turn += 1
+        effects = self._core.on_platform(key, outcome, revision, data, self._now_ms())
+        self._carry_out(effects)
+
+    def _adopted(self, effect: Adopted) -> None:
+        document = effect.document
+        self.config.adopt(document.key, document.data)
+        log_event(
+            "config-adopted",
+            key=document.key,
+            revision=document.revision,
+            faults="; ".join(effect.faults),
+            cross_faults="; ".join(self.config.cross_faults()),
+        )
+        if document.key == "vms":
+            self._follow_members()
+        self.on_config()
+
+    def _refused(self, effect: Refused) -> None:
+        log_event(
+            "config-refused",
+            key=effect.key,
+            revision=effect.revision,
+            faults="; ".join(effect.faults),
+        )
+
+    def _member_changed(self, effect: MemberChanged) -> None:
+        member = effect.member
+        log_event("member-changed", member=member.name, state=member.state)
+        self._follow_members()
+        self.on_members()
+
+    def _follow_members(self) -> None:
+        me = self._identity.name
+        live = self._core.membership.live()
+        self._links.want(
+            PeerAddress(member.name, member.ip, member.peer_port)
+            for member in live
+            if member.name > me
+        )
+
+
+def _nothing() -> None:
+    pass
+
+
+def _address(text: str) -> tuple[str, int]:
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
+def _vm_nodes(data: bytes) -> list[VmNode]:
+    checked = parse_vms(data)
+    if checked.value is None:
+        return []
+    return [
+        VmNode(
+            vm.node_name(node),
+            node.role,
+            vm.failure_domain,
+            vm.ip,
+            node.peer_port,
+            node.http_port,
+            vm.state,
+        )
+        for vm in checked.value.vms
+        for node in vm.nodes
+    ]
+
+
+def _platform_answer(result: Reply | Failure) -> tuple[PlatformOutcome, int, bytes]:
+    if isinstance(result, Failure):
+        return PlatformOutcome.FAILED, 0, b""
+    outcome = _OUTCOME_BY_STATUS.get(result.status, PlatformOutcome.FAILED)
+    if outcome is not PlatformOutcome.CHANGED:
+        return outcome, 0, b""
+    revision = result.headers.get("revision", "")
+    if not revision.isascii() or not revision.isdigit():
+        return PlatformOutcome.FAILED, 0, b""
+    return outcome, int(revision), result.body
+
+
+def _age_document(age: Any) -> dict[str, Any]:
+    refused = age.last_refused
+    return {
+        "revision": age.revision,
+        "in_force_ms": age.in_force_ms,
+        "platform_age_ms": age.platform_age_ms,
+        "last_refused": (
+            None
+            if refused is None
+            else {
+                "revision": refused.revision,
+                "faults": refused.faults,
+            }
+        ),
+    }
--- a/rhubarbhinge/daemons/_ownership.py
+++ b/rhubarbhinge/daemons/_ownership.py
@@ -24,12 +24,17 @@
         self._full_share_ms: dict[str, float] = {}
 
     def owned(
-        self, register: Register, live_relays: tuple[str, ...], now_ms: float
+        self,
+        register: Register,
+        live_relays: tuple[str, ...],
+        alive_relays: frozenset[str],
+        now_ms: float,
     ) -> tuple[UpstreamSpec, ...]:
         """Work out what this relay owns now.
 
         :param register: the register in force.
-        :param live_relays: live relays of the failure domain, this one among them.
+        :param live_relays: live and linked relays of the failure domain, this one among them.
+        :param alive_relays: those not known to be dead: they may still hold what was theirs.
         :param now_ms: the time.
         :returns: the searchers, each with the share that may be used.
         """
@@ -39,7 +44,7 @@
                 continue
             owner, _ = owners(upstream.name, live_relays)
             if owner == self._relay:
-                specs.append(self._spec(register, upstream, live_relays, now_ms))
+                specs.append(self._spec(register, upstream, alive_relays, now_ms))
             self._owner_before[upstream.name] = owner or ""
         return tuple(specs)
 
@@ -56,11 +61,11 @@
         self,
         register: Register,
         upstream: Upstream,
-        live_relays: tuple[str, ...],
+        alive_relays: frozenset[str],
         now_ms: float,
     ) -> UpstreamSpec:
         before = self._owner_before.get(upstream.name)
-        others = len(live_relays) > 1 if before is None else before in live_relays
+        others = len(alive_relays) > 1 if before is None else before in alive_relays
         if before != self._relay and others:
             self._full_share_ms[upstream.name] = now_ms + HANDOVER_MS
         full = now_ms >= self._full_share_ms.get(upstream.name, 0.0)
--- a/rhubarbhinge/daemons/_relaydaemon.py
+++ b/rhubarbhinge/daemons/_relaydaemon.py
@@ -193,8 +193,10 @@
         if register is None or not self.control.ready():
             return
         now_ms = self.timers.now_ms()
-        live = self.control.live_relays(self.identity.failure_domain)
-        owned = self._ownership.owned(register, live, now_ms)
+        domain = self.identity.failure_domain
+        live = self.control.live_relays(domain)
+        alive = self.control.alive_relays(domain)
+        owned = self._ownership.owned(register, live, alive, now_ms)
         names = tuple(spec.name for spec in owned)
         if names != self._owned_names:
             log_event("ownership-changed", searchers=len(names), relays=len(live))
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -241,7 +241,7 @@
         body = api.run_fields(run.body)
         now_ms = self._now_ms()
         permit = self._book.on_send(run.ticket, now_ms)
-        if not permit.granted:
+        if not permit.send:
             self._carry_out(list(permit.effects))
             return
         message = RunRequest(
--- a/rhubarbhinge/wire/__init__.py
+++ b/rhubarbhinge/wire/__init__.py
@@ -4,6 +4,11 @@
 
 from rhubarbhinge.wire._cancelbatch import CancelBatch
 from rhubarbhinge.wire._codec import Codec
+from rhubarbhinge.wire._config_busy import ConfigBusy
+from rhubarbhinge.wire._config_chunk import ConfigChunk
+from rhubarbhinge.wire._config_digest import ConfigDigest
+from rhubarbhinge.wire._config_notice import ConfigNotice
+from rhubarbhinge.wire._config_request import ConfigRequest
 from rhubarbhinge.wire._frameerror import FrameError
 from rhubarbhinge.wire._frames import MAX_FRAME_BYTES, FrameSplitter, frame
 from rhubarbhinge.wire._hello import Hello
@@ -15,8 +20,14 @@
     signed_hello,
 )
 from rhubarbhinge.wire._holdingreport import HoldingReport
+from rhubarbhinge.wire._indirect_probe import IndirectProbe
 from rhubarbhinge.wire._key_claim import KeyClaim
 from rhubarbhinge.wire._key_claim_reply import KeyClaimReply
+from rhubarbhinge.wire._member import Member
+from rhubarbhinge.wire._members_page import MembersPage
+from rhubarbhinge.wire._members_request import MembersRequest
+from rhubarbhinge.wire._probe import Probe
+from rhubarbhinge.wire._probe_ack import ProbeAck
 from rhubarbhinge.wire._replybatch import ReplyBatch
 from rhubarbhinge.wire._run_reply import RunReply
 from rhubarbhinge.wire._run_request import RunRequest
@@ -27,6 +38,7 @@
 from rhubarbhinge.wire._upstreamid import upstream_id
 from rhubarbhinge.wire._upstreamreport import UpstreamReport
 from rhubarbhinge.wire._upstreamstate import UpstreamState
+from rhubarbhinge.wire._wrong_receiver import WrongReceiver
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -49,6 +61,18 @@
     "UpstreamState",
     "check_hello",
     "decode",
+    "Probe",
+    "ProbeAck",
+    "IndirectProbe",
+    "WrongReceiver",
+    "MembersRequest",
+    "MembersPage",
+    "ConfigNotice",
+    "ConfigRequest",
+    "ConfigChunk",
+    "ConfigBusy",
+    "ConfigDigest",
+    "Member",
     "encode",
     "frame",
     "open_datagram",
@@ -71,6 +95,16 @@
     TicketForwardReply,
     KeyClaim,
     KeyClaimReply,
+    Probe,
+    ProbeAck,
+    IndirectProbe,
+    WrongReceiver,
+    MembersRequest,
+    MembersPage,
+    ConfigNotice,
+    ConfigRequest,
+    ConfigChunk,
+    ConfigBusy,
 )
 
 _CODEC = Codec(MESSAGE_TYPES)
--- a/rhubarbhinge/wire/messages.capnp
+++ b/rhubarbhinge/wire/messages.capnp
@@ -133,6 +133,104 @@
   result @8 :Data;
 }
 
+struct Member {
+  name @0 :Text;
+  role @1 :Text;
+  failureDomain @2 :Text;
+  ip @3 :Text;
+  peerPort @4 :UInt16;
+  incarnation @5 :UInt64;
+  state @6 :Text;
+  counter @7 :UInt64;
+}
+
+struct ConfigDigest {
+  registerRevision @0 :UInt64;
+  rulesRevision @1 :UInt64;
+  vmsRevision @2 :UInt64;
+  registerHash @3 :UInt64;
+  rulesHash @4 :UInt64;
+  vmsHash @5 :UInt64;
+  platformAgeMs @6 :Int64;
+}
+
+struct ConfigNotice {
+  revisions @0 :ConfigDigest;
+  answer @1 :Bool;
+}
+
+struct ConfigRequest {
+  key @0 :Text;
+  baseRevision @1 :UInt64;
+  baseHash @2 :UInt64;
+  revision @3 :UInt64;
+  contentHash @4 :UInt64;
+  offset @5 :UInt32;
+}
+
+struct ConfigChunk {
+  key @0 :Text;
+  revision @1 :UInt64;
+  contentHash @2 :UInt64;
+  baseRevision @3 :UInt64;
+  offset @4 :UInt32;
+  totalBytes @5 :UInt32;
+  data @6 :Data;
+}
+
+struct ConfigBusy {
+  key @0 :Text;
+  retryAfterMs @1 :UInt32;
+}
+
+struct Probe {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  revisions @2 :ConfigDigest;
+  receiverName @3 :Text;
+  receiverIncarnation @4 :UInt64;
+  updates @5 :List(Member);
+}
+
+struct ProbeAck {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  revisions @2 :ConfigDigest;
+  subject @3 :Member;
+  updates @4 :List(Member);
+}
+
+struct IndirectProbe {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  revisions @2 :ConfigDigest;
+  target @3 :Member;
+  updates @4 :List(Member);
+}
+
+struct WrongReceiver {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  intendedName @2 :Text;
+  intendedIncarnation @3 :UInt64;
+}
+
+struct MembersRequest {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  revisions @2 :ConfigDigest;
+  failureDomain @3 :Text;
+  afterName @4 :Text;
+}
+
+struct MembersPage {
+  sequence @0 :UInt64;
+  sender @1 :Member;
+  revisions @2 :ConfigDigest;
+  updates @3 :List(Member);
+  nextName @4 :Text;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -147,5 +245,15 @@
     ticketForwardReply @9 :TicketForwardReply;
     keyClaim @10 :KeyClaim;
     keyClaimReply @11 :KeyClaimReply;
+    probe @12 :Probe;
+    probeAck @13 :ProbeAck;
+    indirectProbe @14 :IndirectProbe;
+    wrongReceiver @15 :WrongReceiver;
+    membersRequest @16 :MembersRequest;
+    membersPage @17 :MembersPage;
+    configNotice @18 :ConfigNotice;
+    configRequest @19 :ConfigRequest;
+    configChunk @20 :ConfigChunk;
+    configBusy @21 :ConfigBusy;
   }
 }
