Register: tests of hostile input, round trips and spoilt documents

Change: hypothesis over arbitrary bytes, arbitrary JSON, valid registers and single spoilt values; one table of faults with their places and codes. Ruled out: a timed test of the depth check; it counts tokens instead.

--- /dev/null
+++ b/rhubarbhinge/register/tests/test_json.py
@@ -0,0 +1,106 @@
+"""Hostile documents are refused whole, by the same verdict each time."""
+
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbhinge.register import (
+    MOST_BYTES,
+    MOST_FAULTS,
+    _json,
+    parse_register,
+    parse_rules,
+    parse_vms,
+)
+
+PARSERS = (parse_register, parse_rules, parse_vms)
+FIELD_NAMES = (
+    "revision tenant failure_domains systems upstreams plants suppliers collections actions name"
+    " units about shards lo hi slots classes routes class limits vms nodes role ip peer_port"
+).split()
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text()
+    | st.sampled_from(["kgn-a", "entry", "live", "10.0.0.1"])
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.sampled_from(FIELD_NAMES) | st.text(), inner, max_size=8),
+    max_leaves=40,
+)
+
+
+def codes(checked):
+    return [(fault.place, fault.code) for fault in checked.faults]
+
+
+class JsonTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.binary())
+    def test_never_raises_on_bytes(self, data):
+        for parse in PARSERS:
+            self.assertFalse(parse(data).ok)
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=400)
+    @given(st.dictionaries(st.sampled_from(FIELD_NAMES), VALUES) | VALUES)
+    def test_never_raises_on_json(self, value):
+        data = json.dumps(value).encode()
+        for parse in PARSERS:
+            checked = parse(data)
+            self.assertEqual(checked, parse(data))
+            self.assertNotEqual(checked.ok, bool(checked.faults))
+
+    def test_not_json(self):
+        for data in (b"", b"{", b"NaN", b'{"a":Infinity}', b"1e400", b"\xff", b'"\\ud800"', b"'a'"):
+            for parse in PARSERS:
+                self.assertEqual(codes(parse(data)), [("document", "not-json")], data)
+
+    def test_huge_numbers_are_faults_and_not_errors(self):
+        checked = parse_vms(b'{"revision": ' + b"9" * 5000 + b', "vms": []}')
+        self.assertFalse(checked.ok)
+
+    def test_bounds(self):
+        big = b" " * (MOST_BYTES + 1)
+        self.assertEqual(codes(parse_register(big)), [("document", "too-large")])
+        deep = b"[" * 17 + b"]" * 17
+        self.assertEqual(codes(parse_register(deep)), [("document", "too-deep")])
+        hidden = b'{"vms": ' + deep + b', "vms": []}'
+        self.assertEqual(codes(parse_vms(hidden)), [("document", "too-deep")])
+        in_text = b'{"revision": 1, "' + b"[" * 30 + b'": 1, "vms": []}'
+        self.assertEqual([code for _, code in codes(parse_vms(in_text))], ["unknown-field"])
+
+    def test_duplicate_keys_are_found_at_every_level(self):
+        data = b'{"revision": 1, "vms": [{"name": "a", "name": "b"}], "revision": 2}'
+        found = codes(parse_vms(data))
+        self.assertEqual(
+            found[:2], [("vms[0].name", "duplicate-key"), ("revision", "duplicate-key")]
+        )
+
+    def test_faults_are_bounded_and_counted(self):
+        data = json.dumps({"revision": 1, "vms": [0] * 300}).encode()
+        checked = parse_vms(data)
+        self.assertEqual(len(checked.faults), MOST_FAULTS)
+        self.assertEqual(checked.more_faults, 300 - MOST_FAULTS)
+
+    def test_messages_are_bounded_plain_text(self):
+        hostile = "\n\x1b[31m\u202e" + "x" * 10_000
+        data = json.dumps({hostile: 1, "revision": hostile, "vms": hostile}).encode()
+        for fault in parse_vms(data).faults:
+            for text in (fault.place, fault.message, fault.todo):
+                self.assertTrue(text.isascii() and text.isprintable())
+                self.assertLess(len(text), 300)
+
+    def test_text_that_never_closes_is_one_token(self):
+        """Otherwise each of its quotes would be tried, to the end of the document."""
+        data = b'"' + b'\\"' * 1_000
+        self.assertEqual(len(list(_json._TOKEN.finditer(data))), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/rhubarbhinge/register/tests/test_register.py
@@ -0,0 +1,209 @@
+"""Registers: accepted ones round-trip, and faults name the place that was spoilt."""
+
+import copy
+import dataclasses
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbhinge.register import parse_register, to_document
+from rhubarbhinge.register.tests.documents import places, registers
+
+OPTIONAL = {"leaving"}
+
+
+def found(document):
+    return {(fault.place, fault.code) for fault in parse_register(_bytes(document)).faults}
+
+
+def _bytes(document):
+    return json.dumps(document).encode()
+
+
+def small():
+    """Two systems of two upstreams in two failure domains, two shards."""
+    ups = [
+        {
+            "name": f"{system}-{index}",
+            "system": system,
+            "instance": f"{system}-vm-{index}",
+            "failure_domain": f"zone-{index}",
+            "ip": "10.0.0.1",
+            "port": 9000 + 10 * number + index,
+            "leaving": False,
+        }
+        for number, system in enumerate(("desk", "stores"))
+        for index in range(2)
+    ]
+    shards = [
+        {"lo": 0, "hi": 1000, "upstreams": ["desk-0", "desk-1"]},
+        {"lo": 1000, "hi": 65536, "upstreams": ["desk-1"]},
+    ]
+    return {
+        "revision": 1,
+        "tenant": "kingston",
+        "failure_domains": ["zone-0", "zone-1"],
+        "systems": [
+            {"name": name, "slots": 2, "connections": 25, "connect_ms": 6}
+            for name in ("desk", "stores")
+        ],
+        "upstreams": ups,
+        "plants": [{"name": "rockfort", "units": ["rockfort-1"]}],
+        "suppliers": [{"name": "parts"}],
+        "collections": [
+            {"name": "overhauls", "system": "desk", "about": ["rockfort-1"], "shards": shards}
+        ],
+        "actions": [{"name": "order", "system": "stores", "upstreams": ["stores-0"]}],
+    }
+
+
+class RegisterTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(registers())
+    def test_accepted_documents_round_trip(self, document):
+        checked = parse_register(_bytes(document))
+        self.assertEqual(checked.faults, ())
+        self.assertEqual(to_document(checked.value), document)
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @given(registers(), st.data())
+    def test_spoilt_values_are_named(self, document, data):
+        place, holder, key = data.draw(st.sampled_from(list(places(document))))
+        wrong = data.draw(st.sampled_from([None, {"a": 1}, 1.5, -1, "", "\n", [[]], 2**70]))
+        holder[key] = wrong
+        if key == "connect_ms" and wrong == 1.5:
+            return
+        faults = parse_register(_bytes(document)).faults
+        self.assertTrue(any(fault.place.startswith(place) for fault in faults), faults)
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(registers(), st.data())
+    def test_missing_and_unknown_fields_are_named(self, document, data):
+        fields = [each for each in places(document) if isinstance(each[1], dict)]
+        place, holder, key = data.draw(st.sampled_from(fields))
+        holder[key + "x"] = holder.pop(key)
+        expected = {(place + "x", "unknown-field"), (place, "missing-field")}
+        if key in OPTIONAL:
+            expected.discard((place, "missing-field"))
+        self.assertLessEqual(expected, found(document))
+
+    def test_leaving_may_be_left_out(self):
+        document = small()
+        del document["upstreams"][0]["leaving"]
+        register = parse_register(_bytes(document)).value
+        self.assertFalse(register.upstream("desk-0").leaving)
+
+    def test_lookups(self):
+        register = parse_register(_bytes(small())).value
+        self.assertEqual(register.system("desk").slots, 2)
+        self.assertEqual(register.upstream("stores-1").port, 9011)
+        self.assertEqual(register.collection("overhauls").shards[1].upstreams, ("desk-1",))
+        self.assertEqual(register.action("order").system, "stores")
+        for look_up in (register.system, register.upstream, register.collection, register.action):
+            self.assertIsNone(look_up("none"))
+
+    def test_models_are_frozen_and_equal_by_value(self):
+        register = parse_register(_bytes(small())).value
+        self.assertEqual(register, parse_register(_bytes(small())).value)
+        self.assertEqual(hash(register), hash(parse_register(_bytes(small())).value))
+        with self.assertRaises(dataclasses.FrozenInstanceError):
+            register.revision = 2
+
+    def test_faults(self):
+        spoilt = (
+            ("revision", 0, "revision", "out-of-range"),
+            ("revision", True, "revision", "wrong-type"),
+            ("revision", 1.0, "revision", "wrong-type"),
+            (
+                "failure_domains",
+                ["zone-0", "zone-1", "zone-0"],
+                "failure_domains[2]",
+                "duplicate-name",
+            ),
+            ("systems.0.slots", 26, "systems[0].slots", "slots-over-connections"),
+            ("systems.0.connect_ms", False, "systems[0].connect_ms", "wrong-type"),
+            ("systems.1.name", "desk", "systems[1].name", "duplicate-name"),
+            ("upstreams.1.name", "desk-0", "upstreams[1].name", "duplicate-name"),
+            ("upstreams.0.system", "none", "upstreams[0].system", "unknown-name"),
+            ("upstreams.0.failure_domain", "x", "upstreams[0].failure_domain", "unknown-name"),
+            ("upstreams.1.instance", "desk-vm-0", "upstreams[1].failure_domain", "split-instance"),
+            ("upstreams.1.port", 9000, "upstreams[1].port", "duplicate-address"),
+            ("upstreams.0.port", 65536, "upstreams[0].port", "out-of-range"),
+            ("upstreams.0.port", "9000", "upstreams[0].port", "wrong-type"),
+            ("upstreams.0.ip", "localhost", "upstreams[0].ip", "bad-ip"),
+            ("upstreams.0.ip", "010.0.0.1", "upstreams[0].ip", "bad-ip"),
+            ("upstreams.0.ip", "0.0.0.0", "upstreams[0].ip", "bad-ip"),
+            ("upstreams.0.ip", "224.0.0.1", "upstreams[0].ip", "bad-ip"),
+            ("upstreams.0.ip", "fe80::1%eth0", "upstreams[0].ip", "bad-ip"),
+            ("upstreams.0.leaving", 0, "upstreams[0].leaving", "wrong-type"),
+            ("suppliers.0.name", "rockfort-1", "suppliers[0].name", "duplicate-name"),
+            ("collections.0.about", ["none"], "collections[0].about[0]", "unknown-name"),
+            ("collections.0.system", "none", "collections[0].system", "unknown-name"),
+            ("collections.0.shards", [], "collections[0].shards", "bad-count"),
+            ("collections.0.shards.0.lo", 1, "collections[0].shards[0].lo", "gap"),
+            ("collections.0.shards.1.lo", 1001, "collections[0].shards[1].lo", "gap"),
+            ("collections.0.shards.1.lo", 999, "collections[0].shards[1].lo", "overlap"),
+            ("collections.0.shards.0.hi", 0, "collections[0].shards[0].lo", "empty-range"),
+            ("collections.0.shards.1.hi", 65535, "collections[0].shards[1].hi", "gap"),
+            ("collections.0.shards.1.hi", 65537, "collections[0].shards[1].hi", "out-of-range"),
+            (
+                "collections.0.shards.0.upstreams",
+                [],
+                "collections[0].shards[0].upstreams",
+                "bad-count",
+            ),
+            (
+                "collections.0.shards.0.upstreams.1",
+                "stores-0",
+                "collections[0].shards[0].upstreams[1]",
+                "wrong-system",
+            ),
+            (
+                "collections.0.shards.0.upstreams.1",
+                "desk-0",
+                "collections[0].shards[0].upstreams[1]",
+                "duplicate-name",
+            ),
+            (
+                "collections.0.shards.0.upstreams",
+                ["desk-0"] * 17,
+                "collections[0].shards[0].upstreams",
+                "bad-count",
+            ),
+            ("actions.0.upstreams.0", "none", "actions[0].upstreams[0]", "unknown-name"),
+            ("tenant", "a b", "tenant", "bad-name"),
+            ("tenant", "a\n", "tenant", "bad-name"),
+            ("tenant", "a" * 101, "tenant", "bad-name"),
+        )
+        for path, value, place, code in spoilt:
+            with self.subTest(path=path, value=value):
+                self.assertIn((place, code), found(_with(small(), path, value)))
+
+    def test_one_fault_causes_no_reports_elsewhere(self):
+        document = _with(small(), "upstreams.0.port", 0)
+        self.assertEqual(found(document), {("upstreams[0].port", "out-of-range")})
+
+    def test_all_faults_at_once_in_order(self):
+        document = _with(small(), "revision", 0)
+        document = _with(document, "upstreams.3.ip", "x")
+        document = _with(document, "collections.0.shards.0.hi", 999)
+        checked = parse_register(_bytes(document))
+        expected = ["revision", "upstreams[3].ip", "collections[0].shards[1].lo"]
+        self.assertEqual([fault.place for fault in checked.faults], expected)
+
+
+def _with(document, path, value):
+    """Copy a document with one value replaced."""
+    document = copy.deepcopy(document)
+    *parents, last = [int(part) if part.isdigit() else part for part in path.split(".")]
+    holder = document
+    for key in parents:
+        holder = holder[key]
+    holder[last] = value
+    return document
+
+
+if __name__ == "__main__":
+    unittest.main()
