--- a/standins/platform/_daemon.py
+++ b/standins/platform/_daemon.py
@@ -7,9 +7,9 @@
 
 import orjson
 
-from standins._http import Connection, Delivery, Reply, Request, Server
 from standins._knobs import UnknownKnobs, changed
 from standins.history import History, monotonic_ms
+from standins.http import Connection, Delivery, Reply, Request, Server
 from standins.platform._knobs import PlatformKnobs
 from standins.platform._model import KEYS, Answer, Platform
 
--- a/standins/searcher/_daemon.py
+++ b/standins/searcher/_daemon.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from standins._http import Connection, Reply, Request, Server
 from standins._knobs import UnknownKnobs, changed
 from standins.history import History, monotonic_ms
+from standins.http import Connection, Reply, Request, Server
 from standins.searcher._effects import Answer, Effect
 from standins.searcher._holdings import Holdings, holdings_from, ranges_from
 from standins.searcher._knobs import SearcherKnobs
--- a/standins/searcher/_effects.py
+++ b/standins/searcher/_effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from standins._http import Delivery
+from standins.http import Delivery
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/searcher/_model.py
+++ b/standins/searcher/_model.py
@@ -6,7 +6,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from standins._http import Delivery
+from standins.http import Delivery
 from standins.searcher import _answers
 from standins.searcher._effects import Answer, Effect, Event
 from standins.searcher._health import HealthLog, Picture
