--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -92,6 +92,7 @@
         self._client = client
         self._metrics = metrics
         self._platform_turn = 0
+        self._was_ready = False
         me = Member(
             identity.name,
             identity.role,
@@ -222,6 +223,10 @@
 
     def _tick(self) -> None:
         self._carry_out(self._core.tick(self._now_ms()))
+        if not self._was_ready and self.ready():
+            self._was_ready = True
+            log_event("ready", **self.config.revisions())
+            self.on_config()
 
     def _datagram(self, ip: str, port: int, datagram: bytes) -> None:
         try:
--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -78,7 +78,6 @@
         self.timers.on_pause(self._paused)
         log_event(
             "node-started",
-            node=self.identity.name,
             incarnation=self.identity.incarnation,
             failure_domain=self.identity.failure_domain,
             ip=settings.ip,
--- a/rhubarbhinge/daemons/_relaydaemon.py
+++ b/rhubarbhinge/daemons/_relaydaemon.py
@@ -52,7 +52,7 @@
             self._output,
         )
         self._ownership_waker = Waker(self.timers, self._follow_ownership, _OWNERSHIP_CHECK_MS)
-        self.links.on_turn_end(self._flush)
+        self.links.on_turn_end(self._flush_replies)
         self._messages = {SubBatch: self._batch, CancelBatch: self._cancel, RunRequest: self._run}
 
     def config_changed(self) -> None:
@@ -182,7 +182,7 @@
             if peer.role == "entry":
                 self.links.send(peer.name, report)
 
-    def _flush(self) -> None:
+    def _flush_replies(self) -> None:
         for peer, batch in self._outbox.flush(self._pool.core.register_revision):
             self.links.send(peer, batch)
 
