--- a/rhubarbhinge/settings/__init__.py
+++ b/rhubarbhinge/settings/__init__.py
@@ -3,6 +3,7 @@
 from rhubarbhinge.settings._load import load_settings
 from rhubarbhinge.settings._node_settings import NodeSettings
 from rhubarbhinge.settings._setting import ENVIRONMENT_PREFIX, KEY_FILE, SETTINGS, Setting
+from rhubarbhinge.settings._texts import is_address
 
 __all__ = [
     "ENVIRONMENT_PREFIX",
@@ -10,5 +11,6 @@
     "SETTINGS",
     "NodeSettings",
     "Setting",
+    "is_address",
     "load_settings",
 ]
--- a/rhubarbhinge/settings/_texts.py
+++ b/rhubarbhinge/settings/_texts.py
@@ -75,7 +75,7 @@
             todo = f"give {least} to {MOST_ADDRESSES}, each ip:port, separated by commas"
             log.add(place, "bad-count", message, todo)
             return None
-        bad = [part for part in parts if not _is_address(part)]
+        bad = [part for part in parts if not is_address(part)]
         for part in bad:
             message = f"{fields.shown(part)} isn't ip:port"
             todo = "write the IP number and the port, such as 10.0.0.7:7001 or [fd00::7]:7001"
@@ -96,7 +96,12 @@
     return None
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Tell whether a text is ``ip:port``, with the IP as a number.
+
+    :param text: The text.
+    :returns: Whether it is; IPv6 numbers stand in brackets.
+    """
     ip, _, port = text.rpartition(":")
     if ip.startswith("[") and ip.endswith("]"):
         ip = ip[1:-1]
