Register: bounded work on spoilt documents; cli: no ticket means not run

Ruled out: checking in pieces between other work, which would make 'accepted' a state instead of a value; stopping at the first fault. Change: counting ends at 1,000 faults; depth is worked out on the brackets alone; places of known fields aren't matched again. The three parsers share one path. A first answer of run that is lost tells 'not run' when no key was given, since nothing runs without a ticket.

--- a/rhubarbhinge/cli/_run.py
+++ b/rhubarbhinge/cli/_run.py
@@ -10,7 +10,14 @@
 from rhubarbhinge.cli._exit_code import ExitCode
 from rhubarbhinge.cli._http import HttpCall, call_http
 from rhubarbhinge.cli._result import CommandResult
-from rhubarbhinge.cli._run_flow import RUN_PATH, RunReport, is_ticket, read_outcome, run_once
+from rhubarbhinge.cli._run_flow import (
+    KEY_HEADER,
+    RUN_PATH,
+    RunReport,
+    is_ticket,
+    read_outcome,
+    run_once,
+)
 from rhubarbhinge.once import OutcomeKind
 from rhubarbhinge.register import Fault
 
@@ -49,7 +56,7 @@
             return found
     if key and not (key.isascii() and key.isprintable() and len(key) <= MOST_KEY_LENGTH):
         return usage("the key isn't plain text", f"use up to {MOST_KEY_LENGTH} ASCII characters")
-    headers = {"Idempotency-Key": key} if key else {}
+    headers = {KEY_HEADER: key} if key else {}
     content = {"action": action, "body": fields}
     request = HttpCall("POST", url + RUN_PATH, allowed_ms, content, headers)
     return _run(url, request)
--- a/rhubarbhinge/cli/_run_flow.py
+++ b/rhubarbhinge/cli/_run_flow.py
@@ -16,6 +16,7 @@
 from rhubarbhinge.register import Fault
 
 RUN_PATH = "/v1/run"
+KEY_HEADER = "Idempotency-Key"
 READS = 5
 """Times that a lost outcome is read again."""
 
@@ -62,9 +63,10 @@
     """
     first = caller(request)
     if isinstance(first, CallFailed):
-        return _ticket_lost(first)
+        return _no_ticket(request, first.message, first.sent)
     if first.status != 307:
-        return _decided(first) or _no_ticket(first)
+        message = f"HTTP status {first.status} brought no ticket"
+        return _decided(first) or _no_ticket(request, message, sent=True)
     path = _ticket_path(base_url, first.location)
     if path is None:
         message = "the entry answered with a redirect to another place"
@@ -161,25 +163,20 @@
     )
 
 
-def _ticket_lost(failed: CallFailed) -> RunReport:
-    """Judge a first call without an answer.
+def _no_ticket(request: HttpCall, message: str, sent: bool) -> RunReport:
+    """Judge a first call that got no ticket.
 
-    Unsent, nothing ran. Sent, it may have reached an action that needs no ticket, or a key that an
-    earlier request used.
+    Without a ticket nothing is run, so its loss is harmless; but a key may belong to an earlier
+    request that did run.
     """
-    if not failed.sent:
-        return _report(OutcomeKind.REFUSED_NOT_RUN, "not-sent", failed.message, "try another entry")
-    return _unknown("no-answer", failed.message, "")
-
-
-def _no_ticket(answer: HttpAnswer) -> RunReport:
-    return _unknown("strange-answer", f"HTTP status {answer.status} tells no outcome", "")
+    if sent and KEY_HEADER in request.headers:
+        todo = "ask again with the same key; else check at the upstream whether it ran"
+        return _report(OutcomeKind.UNKNOWN, "no-answer", message, todo)
+    return _report(OutcomeKind.REFUSED_NOT_RUN, "no-ticket", message, "try again, or another entry")
 
 
 def _unknown(code: str, message: str, ticket: str) -> RunReport:
-    todo = "check at the upstream whether it ran before you send it anew"
-    if ticket:
-        todo = f"read it again by `rhubarbhinge outcome ENTRY {ticket}`; else {todo}"
+    todo = "read it again by `rhubarbhinge outcome`, or check at the upstream whether it ran"
     return _report(OutcomeKind.UNKNOWN, code, message, todo, ticket)
 
 
--- a/rhubarbhinge/register/__init__.py
+++ b/rhubarbhinge/register/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from rhubarbhinge.register._document import to_document
-from rhubarbhinge.register._faults import MOST_FAULTS, Checked, Fault, FaultLog
+from rhubarbhinge.register._faults import MOST_COUNTED_FAULTS, MOST_FAULTS, Checked, Fault, FaultLog
 from rhubarbhinge.register._inventory import (
     KEY_SPACE,
     Action,
@@ -27,6 +27,7 @@
 __all__ = [
     "KEY_SPACE",
     "MOST_BYTES",
+    "MOST_COUNTED_FAULTS",
     "MOST_FAULTS",
     "Action",
     "Checked",
--- a/rhubarbhinge/register/_faults.py
+++ b/rhubarbhinge/register/_faults.py
@@ -6,9 +6,16 @@
 MOST_FAULTS = 100
 """Faults that one verdict lists; further ones are only counted, so that reports stay readable."""
 
+MOST_COUNTED_FAULTS = 1_000
+"""Faults after which checking ends, so that a spoilt document can't hold a process up."""
+
 T = TypeVar("T")
 
 
+class TooManyFaults(Exception):
+    """Checking came to `MOST_COUNTED_FAULTS`; caught where the verdict is made."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault of a document.
@@ -24,6 +31,9 @@
     message: str
     todo: str
 
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}" if self.place else self.message
+
 
 @dataclass(frozen=True, slots=True)
 class Checked(Generic[T]):
@@ -31,7 +41,8 @@
 
     :param value: The accepted value; ``None`` when there are faults.
     :param faults: The first `MOST_FAULTS` faults, in the order of the document's description.
-    :param more_faults: How many further faults were found and not listed.
+    :param more_faults: How many further faults were found and not listed; counting ends where
+        there are `MOST_COUNTED_FAULTS` in all.
     """
 
     value: T | None
@@ -45,9 +56,13 @@
 
 
 class FaultLog:
-    """Collects faults up to `MOST_FAULTS` and counts the rest."""
+    """Collects faults up to `MOST_FAULTS` and counts the rest.
+
+    :param most_counted: Number of faults at which `add` raises; by default it never does.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, most_counted: int | None = None) -> None:
+        self._most_counted = most_counted
         self._faults: list[Fault] = []
         self._count = 0
 
@@ -63,8 +78,11 @@
         :param code: Stable code.
         :param message: What is wrong.
         :param todo: What to change.
+        :raises TooManyFaults: When a limit was given and is reached.
         """
         self._count += 1
+        if self._count == self._most_counted:
+            raise TooManyFaults
         if len(self._faults) < MOST_FAULTS:
             self._faults.append(Fault(place or "document", code, message, todo))
 
--- a/rhubarbhinge/register/_fields.py
+++ b/rhubarbhinge/register/_fields.py
@@ -151,12 +151,12 @@
             return _wrong_type(log, place, raw, "an object")
         before = log.count
         values = {}
+        prefix = f"{place}." if place else ""
         for key, reader in readers.items():
             if key in raw:
-                values[renamed.get(key, key)] = reader(log, path(place, key), raw[key])
+                values[renamed.get(key, key)] = reader(log, prefix + key, raw[key])
             elif key not in optional:
-                message = "the field is missing"
-                log.add(path(place, key), "missing-field", message, "add it")
+                log.add(prefix + key, "missing-field", "the field is missing", "add it")
         _report_unknown(log, place, raw, readers)
         return build(**values) if log.count == before else None
 
--- a/rhubarbhinge/register/_json.py
+++ b/rhubarbhinge/register/_json.py
@@ -5,6 +5,7 @@
 the accepted bytes once more only to find such keys.
 """
 
+import itertools
 import json
 import re
 
@@ -18,9 +19,12 @@
 MOST_DEPTH = 16
 """Levels of nesting; the published documents need six."""
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"?|[\[{]|[\]}]', re.DOTALL)
-_OPENING = (b"[", b"{")
-_CLOSING = (b"]", b"}")
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"?', re.DOTALL)
+"""A text; one that never closes runs to the end, so that its inner quotes aren't tried in turn."""
+
+_BRACKETS = b"[]{}"
+_OTHER_BYTES = bytes(set(range(256)) - set(_BRACKETS))
+_STEPS = {byte: 1 if byte in b"[{" else -1 for byte in _BRACKETS}
 
 
 class _Pairs(list):
@@ -63,16 +67,9 @@
 
 
 def _too_deep(data: bytes) -> bool:
-    depth = 0
-    for match in _TOKEN.finditer(data):
-        token = match.group()
-        if token in _OPENING:
-            depth += 1
-        elif token in _CLOSING:
-            depth -= 1
-        if depth > MOST_DEPTH:
-            return True
-    return False
+    brackets = _STRING.sub(b"", data).translate(None, _OTHER_BYTES)
+    depths = itertools.accumulate(map(_STEPS.__getitem__, brackets))
+    return max(depths, default=0) > MOST_DEPTH
 
 
 def _report_duplicate_keys(data: bytes, log: FaultLog) -> None:
--- a/rhubarbhinge/register/_parse_register.py
+++ b/rhubarbhinge/register/_parse_register.py
@@ -1,7 +1,7 @@
 """The parser of the ``register`` document."""
 
 from rhubarbhinge.register import _fields as fields
-from rhubarbhinge.register._faults import Checked, FaultLog
+from rhubarbhinge.register._faults import Checked
 from rhubarbhinge.register._inventory import (
     KEY_SPACE,
     Action,
@@ -13,8 +13,8 @@
     System,
     Upstream,
 )
-from rhubarbhinge.register._json import load
 from rhubarbhinge.register._register_checks import check_register
+from rhubarbhinge.register._verdict import check_document
 
 MOST_REVISION = 2**53 - 1
 """Largest whole number that every JSON reader keeps exactly (RFC 8259, section 6)."""
@@ -114,10 +114,4 @@
     :param data: The raw document.
     :returns: The register, or all faults found.
     """
-    log = FaultLog()
-    raw = load(data, log)
-    if raw is None and log.count:
-        return log.verdict(None)
-    register = _register(log, "", raw)
-    check_register(log, raw)
-    return log.verdict(register)
+    return check_document(data, _register, check_register)
--- a/rhubarbhinge/register/_parse_rules.py
+++ b/rhubarbhinge/register/_parse_rules.py
@@ -4,9 +4,9 @@
 from rhubarbhinge.register import _raw as raws
 from rhubarbhinge.register._faults import Checked, Fault, FaultLog
 from rhubarbhinge.register._inventory import Register
-from rhubarbhinge.register._json import load
 from rhubarbhinge.register._parse_register import MOST_ACTIONS, MOST_COLLECTIONS, MOST_REVISION
 from rhubarbhinge.register._rules import Limits, Route, Rules, TrafficClass
+from rhubarbhinge.register._verdict import check_document
 
 MOST_CLASSES = 32
 MOST_WEIGHT = 1_000
@@ -55,13 +55,7 @@
     :param data: The raw document.
     :returns: The rules, or all faults found.
     """
-    log = FaultLog()
-    raw = load(data, log)
-    if raw is None and log.count:
-        return log.verdict(None)
-    rules = _rules(log, "", raw)
-    _check_rules(log, raw)
-    return log.verdict(rules)
+    return check_document(data, _rules, _check_rules)
 
 
 def cross_check(register: Register, rules: Rules) -> tuple[Fault, ...]:
--- a/rhubarbhinge/register/_parse_vms.py
+++ b/rhubarbhinge/register/_parse_vms.py
@@ -4,8 +4,8 @@
 from rhubarbhinge.register import _raw as raws
 from rhubarbhinge.register._faults import Checked, FaultLog
 from rhubarbhinge.register._fields import shown
-from rhubarbhinge.register._json import load
 from rhubarbhinge.register._parse_register import MOST_PORT, MOST_REVISION
+from rhubarbhinge.register._verdict import check_document
 from rhubarbhinge.register._vms import Node, Vm, VmList
 
 MOST_VMS = 20_000
@@ -45,18 +45,16 @@
     :param data: The raw document.
     :returns: The VMs, or all faults found.
     """
-    log = FaultLog()
-    raw = load(data, log)
-    if raw is None and log.count:
-        return log.verdict(None)
-    vms = _vms(log, "", raw)
+    return check_document(data, _vms, _check_vms)
+
+
+def _check_vms(log: FaultLog, raw: object) -> None:
     raws.check_unique(log, raws.placed_names(raw, "vms"), "the VM")
     for place, vm in raws.objects(raw, "vms"):
         nodes = raws.objects(vm, "nodes", place)
         roles = [item for at, node in nodes for item in raws.text(node, "role", at)]
         raws.check_unique(log, roles, "the role")
     _check_addresses(log, raw)
-    return log.verdict(vms)
 
 
 def _check_addresses(log: FaultLog, raw: object) -> None:
--- a/rhubarbhinge/register/tests/test_rules_and_vms.py
+++ b/rhubarbhinge/register/tests/test_rules_and_vms.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 
 from rhubarbhinge.register import (
+    MOST_FAULTS,
+    Register,
     cross_check,
     parse_register,
     parse_rules,
@@ -104,6 +106,13 @@
         expected = [("routes[1].collection", "unknown-name"), ("never_repeat[1]", "unknown-name")]
         self.assertEqual([(fault.place, fault.code) for fault in faults], expected)
 
+    def test_cross_check_is_bounded(self):
+        bad = rules()
+        bad["routes"] = [{"collection": f"c{at}", "class": "urgent"} for at in range(2000)]
+        value = parse_rules(_bytes(bad)).value
+        empty = Register(1, "kingston", (), (), (), (), (), (), ())
+        self.assertEqual(len(cross_check(empty, value)), MOST_FAULTS)
+
 
 if __name__ == "__main__":
     unittest.main()
