Stand-ins: restart, loss, control port, checked knobs; modules split

Cause: replicas must be lost, restarted and changed many at a time within one process, and a wrong knob must not pass unseen.

Change: control port beside the searchers' own; restart, lost and silent searchers; knobs are checked for name, type and range; readers can be cut off from the platform; SIGTERM flushes the history; stand-ins started by a fleet end with it; output goes to files, so that no pipe fills.

--- a/standins/http/_connection.py
+++ b/standins/http/_connection.py
@@ -78,6 +78,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once, with what is not yet sent."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _release(self) -> None:
         self._held = False
         self._advance()
--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -27,6 +27,7 @@
         self.requested = on_request
         self._on_gone = on_gone
         self._on_opened = on_opened
+        self._listener: asyncio.Server | None = None
         self._open: set[Connection] = set()
 
     async def listen(self, ip: str, port: int) -> int:
@@ -37,8 +38,20 @@
         :returns: The port bound.
         """
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(lambda: Connection(self), ip, port, backlog=_BACKLOG)
-        return listener.sockets[0].getsockname()[1]
+        self._listener = await loop.create_server(
+            lambda: Connection(self), ip, port, backlog=_BACKLOG
+        )
+        return self._listener.sockets[0].getsockname()[1]
+
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay."""
+        self._listener.close()
+        self._listener = None
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._listener is not None
 
     def opened(self, connection: Connection) -> float | None:
         """Count a new connection.
@@ -61,7 +74,7 @@
         if busy:
             self._on_gone(connection)
 
-    def close_all(self) -> None:
-        """Close every open connection."""
+    def abort_all(self) -> None:
+        """Close every open connection at once, with what is not yet sent."""
         for connection in tuple(self._open):
-            connection.close()
+            connection.abort()
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -1,22 +1,6 @@
-"""``python -m standins.platform [--config JSON|FILE|-] [--history FILE]``."""
+"""``python -m standins.platform [--config JSON|FILE|-] [--history FILE] [--end-with-parent]``."""
 
-import argparse
-import asyncio
+from standins._main import main
+from standins.platform._daemon import start
 
-from standins._config import read_config
-from standins.platform._daemon import serve
-
-
-def main() -> None:
-    """Serve until the process is ended."""
-    parser = argparse.ArgumentParser(prog="standins.platform")
-    parser.add_argument("--config", default="{}", help="JSON, a file of it, or - for stdin")
-    parser.add_argument("--history", help="file for the event history")
-    settings = parser.parse_args()
-    try:
-        asyncio.run(serve(read_config(settings.config), settings.history))
-    except KeyboardInterrupt:
-        pass
-
-
-main()
+main("standins.platform", start)
--- a/standins/records.py
+++ b/standins/records.py
@@ -112,7 +112,7 @@
     return bytes(digest(b"%s/%d" % (name, key)) % _EXISTS_MODULUS for key in range(KEY_SPACE))
 
 
-@lru_cache(maxsize=256)
+@lru_cache(maxsize=64)
 def _counts_below(collection: str, version: int) -> array:
     shift = version * _VERSION_STEP
     present = (
--- a/standins/searcher/_answers.py
+++ b/standins/searcher/_answers.py
@@ -24,17 +24,16 @@
     return orjson.dumps(body)
 
 
-def found(request: SearchRequest, call: str) -> bytes:
+def found(request: SearchRequest) -> bytes:
     """Encode the answer to a search.
 
     :param request: The search.
-    :param call: The call to name in it.
     :returns: The body.
     """
     rest = _found_rest(
         request.collection, request.version, request.lo, request.hi, request.text, request.limit
     )
-    return b'{"call":' + orjson.dumps(call) + rest
+    return b'{"call":' + orjson.dumps(request.call) + rest
 
 
 def ran(ticket: str, action: str) -> bytes:
--- a/standins/searcher/_holdings.py
+++ b/standins/searcher/_holdings.py
@@ -38,6 +38,26 @@
         versions.pop(version, None)
         return Holdings({**self.ranges, collection: versions})
 
+    def repartitioned(self, collection: str, ranges: Ranges) -> "Holdings":
+        """Split, merge or move ranges: change those of every version of a collection.
+
+        :param collection: The collection's name.
+        :param ranges: The ranges held from now on.
+        :returns: The new holdings.
+        """
+        versions = {version: ranges for version in self.ranges.get(collection, {})}
+        return Holdings({**self.ranges, collection: versions})
+
+    def document(self) -> dict[str, dict[str, Ranges]]:
+        """Give the holdings as JSON, the way :func:`holdings_from` reads them.
+
+        :returns: Ranges by collection and version.
+        """
+        return {
+            collection: {str(version): held for version, held in versions.items()}
+            for collection, versions in self.ranges.items()
+        }
+
     def refusal(
         self, collection: str, version: int, lo: int, hi: int, exact: bool = False
     ) -> str | None:
--- a/standins/searcher/_job.py
+++ b/standins/searcher/_job.py
@@ -21,6 +21,7 @@
 
     :param exchange: The request's number.
     :param request: What is asked.
+    :param arrived_ms: When it arrived.
     :param deadline_at_ms: When the caller stops waiting.
     :param stage: How far it has come.
     :param started_ms: When its execution began.
@@ -29,6 +30,7 @@
 
     exchange: int
     request: SearchRequest | RunRequest
+    arrived_ms: float
     deadline_at_ms: float
     stage: Stage = Stage.WAITING
     started_ms: float = 0.0
--- a/standins/searcher/_knobs.py
+++ b/standins/searcher/_knobs.py
@@ -25,12 +25,14 @@
     :param health_state: A state that ``GET /health`` claims, or None for the true one.
     :param health_busy: A load that ``GET /health`` claims, or None for the true one.
     :param health_down: Whether ``GET /health`` answers 503.
+    :param silent: Whether nothing is answered or executed, as behind a partition.
     :param exact_ranges: Whether only a range held as such is searched, not a part of one.
     :param answer_delay_ms: Wait between the end of an execution and its answer.
     :param drop_answer_probability: Share of the searches executed but never answered: the
         connection is closed.
     :param cut_answer_probability: Share of the search answers cut off in the middle.
     :param wrong_call_probability: Share of the search answers with another call's identity.
+    :param wrong_version_probability: Share of the search answers drawn from the next version.
     :param duplicate_answer_probability: Share of the search answers written twice.
     :param run_ms: How long an action takes.
     :param run_lose_probability: Share of the actions run but never answered.
@@ -55,11 +57,13 @@
     health_state: str | None = None
     health_busy: int | None = None
     health_down: bool = False
+    silent: bool = False
     exact_ranges: bool = False
     answer_delay_ms: float = 0.0
     drop_answer_probability: float = 0.0
     cut_answer_probability: float = 0.0
     wrong_call_probability: float = 0.0
+    wrong_version_probability: float = 0.0
     duplicate_answer_probability: float = 0.0
     run_ms: float = 1.0
     run_lose_probability: float = 0.0
