Switches for measuring, direct pools, ports below the range of outgoing connections

Cause: a whole deployment failed to start once in six tries: a port found free was taken by another process's outgoing connection before it was bound. Measuring needs each mechanism off. Ruled out: retrying the start, which would hide the race from tests.

--- a/rhubarbhinge/admission/_limiter.py
+++ b/rhubarbhinge/admission/_limiter.py
@@ -34,7 +34,7 @@
     :param most_in_flight: the rules' bound.
     :param heaviest_weight: the largest weight among the classes.
     :param rng: source of the spread of retry-after.
-    :param adaptive: whether the limit follows what the searchers carry; a switch for measuring.
+    :param refusing: False admits everything; a switch for measuring.
     """
 
     def __init__(
@@ -42,10 +42,10 @@
         most_in_flight: int,
         heaviest_weight: float,
         rng: random.Random,
-        adaptive: bool = True,
+        refusing: bool = True,
     ) -> None:
         self._rng = rng
-        self._adaptive = adaptive
+        self._refusing = refusing
         self._in_flight = 0
         self._peak = 0
         self._mean_took_ms = 20.0
@@ -90,7 +90,7 @@
         :returns: admitted (and counted in flight), or refused with when to come back.
         """
         self._turn_window(now_ms)
-        if self._in_flight + 1 > self._allowed(weight):
+        if self._refusing and self._in_flight + 1 > self._allowed(weight):
             self._refused += 1
             return Refused(self._retry_after_ms())
         self._in_flight += 1
@@ -118,7 +118,7 @@
     def _turn_window(self, now_ms: float) -> None:
         if now_ms < self._window_end_ms:
             return
-        if self._adaptive and self._ended:
+        if self._ended:
             self._adapt()
         self._window_end_ms = now_ms + WINDOW_MS
         self._ended = 0
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -4,14 +4,15 @@
 
 from rhubarbhinge import api
 from rhubarbhinge.admission import Limiter
+from rhubarbhinge.daemons._directpool import DirectPool
 from rhubarbhinge.daemons._node import Node, no_such_path
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._relaydirectory import RelayDirectory
 from rhubarbhinge.daemons._runs import Runs
 from rhubarbhinge.daemons._searches import Searches
-from rhubarbhinge.query import QueryPolicy
+from rhubarbhinge.daemons._switches import query_policy, relay_policy
 from rhubarbhinge.settings import NodeSettings
-from rhubarbhinge.web import Request, Responder
+from rhubarbhinge.web import HttpConnections, Request, Responder
 from rhubarbhinge.wire import HoldingReport, ReplyBatch, UpstreamReport
 
 #: Queries in flight before the rules are known; the rules' own limit replaces it.
@@ -24,30 +25,32 @@
     """Turns callers' requests into work for the cores, and their effects into answers.
 
     :param settings: the node's settings.
-    :param policy: constants and switches of the query core.
     """
 
-    def __init__(self, settings: NodeSettings, policy: QueryPolicy | None = None) -> None:
+    def __init__(self, settings: NodeSettings) -> None:
         super().__init__(settings, "entry")
         self._directory = RelayDirectory(self.control.live_relays, self.links.peer)
+        self._direct = self._direct_pool() if settings.pools == "direct" else None
+        relay_of = self._directory.relay_of if self._direct is None else self._direct.relay_of
+        early_refusal = "early-refusal" not in settings.switched_off
         self._searches = Searches(
             self.timers,
             self.control.config,
-            self._directory.relay_of,
-            self.links.send,
+            relay_of,
+            self._send_node,
             self.metrics,
             self.rng,
-            policy or QueryPolicy(),
-            Limiter(_FIRST_IN_FLIGHT, 1.0, self.rng),
+            query_policy(settings),
+            Limiter(_FIRST_IN_FLIGHT, 1.0, self.rng, early_refusal),
         )
         self._runs = Runs(
             self.timers,
             self.control.config,
             self.identity,
             settings.deployment_key,
-            self._directory.relay_of,
+            relay_of,
             self._searches.catalog,
-            self.links.send,
+            self._send_node,
             self.metrics,
             self.rng,
         )
@@ -63,6 +66,11 @@
         if register is not None:
             self._directory.follow(register)
         self._runs.members_changed(self.control.live_entries(self.identity.failure_domain))
+        if self._direct is not None and register is not None and self.control.ready():
+            entries = sum(
+                len(self.control.live_entries(domain)) for domain in register.failure_domains
+            )
+            self._direct.follow(register, self.control.config.leaving_instances, entries)
 
     def on_peer_down(self, peer: Peer) -> None:
         """Act on the loss of a relay or an entry.
@@ -88,7 +96,7 @@
             case HoldingReport():
                 self._searches.on_holding(message)
             case _:
-                self._runs.on_message(peer, message)
+                self._runs.on_message(peer.name, message)
 
     def on_request(self, request: Request, responder: Responder) -> None:
         """Take a caller's request.
@@ -134,6 +142,26 @@
             "searchers_announced": len(self._searches.catalog.known()),
         }
 
+    def _send_node(self, node: str, message: Any) -> bool:
+        if self._direct is not None and self._direct.send(node, message):
+            return True
+        return self.links.send(node, message)
+
+    def _direct_pool(self) -> DirectPool:
+        me = self.identity
+        myself = Peer(me.name, me.role, me.failure_domain, me.incarnation)
+        pool = DirectPool(
+            self.timers,
+            me,
+            self.rng,
+            relay_policy(self.settings),
+            lambda *callbacks: HttpConnections(self.timers, *callbacks).register(self),
+            self.client,
+            lambda message: self.on_message(myself, message),
+        )
+        self.links.on_turn_end(pool.flush)
+        return pool
+
     @staticmethod
     def _is_known(request: Request) -> bool:
         if request.path in ("/v1/search", "/v1/run"):
--- a/rhubarbhinge/daemons/_ownership.py
+++ b/rhubarbhinge/daemons/_ownership.py
@@ -1,5 +1,7 @@
 """Which searchers this relay owns, and with what share."""
 
+from dataclasses import replace
+
 from rhubarbhinge.register import Register, Upstream
 from rhubarbhinge.routing import UpstreamSpec, owners
 from rhubarbhinge.wire import upstream_id
@@ -15,11 +17,13 @@
 
     :param relay: this relay's node name.
     :param failure_domain: its failure domain.
+    :param slots_apply: False sends up to the connection cap at once; a switch for measuring.
     """
 
-    def __init__(self, relay: str, failure_domain: str) -> None:
+    def __init__(self, relay: str, failure_domain: str, slots_apply: bool = True) -> None:
         self._relay = relay
         self._failure_domain = failure_domain
+        self._slots_apply = slots_apply
         self._owner_before: dict[str, str] = {}
         self._full_share_ms: dict[str, float] = {}
 
@@ -69,7 +73,8 @@
         if before != self._relay and others:
             self._full_share_ms[upstream.name] = now_ms + HANDOVER_MS
         full = now_ms >= self._full_share_ms.get(upstream.name, 0.0)
-        return upstream_spec(register, upstream, 1.0 if full else _HANDOVER_SHARE)
+        spec = upstream_spec(register, upstream, 1.0 if full else _HANDOVER_SHARE)
+        return spec if self._slots_apply else replace(spec, slots=spec.connections)
 
 
 def upstream_spec(register: Register, upstream: Upstream, share: float) -> UpstreamSpec:
--- /dev/null
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -0,0 +1,186 @@
+"""What a relay does for entries: takes their work, carries it out, answers."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from rhubarbhinge.daemons._identity import Identity
+from rhubarbhinge.daemons._poolshell import PoolOutput, PoolShell
+from rhubarbhinge.daemons._replyoutbox import ReplyOutbox
+from rhubarbhinge.once import OnceSettings, RunGuard
+from rhubarbhinge.routing import (
+    DropPeer,
+    PublishHolding,
+    PublishLoad,
+    RelayCore,
+    RelayPolicy,
+    Reply,
+    RunResult,
+    UpstreamSpec,
+)
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.web import HttpClient, HttpConnections
+from rhubarbhinge.wire import CancelBatch, RunReply, RunRequest, SubBatch
+
+
+class RelayWork:
+    """Turns entries' messages into work for the relay core, and its effects into messages.
+
+    It runs in the relay, and in each entry where entries hold the connections themselves.
+
+    :param timers: the timer service.
+    :param identity: this node.
+    :param rng: source of random choices.
+    :param policy: settings of the core.
+    :param connections: takes three callbacks and gives the component that owns the sockets.
+    :param client: for health polls and cancels.
+    :param send: sends a message to an entry.
+    :param publish: sends a report to every entry.
+    :param drop: closes the link to an entry that broke the protocol.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        identity: Identity,
+        rng: random.Random,
+        policy: RelayPolicy,
+        connections: Callable[..., HttpConnections],
+        client: HttpClient,
+        send: Callable[[str, Any], Any],
+        publish: Callable[[Any], None],
+        drop: Callable[[str, str], None],
+    ) -> None:
+        self._timers = timers
+        self._send = send
+        self._publish = publish
+        self._drop = drop
+        once = OnceSettings()
+        self._guard = RunGuard(
+            identity.name,
+            identity.incarnation,
+            once.lifetime_ms + once.keep_ms,
+            once.most_tickets,
+        )
+        self._entry_incarnations: dict[str, int] = {}
+        self._outbox = ReplyOutbox()
+        core = RelayCore(identity.incarnation, policy, rng)
+        self._pool = PoolShell(timers, core, connections, client, self._output)
+        self._takers = {SubBatch: self._batch, CancelBatch: self._cancel, RunRequest: self._run}
+
+    @property
+    def core(self) -> RelayCore:
+        """Give the decisions.
+
+        :returns: the core.
+        """
+        return self._pool.core
+
+    def take(self, entry: str, message: Any) -> bool:
+        """Take an entry's message.
+
+        :param entry: its node name.
+        :param message: the message.
+        :returns: whether it is work for a relay.
+        """
+        taker = self._takers.get(type(message))
+        if taker is not None:
+            taker(entry, message)
+        return taker is not None
+
+    def entry_gone(self, entry: str) -> None:
+        """Drop the work of an entry that is gone.
+
+        :param entry: its node name.
+        """
+        self._pool.carry_out(self.core.on_peer_gone(entry, self._timers.now_ms()))
+
+    def own(
+        self, register_revision: int, specs: tuple[UpstreamSpec, ...], leaving: frozenset[int]
+    ) -> None:
+        """Follow what is owned, and which searchers are on VMs that leave.
+
+        :param register_revision: the register that it comes from.
+        :param specs: the searchers.
+        :param leaving: searchers on leaving VMs, owned or not.
+        """
+        now_ms = self._timers.now_ms()
+        self._pool.carry_out(self.core.set_upstreams(register_revision, specs, now_ms))
+        self._pool.carry_out(self.core.set_leaving(leaving, now_ms))
+
+    def tick(self) -> None:
+        """Let the core do what is due."""
+        self._pool.tick()
+
+    def flush(self) -> None:
+        """Send the answers of this loop turn."""
+        for entry, batch in self._outbox.flush(self.core.register_revision):
+            self._send(entry, batch)
+
+    def open_work(self) -> int:
+        """Count what a graceful stop waits for.
+
+        :returns: queued and in-flight requests.
+        """
+        report = self.core.reports(self._timers.now_ms())
+        return sum(report.queued) + sum(report.in_flight)
+
+    def status(self) -> dict[str, Any]:
+        """Describe the work for operators.
+
+        :returns: counts of searchers, queues and slots.
+        """
+        report = self.core.reports(self._timers.now_ms())
+        return {
+            "searchers": len(report.upstream_ids),
+            "queued": sum(report.queued),
+            "in_flight": sum(report.in_flight),
+            "slots": sum(report.slots),
+            "states": {str(state): report.states.count(state) for state in set(report.states)},
+        }
+
+    # Messages.
+
+    def _batch(self, entry: str, batch: SubBatch) -> None:
+        self._pool.carry_out(self.core.on_batch(entry, batch, self._timers.now_ms()))
+
+    def _cancel(self, entry: str, batch: CancelBatch) -> None:
+        self._pool.carry_out(self.core.on_cancel(entry, batch, self._timers.now_ms()))
+
+    def _run(self, entry: str, request: RunRequest) -> None:
+        now_ms = self._timers.now_ms()
+        refusal = self._guard.on_request(request, int(now_ms))
+        if refusal is not None:
+            self._send(entry, refusal)
+            return
+        self._entry_incarnations[request.ticket] = request.entry_incarnation
+        effects = self.core.on_run(
+            entry,
+            request.ticket,
+            request.upstream_id,
+            request.action,
+            request.body,
+            request.budget_ms,
+            now_ms,
+        )
+        self._pool.carry_out(effects)
+
+    # Effects.
+
+    def _output(self, effect: PoolOutput) -> None:
+        match effect:
+            case Reply():
+                self._outbox.add(effect)
+            case RunResult():
+                self._run_ended(effect)
+            case PublishHolding(report) | PublishLoad(report):
+                self._publish(report)
+            case DropPeer(entry, code):
+                self._drop(entry, code)
+
+    def _run_ended(self, result: RunResult) -> None:
+        incarnation = self._entry_incarnations.pop(result.ticket, 0)
+        kind = str(result.kind.value)
+        retry_after_ms = int(result.retry_after_ms)
+        reply = RunReply(incarnation, result.ticket, kind, "", retry_after_ms, result.payload)
+        self._send(result.peer, reply)
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -121,10 +121,10 @@
             number = self._number(responder, ticket)
             self._carry_out(self._book.on_read(number, ticket, self._now_ms()))
 
-    def on_message(self, peer: Peer, message: Any) -> bool:
+    def on_message(self, peer: str, message: Any) -> bool:
         """Take a message about tickets or keys.
 
-        :param peer: its sender.
+        :param peer: its sender's node name.
         :param message: the message.
         :returns: whether it was one.
         """
@@ -137,7 +137,7 @@
             case TicketForwardReply():
                 self._carry_out(self._book.on_forward_result(message, now_ms))
             case KeyClaim():
-                self._send(peer.name, self._book.on_key_claim(message, now_ms))
+                self._send(peer, self._book.on_key_claim(message, now_ms))
             case KeyClaimReply():
                 self._carry_out(self._book.on_key_reply(message, now_ms))
             case _:
@@ -271,9 +271,9 @@
                 return number, relay
         return None
 
-    def _run_ended(self, peer: Peer, reply: RunReply) -> None:
+    def _run_ended(self, peer: str, reply: RunReply) -> None:
         mine = reply.entry_incarnation == self._identity.incarnation
-        if not mine or self._relay_by_ticket.get(reply.ticket) != peer.name:
+        if not mine or self._relay_by_ticket.get(reply.ticket) != peer:
             return
         del self._relay_by_ticket[reply.ticket]
         kind = OutcomeKind(reply.kind)
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -444,6 +444,8 @@
         if upstream.connect_failures and not upstream.connections:
             wait_ms = upstream.connect_not_before_ms - now_ms
             return SubCode.BROKEN, max(self._policy.least_retry_after_ms, wait_ms)
+        if not self._policy.early_refusal:
+            return None, 0
         needed_ms = upstream.wait_ms(weight, now_ms)
         if upstream.queued:
             needed_ms += upstream.service_ms
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -26,6 +26,8 @@
     :param down_failures: failures in a row after which a searcher counts as down.
     :param health_period_ms: mean time between two health polls of a searcher.
     :param report_period_ms: time between two load reports.
+    :param early_refusal: whether what cannot make its deadline is refused at once; a switch for
+        measuring.
     :param ticket_memory_ms: time for which a sent run's ticket is refused; above a ticket's life.
     """
 
@@ -49,3 +51,4 @@
     health_period_ms: int = 500
     report_period_ms: int = 100
     ticket_memory_ms: int = 600_000
+    early_refusal: bool = True
--- a/rhubarbhinge/settings/_node_settings.py
+++ b/rhubarbhinge/settings/_node_settings.py
@@ -20,6 +20,7 @@
     :param deployment_key: Secret that all nodes of the deployment share.
     :param peers: Addresses of nodes to join by, each ``ip:port`` of a peer port.
     :param pools: Who holds connections to upstreams: relays, or each entry.
+    :param switched_off: Mechanisms to do without; for measuring.
     :param stop_grace_ms: Longest time of a graceful stop, in milliseconds.
     :param drain_wait_ms: Time of a stop that balancers get to notice it, in milliseconds.
     :param log_level: Least severe level that is logged.
@@ -40,6 +41,7 @@
     deployment_key: bytes = field(repr=False)
     peers: tuple[str, ...] = ()
     pools: Literal["relay", "direct"] = "relay"
+    switched_off: tuple[str, ...] = ()
     stop_grace_ms: int = 30_000
     drain_wait_ms: int = 5_000
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/rhubarbhinge/settings/_setting.py
+++ b/rhubarbhinge/settings/_setting.py
@@ -15,6 +15,16 @@
 MOST_HEADER_BYTES = 1_048_576
 MOST_BODY_BYTES = 16_777_216
 
+SWITCHES = (
+    "hedging",
+    "own-observation",
+    "retry-budget",
+    "early-refusal",
+    "open-ahead",
+    "owner-queue",
+)
+"""Mechanisms that can be switched off."""
+
 
 @dataclass(frozen=True, slots=True)
 class Setting:
@@ -83,6 +93,11 @@
         texts.option("relay", "direct"),
         "who holds the connections to upstreams: the relays, or each entry",
     ),
+    Setting(
+        "switched_off",
+        texts.options(*SWITCHES),
+        "mechanisms to do without, for measuring what each one gives",
+    ),
     Setting(
         "stop_grace_ms",
         texts.whole(0, MOST_WAIT_MS),
--- a/rhubarbhinge/settings/_texts.py
+++ b/rhubarbhinge/settings/_texts.py
@@ -61,6 +61,24 @@
     return read
 
 
+def options(*known: str) -> TextReader:
+    """Make a reader of any of a few texts, separated by commas.
+
+    :param known: The texts accepted.
+    :returns: The reader.
+    """
+
+    def read(log: FaultLog, place: str, text: str) -> tuple[str, ...] | None:
+        parts = [part.strip() for part in text.split(",")] if text.strip() else []
+        bad = [part for part in parts if part not in known]
+        for part in bad:
+            todo = "write any of " + ", ".join(known)
+            log.add(place, "unknown-choice", f"{fields.shown(part)} is unknown", todo)
+        return None if bad else tuple(parts)
+
+    return read
+
+
 def addresses(least: int) -> TextReader:
     """Make a reader of ``ip:port`` lists, separated by commas.
 
--- a/standins/fleet/_ports.py
+++ b/standins/fleet/_ports.py
@@ -1,23 +1,28 @@
-"""Free ports on the loopback address."""
+"""Ports for processes that have to know each other's before they start."""
 
+import random
 import socket
 
+FIRST_PORT = 10_000
+"""Ports are taken below the range from which the kernel takes those of outgoing connections (32,768
+up, Linux ip_local_port_range), so that no connection of anyone takes one before it is bound."""
+END_PORT = 32_000
+
 
 def free_ports(number: int) -> list[int]:
     """Find free TCP ports on 127.0.0.1 that are also free for UDP.
 
     :param number: How many.
-    :returns: Different ports; another process may still take one before it is used.
+    :returns: Different ports, chosen at random so that concurrent callers seldom meet.
     """
     held: list[socket.socket] = []
     ports: list[int] = []
+    candidates = list(range(FIRST_PORT, END_PORT))
+    random.SystemRandom().shuffle(candidates)
     try:
         while len(ports) < number:
-            tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            held.append(tcp)
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            if _holds_udp(port, held):
+            port = candidates.pop()
+            if _holds(port, held):
                 ports.append(port)
     finally:
         for taken in held:
@@ -25,11 +30,12 @@
     return ports
 
 
-def _holds_udp(port: int, held: list[socket.socket]) -> bool:
-    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    held.append(udp)
-    try:
-        udp.bind(("127.0.0.1", port))
-    except OSError:
-        return False
+def _holds(port: int, held: list[socket.socket]) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        sock = socket.socket(socket.AF_INET, kind)
+        held.append(sock)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
     return True
