--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,86 @@
+"""The bench's command line."""
+
+import random
+import sys
+from pathlib import Path
+
+import fire
+
+from standins.deployment import Size
+from tools.bench._plan import ALL_SCENARIOS, ALL_VARIANTS, cell_count, rounds, unknown
+from tools.bench._run import Options, Run
+from tools.bench._traffic import TRAFFIC
+
+FOLDER = "out/bench"
+
+
+def bench(
+    tenants: str | tuple[str, ...] = tuple(TRAFFIC),
+    scenarios: str | tuple[str, ...] = ALL_SCENARIOS,
+    variants: str | tuple[str, ...] = ALL_VARIANTS,
+    every: bool = False,
+    seconds: float = 2.0,
+    repeats: int = 2,
+    scale: float = 1.0,
+    vms_per_domain: int = 2,
+    searcher_processes: int = 4,
+    rate: float = 40.0,
+    median_ms: float = 5.0,
+    capacity: float = 0.0,
+    seed: int = 5,
+    folder: str = FOLDER,
+) -> None:
+    """Measure the deployments under load and faults, and print tables.
+
+    :param tenants: kingston, suva.
+    :param scenarios: scenarios, separated by commas.
+    :param variants: variants, separated by commas.
+    :param every: measure each variant in each scenario, not only where it matters.
+    :param seconds: measured time of a cell.
+    :param repeats: repetitions of each cell, in interleaved order.
+    :param scale: factor on the number of searchers; 1 is the size of today.
+    :param vms_per_domain: entry VMs in each failure domain.
+    :param searcher_processes: processes that the searchers of a tenant are spread over.
+    :param rate: queries a second in the scenarios without overload.
+    :param median_ms: median of the searchers' service time.
+    :param capacity: queries a second that count as the capacity; 0 to find it by a ramp.
+    :param seed: seed of all random choices.
+    :param folder: where raw results and plots go.
+    """
+    chosen_tenants = _names(tenants, tuple(TRAFFIC))
+    chosen_scenarios = _names(scenarios, ALL_SCENARIOS)
+    chosen_variants = _names(variants, ALL_VARIANTS)
+    target = Path(folder)
+    target.mkdir(parents=True, exist_ok=True)
+    planned = rounds(chosen_scenarios, chosen_variants, every, repeats, random.Random(seed))
+    size = Size(scale, vms_per_domain, searcher_processes)
+    print(
+        f"{cell_count(planned) * len(chosen_tenants)} cells of {seconds:g} s, "
+        f"{repeats} repetitions, scale {scale:g} of today's searchers, seed {seed}"
+    )
+    options = Options(
+        chosen_tenants,
+        chosen_scenarios,
+        planned,
+        seconds,
+        repeats,
+        size,
+        rate,
+        median_ms,
+        capacity,
+        seed,
+        target,
+    )
+    Run(options).carry_out()
+
+
+def _names(given: str | tuple[str, ...], known: tuple[str, ...]) -> tuple[str, ...]:
+    names = tuple(given.split(",")) if isinstance(given, str) else tuple(given)
+    wrong = unknown(names, known)
+    if wrong:
+        sys.exit(f"unknown: {', '.join(wrong)}; known: {', '.join(known)}")
+    return names
+
+
+if __name__ == "__main__":
+    fire.Fire(bench)
--- /dev/null
+++ b/tools/bench/_capacity.py
@@ -0,0 +1,96 @@
+"""Finds how much a deployment carries."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from tools.bench._cell import CellPlan, Key, run_cell
+from tools.bench._figures import ClassRule, figures
+from tools.bench._generator import Generator
+from tools.bench._scenario import Load, Scenario
+from tools.bench._tenant import Tenant
+
+RAMP_FACTOR = 1.25
+"""Between two steps of the ramp."""
+
+CARRIED_SHARE = 0.95
+"""A rate is carried when this share of its requests got a good answer."""
+
+MOST_STEPS = 14
+_STEP_S = 1.0
+_RAMP = Scenario("ramp", (), Load.MODERATE)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step of the ramp.
+
+    :param offered_per_s: requests a second, of the most important class.
+    :param good_per_s: good answers a second.
+    :param busiest: cores used by the busiest process of each group.
+    :param machine_share: busy share of the machine.
+    """
+
+    offered_per_s: float
+    good_per_s: float
+    busiest: Mapping[str, float]
+    machine_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """What the ramp found.
+
+    :param per_s: the most good answers a second of any step.
+    :param steps: the steps.
+    """
+
+    per_s: float
+    steps: tuple[Step, ...]
+
+
+def find_capacity(
+    tenant: Tenant,
+    generator: Generator,
+    rules: Mapping[str, ClassRule],
+    first_per_s: float,
+    folder: Path,
+    rng: random.Random,
+) -> Capacity:
+    """Raise the rate until the deployment no longer carries it.
+
+    :param tenant: the tenant; the nodes of the full policy run.
+    :param generator: the load generator.
+    :param rules: its classes.
+    :param first_per_s: rate of the first step.
+    :param folder: where the samples go.
+    :param rng: the random source.
+    :returns: the capacity.
+    """
+    steps: list[Step] = []
+    rate_per_s = first_per_s
+    while len(steps) < MOST_STEPS:
+        step = _measure(tenant, generator, rules, rate_per_s, folder, rng)
+        steps.append(step)
+        if step.good_per_s < CARRIED_SHARE * rate_per_s:
+            break
+        rate_per_s *= RAMP_FACTOR
+    return Capacity(max(step.good_per_s for step in steps), tuple(steps))
+
+
+def _measure(
+    tenant: Tenant,
+    generator: Generator,
+    rules: Mapping[str, ClassRule],
+    rate_per_s: float,
+    folder: Path,
+    rng: random.Random,
+) -> Step:
+    key = Key(tenant.name, _RAMP.name, f"{rate_per_s:.0f}", 0)
+    path = folder / f"{tenant.name}-ramp-{rate_per_s:.0f}.jsonl"
+    streams = tenant.traffic.streams(rate_per_s)
+    cell = run_cell(tenant, generator, CellPlan(key, _RAMP, streams, _STEP_S, path), rng)
+    found = figures([cell], rules, tenant.traffic.most)
+    good_per_s = found.goodput_per_s.get(tenant.traffic.most, 0.0)
+    return Step(rate_per_s, good_per_s, found.busiest, found.busiest["machine"])
--- /dev/null
+++ b/tools/bench/_plan.py
@@ -0,0 +1,74 @@
+"""Which cells are measured, and in which order."""
+
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from tools.bench._scenario import SCENARIOS
+from tools.bench._variant import VARIANTS
+
+
+@dataclass(frozen=True, slots=True)
+class Round:
+    """One start of a variant's nodes, and the scenarios measured with them.
+
+    :param repeat: number of the repetition.
+    :param variant: the variant.
+    :param scenarios: scenarios in order.
+    """
+
+    repeat: int
+    variant: str
+    scenarios: tuple[str, ...]
+
+
+def rounds(
+    scenarios: Collection[str],
+    variants: Collection[str],
+    every: bool,
+    repeats: int,
+    rng: random.Random,
+) -> list[Round]:
+    """Lay out a run: in each repetition all variants in a new order, so that drift meets all alike.
+
+    :param scenarios: the scenarios wanted.
+    :param variants: the variants wanted.
+    :param every: whether to measure each variant in each scenario, not only where it matters.
+    :param repeats: number of repetitions.
+    :param rng: the random source.
+    :returns: the rounds in order.
+    """
+    found = []
+    for repeat in range(repeats):
+        for variant in _shuffled(variants, rng):
+            wanted = [name for name in scenarios if every or variant in SCENARIOS[name].variants]
+            if wanted:
+                found.append(Round(repeat, variant, tuple(_shuffled(wanted, rng))))
+    return found
+
+
+def unknown(names: Collection[str], known: Collection[str]) -> list[str]:
+    """Find names that are not known.
+
+    :param names: the names.
+    :param known: the known ones.
+    :returns: the unknown ones.
+    """
+    return [name for name in names if name not in known]
+
+
+def cell_count(planned: Sequence[Round]) -> int:
+    """Count the cells of a run, for one tenant.
+
+    :param planned: the rounds.
+    :returns: their number.
+    """
+    return sum(len(each.scenarios) for each in planned)
+
+
+def _shuffled(names: Collection[str], rng: random.Random) -> list[str]:
+    return rng.sample(list(names), len(names))
+
+
+ALL_VARIANTS = tuple(VARIANTS)
+ALL_SCENARIOS = tuple(SCENARIOS)
--- /dev/null
+++ b/tools/bench/_run.py
@@ -0,0 +1,177 @@
+"""A whole run."""
+
+import random
+import tempfile
+import time
+from collections.abc import Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+from standins.deployment import Size
+from standins.fleet import Fleet
+from tools.bench._capacity import Capacity, find_capacity
+from tools.bench._cell import CellPlan, Key, run_cell, wait_healed
+from tools.bench._generator import Generator
+from tools.bench._plan import Round
+from tools.bench._plot import plot
+from tools.bench._report import ramp_line, report
+from tools.bench._results import Results, rules_of
+from tools.bench._scenario import SCENARIOS, Load
+from tools.bench._tenant import Tenant, start_all
+from tools.bench._variant import FULL, VARIANTS
+
+OVERLOAD_FACTOR = 1.5
+"""Offered load over the measured capacity, as issue 5 asks."""
+
+MOST_SHARE = 0.3
+"""Share of the most important class in the overload."""
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What to run.
+
+    :param tenants: the tenants.
+    :param scenarios: the scenarios.
+    :param planned: the rounds in order.
+    :param seconds: measured time of a cell.
+    :param repeats: number of repetitions.
+    :param size: size of each deployment.
+    :param rate_per_s: queries a second in scenarios without overload.
+    :param median_ms: median of the searchers' service time.
+    :param capacity_per_s: the capacity, instead of a ramp; 0 to find it.
+    :param seed: of all random choices.
+    :param folder: where results go.
+    """
+
+    tenants: tuple[str, ...]
+    scenarios: tuple[str, ...]
+    planned: Sequence[Round]
+    seconds: float
+    repeats: int
+    size: Size
+    rate_per_s: float
+    median_ms: float
+    capacity_per_s: float
+    seed: int
+    folder: Path
+
+
+class Run:
+    """Carries out a run.
+
+    :param options: what to run.
+    """
+
+    def __init__(self, options: Options) -> None:
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._results = Results(options.folder)
+        self._capacity: dict[str, float] = {}
+        self._started_s = time.monotonic()
+
+    def carry_out(self) -> None:
+        """Measure all cells, print the tables, write the plot."""
+        options = self._options
+        with ExitStack() as stack:
+            work = stack.enter_context(tempfile.TemporaryDirectory(prefix="bench-"))
+            generator = stack.enter_context(Generator())
+            tenants = [
+                self._start(stack.enter_context(Fleet(_folder(work, name))), name)
+                for name in options.tenants
+            ]
+            self._find_capacities(tenants, generator)
+            for planned in options.planned:
+                self._round(tenants, generator, planned)
+        print(report(tenants, options.scenarios, options.repeats, self._results))
+        print(plot(tenants, options.scenarios, self._results, options.folder))
+        print(f"raw results: {options.folder}; the run took {self._elapsed_s():.0f} s")
+
+    def _start(self, fleet: Fleet, name: str) -> Tenant:
+        options = self._options
+        tenant = Tenant(fleet, name, options.size, options.median_ms)
+        self._results.know(tenant)
+        self._say(
+            f"{name}: {len(tenant.searchers)} searchers in "
+            f"{len(tenant.searcher_processes())} processes, {len(tenant.deployment.vms)} VMs, "
+            f"median service time {options.median_ms:g} ms"
+        )
+        return tenant
+
+    def _find_capacities(self, tenants: Sequence[Tenant], generator: Generator) -> None:
+        options = self._options
+        loads = {SCENARIOS[name].load for each in options.planned for name in each.scenarios}
+        if loads <= {Load.MODERATE}:
+            return
+        if options.capacity_per_s:
+            self._capacity = dict.fromkeys(options.tenants, options.capacity_per_s)
+            return
+        start_all(tenants, VARIANTS[FULL])
+        for tenant in tenants:
+            wait_healed(tenant)
+            found = self._ramp(tenant, generator)
+            self._capacity[tenant.name] = found.per_s
+            self._say(ramp_line(tenant.name, found))
+        _stop(tenants)
+
+    def _ramp(self, tenant: Tenant, generator: Generator) -> Capacity:
+        options = self._options
+        return find_capacity(
+            tenant, generator, rules_of(tenant), options.rate_per_s, options.folder, self._rng
+        )
+
+    def _round(self, tenants: Sequence[Tenant], generator: Generator, planned: Round) -> None:
+        try:
+            start_all(tenants, VARIANTS[planned.variant])
+            for tenant in tenants:
+                for scenario in planned.scenarios:
+                    self._cell(tenant, generator, planned, scenario)
+        except TimeoutError as error:
+            self._say(f"NOT RUN: {planned.variant}, repetition {planned.repeat}: {error}")
+        finally:
+            _stop(tenants)
+
+    def _cell(self, tenant: Tenant, generator: Generator, planned: Round, scenario: str) -> None:
+        if not wait_healed(tenant):
+            self._say(f"{tenant.name}: not all searchers ready before {scenario}")
+        key = Key(tenant.name, scenario, planned.variant, planned.repeat)
+        path = self._options.folder / f"{'-'.join(map(str, _parts(key)))}.jsonl"
+        streams = tenant.traffic.streams(*self._rates(tenant.name, scenario))
+        plan = CellPlan(key, SCENARIOS[scenario], streams, self._options.seconds, path)
+        found = self._results.add(run_cell(tenant, generator, plan, self._rng))
+        self._say(
+            f"{'/'.join(map(str, _parts(key)))}: p50 {found.p50_ms} p99 {found.p99_ms} "
+            f"coverage {found.coverage} extra {found.extra_load} seen {found.seen_load} "
+            f"refusals {found.refusals} short {found.short} "
+            f"machine {found.busiest['machine']:.2f}"
+        )
+
+    def _rates(self, tenant: str, scenario: str) -> tuple[float, float]:
+        load = SCENARIOS[scenario].load
+        if load is Load.MODERATE:
+            return self._options.rate_per_s, 0.0
+        total_per_s = OVERLOAD_FACTOR * self._capacity[tenant]
+        most_per_s = MOST_SHARE * total_per_s
+        return most_per_s, total_per_s - most_per_s if load is Load.OVERLOAD else 0.0
+
+    def _say(self, line: str) -> None:
+        print(f"[{self._elapsed_s():5.0f} s] {line}", flush=True)
+
+    def _elapsed_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+
+def _folder(work: str, name: str) -> Path:
+    folder = Path(work, name)
+    folder.mkdir()
+    return folder
+
+
+def _stop(tenants: Sequence[Tenant]) -> None:
+    for tenant in tenants:
+        tenant.stop_nodes()
+
+
+def _parts(key: Key) -> tuple[str | int, ...]:
+    return key.tenant, key.scenario, key.variant, key.repeat
--- /dev/null
+++ b/tools/bench/_scenario.py
@@ -0,0 +1,73 @@
+"""The scenarios that the variants are measured in."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from tools.bench import _faults as faults
+from tools.bench._variant import FULL, NO_HEDGING, PLAIN
+
+
+class Load(Enum):
+    """How much is asked."""
+
+    MODERATE = "moderate"
+    """The most important class at the fixed rate of the latency scenarios."""
+    OVERLOAD = "overload"
+    """Both classes at 1.5 times the capacity."""
+    UNCONTENDED = "uncontended"
+    """The most important class at its rate of the overload, alone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A load and a fault.
+
+    :param name: its name in tables.
+    :param variants: variants that are measured in it by default.
+    :param load: how much is asked.
+    :param before: fault brought about before the load begins.
+    :param during: fault brought about a quarter into the measured time.
+    """
+
+    name: str
+    variants: tuple[str, ...]
+    load: Load = Load.MODERATE
+    before: faults.Fault = faults.no_fault
+    during: faults.Fault = faults.no_fault
+
+
+_NO_OWN = "no-own-observation"
+_NO_BUDGET = "no-retry-budget"
+_NO_REFUSAL = "no-early-refusal"
+_NO_AHEAD = "no-open-ahead"
+_NO_QUEUE = "no-owner-queue"
+_DIRECT = "direct"
+
+SCENARIOS: Mapping[str, Scenario] = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario("calm", (FULL, NO_HEDGING, PLAIN, _NO_AHEAD, _DIRECT)),
+        Scenario(
+            "straggler",
+            (FULL, NO_HEDGING, _NO_OWN, _NO_BUDGET, PLAIN, _DIRECT),
+            before=faults.stragglers,
+        ),
+        Scenario(
+            "lost-replicas",
+            (FULL, NO_HEDGING, _NO_OWN, _NO_BUDGET, PLAIN),
+            during=faults.lost_replicas,
+        ),
+        Scenario("cold-starts", (FULL, _NO_AHEAD, _NO_OWN, PLAIN), during=faults.cold_starts),
+        Scenario("shedding", (FULL, _NO_OWN, _NO_BUDGET, PLAIN), before=faults.shedding),
+        Scenario("misleading-health", (FULL, _NO_OWN, PLAIN), before=faults.misleading_health),
+        Scenario("platform-outage", (FULL,), before=faults.platform_outage),
+        Scenario("uncontended", (FULL,), load=Load.UNCONTENDED),
+        Scenario(
+            "overload",
+            (FULL, _NO_REFUSAL, _NO_QUEUE, _NO_BUDGET, PLAIN, _DIRECT),
+            load=Load.OVERLOAD,
+        ),
+    )
+}
+"""All scenarios by name."""
--- /dev/null
+++ b/tools/bench/_tenant.py
@@ -0,0 +1,129 @@
+"""One tenant's deployment while it is measured."""
+
+import time
+from collections.abc import Iterable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from standins.deployment import LiveDeployment, Size, wait_for
+from standins.fleet import Fleet, Process, call
+from tools.bench._traffic import TRAFFIC, Traffic
+from tools.bench._variant import Variant
+
+SIGMA = 0.3
+"""Standard deviation of the logarithm of the searchers' service time."""
+
+SETTLE_S = 1.5
+"""From the nodes being ready until the first cell; about the handover and ramp of the relays."""
+
+_BOTH_ROLES = ("relay", "entry")
+
+
+class Tenant:
+    """A tenant's platform and searchers, and the nodes of one variant at a time.
+
+    :param fleet: owns the processes.
+    :param name: ``kingston`` or ``suva``.
+    :param size: how large.
+    :param median_ms: median of the searchers' service time.
+    """
+
+    def __init__(self, fleet: Fleet, name: str, size: Size, median_ms: float) -> None:
+        self.name = name
+        self.median_ms = median_ms
+        self.traffic: Traffic = TRAFFIC[name]
+        self.deployment = LiveDeployment(
+            fleet, name, size, knobs={"median_ms": median_ms, "sigma": SIGMA}
+        )
+        self._settings: Mapping[str, str] = {}
+
+    @property
+    def searchers(self) -> tuple[str, ...]:
+        """Names of all searchers."""
+        return tuple(self.deployment.searcher_ports)
+
+    def start_nodes(self, variant: Variant) -> None:
+        """Start the entries and relays of a variant, and wait until they serve.
+
+        :param variant: the variant; direct pools go without relays.
+        :raises TimeoutError: when they are not ready in time.
+        """
+        deployment = self.deployment
+        roles = ("entry",) if variant.is_direct else _BOTH_ROLES
+        for vm in deployment.vms:
+            for role in roles:
+                deployment.start_node(vm, role, variant.settings)
+        deployment.wait_serving()
+        for vm in deployment.vms:
+            wait_for(lambda vm=vm: self._knows_all(vm), f"{vm.name} knows all searchers")
+        time.sleep(SETTLE_S)
+
+    def stop_nodes(self) -> None:
+        """End all entries and relays at once."""
+        for vm in self.deployment.vms:
+            for process in vm.nodes.values():
+                process.kill()
+            vm.nodes.clear()
+
+    def entry_ports(self) -> list[int]:
+        """Give the HTTP ports of the entries.
+
+        :returns: the ports.
+        """
+        return [vm.entry_http for vm in self.deployment.vms]
+
+    def pids(self) -> dict[str, list[int]]:
+        """Give the processes by group.
+
+        :returns: process ids.
+        """
+        nodes = [vm.nodes for vm in self.deployment.vms]
+        return {
+            "entries": [each["entry"].pid for each in nodes if "entry" in each],
+            "relays": [each["relay"].pid for each in nodes if "relay" in each],
+            "searchers": [process.pid for process in self.searcher_processes()],
+            "platform": [self.deployment.platform.pid],
+        }
+
+    def searcher_processes(self) -> Sequence[Process]:
+        """Give the processes that the searchers are spread over.
+
+        :returns: the processes.
+        """
+        return tuple({process.pid: process for process in self._owners().values()}.values())
+
+    def change(self, names: Iterable[str], changes: Mapping[str, Any]) -> None:
+        """Change the behaviour of some searchers.
+
+        :param names: the searchers.
+        :param changes: knobs, see docs/standins.md.
+        """
+        wanted = set(names)
+        for process in self.searcher_processes():
+            here = [name for name in wanted if self._owners()[name].pid == process.pid]
+            if here:
+                call(process.control_port, f"/standin?searcher={','.join(here)}", dict(changes))
+
+    def change_platform(self, changes: Mapping[str, Any]) -> None:
+        """Change the behaviour of the platform.
+
+        :param changes: knobs, see docs/standins.md.
+        """
+        call(self.deployment.platform.port(), "/standin", dict(changes))
+
+    def _owners(self) -> Mapping[str, Process]:
+        return self.deployment.searchers
+
+    def _knows_all(self, vm: Any) -> bool:
+        known = self.deployment.status(vm)["searchers_announced"]
+        return known >= len(self.searchers)
+
+
+def start_all(tenants: Sequence[Tenant], variant: Variant) -> None:
+    """Start the nodes of several tenants side by side.
+
+    :param tenants: the tenants.
+    :param variant: the variant.
+    """
+    with ThreadPoolExecutor(len(tenants)) as pool:
+        list(pool.map(lambda tenant: tenant.start_nodes(variant), tenants))
