--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -24,8 +24,10 @@
     scale: float = 1.0,
     vms_per_domain: int = 2,
     searcher_processes: int = 4,
-    rate: float = 40.0,
-    median_ms: float = 5.0,
+    rate: float = 24.0,
+    median_ms: float = 10.0,
+    loaded_median_ms: float = 40.0,
+    together: bool = True,
     capacity: float = 0.0,
     seed: int = 5,
     folder: str = FOLDER,
@@ -42,7 +44,9 @@
     :param vms_per_domain: entry VMs in each failure domain.
     :param searcher_processes: processes that the searchers of a tenant are spread over.
     :param rate: queries a second in the scenarios without overload.
-    :param median_ms: median of the searchers' service time.
+    :param median_ms: median of the searchers' service time in those scenarios.
+    :param loaded_median_ms: the same under overload.
+    :param together: measure the tenants side by side in the scenarios without overload.
     :param capacity: queries a second that count as the capacity; 0 to find it by a ramp.
     :param seed: seed of all random choices.
     :param folder: where raw results and plots go.
@@ -55,7 +59,7 @@
     planned = rounds(chosen_scenarios, chosen_variants, every, repeats, random.Random(seed))
     size = Size(scale, vms_per_domain, searcher_processes)
     print(
-        f"{cell_count(planned) * len(chosen_tenants)} cells of {seconds:g} s, "
+        f"{cell_count(planned) * len(chosen_tenants)} cells of {seconds:g} s or more, "
         f"{repeats} repetitions, scale {scale:g} of today's searchers, seed {seed}"
     )
     options = Options(
@@ -67,6 +71,8 @@
         size,
         rate,
         median_ms,
+        loaded_median_ms,
+        together,
         capacity,
         seed,
         target,
--- a/tools/bench/_capacity.py
+++ b/tools/bench/_capacity.py
@@ -17,6 +17,9 @@
 CARRIED_SHARE = 0.95
 """A rate is carried when this share of its requests got a good answer."""
 
+FIRST_PER_S = 40.0
+"""Queries a second in the first step, well below what any deployment here carries."""
+
 MOST_STEPS = 14
 _STEP_S = 1.0
 _RAMP = Scenario("ramp", (), Load.MODERATE)
@@ -54,28 +57,31 @@
     tenant: Tenant,
     generator: Generator,
     rules: Mapping[str, ClassRule],
-    first_per_s: float,
+    median_ms: float,
     folder: Path,
     rng: random.Random,
 ) -> Capacity:
-    """Raise the rate until the deployment no longer carries it.
+    """Raise the rate until the deployment fails twice in a row to carry it.
 
     :param tenant: the tenant; the nodes of the full policy run.
     :param generator: the load generator.
     :param rules: its classes.
-    :param first_per_s: rate of the first step.
+    :param median_ms: median of the searchers' service time.
     :param folder: where the samples go.
     :param rng: the random source.
     :returns: the capacity.
     """
     steps: list[Step] = []
-    rate_per_s = first_per_s
-    while len(steps) < MOST_STEPS:
-        step = _measure(tenant, generator, rules, rate_per_s, folder, rng)
+    rate_per_s = FIRST_PER_S
+    failed = 0
+    while len(steps) < MOST_STEPS and failed < 2:
+        step = _measure(tenant, generator, rules, rate_per_s, median_ms, folder, rng)
         steps.append(step)
         if step.good_per_s < CARRIED_SHARE * rate_per_s:
-            break
-        rate_per_s *= RAMP_FACTOR
+            failed += 1
+        else:
+            failed = 0
+            rate_per_s *= RAMP_FACTOR
     return Capacity(max(step.good_per_s for step in steps), tuple(steps))
 
 
@@ -84,13 +90,14 @@
     generator: Generator,
     rules: Mapping[str, ClassRule],
     rate_per_s: float,
+    median_ms: float,
     folder: Path,
     rng: random.Random,
 ) -> Step:
     key = Key(tenant.name, _RAMP.name, f"{rate_per_s:.0f}", 0)
     path = folder / f"{tenant.name}-ramp-{rate_per_s:.0f}.jsonl"
     streams = tenant.traffic.streams(rate_per_s)
-    cell = run_cell(tenant, generator, CellPlan(key, _RAMP, streams, _STEP_S, path), rng)
+    cell = run_cell(tenant, generator, CellPlan(key, _RAMP, streams, _STEP_S, median_ms, path), rng)
     found = figures([cell], rules, tenant.traffic.most)
     good_per_s = found.goodput_per_s.get(tenant.traffic.most, 0.0)
     return Step(rate_per_s, good_per_s, found.busiest, found.busiest["machine"])
--- a/tools/bench/_cell.py
+++ b/tools/bench/_cell.py
@@ -18,7 +18,7 @@
 from tools.bench._tenant import Tenant
 from tools.bench._usage import Use, read_usage, usage
 
-WARM_MS = 700.0
+WARM_MS = 500.0
 """Load before the measured time, as long as the first latencies and connections take."""
 
 TIMEOUT_MS = 5_000.0
@@ -71,6 +71,7 @@
     :param scenario: the scenario.
     :param streams: the requests.
     :param measured_s: the measured time.
+    :param median_ms: median of the searchers' service time.
     :param path: where the samples go.
     """
 
@@ -78,6 +79,7 @@
     scenario: Scenario
     streams: Sequence[Stream]
     measured_s: float
+    median_ms: float
     path: Path
 
 
@@ -91,6 +93,7 @@
     :returns: what was measured.
     """
     planned = arrivals(plan.streams, -WARM_MS, plan.measured_s * 1000, rng)
+    tenant.serve_in(plan.median_ms)
     plan.scenario.before(tenant, rng)
     counts = Counts(tenant)
     groups = {**tenant.pids(), "generator": [generator.pid]}
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,7 @@
 from tools.bench._report import ramp_line, report
 from tools.bench._results import Results, rules_of
 from tools.bench._scenario import SCENARIOS, Load
+from tools.bench._table import number
 from tools.bench._tenant import Tenant, start_all
 from tools.bench._variant import FULL, VARIANTS
 
@@ -39,7 +41,9 @@
     :param repeats: number of repetitions.
     :param size: size of each deployment.
     :param rate_per_s: queries a second in scenarios without overload.
-    :param median_ms: median of the searchers' service time.
+    :param median_ms: median of the searchers' service time in those scenarios.
+    :param loaded_median_ms: the same under overload, so long that searchers are the bottleneck.
+    :param together: whether tenants are measured side by side in those scenarios.
     :param capacity_per_s: the capacity, instead of a ramp; 0 to find it.
     :param seed: of all random choices.
     :param folder: where results go.
@@ -53,6 +57,8 @@
     size: Size
     rate_per_s: float
     median_ms: float
+    loaded_median_ms: float
+    together: bool
     capacity_per_s: float
     seed: int
     folder: Path
@@ -66,7 +72,8 @@
 
     def __init__(self, options: Options) -> None:
         self._options = options
-        self._rng = random.Random(options.seed)
+        self._rngs = {name: random.Random(f"{options.seed}-{name}") for name in options.tenants}
+        self._generators: dict[str, Generator] = {}
         self._results = Results(options.folder)
         self._capacity: dict[str, float] = {}
         self._started_s = time.monotonic()
@@ -76,30 +83,32 @@
         options = self._options
         with ExitStack() as stack:
             work = stack.enter_context(tempfile.TemporaryDirectory(prefix="bench-"))
-            generator = stack.enter_context(Generator())
             tenants = [
                 self._start(stack.enter_context(Fleet(_folder(work, name))), name)
                 for name in options.tenants
             ]
-            self._find_capacities(tenants, generator)
+            for name in options.tenants:
+                self._generators[name] = stack.enter_context(Generator())
+            self._find_capacities(tenants)
             for planned in options.planned:
-                self._round(tenants, generator, planned)
+                self._round(tenants, planned)
         print(report(tenants, options.scenarios, options.repeats, self._results))
         print(plot(tenants, options.scenarios, self._results, options.folder))
         print(f"raw results: {options.folder}; the run took {self._elapsed_s():.0f} s")
 
     def _start(self, fleet: Fleet, name: str) -> Tenant:
         options = self._options
-        tenant = Tenant(fleet, name, options.size, options.median_ms)
+        tenant = Tenant(fleet, name, options.size)
         self._results.know(tenant)
         self._say(
             f"{name}: {len(tenant.searchers)} searchers in "
             f"{len(tenant.searcher_processes())} processes, {len(tenant.deployment.vms)} VMs, "
-            f"median service time {options.median_ms:g} ms"
+            f"median service time {options.median_ms:g} ms, {options.loaded_median_ms:g} ms "
+            f"under overload"
         )
         return tenant
 
-    def _find_capacities(self, tenants: Sequence[Tenant], generator: Generator) -> None:
+    def _find_capacities(self, tenants: Sequence[Tenant]) -> None:
         options = self._options
         loads = {SCENARIOS[name].load for each in options.planned for name in each.scenarios}
         if loads <= {Load.MODERATE}:
@@ -110,41 +119,57 @@
         start_all(tenants, VARIANTS[FULL])
         for tenant in tenants:
             wait_healed(tenant)
-            found = self._ramp(tenant, generator)
+            found = self._ramp(tenant)
             self._capacity[tenant.name] = found.per_s
             self._say(ramp_line(tenant.name, found))
         _stop(tenants)
 
-    def _ramp(self, tenant: Tenant, generator: Generator) -> Capacity:
+    def _ramp(self, tenant: Tenant) -> Capacity:
         options = self._options
         return find_capacity(
-            tenant, generator, rules_of(tenant), options.rate_per_s, options.folder, self._rng
+            tenant,
+            self._generators[tenant.name],
+            rules_of(tenant),
+            options.loaded_median_ms,
+            options.folder,
+            self._rngs[tenant.name],
         )
 
-    def _round(self, tenants: Sequence[Tenant], generator: Generator, planned: Round) -> None:
+    def _round(self, tenants: Sequence[Tenant], planned: Round) -> None:
         try:
             start_all(tenants, VARIANTS[planned.variant])
+            moderate = [name for name in planned.scenarios if _is_moderate(name)]
+            with ThreadPoolExecutor(len(tenants) if self._options.together else 1) as pool:
+                list(pool.map(lambda tenant: self._cells(tenant, planned, moderate), tenants))
+            loaded = [name for name in planned.scenarios if not _is_moderate(name)]
             for tenant in tenants:
-                for scenario in planned.scenarios:
-                    self._cell(tenant, generator, planned, scenario)
+                self._cells(tenant, planned, loaded)
         except TimeoutError as error:
             self._say(f"NOT RUN: {planned.variant}, repetition {planned.repeat}: {error}")
         finally:
             _stop(tenants)
 
-    def _cell(self, tenant: Tenant, generator: Generator, planned: Round, scenario: str) -> None:
+    def _cells(self, tenant: Tenant, planned: Round, scenarios: Sequence[str]) -> None:
+        for scenario in scenarios:
+            self._cell(tenant, planned, scenario)
+
+    def _cell(self, tenant: Tenant, planned: Round, scenario: str) -> None:
         if not wait_healed(tenant):
             self._say(f"{tenant.name}: not all searchers ready before {scenario}")
         key = Key(tenant.name, scenario, planned.variant, planned.repeat)
-        path = self._options.folder / f"{'-'.join(map(str, _parts(key)))}.jsonl"
+        options = self._options
+        path = options.folder / f"{'-'.join(map(str, _parts(key)))}.jsonl"
         streams = tenant.traffic.streams(*self._rates(tenant.name, scenario))
-        plan = CellPlan(key, SCENARIOS[scenario], streams, self._options.seconds, path)
-        found = self._results.add(run_cell(tenant, generator, plan, self._rng))
+        measured_s = options.seconds * SCENARIOS[scenario].weight
+        median_ms = options.median_ms if _is_moderate(scenario) else options.loaded_median_ms
+        plan = CellPlan(key, SCENARIOS[scenario], streams, measured_s, median_ms, path)
+        cell = run_cell(tenant, self._generators[tenant.name], plan, self._rngs[tenant.name])
+        found = self._results.add(cell)
         self._say(
-            f"{'/'.join(map(str, _parts(key)))}: p50 {found.p50_ms} p99 {found.p99_ms} "
-            f"coverage {found.coverage} extra {found.extra_load} seen {found.seen_load} "
-            f"refusals {found.refusals} short {found.short} "
-            f"machine {found.busiest['machine']:.2f}"
+            f"{'/'.join(map(str, _parts(key)))}: p50 {number(found.p50_ms)} "
+            f"p99 {number(found.p99_ms)} ms, coverage {number(found.coverage, 4)}, "
+            f"{found.refusals} refused, {found.short} short, "
+            f"machine {100 * found.busiest['machine']:.0f}% busy"
         )
 
     def _rates(self, tenant: str, scenario: str) -> tuple[float, float]:
@@ -162,6 +187,10 @@
         return time.monotonic() - self._started_s
 
 
+def _is_moderate(scenario: str) -> bool:
+    return SCENARIOS[scenario].load is Load.MODERATE
+
+
 def _folder(work: str, name: str) -> Path:
     folder = Path(work, name)
     folder.mkdir()
--- a/tools/bench/_scenario.py
+++ b/tools/bench/_scenario.py
@@ -28,6 +28,7 @@
     :param load: how much is asked.
     :param before: fault brought about before the load begins.
     :param during: fault brought about a quarter into the measured time.
+    :param weight: how many times as long as others it is measured.
     """
 
     name: str
@@ -35,6 +36,7 @@
     load: Load = Load.MODERATE
     before: faults.Fault = faults.no_fault
     during: faults.Fault = faults.no_fault
+    weight: int = 1
 
 
 _NO_OWN = "no-own-observation"
@@ -47,25 +49,26 @@
 SCENARIOS: Mapping[str, Scenario] = {
     scenario.name: scenario
     for scenario in (
-        Scenario("calm", (FULL, NO_HEDGING, PLAIN, _NO_AHEAD, _DIRECT)),
+        Scenario("calm", (FULL, PLAIN, _DIRECT), weight=2),
         Scenario(
             "straggler",
             (FULL, NO_HEDGING, _NO_OWN, _NO_BUDGET, PLAIN, _DIRECT),
             before=faults.stragglers,
+            weight=2,
         ),
         Scenario(
             "lost-replicas",
-            (FULL, NO_HEDGING, _NO_OWN, _NO_BUDGET, PLAIN),
+            (FULL, NO_HEDGING, _NO_BUDGET, PLAIN),
             during=faults.lost_replicas,
         ),
-        Scenario("cold-starts", (FULL, _NO_AHEAD, _NO_OWN, PLAIN), during=faults.cold_starts),
-        Scenario("shedding", (FULL, _NO_OWN, _NO_BUDGET, PLAIN), before=faults.shedding),
-        Scenario("misleading-health", (FULL, _NO_OWN, PLAIN), before=faults.misleading_health),
+        Scenario("cold-starts", (FULL, _NO_AHEAD, PLAIN), during=faults.cold_starts),
+        Scenario("shedding", (FULL, _NO_BUDGET, PLAIN), before=faults.shedding),
+        Scenario("misleading-health", (FULL, _NO_OWN), before=faults.misleading_health),
         Scenario("platform-outage", (FULL,), before=faults.platform_outage),
         Scenario("uncontended", (FULL,), load=Load.UNCONTENDED),
         Scenario(
             "overload",
-            (FULL, _NO_REFUSAL, _NO_QUEUE, _NO_BUDGET, PLAIN, _DIRECT),
+            (FULL, _NO_REFUSAL, _NO_QUEUE, _NO_BUDGET, _DIRECT),
             load=Load.OVERLOAD,
         ),
     )
--- a/tools/bench/_tenant.py
+++ b/tools/bench/_tenant.py
@@ -1,6 +1,5 @@
 """One tenant's deployment while it is measured."""
 
-import time
 from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -13,9 +12,6 @@
 SIGMA = 0.3
 """Standard deviation of the logarithm of the searchers' service time."""
 
-SETTLE_S = 1.5
-"""From the nodes being ready until the first cell; about the handover and ramp of the relays."""
-
 _BOTH_ROLES = ("relay", "entry")
 
 
@@ -25,17 +21,13 @@
     :param fleet: owns the processes.
     :param name: ``kingston`` or ``suva``.
     :param size: how large.
-    :param median_ms: median of the searchers' service time.
     """
 
-    def __init__(self, fleet: Fleet, name: str, size: Size, median_ms: float) -> None:
+    def __init__(self, fleet: Fleet, name: str, size: Size) -> None:
         self.name = name
-        self.median_ms = median_ms
         self.traffic: Traffic = TRAFFIC[name]
-        self.deployment = LiveDeployment(
-            fleet, name, size, knobs={"median_ms": median_ms, "sigma": SIGMA}
-        )
-        self._settings: Mapping[str, str] = {}
+        self.deployment = LiveDeployment(fleet, name, size, knobs={"sigma": SIGMA})
+        self._median_ms = 0.0
 
     @property
     def searchers(self) -> tuple[str, ...]:
@@ -56,7 +48,6 @@
         deployment.wait_serving()
         for vm in deployment.vms:
             wait_for(lambda vm=vm: self._knows_all(vm), f"{vm.name} knows all searchers")
-        time.sleep(SETTLE_S)
 
     def stop_nodes(self) -> None:
         """End all entries and relays at once."""
@@ -65,6 +56,15 @@
                 process.kill()
             vm.nodes.clear()
 
+    def serve_in(self, median_ms: float) -> None:
+        """Set the service time of all searchers.
+
+        :param median_ms: its median.
+        """
+        if median_ms != self._median_ms:
+            self.change(self.searchers, {"median_ms": median_ms})
+            self._median_ms = median_ms
+
     def entry_ports(self) -> list[int]:
         """Give the HTTP ports of the entries.
 
