--- a/tools/bench/_traffic.py
+++ b/tools/bench/_traffic.py
@@ -5,6 +5,9 @@
 
 from tools.bench._arrivals import Stream
 
+MOST_SHARE = 0.3
+"""Share of the most important class under overload."""
+
 LEAST_CLASS_DEADLINE_MS = 2_500.0
 """Callers' own deadline for the least important class, so that a cell ends soon after its load."""
 
@@ -22,6 +25,15 @@
     most: str
     least: str
 
+    def mix(self, total_per_s: float) -> tuple[Stream, ...]:
+        """Give the kinds of requests of the overload.
+
+        :param total_per_s: requests a second of both classes.
+        :returns: the streams.
+        """
+        most_per_s = MOST_SHARE * total_per_s
+        return self.streams(most_per_s, total_per_s - most_per_s)
+
     def streams(self, most_per_s: float, least_per_s: float = 0.0) -> tuple[Stream, ...]:
         """Give the kinds of requests.
 
