--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -154,7 +154,10 @@
 
     def _cell(self, tenant: Tenant, planned: Round, scenario: str) -> None:
         if not wait_healed(tenant):
-            self._say(f"{tenant.name}: not all searchers ready before {scenario}")
+            self._say(f"{tenant.name}: not all searchers ready before {scenario}; nodes restarted")
+            tenant.stop_nodes()
+            tenant.start_nodes(VARIANTS[planned.variant])
+            wait_healed(tenant)
         key = Key(tenant.name, scenario, planned.variant, planned.repeat)
         options = self._options
         path = options.folder / f"{'-'.join(map(str, _parts(key)))}.jsonl"
--- a/tools/bench/_scenario.py
+++ b/tools/bench/_scenario.py
@@ -28,6 +28,7 @@
     :param load: how much is asked.
     :param before: fault brought about before the load begins.
     :param during: fault brought about a quarter into the measured time.
+    :param is_last: whether it is measured after the others, since searchers take time to come back.
     :param weight: how many times as long as others it is measured.
     """
 
@@ -36,6 +37,7 @@
     load: Load = Load.MODERATE
     before: faults.Fault = faults.no_fault
     during: faults.Fault = faults.no_fault
+    is_last: bool = False
     weight: int = 1
 
 
@@ -60,6 +62,7 @@
             "lost-replicas",
             (FULL, NO_HEDGING, _NO_BUDGET, PLAIN),
             during=faults.lost_replicas,
+            is_last=True,
         ),
         Scenario("cold-starts", (FULL, _NO_AHEAD, PLAIN), during=faults.cold_starts),
         Scenario("shedding", (FULL, _NO_BUDGET, PLAIN), before=faults.shedding),
