--- a/tools/bench/tests/test_pure.py
+++ b/tools/bench/tests/test_pure.py
@@ -6,7 +6,7 @@
 
 from tools.bench._arrivals import Stream, arrivals
 from tools.bench._counts import sub_queries
-from tools.bench._faults import one_of_each
+from tools.bench._faults import one_of_each, some_of_each
 from tools.bench._percentiles import percentile, ratio
 from tools.bench._plan import rounds
 from tools.bench._table import aligned
@@ -56,6 +56,15 @@
             self.assertTrue(lost.intersection(holders))
             self.assertFalse(lost.issuperset(holders))
 
+    @_SETTINGS
+    @given(st.integers(0, 2**32))
+    def test_a_share_of_each_system_and_a_holder_left_to_every_shard(self, seed):
+        systems = [[f"a{place}" for place in range(40)], [f"b{place}" for place in range(10)]]
+        shards = [(f"a{place}", f"a{(place + 7) % 40}") for place in range(40)]
+        chosen = some_of_each(systems, shards, 1 / 5, random.Random(seed))
+        self.assertEqual([len(chosen.intersection(each)) for each in systems], [8, 2])
+        self.assertFalse(any(chosen.issuperset(holders) for holders in shards))
+
 
 class PlanTest(unittest.TestCase):
     def test_each_repetition_has_all_cells_once(self):
