cli: coverage of answers refused as too thin; a port in use is one line

Cause: a trial against live nodes showed that a thin answer's coverage was dropped, and a port in use would have ended in a traceback. Ruled out: printing refused answers only with --as-json; operators need the missing ranges to see which upstreams to look at. Change: search prints coverage and missing ranges with the error; entry and relay give code=cannot-listen.

--- a/rhubarbhinge/cli/_search.py
+++ b/rhubarbhinge/cli/_search.py
@@ -1,6 +1,7 @@
 """The ``search`` command."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 from rhubarbhinge.cli._answers import call_failed, error_answer
@@ -66,20 +67,22 @@
     if isinstance(answer, CallFailed):
         return call_failed(answer)
     found = answer.objects()
-    if answer.status != 200 or not isinstance(found.get("coverage"), dict):
-        return error_answer(answer)
     lines = (json.dumps(found),) if as_json else tuple(_lines(found))
+    if answer.status != 200 or not isinstance(found.get("coverage"), dict):
+        return replace(error_answer(answer), lines=lines)
     return CommandResult(ExitCode.DONE, lines)
 
 
 def _lines(found: dict[str, Any]) -> list[str]:
+    """Show what is covered, also of an answer that was refused for being too thin."""
+    if not isinstance(found.get("coverage"), dict):
+        return []
     snapshot = found.get("snapshot") if isinstance(found.get("snapshot"), dict) else {}
     name, version = (printable(snapshot.get(key, "?")) for key in ("collection", "version"))
     return [
         _covered(found["coverage"]),
         *_missing(found["coverage"]),
         f"snapshot: {name}, version {version}",
-        "",
         *_hits(found.get("hits")),
     ]
 
@@ -103,8 +106,10 @@
 
 
 def _hits(hits: object) -> list[str]:
-    found = [each for each in hits if isinstance(each, dict)] if isinstance(hits, list) else []
+    if not isinstance(hits, list):
+        return []
+    found = [each for each in hits if isinstance(each, dict)]
     if not found:
-        return ["no hits"]
+        return ["", "no hits"]
     columns = ("score", "id", "title")
-    return table(columns, [[each.get(key) for key in columns] for each in found])
+    return ["", *table(columns, [[each.get(key) for key in columns] for each in found])]
--- a/rhubarbhinge/cli/tests/test_main.py
+++ b/rhubarbhinge/cli/tests/test_main.py
@@ -150,14 +150,15 @@
         started = []
         daemons = types.ModuleType("rhubarbhinge.daemons")
         daemons.run_entry = started.append
-        daemons.run_relay = lambda settings: started.append(settings) or 5
+        daemons.run_relay = mock.Mock(side_effect=OSError(98, "Address already in use"))
         variables = {"RHUBARBHINGE_DEPLOYMENT_KEY": "k" * 32}
         with mock.patch.dict(sys.modules, {"rhubarbhinge.daemons": daemons}):
             with mock.patch.dict(os.environ, variables):
-                codes = [invoke(role, *self.FLAGS)[0] for role in ("entry", "relay")]
-        self.assertEqual(codes, [0, 5])
+                good, bad = (invoke(role, *self.FLAGS) for role in ("entry", "relay"))
+        self.assertEqual((good[0], bad[0]), (0, 1))
+        self.assertIn("error code=cannot-listen", bad[2])
         self.assertEqual(started[0].platform, ("127.0.0.1:6000", "127.0.0.1:6001"))
-        self.assertEqual(started[0], started[1])
+        daemons.run_relay.assert_called_once_with(started[0])
 
     def test_all_faults_and_no_start(self):
         code, _, err = invoke("relay", *self.FLAGS, "--deployment-key=show-me-not", "--nope")
@@ -187,6 +188,14 @@
         self.assertIn("snapshot: overhauls, version 41", text)
         self.assertNotIn("\x1b", text)
 
+    def test_search_that_was_too_thin(self):
+        error = {"code": "coverage-too-low", "message": "m", "todo": "t", "not_run": False}
+        answer = HttpAnswer(503, {"error": error, "coverage": self.FOUND["coverage"]})
+        result = search_by(lambda call: answer, CALL, as_json=False)
+        self.assertEqual((result.exit_code, result.faults[0].code), (1, "coverage-too-low"))
+        self.assertIn("covered: 99.9 %, 9999 of 10000 records", result.lines)
+        self.assertNotIn("no hits", result.lines)
+
     def test_search_as_json(self):
         result = search_by(lambda call: HttpAnswer(200, self.FOUND), CALL, as_json=True)
         self.assertEqual(json.loads(result.lines[0]), self.FOUND)
