once: history checker, schedules, key owners by the VM list

Cause: the promises need a check over concurrent histories with failures. Ruled out: ranking key owners by liveness: after a split longer than the window, both sides would own every key; the VM list changes for all alike. Change: pure history checker, schedule tests with three planted faults, owners by list.

--- a/rhubarbhinge/once/__init__.py
+++ b/rhubarbhinge/once/__init__.py
@@ -16,6 +16,7 @@
 )
 from rhubarbhinge.once._fault import TicketFault
 from rhubarbhinge.once._guard import RunGuard
+from rhubarbhinge.once._history import check_history
 from rhubarbhinge.once._incarnation import draw_incarnation
 from rhubarbhinge.once._keybook import KeyBook
 from rhubarbhinge.once._outcome import Outcome, OutcomeKind
@@ -23,6 +24,7 @@
 from rhubarbhinge.once._settings import OnceSettings
 from rhubarbhinge.once._signer import Signer
 from rhubarbhinge.once._ticket import Ticket
+from rhubarbhinge.once._violation import Fault, Violation
 
 __all__ = [
     "AnswerOutcome",
@@ -30,6 +32,7 @@
     "Code",
     "DrainReport",
     "Effect",
+    "Fault",
     "Forward",
     "KeyBook",
     "LocalAsker",
@@ -46,6 +49,8 @@
     "Ticket",
     "TicketBook",
     "TicketFault",
+    "Violation",
     "body_digest",
+    "check_history",
     "draw_incarnation",
 ]
--- a/rhubarbhinge/once/_book.py
+++ b/rhubarbhinge/once/_book.py
@@ -1,7 +1,5 @@
 """The book of one entry's tickets."""
 
-from dataclasses import dataclass
-
 from rhubarbhinge.once._asker import Asker, LocalAsker, PeerAsker
 from rhubarbhinge.once._codes import Code, not_run, outcome, unknown
 from rhubarbhinge.once._digest import body_digest
@@ -16,6 +14,7 @@
     StartRun,
 )
 from rhubarbhinge.once._fault import TicketFault
+from rhubarbhinge.once._forwards import ForwardTable, PendingForward
 from rhubarbhinge.once._key_results import KeyBound, KeyEffect, KeyRefused
 from rhubarbhinge.once._keybook import KeyBook
 from rhubarbhinge.once._outcome import Outcome, OutcomeKind
@@ -31,15 +30,7 @@
 
 NOT_STARTED_RETRY_MS = 1_000
 """Advice to a reader of an unused ticket, in ms."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Pending:
-    request: int
-    owner: str
-    owner_incarnation: int
-    ticket: str
-    deadline_ms: int
+_KINDS = frozenset(kind.value for kind in OutcomeKind)
 
 
 class TicketBook:
@@ -56,9 +47,8 @@
         self._settings = settings
         self._records: dict[int, TicketRecord] = {}
         self._running: set[int] = set()
-        self._forwards: dict[int, _Pending] = {}
+        self._forwards = ForwardTable(settings.most_forwards)
         self._next_sequence = 0
-        self._next_call = 0
         self._draining = False
 
     @property
@@ -133,7 +123,9 @@
         ticket = self._signer.verify(message.ticket)
         if isinstance(ticket, TicketFault):
             return [self._answer(asker, message.ticket, not_run(ticket.code))]
-        if not self._signer.owns(ticket):
+        me = (self._signer.entry, self._signer.incarnation)
+        meant_for = (message.owner_entry, message.owner_incarnation)
+        if me != meant_for or not self._signer.owns(ticket):
             return [self._answer(asker, message.ticket, unknown(Code.OTHER_INCARNATION))]
         if message.read:
             return self._read(asker, ticket, now_ms)
@@ -146,12 +138,11 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects; none if the call is over or is not ours.
         """
-        pending = self._forwards.get(reply.call)
-        if pending is None or reply.to_incarnation != self._signer.incarnation:
+        if reply.to_incarnation != self._signer.incarnation or reply.kind not in _KINDS:
             return []
-        if pending.ticket != reply.ticket or reply.kind not in OutcomeKind:
+        pending = self._forwards.close(reply.call, reply.ticket)
+        if pending is None:
             return []
-        del self._forwards[reply.call]
         kind = OutcomeKind(reply.kind)
         found = Outcome(
             kind, reply.code, reply.message, reply.todo, reply.retry_after_ms, reply.result
@@ -183,7 +174,8 @@
         """Take what came of a run.
 
         ``refused_not_run`` is for two cases only: nothing was sent, or the upstream refused in so
-        many words. Everything else but an answer is ``unknown``.
+        many words. Everything else but an answer is ``unknown``, and so is a refusal that comes
+        after the run's deadline: a relay's guard may then have forgotten that it sent the ticket.
 
         :param text: the ticket's text.
         :param kind: what is known.
@@ -197,6 +189,9 @@
             return []
         if record.state is TicketState.DONE and not _may_replace(record.outcome, kind):
             return []
+        late = record.state is TicketState.SENT and now_ms >= record.deadline_ms
+        if late and kind is OutcomeKind.REFUSED_NOT_RUN:
+            kind = OutcomeKind.UNKNOWN
         return self._finish(record, self._outcome_of(kind, payload, retry_after_ms))
 
     def on_peer_gone(self, entry: str, incarnation: int, now_ms: int) -> list[Effect]:
@@ -207,9 +202,8 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects.
         """
-        gone = (entry, incarnation)
-        calls = [c for c, p in self._forwards.items() if (p.owner, p.owner_incarnation) == gone]
-        effects = [self._give_up(call, Code.OWNER_GONE) for call in calls]
+        lost = self._forwards.close_owner(entry, incarnation)
+        effects = _give_up(lost, Code.OWNER_GONE)
         return effects + self._from_keys(self._keys.on_peer_gone(entry, now_ms), now_ms)
 
     def on_key_claim(self, claim: KeyClaim, now_ms: int) -> KeyClaimReply:
@@ -237,8 +231,7 @@
         :returns: the effects.
         """
         effects = self._end_late_runs(now_ms)
-        late = [call for call, p in self._forwards.items() if now_ms >= p.deadline_ms]
-        effects += [self._give_up(call, Code.OWNER_SILENT) for call in late]
+        effects += _give_up(self._forwards.close_late(now_ms), Code.OWNER_SILENT)
         effects += self._from_keys(self._keys.tick(now_ms), now_ms)
         self._forget(now_ms)
         return effects
@@ -253,8 +246,8 @@
         unused = [r for r in self._records.values() if _is_unused(r, now_ms)]
         ends = [r.ticket.expires_ms for r in unused]
         ends += [self._records[sequence].deadline_ms for sequence in self._running]
-        ends += [p.deadline_ms for p in self._forwards.values()]
-        open_ms = max(0, max(ends, default=now_ms) - now_ms)
+        ends.append(self._forwards.last_deadline_ms)
+        open_ms = max(0, max(ends) - now_ms)
         return DrainReport(len(unused), len(self._running), len(self._forwards), open_ms)
 
     def _minting_refusal(self, now_ms: int) -> Outcome | None:
@@ -363,24 +356,19 @@
     ) -> list[Effect]:
         if ticket.entry == self._signer.entry:
             return [AnswerOutcome(request, unknown(Code.OTHER_INCARNATION))]
-        if len(self._forwards) >= self._settings.most_forwards:
+        if self._forwards.is_full:
             busy = unknown(Code.FORWARDS_FULL, self._settings.forward_ms)
             return [AnswerOutcome(request, busy)]
-        call = self._next_call
-        self._next_call += 1
         deadline_ms = now_ms + self._settings.forward_ms
-        pending = _Pending(request, ticket.entry, ticket.incarnation, text, deadline_ms)
-        self._forwards[call] = pending
+        call = self._forwards.open(
+            PendingForward(request, ticket.entry, ticket.incarnation, text, deadline_ms)
+        )
         me = self._signer
         message = TicketForward(
             call, me.entry, me.incarnation, ticket.entry, ticket.incarnation, text, body, read
         )
         return [Forward(request, ticket.entry, message)]
 
-    def _give_up(self, call: int, code: Code) -> Effect:
-        pending = self._forwards.pop(call)
-        return AnswerOutcome(pending.request, unknown(code))
-
     def _answer(self, asker: Asker, text: str, found: Outcome) -> Effect:
         if isinstance(asker, LocalAsker):
             return AnswerOutcome(asker.request, found)
@@ -434,6 +422,11 @@
     return record.state is TicketState.MINTED and now_ms < record.ticket.expires_ms
 
 
+def _give_up(calls: list[PendingForward], code: Code) -> list[Effect]:
+    return [AnswerOutcome(pending.request, unknown(code)) for pending in calls]
+
+
 def _may_replace(old: Outcome | None, kind: OutcomeKind) -> bool:
+    """Tell whether late news replaces an outcome; only an answer does, and only ``unknown``."""
     was_unknown = old is not None and old.kind is OutcomeKind.UNKNOWN
-    return was_unknown and kind is not OutcomeKind.UNKNOWN
+    return was_unknown and kind is OutcomeKind.RAN
--- a/rhubarbhinge/once/_codes.py
+++ b/rhubarbhinge/once/_codes.py
@@ -34,6 +34,8 @@
     UPSTREAM_UNKNOWN = "upstream-unknown"
     KEY_OWNER_YOUNG = "key-owner-young"
     KEY_OWNER_GONE = "key-owner-gone"
+    KEY_NOT_OWNER = "key-not-owner"
+    KEY_LIST_OLD = "key-list-old"
     KEY_FULL = "key-full"
     KEY_CONFLICT = "key-conflict"
     KEY_MISMATCH = "key-mismatch"
@@ -71,6 +73,14 @@
         "A process that could know this key can't be reached.",
         "Ask again after the given time, or check at the upstream.",
     ),
+    Code.KEY_NOT_OWNER: (
+        "Two processes disagree on who could know this key.",
+        "Ask again after the given time, or check at the upstream.",
+    ),
+    Code.KEY_LIST_OLD: (
+        "The list of processes that could know this key is too old.",
+        "Ask again after the given time, or send the request without a key.",
+    ),
     Code.KEY_FULL: ("No more keys can be held at present.", "Ask again after the given time."),
     Code.KEY_CONFLICT: ("The key is bound to two tickets.", ASK_PEOPLE),
     Code.KEY_MISMATCH: (
--- a/rhubarbhinge/once/_guard.py
+++ b/rhubarbhinge/once/_guard.py
@@ -8,10 +8,11 @@
 from rhubarbhinge.wire._run_request import RunRequest
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Seen:
     deadline_ms: int
     until_ms: int
+    sent: bool = False
 
 
 class RunGuard:
@@ -60,8 +61,11 @@
         :returns: None to send, else the reply to send back; nothing has been sent then.
         """
         seen = self._seen.get(request.ticket)
-        if seen is None or now_ms >= seen.deadline_ms:
+        if seen is None or seen.sent:
+            return _reply(request, OutcomeKind.UNKNOWN, Code.DUPLICATE)
+        if now_ms >= seen.deadline_ms:
             return _reply(request, OutcomeKind.REFUSED_NOT_RUN, Code.LATE_SEND)
+        seen.sent = True
         return None
 
     def _forget(self, now_ms: int) -> None:
--- /dev/null
+++ b/rhubarbhinge/once/_history.py
@@ -0,0 +1,113 @@
+"""Checks the history of concurrent runs against the promises for tickets and keys.
+
+A history is text, one event a line, in the order in which the events happened:
+
+* ``mint TICKET -``: an entry minted a ticket;
+* ``send TICKET RELAY``: its entry sent it to a relay;
+* ``run TICKET UPSTREAM``: an upstream ran it;
+* ``answer TICKET KIND``: a caller was told its outcome;
+* ``bind TICKET KEY``: a caller was shown this ticket for its key, within one window.
+
+An answer that is about a body, such as ``body-mismatch``, isn't about the ticket and isn't written.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from rhubarbhinge.once._outcome import OutcomeKind
+from rhubarbhinge.once._violation import Fault, Violation
+
+_FIELDS = 3
+
+
+@dataclass(slots=True)
+class _State:
+    minted: set[str] = field(default_factory=set)
+    sent: set[str] = field(default_factory=set)
+    ran: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
+    keys_of: dict[str, set[str]] = field(default_factory=dict)
+    key_ran: dict[str, str] = field(default_factory=dict)
+
+
+def check_history(lines: Iterable[str]) -> list[Violation]:
+    """Check a history.
+
+    :param lines: the events, oldest first; empty lines are passed over.
+    :returns: every violation, in the order of the lines; empty if all promises held.
+    """
+    state = _State()
+    found: list[Violation] = []
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        for fault, subject in _check_line(state, line):
+            found.append(Violation(fault, number, subject))
+    return found
+
+
+def _check_line(state: _State, line: str) -> list[tuple[Fault, str]]:
+    parts = line.split()
+    if len(parts) != _FIELDS or parts[0] not in _CHECKS:
+        return [(Fault.MALFORMED, line)]
+    name, ticket, detail = parts
+    return _CHECKS[name](state, ticket, detail)
+
+
+def _on_mint(state: _State, ticket: str, _detail: str) -> list[tuple[Fault, str]]:
+    state.minted.add(ticket)
+    return []
+
+
+def _on_send(state: _State, ticket: str, _relay: str) -> list[tuple[Fault, str]]:
+    found = []
+    if ticket not in state.minted:
+        found.append((Fault.SENT_UNMINTED, ticket))
+    if ticket in state.sent:
+        found.append((Fault.SENT_TWICE, ticket))
+    if ticket in state.refused:
+        found.append((Fault.REFUSED_THEN_SENT, ticket))
+    state.sent.add(ticket)
+    return found
+
+
+def _on_run(state: _State, ticket: str, _upstream: str) -> list[tuple[Fault, str]]:
+    found = []
+    if ticket not in state.sent:
+        found.append((Fault.RAN_UNSENT, ticket))
+    if ticket in state.ran:
+        found.append((Fault.RAN_TWICE, ticket))
+    if ticket in state.refused:
+        found.append((Fault.REFUSED_BUT_RAN, ticket))
+    state.ran.add(ticket)
+    for key in sorted(state.keys_of.get(ticket, ())):
+        found += _on_key_run(state, key, ticket)
+    return found
+
+
+def _on_answer(state: _State, ticket: str, kind: str) -> list[tuple[Fault, str]]:
+    if kind == OutcomeKind.RAN:
+        return [] if ticket in state.ran else [(Fault.ANSWERED_WITHOUT_RUN, ticket)]
+    if kind == OutcomeKind.REFUSED_NOT_RUN:
+        state.refused.add(ticket)
+        return [(Fault.REFUSED_BUT_RAN, ticket)] if ticket in state.ran else []
+    return [] if kind == OutcomeKind.UNKNOWN else [(Fault.MALFORMED, f"answer {ticket} {kind}")]
+
+
+def _on_bind(state: _State, ticket: str, key: str) -> list[tuple[Fault, str]]:
+    state.keys_of.setdefault(ticket, set()).add(key)
+    return _on_key_run(state, key, ticket) if ticket in state.ran else []
+
+
+def _on_key_run(state: _State, key: str, ticket: str) -> list[tuple[Fault, str]]:
+    first = state.key_ran.setdefault(key, ticket)
+    return [] if first == ticket else [(Fault.KEY_RAN_TWICE, key)]
+
+
+_CHECKS = {
+    "mint": _on_mint,
+    "send": _on_send,
+    "run": _on_run,
+    "answer": _on_answer,
+    "bind": _on_bind,
+}
--- a/rhubarbhinge/once/_keybook.py
+++ b/rhubarbhinge/once/_keybook.py
@@ -13,11 +13,13 @@
 BOUND = "bound"
 HELD = "held"
 YOUNG = "young"
+LIST_OLD = "list-old"
 NOT_OWNER = "not-owner"
 FULL = "full"
 _REFUSALS = {
     YOUNG: Code.KEY_OWNER_YOUNG,
-    NOT_OWNER: Code.KEY_OWNER_GONE,
+    LIST_OLD: Code.KEY_LIST_OLD,
+    NOT_OWNER: Code.KEY_NOT_OWNER,
     FULL: Code.KEY_FULL,
 }
 
@@ -63,13 +65,14 @@
         self._claims: dict[int, _Claim] = {}
         self._next_call = 0
 
-    def on_members(self, live: frozenset[str], now_ms: int) -> None:
-        """Take the live entries of the domain.
+    def on_entries(self, listed: frozenset[str], confirmed_ms: int, now_ms: int) -> None:
+        """Take the entries that the list of VMs names, on each change and each confirmation.
 
-        :param live: their names, with this one.
+        :param listed: their names, with this one.
+        :param confirmed_ms: when the list was last confirmed, on this entry's clock.
         :param now_ms: time on this entry's clock.
         """
-        self._owners.on_members(live, now_ms)
+        self._owners.on_entries(listed, confirmed_ms, now_ms)
 
     def start(
         self, request: int, key: str, digest: bytes, ticket: str, now_ms: int
@@ -83,11 +86,10 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects.
         """
-        owners = self._owners.owners(key, now_ms)
-        waits_ms = [self._owners.wait_ms(name, now_ms) for name in owners]
-        if not owners or any(waits_ms):
-            refusal = unknown(Code.KEY_OWNER_GONE, max(waits_ms, default=0))
+        if not self._owners.is_current(now_ms):
+            refusal = unknown(Code.KEY_LIST_OLD, self._settings.key_claim_ms)
             return [KeyRefused(request, refusal, ticket)]
+        owners = self._owners.owners(key, now_ms)
         deadline_ms = now_ms + self._settings.key_claim_ms
         claim = _Claim(request, key, digest, ticket, ticket, owners, 0, deadline_ms)
         return [self._ask(claim)]
@@ -182,6 +184,8 @@
         age_ms = now_ms - self._started_ms
         if age_ms < self._settings.key_window_ms:
             return YOUNG, self._settings.key_window_ms - age_ms
+        if not self._owners.is_current(now_ms):
+            return LIST_OLD, self._settings.key_claim_ms
         if self._entry not in self._owners.owners(key, now_ms):
             return NOT_OWNER, self._settings.key_claim_ms
         if len(self._bindings) >= self._settings.most_keys:
--- /dev/null
+++ b/rhubarbhinge/once/_violation.py
@@ -0,0 +1,32 @@
+"""A broken promise in a history."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Fault(StrEnum):
+    """Which promise was broken."""
+
+    MALFORMED = "malformed"
+    SENT_TWICE = "sent-twice"
+    SENT_UNMINTED = "sent-unminted"
+    RAN_TWICE = "ran-twice"
+    RAN_UNSENT = "ran-unsent"
+    REFUSED_BUT_RAN = "refused-but-ran"
+    REFUSED_THEN_SENT = "refused-then-sent"
+    ANSWERED_WITHOUT_RUN = "answered-without-run"
+    KEY_RAN_TWICE = "key-ran-twice"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken promise in a history.
+
+    :param fault: which promise.
+    :param line: number of the line that shows it, from 1.
+    :param subject: the ticket, the key or the malformed line.
+    """
+
+    fault: Fault
+    line: int
+    subject: str
--- /dev/null
+++ b/rhubarbhinge/once/tests/_fakes.py
@@ -0,0 +1,225 @@
+"""Entries, relays and an upstream log in memory, driven step by step by a schedule."""
+
+from collections.abc import Callable
+
+from rhubarbhinge.once import (
+    AnswerOutcome,
+    AnswerRedirect,
+    Forward,
+    KeyBook,
+    OnceSettings,
+    OutcomeKind,
+    ReplyForward,
+    RunGuard,
+    SendClaim,
+    Signer,
+    StartRun,
+    TicketBook,
+)
+from rhubarbhinge.wire._key_claim import KeyClaim
+from rhubarbhinge.wire._key_claim_reply import KeyClaimReply
+from rhubarbhinge.wire._run_reply import RunReply
+from rhubarbhinge.wire._run_request import RunRequest
+from rhubarbhinge.wire._ticket_forward import TicketForward
+
+KEY = b"0123456789abcdef"
+ENTRIES = ("a/entry", "b/entry", "c/entry")
+RELAYS = ("a/relay", "b/relay")
+WINDOW_MS = 200
+SETTINGS = OnceSettings(
+    lifetime_ms=100,
+    keep_ms=50,
+    run_ms=20,
+    forward_ms=30,
+    most_tickets=12,
+    most_waiters=4,
+    key_window_ms=WINDOW_MS,
+    key_claim_ms=20,
+)
+BODIES = (b"order 1", b"order 2")
+KEYS = ("kingston/k1", "kingston/k2")
+
+
+class Fleet:
+    """All processes and what is on the way between them; ``history`` is what happened."""
+
+    def __init__(self, book_type: type[TicketBook] = TicketBook, old: bool = True):
+        self.book_type = book_type
+        self.now_ms = 10_000
+        self.started_ms = 0 if old else self.now_ms
+        self.incarnations = 0
+        self.history: list[str] = []
+        self.tickets: list[tuple[str, bytes]] = []
+        self.requests: dict[int, tuple[str | None, str | None, bytes]] = {}
+        self.answers: dict[int, object] = {}
+        self.network: list[tuple[str, str, object]] = []
+        self.outboxes: dict[str, list[StartRun]] = {}
+        self.inboxes: dict[str, list[RunRequest]] = {}
+        self.split: frozenset[str] = frozenset()
+        self.books: dict[str, TicketBook] = {}
+        self.guards: dict[str, RunGuard] = {}
+        for name in ENTRIES:
+            self.start_entry(name, self.started_ms)
+        for name in RELAYS:
+            self.start_relay(name)
+
+    def start_entry(self, name: str, started_ms: int) -> None:
+        """Start an entry anew: it knows nothing, and has lost what it had not sent."""
+        self.incarnations += 1
+        keys = KeyBook(name, self.incarnations, SETTINGS, started_ms)
+        keys.on_entries(frozenset(ENTRIES), self.now_ms, self.now_ms)
+        signer = Signer(KEY, name, self.incarnations)
+        self.books[name] = self.book_type(signer, keys, SETTINGS)
+        self.keys = getattr(self, "keys", {}) | {name: keys}
+        self.outboxes[name] = []
+
+    def start_relay(self, name: str) -> None:
+        """Start a relay anew."""
+        self.incarnations += 1
+        self.guards[name] = RunGuard(name, self.incarnations, SETTINGS.key_window_ms, 100)
+        self.inboxes[name] = []
+
+    def mint(self, entry: str, body: bytes, key: str | None) -> int:
+        """Send a request without a ticket."""
+        request = self._new_request(None, key, body)
+        self.act(entry, lambda book: book.on_mint(request, "order", body, key, self.now_ms))
+        return request
+
+    def run(self, entry: str, ticket: str, body: bytes) -> int:
+        """Send a request with a ticket."""
+        request = self._new_request(ticket, None, body)
+        self.act(entry, lambda book: book.on_run(request, ticket, body, self.now_ms))
+        return request
+
+    def read(self, entry: str, ticket: str) -> int:
+        """Read a ticket's outcome."""
+        request = self._new_request(ticket, None, b"")
+        self.act(entry, lambda book: book.on_read(request, ticket, self.now_ms))
+        return request
+
+    def act(self, entry: str, step: Callable[[TicketBook], list]) -> None:
+        """Take one step of a book and carry out its effects."""
+        for effect in step(self.books[entry]):
+            self._carry_out(entry, effect)
+
+    def send_run(self, entry: str, relay: str) -> None:
+        """Let an entry send its oldest started run, if it still may."""
+        if not self.outboxes[entry]:
+            return
+        start = self.outboxes[entry].pop(0)
+        permit = self.books[entry].on_send(start.ticket, self.now_ms)
+        for effect in permit.effects:
+            self._carry_out(entry, effect)
+        if not permit.send:
+            return
+        self.history.append(f"send {start.ticket} {relay}")
+        sender = self.books[entry]._signer.incarnation
+        receiver = self.guards[relay]._incarnation
+        budget_ms = start.deadline_ms - self.now_ms
+        message = RunRequest(
+            entry, sender, relay, receiver, start.ticket, start.action, start.body, budget_ms
+        )
+        self.network.append((entry, relay, message))
+
+    def call_upstream(self, relay: str, result: int) -> None:
+        """Let a relay send its oldest run; the result says what comes of it."""
+        if not self.inboxes.get(relay):
+            return
+        request = self.inboxes[relay].pop(0)
+        reply = self.guards[relay].may_send(request, self.now_ms)
+        if reply is None:
+            reply = self._upstream(request, result)
+        self.network.append((relay, request.entry, reply))
+
+    def deliver(self, at: int, keep: bool) -> None:
+        """Deliver one message, if its ends can reach each other; kept, it comes again."""
+        if not self.network:
+            return
+        index = at % len(self.network)
+        sender, receiver, message = self.network[index]
+        if (sender in self.split) != (receiver in self.split):
+            return
+        if not keep:
+            del self.network[index]
+        self._receive(receiver, message)
+
+    def settle(self) -> None:
+        """Let everything that is on the way arrive, in order."""
+        while self.network or any(self.outboxes.values()) or any(self.inboxes.values()):
+            for name in ENTRIES:
+                self.send_run(name, RELAYS[0])
+            for name in RELAYS:
+                self.call_upstream(name, 0)
+            self.deliver(0, False)
+
+    def _new_request(self, ticket: str | None, key: str | None, body: bytes) -> int:
+        request = len(self.requests)
+        self.requests[request] = (ticket, key, body)
+        return request
+
+    def _carry_out(self, entry: str, effect: object) -> None:
+        match effect:
+            case AnswerRedirect():
+                self._redirect(effect)
+            case AnswerOutcome():
+                self._answer(effect)
+            case StartRun():
+                self.outboxes[entry].append(effect)
+            case Forward():
+                self.network.append((entry, effect.owner, effect.message))
+            case ReplyForward() | SendClaim():
+                self.network.append((entry, effect.entry, effect.message))
+
+    def _redirect(self, effect: AnswerRedirect) -> None:
+        _, key, body = self.requests[effect.request]
+        assert effect.request not in self.answers
+        self.answers[effect.request] = effect
+        if (effect.ticket, body) not in self.tickets:
+            self.tickets.append((effect.ticket, body))
+            self.history.append(f"mint {effect.ticket} -")
+        if key is not None:
+            self.history.append(f"bind {effect.ticket} {key}")
+
+    def _answer(self, effect: AnswerOutcome) -> None:
+        ticket, _, _ = self.requests[effect.request]
+        assert effect.request not in self.answers
+        self.answers[effect.request] = effect.outcome
+        if ticket is not None and effect.outcome.code != "body-mismatch":
+            self.history.append(f"answer {ticket} {effect.outcome.kind}")
+
+    def _receive(self, name: str, message: object) -> None:
+        now_ms = self.now_ms
+        match message:
+            case RunRequest():
+                self._relay_receive(name, message)
+            case RunReply():
+                self._run_reply(name, message)
+            case TicketForward():
+                self.act(name, lambda book: book.on_forwarded(message, now_ms))
+            case KeyClaim():
+                reply = self.books[name].on_key_claim(message, now_ms)
+                self.network.append((name, message.from_entry, reply))
+            case KeyClaimReply():
+                self.act(name, lambda book: book.on_key_reply(message, now_ms))
+            case _:
+                self.act(name, lambda book: book.on_forward_result(message, now_ms))
+
+    def _relay_receive(self, relay: str, request: RunRequest) -> None:
+        reply = self.guards[relay].on_request(request, self.now_ms)
+        if reply is None:
+            self.inboxes[relay].append(request)
+        else:
+            self.network.append((relay, request.entry, reply))
+
+    def _run_reply(self, entry: str, reply: RunReply) -> None:
+        if reply.entry_incarnation != self.books[entry]._signer.incarnation:
+            return
+        kind = OutcomeKind(reply.kind)
+        self.act(entry, lambda b: b.on_upstream(reply.ticket, kind, reply.result, 0, self.now_ms))
+
+    def _upstream(self, request: RunRequest, result: int) -> RunReply:
+        kinds = (OutcomeKind.RAN, OutcomeKind.UNKNOWN, OutcomeKind.REFUSED_NOT_RUN)
+        kind = kinds[result % len(kinds)]
+        if kind is not OutcomeKind.REFUSED_NOT_RUN:
+            self.history.append(f"run {request.ticket} u1")
+        return RunReply(request.entry_incarnation, request.ticket, kind.value, "", 0, b"done")
--- /dev/null
+++ b/rhubarbhinge/once/tests/test_history.py
@@ -0,0 +1,54 @@
+"""Tests that the history checker catches each planted violation."""
+
+import unittest
+
+from rhubarbhinge.once import Fault, check_history
+
+GOOD = [
+    "mint t -",
+    "bind t k",
+    "answer t unknown",
+    "send t r1",
+    "run t u1",
+    "answer t ran",
+    "mint v -",
+    "answer v refused_not_run",
+]
+
+
+def faults(lines: list[str]) -> list[Fault]:
+    return [violation.fault for violation in check_history(lines)]
+
+
+class HistoryTest(unittest.TestCase):
+    def test_a_good_history_passes(self):
+        self.assertEqual([], faults([*GOOD, ""]))
+
+    def test_planted_violations(self):
+        planted = {
+            Fault.SENT_TWICE: ["send t r2"],
+            Fault.SENT_UNMINTED: ["send x r1"],
+            Fault.RAN_TWICE: ["run t u2"],
+            Fault.RAN_UNSENT: ["mint w -", "run w u1"],
+            Fault.REFUSED_BUT_RAN: ["answer t refused_not_run"],
+            Fault.REFUSED_THEN_SENT: ["send v r1"],
+            Fault.ANSWERED_WITHOUT_RUN: ["mint w -", "answer w ran"],
+            Fault.KEY_RAN_TWICE: ["mint w -", "bind w k", "send w r1", "run w u1"],
+            Fault.MALFORMED: ["answer t maybe"],
+        }
+        self.assertEqual(set(Fault), set(planted))
+        for fault, lines in planted.items():
+            with self.subTest(fault):
+                self.assertEqual([fault], faults([*GOOD, *lines]))
+
+    def test_a_refusal_before_the_run_is_caught_at_the_run(self):
+        lines = ["mint t -", "send t r1", "answer t refused_not_run", "run t u1"]
+        found = check_history(lines)
+        self.assertEqual([(Fault.REFUSED_BUT_RAN, 4)], [(v.fault, v.line) for v in found])
+
+    def test_a_key_shown_after_both_ran_is_caught(self):
+        lines = ["mint a -", "send a r", "run a u", "mint b -", "send b r", "run b u"]
+        self.assertEqual([Fault.KEY_RAN_TWICE], faults([*lines, "bind a k", "bind b k"]))
+
+    def test_malformed_lines(self):
+        self.assertEqual([Fault.MALFORMED] * 2, faults(["mint t", "sing t -"]))
--- /dev/null
+++ b/rhubarbhinge/once/tests/test_schedules.py
@@ -0,0 +1,160 @@
+"""Hypothesis schedules over entries, relays and an upstream, with every failure in any order."""
+
+import unittest
+
+from hypothesis import HealthCheck, Phase, find, given, settings
+from hypothesis import strategies as st
+
+from rhubarbhinge.once import AnswerRedirect, SendPermit, StartRun, TicketBook, check_history
+from rhubarbhinge.once._record import TicketRecord, TicketState
+from rhubarbhinge.once.tests._fakes import BODIES, ENTRIES, KEYS, RELAYS, SETTINGS, Fleet
+
+HASTY = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=300,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+SEARCH = settings(HASTY, max_examples=1_000, phases=[Phase.generate])
+STEPS = ("mint",) + ("run",) * 5 + ("read",) + ("send",) * 4 + ("upstream",) * 5
+STEPS += ("deliver",) * 9 + ("repeat",) * 2 + ("drop", "wait", "wait", "sleep", "tick")
+STEPS += ("restart-entry", "restart-relay", "split", "gone")
+STEP = st.tuples(st.sampled_from(STEPS), st.integers(0, 11), st.integers(0, 11))
+SCHEDULE = st.lists(STEP, min_size=30, max_size=60)
+WAIT_MS = 7
+SLEEP_MS = 60
+
+
+def play(fleet: Fleet, schedule: list[tuple[str, int, int]], keyed: bool) -> list[str]:
+    _play_step(fleet, "mint", 0, 0, keyed)
+    _play_step(fleet, "mint", 1, 1, keyed)
+    for step, first, second in schedule:
+        _play_step(fleet, step, first, second, keyed)
+    return fleet.history
+
+
+def _play_step(fleet: Fleet, step: str, first: int, second: int, keyed: bool) -> None:
+    entry = ENTRIES[first % len(ENTRIES)]
+    relay = RELAYS[second % len(RELAYS)]
+    match step:
+        case "mint":
+            key = KEYS[second % len(KEYS)] if keyed else None
+            body = BODIES[KEYS.index(key)] if key else BODIES[second % len(BODIES)]
+            fleet.mint(entry, body, key)
+        case "run" | "read" if fleet.tickets:
+            ticket, body = fleet.tickets[second % len(fleet.tickets)]
+            fleet.run(entry, ticket, body) if step == "run" else fleet.read(entry, ticket)
+        case "send":
+            fleet.send_run(_pick([n for n in ENTRIES if fleet.outboxes[n]], first), relay)
+        case "upstream":
+            fleet.call_upstream(_pick([n for n in RELAYS if fleet.inboxes[n]], second), first)
+        case "deliver" | "repeat":
+            fleet.deliver(first, step == "repeat")
+        case "drop" if fleet.network:
+            del fleet.network[first % len(fleet.network)]
+        case "wait" | "sleep":
+            fleet.now_ms += WAIT_MS if step == "wait" else SLEEP_MS
+        case "tick":
+            fleet.act(entry, lambda book: book.tick(fleet.now_ms))
+        case "restart-entry":
+            fleet.start_entry(entry, fleet.now_ms)
+        case "restart-relay":
+            fleet.start_relay(relay)
+        case "split":
+            fleet.split = frozenset() if fleet.split else frozenset({entry, relay})
+        case "gone":
+            other = ENTRIES[second % len(ENTRIES)]
+            incarnation = fleet.books[other]._signer.incarnation
+            fleet.act(entry, lambda b: b.on_peer_gone(other, incarnation, fleet.now_ms))
+
+
+def _pick(names: list[str], number: int) -> str:
+    return names[number % len(names)] if names else ENTRIES[0]
+
+
+class SendFirst(TicketBook):
+    """Planted fault: a ticket is consumed when it has been sent, not before."""
+
+    def _start(self, record, asker, text, body, now_ms):
+        record.deadline_ms = now_ms + SETTINGS.run_ms
+        record.waiters.append(asker)
+        return [StartRun(text, record.ticket.action, body, record.deadline_ms)]
+
+    def on_send(self, text, now_ms):
+        record = self._own_record(text)
+        if record is not None:
+            record.state = TicketState.SENT
+            self._running.add(record.ticket.sequence)
+        return SendPermit(record is not None)
+
+
+class NewOwner(TicketBook):
+    """Planted fault: a new incarnation takes over the tickets of the one before."""
+
+    def _run(self, asker, ticket, text, body, now_ms):
+        self._records.setdefault(ticket.sequence, TicketRecord(ticket))
+        return super()._run(asker, ticket, text, body, now_ms)
+
+    def __init__(self, signer, keys, settings):
+        super().__init__(signer, keys, settings)
+        signer.owns = lambda ticket: ticket.entry == signer.entry
+
+
+class NoCheck(TicketBook):
+    """Planted fault: nothing is checked again just before the send."""
+
+    def on_send(self, text, now_ms):
+        record = self._own_record(text)
+        if record is not None and record.state is TicketState.CONSUMED:
+            record.state = TicketState.SENT
+        return SendPermit(True)
+
+
+class ScheduleTest(unittest.TestCase):
+    @HASTY
+    @given(SCHEDULE)
+    def test_tickets(self, schedule):
+        self.assertEqual([], check_history(play(Fleet(), schedule, keyed=False)))
+
+    @HASTY
+    @given(SCHEDULE, st.booleans())
+    def test_keys(self, schedule, old):
+        self.assertEqual([], check_history(play(Fleet(old=old), schedule, keyed=True)))
+
+    def test_planted_faults_are_found(self):
+        for book_type in (SendFirst, NewOwner, NoCheck):
+            with self.subTest(book_type.__name__):
+                found = find(SCHEDULE, lambda s, b=book_type: _breaks(b, s), settings=SEARCH)
+                self.assertTrue(found)
+
+    @HASTY
+    @given(SCHEDULE)
+    def test_every_request_is_answered_once_all_deadlines_have_passed(self, schedule):
+        fleet = Fleet()
+        play(fleet, [step for step in schedule if step[0] != "restart-entry"], keyed=True)
+        fleet.now_ms += SETTINGS.forward_ms + SETTINGS.run_ms
+        for entry in ENTRIES:
+            fleet.act(entry, lambda book: book.tick(fleet.now_ms))
+        self.assertEqual(set(fleet.requests), set(fleet.answers))
+
+    def test_without_failures_every_copy_reads_the_one_run(self):
+        fleet = Fleet()
+        first = fleet.mint(ENTRIES[0], BODIES[0], KEYS[0])
+        fleet.settle()
+        self.assertIsInstance(fleet.answers[first], AnswerRedirect)
+        ticket = fleet.answers[first].ticket
+        copies = [fleet.run(entry, ticket, BODIES[0]) for entry in ENTRIES]
+        copies.append(fleet.read(ENTRIES[1], ticket))
+        fleet.settle()
+        self.assertEqual({("ran", b"done")}, {_shown(fleet, copy) for copy in copies})
+        self.assertEqual([], check_history(fleet.history))
+
+
+def _breaks(book_type: type[TicketBook], schedule: list[tuple[str, int, int]]) -> bool:
+    return bool(check_history(play(Fleet(book_type), schedule, keyed=False)))
+
+
+def _shown(fleet: Fleet, request: int) -> tuple[str, bytes]:
+    answer = fleet.answers[request]
+    return answer.kind.value, answer.result
