--- a/rhubarbhinge/routing/__init__.py
+++ b/rhubarbhinge/routing/__init__.py
@@ -5,6 +5,7 @@
 from rhubarbhinge.routing._droppeer import DropPeer
 from rhubarbhinge.routing._openconnection import OpenConnection
 from rhubarbhinge.routing._ownership import owners, rendezvous
+from rhubarbhinge.routing._ownertable import OwnerTable
 from rhubarbhinge.routing._pollhealth import PollHealth
 from rhubarbhinge.routing._publishholding import PublishHolding
 from rhubarbhinge.routing._publishload import PublishLoad
@@ -22,6 +23,7 @@
     "CloseConnection",
     "DropPeer",
     "OpenConnection",
+    "OwnerTable",
     "PollHealth",
     "PublishHolding",
     "PublishLoad",
--- a/rhubarbhinge/routing/_answers.py
+++ b/rhubarbhinge/routing/_answers.py
@@ -7,9 +7,15 @@
 from rhubarbhinge.routing._runkind import RunKind
 from rhubarbhinge.wire import SubCode
 
+#: Plain numbers: reading members of an enumeration costs several times as much.
+_ANSWERED = int(SubCode.ANSWERED)
+_SHED = int(SubCode.SHED)
+_DRAINING = int(SubCode.DRAINING)
+_DEADLINE = int(SubCode.DEADLINE)
+_BROKEN = int(SubCode.BROKEN)
 _CODE_OF_CONFLICT = {
-    "version-gone": SubCode.VERSION_GONE,
-    "range-moved": SubCode.RANGE_MOVED,
+    "version-gone": int(SubCode.VERSION_GONE),
+    "range-moved": int(SubCode.RANGE_MOVED),
 }
 #: Longest retry-after that is believed.
 MOST_RETRY_AFTER_MS = 60_000
@@ -24,20 +30,20 @@
     :returns: a :class:`rhubarbhinge.wire.SubCode` value and the retry-after in ms.
     """
     if status == 200 and body.startswith(b'{"call":"' + call + b'"') and body.endswith(b"}"):
-        return SubCode.ANSWERED, 0
+        return _ANSWERED, 0
     doc = _object(body)
     if doc is None or not _is_own(doc, status, call):
-        return SubCode.BROKEN, 0
+        return _BROKEN, 0
     if status == 200:
-        return SubCode.ANSWERED, 0
+        return _ANSWERED, 0
     if status == 503:
-        code = SubCode.DRAINING if doc.get("code") == "draining" else SubCode.SHED
+        code = _DRAINING if doc.get("code") == "draining" else _SHED
         return code, retry_after_ms(doc)
     if status == 409:
-        return _CODE_OF_CONFLICT.get(doc.get("code"), SubCode.BROKEN), 0
+        return _CODE_OF_CONFLICT.get(str(doc.get("code")), _BROKEN), 0
     if status == 504:
-        return SubCode.DEADLINE, 0
-    return SubCode.BROKEN, 0
+        return _DEADLINE, 0
+    return _BROKEN, 0
 
 
 def run_outcome(status: int, ticket: str, body: bytes) -> tuple[RunKind, int]:
--- a/rhubarbhinge/routing/_concurrency.py
+++ b/rhubarbhinge/routing/_concurrency.py
@@ -2,13 +2,18 @@
 
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
 
+#: Doublings of the pause before its bound applies at the latest.
+MOST_DOUBLINGS = 10
+
 
 class ConcurrencyLimit:
     """A limit between one and all slots.
 
     A cold searcher starts at one and rises to all slots within ``ramp_ms``. A shed answer halves
     the limit (multiplicative decrease); it rises by one slot each ``shed_raise_ms`` (additive
-    increase). Shed answers at a limit of one pause the searcher, twice as long each time.
+    increase; Chiu and Jain, Analysis of the Increase and Decrease Algorithms for Congestion
+    Avoidance in Computer Networks, 1989). Shed answers at a limit of one pause the searcher, twice
+    as long each time.
 
     :param slots: the most.
     :param policy: settings.
@@ -18,21 +23,21 @@
     def __init__(self, slots: int, policy: RelayPolicy, now_ms: int) -> None:
         self._policy = policy
         self._slots = slots
-        self._ramp_start_ms = now_ms
-        self._warming = False
         self._ceiling = slots
+        self._ramp_start_ms = now_ms
+        self._warming_since_ms: int | None = None
+        self._hold_until_ms = now_ms
         self._raise_at_ms = now_ms
         self._pauses = 0
-        self.paused_until_ms = 0
+        self.paused_until_ms = now_ms
 
     def resize(self, slots: int) -> None:
         """Take a new number of slots.
 
         :param slots: the most.
         """
-        if self._ceiling >= self._slots:
-            self._ceiling = slots
-        self._ceiling = min(self._ceiling, slots)
+        backed_off = self._ceiling < self._slots
+        self._ceiling = min(self._ceiling, slots) if backed_off else slots
         self._slots = slots
 
     def restart(self, now_ms: int) -> None:
@@ -41,9 +46,10 @@
         :param now_ms: the time.
         """
         self._ramp_start_ms = now_ms
+        self._warming_since_ms = None
         self._ceiling = self._slots
         self._pauses = 0
-        self.paused_until_ms = 0
+        self.paused_until_ms = now_ms
 
     def set_warming(self, warming: bool, now_ms: int) -> None:
         """Note whether the searcher says that it is warming; the ramp starts when it ends.
@@ -51,17 +57,20 @@
         :param warming: what it says.
         :param now_ms: the time.
         """
-        if self._warming and not warming:
-            self._ramp_start_ms = now_ms
-        self._warming = warming
+        if not warming:
+            if self._warming_since_ms is not None:
+                self._ramp_start_ms = now_ms
+            self._warming_since_ms = None
+        elif self._warming_since_ms is None:
+            self._warming_since_ms = now_ms
 
     def is_cold(self, now_ms: int) -> bool:
-        """Tell whether the ramp still runs.
+        """Tell whether the searcher gets fewer requests for being cold.
 
         :param now_ms: the time.
-        :returns: True while the searcher gets fewer requests for being cold.
+        :returns: True while it warms and while the ramp runs.
         """
-        return self._warming or now_ms - self._ramp_start_ms < self._policy.ramp_ms
+        return self._is_warming(now_ms) or now_ms - self._ramp_start_ms < self._policy.ramp_ms
 
     def on_shed(self, retry_after_ms: int, now_ms: int) -> None:
         """Lower the limit after a shed answer, at most once each ``shed_hold_ms``.
@@ -69,17 +78,14 @@
         :param retry_after_ms: what the searcher asked for.
         :param now_ms: the time.
         """
-        hold_ms = self._policy.shed_hold_ms
-        if now_ms < self._raise_at_ms - self._policy.shed_raise_ms:
+        if now_ms < self._hold_until_ms:
             return
-        self._raise_at_ms = now_ms + hold_ms + self._policy.shed_raise_ms
+        self._hold_until_ms = now_ms + self._policy.shed_hold_ms
         if self._ceiling > 1:
             self._ceiling //= 2
-            return
-        pause_ms = max(retry_after_ms, hold_ms) << min(self._pauses, 10)
-        self._pauses += 1
-        self.paused_until_ms = now_ms + min(pause_ms, self._policy.most_pause_ms)
-        self._raise_at_ms = self.paused_until_ms + self._policy.shed_raise_ms
+        else:
+            self._pause(retry_after_ms, now_ms)
+        self._raise_at_ms = self._hold_until_ms + self._policy.shed_raise_ms
 
     def on_success(self) -> None:
         """Note an answer: the next pause is a short one again."""
@@ -96,12 +102,20 @@
         if self._ceiling < self._slots and now_ms >= self._raise_at_ms:
             self._ceiling += 1
             self._raise_at_ms = now_ms + self._policy.shed_raise_ms
-        if not self.is_cold(now_ms):
-            return self._ceiling
+        if self._is_warming(now_ms):
+            return 1
         return min(self._ceiling, self._ramped(now_ms))
 
+    def _pause(self, retry_after_ms: int, now_ms: int) -> None:
+        pause_ms = max(retry_after_ms, self._policy.shed_hold_ms) << self._pauses
+        self._pauses = min(self._pauses + 1, MOST_DOUBLINGS)
+        self._hold_until_ms = now_ms + min(pause_ms, self._policy.most_pause_ms)
+        self.paused_until_ms = self._hold_until_ms
+
+    def _is_warming(self, now_ms: int) -> bool:
+        since_ms = self._warming_since_ms
+        return since_ms is not None and now_ms - since_ms < self._policy.most_warming_ms
+
     def _ramped(self, now_ms: int) -> int:
-        if self._warming:
-            return 1
         elapsed_ms = now_ms - self._ramp_start_ms
-        return max(1, self._slots * elapsed_ms // self._policy.ramp_ms)
+        return 1 + self._slots * elapsed_ms // self._policy.ramp_ms
--- a/rhubarbhinge/routing/_connection.py
+++ b/rhubarbhinge/routing/_connection.py
@@ -19,8 +19,13 @@
         self.conn = conn
         self.upstream = upstream
         self.opened_ms = opened_ms
+        #: Whether the searcher has accepted it.
         self.open = False
+        #: Whether the shell was told to close it.
         self.closing = False
+        #: Whether it takes no further request.
         self.retired = False
+        #: Whether an answer came on it.
         self.served = False
+        #: The request that it carries.
         self.job: Job | None = None
--- a/rhubarbhinge/routing/_drainstate.py
+++ b/rhubarbhinge/routing/_drainstate.py
@@ -10,20 +10,21 @@
 
     def __init__(self) -> None:
         self._by_register = False
-        self._sticky = False
+        self._by_searcher_or_list = False
         self._listed = False
 
     @property
     def draining(self) -> bool:
         """Whether any signal stands."""
-        return self._by_register or self._sticky
+        return self._by_register or self._by_searcher_or_list
 
-    def on_register(self, leaving: bool) -> None:
-        """Note the flag of a newer register revision.
+    def on_register(self, leaving: bool, newer_revision: bool) -> None:
+        """Note the register's flag.
 
         :param leaving: the flag.
+        :param newer_revision: whether the register is a newer one; only this undoes the flag.
         """
-        self._by_register = leaving
+        self._by_register = leaving or (self._by_register and not newer_revision)
 
     def on_vm_list(self, leaving: bool) -> None:
         """Note the VM list; only a change to leaving counts, since the list lags.
@@ -31,13 +32,13 @@
         :param leaving: whether the list says that the searcher's VM leaves.
         """
         if leaving and not self._listed:
-            self._sticky = True
+            self._by_searcher_or_list = True
         self._listed = leaving
 
     def on_signal(self) -> None:
         """Note that the searcher itself said so, in its health or in an answer."""
-        self._sticky = True
+        self._by_searcher_or_list = True
 
-    def on_incarnation(self) -> None:
-        """Note a newer incarnation of the searcher."""
-        self._sticky = False
+    def on_newer_incarnation(self) -> None:
+        """Note that the searcher has started anew."""
+        self._by_searcher_or_list = False
--- a/rhubarbhinge/routing/_ownership.py
+++ b/rhubarbhinge/routing/_ownership.py
@@ -2,23 +2,32 @@
 
 from collections.abc import Sequence
 from functools import lru_cache
+from operator import itemgetter
 
 import xxhash
 
+#: Sets of candidates whose encoded names are kept: one for each cell or failure domain at hand.
+KEPT_NAME_SETS = 256
+
 
 def rendezvous(key: str | int, names: Sequence[str], count: int) -> tuple[str, ...]:
-    """Choose names for a key; each name's loss moves only the keys that it had.
+    """Choose names for a key; a lost name moves only the keys that it had.
+
+    Each name's weight for the key is a hash of both (Thaler and Ravishankar, Using Name-Based
+    Mappings to Increase Hit Rates, 1998).
 
     :param key: what is placed, for example a searcher's name.
-    :param names: the candidates, in any order.
+    :param names: the candidates, in any order, without duplicates.
     :param count: how many to choose.
     :returns: the ``count`` names of highest hash, highest first; all when there are fewer.
     """
-    seed = _seed(key)
-    if count == 1 and names:
-        return (max(names, key=lambda name: _score(seed, name)),)
-    ranked = sorted(names, key=lambda name: _score(seed, name), reverse=True)
-    return tuple(ranked[:count])
+    digest = xxhash.xxh64_intdigest
+    seed = digest(str(key).encode())
+    scored = [(digest(data, seed), name) for data, name in _encoded(tuple(names))]
+    if count == 1 and scored:
+        return (max(scored)[1],)
+    scored.sort(reverse=True)
+    return tuple(map(itemgetter(1), scored[:count]))
 
 
 def owners(upstream_name: str, live_relays: Sequence[str]) -> tuple[str | None, str | None]:
@@ -33,14 +42,6 @@
     return owner, standby
 
 
-def _seed(key: str | int) -> int:
-    return xxhash.xxh64_intdigest(str(key).encode())
-
-
-def _score(seed: int, name: str) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(_encoded(name), seed), name
-
-
-@lru_cache(maxsize=65536)
-def _encoded(name: str) -> bytes:
-    return name.encode()
+@lru_cache(maxsize=KEPT_NAME_SETS)
+def _encoded(names: tuple[str, ...]) -> tuple[tuple[bytes, str], ...]:
+    return tuple((name.encode(), name) for name in names)
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -1,25 +1,31 @@
 """The relay's decisions: one queue in front of each searcher that it owns."""
 
-import heapq
 from math import ceil
 from random import Random
 from typing import Any
 
-import orjson
-
 from rhubarbhinge.routing._answers import run_outcome, says_draining, search_outcome
-from rhubarbhinge.routing._cancelupstream import CancelUpstream
-from rhubarbhinge.routing._closeconnection import CloseConnection
 from rhubarbhinge.routing._connection import Connection
+from rhubarbhinge.routing._connectiontable import ConnectionTable
+from rhubarbhinge.routing._deadlines import Deadlines
 from rhubarbhinge.routing._droppeer import DropPeer
-from rhubarbhinge.routing._healthdoc import HealthDoc, health_doc
+from rhubarbhinge.routing._healthdoc import health_doc
 from rhubarbhinge.routing._job import Job
-from rhubarbhinge.routing._openconnection import OpenConnection
 from rhubarbhinge.routing._pollhealth import PollHealth
 from rhubarbhinge.routing._publishholding import PublishHolding
 from rhubarbhinge.routing._publishload import PublishLoad
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
 from rhubarbhinge.routing._reply import Reply
+from rhubarbhinge.routing._requestbodies import run_parts, search_head
+from rhubarbhinge.routing._requestends import (
+    abandon,
+    cancel_effect,
+    fail,
+    fail_queue,
+    finish_run,
+    finish_search,
+)
+from rhubarbhinge.routing._requesttable import RequestTable
 from rhubarbhinge.routing._runkind import RunKind
 from rhubarbhinge.routing._runresult import RunResult
 from rhubarbhinge.routing._sendrun import SendRun
@@ -28,13 +34,16 @@
 from rhubarbhinge.routing._upstreamspec import UpstreamSpec
 from rhubarbhinge.wire import CancelBatch, HoldingReport, SubBatch, SubCode, UpstreamReport
 
-#: Runs go before searches of any class; weights of classes are far below.
+#: Runs go before searches of any class; the weights of classes are far below.
 RUN_WEIGHT = 1 << 62
-#: Ended entries that a queue may hold before they are swept out.
-SWEEP_SLACK = 64
 
-_QUEUED, _SENT, _DONE = Job.QUEUED, Job.SENT, Job.DONE
+_QUEUED = Job.QUEUED
+_SENT = Job.SENT
+_DONE = Job.DONE
+#: Plain numbers: comparing members of an IntEnum costs several times as much.
 _ANSWERED = int(SubCode.ANSWERED)
+_SHED = int(SubCode.SHED)
+_BROKEN = int(SubCode.BROKEN)
 
 
 class RelayCore:
@@ -54,28 +63,37 @@
         self._policy = settings
         self._rng = rng
         self._revision = -1
+        self._leaving: frozenset[int] = frozenset()
         self._upstreams: dict[int, Upstream] = {}
-        self._connections: dict[int, Connection] = {}
-        self._jobs: dict[str, dict[Any, Job]] = {}
-        self._tickets: dict[str, int] = {}
-        self._expiry: list[tuple[int, int, Any]] = []
-        self._sequence = 0
-        self._last_conn = 0
+        self._connections = ConnectionTable()
+        self._requests = RequestTable(settings.ticket_memory_ms)
+        self._deadlines = Deadlines()
+        self._sweep_at_ms = 0
         self._report_at_ms = 0
-        self._call_prefix = b"%d." % incarnation
+        self._sequence = 0
+        self._tail_format = b',"lo":%%d,"hi":%%d,"call":"%d.%%d"}' % incarnation
+        self._call_format = b"%d.%%d" % incarnation
 
     @property
     def register_revision(self) -> int:
         """The register revision in force, -1 before the first."""
         return self._revision
 
-    # ---- what the relay owns
+    def is_idle(self) -> bool:
+        """Tell whether no entry waits for anything, so that the relay may stop.
+
+        :returns: True when there is no request.
+        """
+        return self._requests.is_idle()
 
     def set_upstreams(
         self, register_revision: int, owned: tuple[UpstreamSpec, ...], now_ms: int
     ) -> list[Any]:
         """Take the searchers that this relay owns; an older register revision is ignored.
 
+        With none, the relay hands over: it answers its queues, lets what is in flight end, and
+        closes its connections.
+
         :param register_revision: the register that they come from.
         :param owned: the searchers.
         :param now_ms: the time.
@@ -87,8 +105,8 @@
         newer = register_revision > self._revision
         self._revision = register_revision
         kept = {spec.upstream_id for spec in owned}
-        for upstream in list(self._upstreams.values()):
-            if upstream.owned and upstream.spec.upstream_id not in kept:
+        for upstream_id, upstream in list(self._upstreams.items()):
+            if upstream.owned and upstream_id not in kept:
                 self._disown(upstream, now_ms, effects)
         for spec in owned:
             self._own(spec, newer, now_ms, effects)
@@ -102,13 +120,12 @@
         :returns: effects.
         """
         effects: list[Any] = []
+        self._leaving = upstream_ids
         for upstream_id, upstream in self._upstreams.items():
             upstream.drain.on_vm_list(upstream_id in upstream_ids)
-            self._after_drain_signal(upstream, now_ms, effects)
+            self._after_event(upstream, now_ms, effects)
         return effects
 
-    # ---- entries
-
     def on_batch(self, peer: str, batch: SubBatch, now_ms: int) -> list[Any]:
         """Take sub-queries.
 
@@ -117,36 +134,46 @@
         :param now_ms: the time.
         :returns: effects.
         """
-        count = len(batch.parts)
-        columns = (batch.attempts, batch.upstream_ids, batch.los, batch.his)
-        if any(len(column) != count for column in columns):
+        columns = (batch.parts, batch.attempts, batch.upstream_ids, batch.los, batch.his)
+        head = search_head(batch)
+        if head is None or not _same_length(columns):
             return [DropPeer(peer, "malformed")]
+        if batch.receiver_incarnation != self._incarnation:
+            return _wrong_receiver(peer, batch)
+        return self._take_batch(peer, batch, head, now_ms)
+
+    def _take_batch(self, peer: str, batch: SubBatch, head: bytes, now_ms: int) -> list[Any]:
         effects: list[Any] = []
         call_id = batch.call_id
-        rows = zip(batch.parts, *columns, strict=True)
-        if batch.receiver_incarnation != self._incarnation:
-            for part, attempt, _, _, _ in rows:
-                effects.append(_refusal(peer, call_id, part, attempt, SubCode.WRONG_RECEIVER))
-            return effects
-        head = _search_head(batch)
-        due_ms = now_ms + batch.deadline_ms - self._policy.reply_margin_ms
-        jobs = self._jobs.setdefault(peer, {})
+        weight = batch.weight
+        due_ms = self._due_ms(batch.deadline_ms, now_ms)
+        due = self._deadlines.bucket(due_ms)
+        jobs = self._requests.of_live_peer(peer)
+        tail_format = self._tail_format
+        call_format = self._call_format
+        upstreams = self._upstreams
+        rows = zip(
+            batch.parts, batch.attempts, batch.upstream_ids, batch.los, batch.his, strict=True
+        )
         for part, attempt, upstream_id, lo, hi in rows:
-            upstream = self._upstreams.get(upstream_id)
-            if upstream is None or not upstream.owned:
-                effects.append(_refusal(peer, call_id, part, attempt, SubCode.WRONG_RECEIVER))
-                continue
             key = (call_id, part, attempt)
             if key in jobs:
                 continue
-            code, retry_after_ms = self._refuse(upstream, batch.weight, due_ms, now_ms)
-            if code is not None:
-                effects.append(_refusal(peer, call_id, part, attempt, code, retry_after_ms))
+            upstream = upstreams.get(upstream_id)
+            refusal = self._refusal(upstream, weight, due_ms, now_ms)
+            if refusal is not None:
+                code, retry_after_ms = refusal
+                effects.append(
+                    Reply(peer, call_id, part, attempt, int(code), retry_after_ms, 0, 0, b"")
+                )
                 continue
-            job = Job(peer, key, due_ms, now_ms, batch.weight, head, (lo, hi), False, upstream)
+            self._sequence = sequence = self._sequence + 1
+            call = call_format % sequence
+            tail = tail_format % (lo, hi, sequence)
+            job = Job(peer, key, upstream, weight, now_ms, due_ms, call, head, tail)
             jobs[key] = job
-            self._enqueue(upstream, job)
-            self._dispatch(upstream, now_ms, effects)
+            due.append(job)
+            self._send_or_queue(upstream, job, now_ms, effects)
         return effects
 
     def on_run(
@@ -162,31 +189,31 @@
         """Take a request that must not repeat; it is sent once at most.
 
         :param peer: the entry's link.
-        :param ticket: its ticket; one that was sent before is not sent again.
+        :param ticket: its ticket; one that may have been sent before is not sent again.
         :param upstream_id: the searcher.
         :param action: what to run.
-        :param body: the caller's JSON.
+        :param body: the caller's JSON object.
         :param deadline_ms: time left when the message was made.
         :param now_ms: the time.
         :returns: effects.
         """
-        if ticket in self._tickets:
+        if self._requests.knows_ticket(ticket):
             return [RunResult(peer, ticket, RunKind.UNKNOWN, b"", 0)]
         upstream = self._upstreams.get(upstream_id)
-        parts = _run_parts(ticket, action, body)
-        if upstream is None or not upstream.owned or parts is None:
+        parts = run_parts(ticket, action, body)
+        if parts is None:
             return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", 0)]
-        due_ms = now_ms + deadline_ms - self._policy.reply_margin_ms
-        code, retry_after_ms = self._refuse(upstream, RUN_WEIGHT, due_ms, now_ms)
-        if code is not None:
-            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", retry_after_ms)]
-        effects: list[Any] = []
+        due_ms = self._due_ms(deadline_ms, now_ms)
+        refusal = self._refusal(upstream, RUN_WEIGHT, due_ms, now_ms)
+        if refusal is not None:
+            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", refusal[1])]
         head, tail = parts
-        job = Job(peer, ticket, due_ms, now_ms, RUN_WEIGHT, head, tail, True, upstream)
-        self._tickets[ticket] = now_ms
-        self._jobs.setdefault(peer, {})[ticket] = job
-        self._enqueue(upstream, job)
-        self._dispatch(upstream, now_ms, effects)
+        job = Job(peer, ticket, upstream, RUN_WEIGHT, now_ms, due_ms, b"", head, tail)
+        self._requests.remember_ticket(ticket, now_ms)
+        self._requests.of_live_peer(peer)[ticket] = job
+        self._deadlines.bucket(due_ms).append(job)
+        effects: list[Any] = []
+        self._send_or_queue(upstream, job, now_ms, effects)
         return effects
 
     def on_cancel(self, peer: str, batch: CancelBatch, now_ms: int) -> list[Any]:
@@ -198,14 +225,14 @@
         :returns: effects.
         """
         columns = (batch.call_ids, batch.parts, batch.attempts)
-        if len({len(column) for column in columns}) != 1:
+        if not _same_length(columns):
             return [DropPeer(peer, "malformed")]
         effects: list[Any] = []
-        jobs = self._jobs.get(peer, {})
+        jobs = self._requests.of_peer(peer, {})
         for key in zip(*columns, strict=True):
             job = jobs.get(key)
             if job is not None:
-                self._abandon(job, effects)
+                abandon(self._requests, job, effects)
         return effects
 
     def on_peer_gone(self, peer: str, now_ms: int) -> list[Any]:
@@ -216,13 +243,11 @@
         :returns: effects.
         """
         effects: list[Any] = []
-        for job in list(self._jobs.get(peer, {}).values()):
-            self._abandon(job, effects)
-        self._jobs.pop(peer, None)
+        for job in list(self._requests.of_peer(peer, {}).values()):
+            abandon(self._requests, job, effects)
+        self._requests.drop_peer(peer)
         return effects
 
-    # ---- searchers
-
     def on_connected(self, conn: int, now_ms: int) -> list[Any]:
         """Note that a connection is open.
 
@@ -234,11 +259,8 @@
         connection = self._connections.get(conn)
         if connection is None or connection.open or connection.closing:
             return effects
-        upstream = connection.upstream
-        connection.open = True
-        upstream.opening -= 1
-        self._release(connection, effects)
-        self._dispatch(upstream, now_ms, effects)
+        connection.upstream.pool.opened(connection, effects)
+        self._after_event(connection.upstream, now_ms, effects)
         return effects
 
     def on_connection_closed(self, conn: int, now_ms: int) -> list[Any]:
@@ -249,24 +271,22 @@
         :returns: effects.
         """
         effects: list[Any] = []
-        connection = self._connections.pop(conn, None)
+        connection = self._connections.pop(conn)
         if connection is None:
             return effects
         upstream = connection.upstream
-        del upstream.connections[conn]
-        if connection in upstream.idle:
-            upstream.idle.remove(connection)
-        self._note_close(connection, now_ms)
+        upstream.pool.closed(connection, now_ms)
         job = connection.job
         if job is not None:
-            self._detach(connection)
+            upstream.in_flight -= 1
+            job.connection = None
             if job.state == _SENT:
                 upstream.failures += 1
-                self._finish(job, SubCode.BROKEN, 0, b"", now_ms, effects)
-        if upstream.connect_failures and not upstream.connections:
-            wait_ms = max(0, upstream.connect_not_before_ms - now_ms)
-            self._answer_queue(upstream, SubCode.BROKEN, wait_ms, now_ms, effects)
-        self._dispatch(upstream, now_ms, effects)
+                fail(self._requests, job, SubCode.BROKEN, 0, now_ms, effects)
+        wait_ms = upstream.pool.refused_wait_ms(now_ms)
+        if wait_ms is not None:
+            fail_queue(self._requests, upstream, SubCode.BROKEN, wait_ms, now_ms, effects)
+        self._after_event(upstream, now_ms, effects)
         self._forget_if_gone(upstream)
         return effects
 
@@ -289,22 +309,26 @@
         upstream = connection.upstream
         job = connection.job
         if job is None:
-            self._close(connection, effects)
+            upstream.pool.close(connection, effects)
             return effects
-        self._detach(connection)
-        connection.served = True
+        connection.job = None
+        job.connection = None
+        upstream.in_flight -= 1
+        upstream.last_answer_ms = now_ms
+        upstream.pool.served(connection)
         if draining_header or says_draining(status, body):
             upstream.drain.on_signal()
-        whole = self._read_answer(job, status, body, now_ms, effects)
-        if not whole:
-            connection.retired = True
-        self._release(connection, effects)
-        self._after_drain_signal(upstream, now_ms, effects)
-        self._dispatch(upstream, now_ms, effects)
+        read = self._read_search if job.call else self._read_run
+        plain = read(job, connection, status, body, now_ms, effects)
+        upstream.pool.release(connection, effects)
+        if not plain or upstream.drain.draining:
+            self._after_event(upstream, now_ms, effects)
+        elif upstream.queue.count:
+            self._send_queued(upstream, now_ms, effects)
         return effects
 
     def on_health(self, upstream_id: int, doc: dict[str, Any] | None, now_ms: int) -> list[Any]:
-        """Take the answer to a health poll.
+        """Take the answer to a health poll; one of an older incarnation is ignored.
 
         :param upstream_id: the searcher.
         :param doc: the parsed document, or None when there was none.
@@ -318,16 +342,12 @@
         health = health_doc(upstream_id, upstream.spec.name, doc)
         if health is None:
             upstream.health_failures += 1
-            return effects
-        if upstream.incarnation is not None and health.incarnation < upstream.incarnation:
-            return effects
-        self._take_health(upstream, health, now_ms, effects)
-        self._after_drain_signal(upstream, now_ms, effects)
-        self._dispatch(upstream, now_ms, effects)
+        elif upstream.incarnation is None or health.incarnation >= upstream.incarnation:
+            if upstream.take_health(health, now_ms):
+                effects.append(PublishHolding(health.holding))
+        self._after_event(upstream, now_ms, effects)
         return effects
 
-    # ---- time
-
     def tick(self, now_ms: int) -> list[Any]:
         """Do what is due: expiry, ramps, connections, health polls and reports.
 
@@ -335,15 +355,15 @@
         :returns: effects.
         """
         effects: list[Any] = []
-        self._expire(now_ms, effects)
-        for upstream in list(self._upstreams.values()):
-            if upstream.owned and now_ms >= upstream.health_at_ms:
-                self._poll_health(upstream, now_ms, effects)
-            self._dispatch(upstream, now_ms, effects)
+        for item in self._deadlines.pop_due(now_ms):
+            self._expire(item, now_ms, effects)
+        if now_ms >= self._sweep_at_ms:
+            self._sweep_at_ms = now_ms + self._policy.sweep_period_ms
+            self._sweep(now_ms, effects)
         if now_ms >= self._report_at_ms:
             self._report_at_ms = now_ms + self._policy.report_period_ms
             effects.append(PublishLoad(self.reports(now_ms)))
-            self._forget_tickets(now_ms)
+            self._requests.forget_old_tickets(now_ms)
         return effects
 
     def next_wake_ms(self) -> int:
@@ -351,15 +371,9 @@
 
         :returns: the time in ms.
         """
-        wake_ms = self._report_at_ms
-        if self._expiry:
-            wake_ms = min(wake_ms, self._expiry[0][0])
-        for upstream in self._upstreams.values():
-            wake_ms = min(wake_ms, upstream.health_at_ms)
-            if upstream.queued:
-                held_ms = max(upstream.limit.paused_until_ms, upstream.connect_not_before_ms)
-                wake_ms = min(wake_ms, held_ms or wake_ms)
-        return wake_ms
+        due_ms = self._deadlines.next_ms()
+        wake_ms = min(self._sweep_at_ms, self._report_at_ms)
+        return wake_ms if due_ms is None else min(wake_ms, due_ms)
 
     def reports(self, now_ms: int) -> UpstreamReport:
         """Give the load of all owned searchers.
@@ -367,13 +381,13 @@
         :param now_ms: the time.
         :returns: the report.
         """
-        owned = [upstream for upstream in self._upstreams.values() if upstream.owned]
+        owned = self._owned()
         return UpstreamReport(
             tuple(upstream.spec.upstream_id for upstream in owned),
             tuple(int(upstream.state(now_ms)) for upstream in owned),
-            tuple(upstream.queued for upstream in owned),
+            tuple(upstream.queue.count for upstream in owned),
             tuple(upstream.in_flight for upstream in owned),
-            tuple(upstream.allowed(now_ms) for upstream in owned),
+            tuple(upstream.allowed for upstream in owned),
         )
 
     def holdings(self) -> tuple[HoldingReport, ...]:
@@ -381,319 +395,205 @@
 
         :returns: the latest report of each searcher that was heard from.
         """
-        owned = [upstream for upstream in self._upstreams.values() if upstream.owned]
-        return tuple(upstream.holding for upstream in owned if upstream.holding is not None)
+        found = (upstream.holding for upstream in self._owned())
+        return tuple(holding for holding in found if holding is not None)
 
-    # ---- within: ownership and drain
+    def _owned(self) -> list[Upstream]:
+        return [upstream for upstream in self._upstreams.values() if upstream.owned]
 
     def _own(
         self, spec: UpstreamSpec, newer_revision: bool, now_ms: int, effects: list[Any]
     ) -> None:
         upstream = self._upstreams.get(spec.upstream_id)
         if upstream is None:
-            upstream = Upstream(spec, self._policy, now_ms)
-            upstream.health_at_ms = now_ms
+            upstream = Upstream(spec, self._policy, self._connections, self._deadlines, now_ms)
+            upstream.drain.on_vm_list(spec.upstream_id in self._leaving)
             self._upstreams[spec.upstream_id] = upstream
-        elif not upstream.owned:
-            upstream.owned = True
-            upstream.health_at_ms = now_ms
-        old = upstream.spec
-        upstream.set_spec(spec)
-        upstream.limit.resize(upstream.slots)
-        if (old.ip, old.port) != (spec.ip, spec.port):
-            self._retire_connections(upstream, effects)
-        if spec.leaving or newer_revision:
-            upstream.drain.on_register(spec.leaving)
-        self._after_drain_signal(upstream, now_ms, effects)
-        self._dispatch(upstream, now_ms, effects)
+        upstream.owned = True
+        upstream.set_spec(spec, effects)
+        upstream.drain.on_register(spec.leaving, newer_revision)
+        self._after_event(upstream, now_ms, effects)
 
     def _disown(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
         upstream.owned = False
-        self._answer_queue(upstream, SubCode.WRONG_RECEIVER, 0, now_ms, effects)
-        self._retire_connections(upstream, effects)
+        upstream.refresh(now_ms)
+        fail_queue(self._requests, upstream, SubCode.WRONG_RECEIVER, 0, now_ms, effects)
+        upstream.pool.retire_all(effects)
         self._forget_if_gone(upstream)
 
     def _forget_if_gone(self, upstream: Upstream) -> None:
-        if not upstream.owned and not upstream.connections:
+        if not upstream.owned and not len(upstream.pool):
             self._upstreams.pop(upstream.spec.upstream_id, None)
 
-    def _after_drain_signal(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        if not upstream.drain.draining:
+    def _after_event(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
+        upstream.refresh(now_ms)
+        if not upstream.owned:
             return
-        self._answer_queue(upstream, SubCode.DRAINING, 0, now_ms, effects)
-        self._retire_connections(upstream, effects)
-
-    def _retire_connections(self, upstream: Upstream, effects: list[Any]) -> None:
-        for connection in list(upstream.connections.values()):
-            connection.retired = True
-            if connection.job is None and not connection.closing:
-                self._close(connection, effects)
+        if upstream.drain.draining:
+            fail_queue(self._requests, upstream, SubCode.DRAINING, 0, now_ms, effects)
+            upstream.pool.retire_all(effects)
+            return
+        self._send_queued(upstream, now_ms, effects)
 
-    # ---- within: queue
+    def _due_ms(self, deadline_ms: int, now_ms: int) -> int:
+        left_ms = min(deadline_ms, self._policy.most_deadline_ms)
+        return now_ms + left_ms - self._policy.reply_margin_ms
 
-    def _refuse(
-        self, upstream: Upstream, weight: int, due_ms: int, now_ms: int
-    ) -> tuple[SubCode | None, int]:
+    def _refusal(
+        self, upstream: Upstream | None, weight: int, due_ms: int, now_ms: int
+    ) -> tuple[SubCode, int] | None:
+        if upstream is None or not upstream.owned:
+            return SubCode.WRONG_RECEIVER, 0
+        left_ms = due_ms - now_ms - self._policy.upstream_margin_ms
+        if left_ms > 0 and upstream.in_flight < upstream.allowed and upstream.pool.idle:
+            return None
         if upstream.drain.draining:
             return SubCode.DRAINING, 0
-        left_ms = due_ms - now_ms - self._policy.upstream_margin_ms
         if left_ms <= 0:
             return SubCode.DEADLINE, 0
-        if upstream.idle and not upstream.queued and upstream.in_flight < upstream.allowed(now_ms):
-            return None, 0
-        if upstream.connect_failures and not upstream.connections:
-            wait_ms = upstream.connect_not_before_ms - now_ms
-            return SubCode.BROKEN, max(self._policy.least_retry_after_ms, wait_ms)
-        needed_ms = upstream.wait_ms(weight, now_ms)
-        if upstream.queued:
-            needed_ms += upstream.service_ms
-        late_ms = ceil(needed_ms - left_ms)
-        if upstream.queued >= self._policy.queue_limit:
+        return self._queue_refusal(upstream, weight, left_ms, now_ms)
+
+    def _queue_refusal(
+        self, upstream: Upstream, weight: int, left_ms: int, now_ms: int
+    ) -> tuple[SubCode, int] | None:
+        least_ms = self._policy.least_retry_after_ms
+        refused_ms = upstream.pool.refused_wait_ms(now_ms)
+        if refused_ms is not None:
+            return SubCode.BROKEN, max(least_ms, refused_ms)
+        late_ms = ceil(upstream.wait_ms(weight, now_ms) - left_ms)
+        if upstream.queue.count >= self._policy.queue_limit:
             late_ms = max(late_ms, ceil(upstream.service_ms))
         if late_ms <= 0:
-            return None, 0
-        return SubCode.QUEUE_FULL, max(self._policy.least_retry_after_ms, late_ms)
-
-    def _enqueue(self, upstream: Upstream, job: Job) -> None:
-        self._sequence += 1
-        heapq.heappush(upstream.heap, (-job.weight, job.due_ms, self._sequence, job))
-        heapq.heappush(self._expiry, (job.due_ms, self._sequence, job))
-        upstream.queued += 1
-        counts = upstream.queued_by_weight
-        counts[job.weight] = counts.get(job.weight, 0) + 1
-
-    def _leave_queue(self, job: Job) -> None:
-        upstream = job.upstream
-        upstream.queued -= 1
-        counts = upstream.queued_by_weight
-        counts[job.weight] -= 1
-        if not counts[job.weight]:
-            del counts[job.weight]
-        if len(upstream.heap) > 2 * upstream.queued + SWEEP_SLACK:
-            upstream.heap = [entry for entry in upstream.heap if entry[3].state == _QUEUED]
-            heapq.heapify(upstream.heap)
-
-    def _answer_queue(
-        self,
-        upstream: Upstream,
-        code: SubCode,
-        retry_after_ms: int,
-        now_ms: int,
-        effects: list[Any],
-    ) -> None:
-        heap, upstream.heap = upstream.heap, []
-        for _, _, _, job in sorted(heap, key=lambda entry: entry[:3]):
-            if job.state == _QUEUED:
-                self._finish(job, code, retry_after_ms, b"", now_ms, effects)
+            return None
+        return SubCode.QUEUE_FULL, max(least_ms, late_ms)
+
+    def _sweep(self, now_ms: int, effects: list[Any]) -> None:
+        for upstream in self._owned():
+            if now_ms >= upstream.health_at_ms:
+                self._poll_health(upstream, now_ms, effects)
+            self._after_event(upstream, now_ms, effects)
+            self._refuse_hopeless(upstream, now_ms, effects)
 
-    def _dispatch(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        if not upstream.owned or upstream.drain.draining:
+    def _refuse_hopeless(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
+        if not upstream.queue.count:
             return
-        allowed = upstream.allowed(now_ms)
-        while upstream.queued and upstream.idle and upstream.in_flight < allowed:
-            job = heapq.heappop(upstream.heap)[3]
-            if job.state == _QUEUED:
-                self._send_or_expire(upstream, job, now_ms, effects)
-        self._open_connections(upstream, allowed, now_ms, effects)
-
-    def _send_or_expire(
-        self, upstream: Upstream, job: Job, now_ms: int, effects: list[Any]
-    ) -> None:
-        left_ms = job.due_ms - now_ms - self._policy.upstream_margin_ms
-        if left_ms <= 0:
-            self._finish(job, SubCode.DEADLINE, 0, b"", now_ms, effects)
+        turn_ms = upstream.service_ms / max(1, upstream.allowed)
+        start_ms = max(now_ms, upstream.limit.paused_until_ms)
+        for job in upstream.queue.in_order():
+            late_ms = ceil(start_ms + turn_ms - job.due_ms)
+            if late_ms > 0:
+                retry_after_ms = max(self._policy.least_retry_after_ms, late_ms)
+                fail(self._requests, job, SubCode.QUEUE_FULL, retry_after_ms, now_ms, effects)
+                continue
+            start_ms += turn_ms
+
+    def _send_or_queue(self, upstream: Upstream, job: Job, now_ms: int, effects: list[Any]) -> None:
+        pool = upstream.pool
+        if pool.idle and upstream.in_flight < upstream.allowed:
+            left_ms = job.due_ms - now_ms - self._policy.upstream_margin_ms
+            self._send(upstream, job, left_ms, now_ms, effects)
+            pool.keep_ready(0, now_ms, effects)
             return
-        self._leave_queue(job)
-        connection = upstream.idle.pop()
-        connection.job = job
-        job.connection = connection
+        upstream.queue.push(job)
+        free_slots = upstream.allowed - upstream.in_flight
+        pool.keep_ready(max(0, min(free_slots, upstream.queue.count)), now_ms, effects)
+
+    def _send_queued(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
+        pool = upstream.pool
+        queue = upstream.queue
+        while queue.count and pool.idle and upstream.in_flight < upstream.allowed:
+            job = queue.first()
+            left_ms = job.due_ms - now_ms - self._policy.upstream_margin_ms
+            if left_ms <= 0:
+                fail(self._requests, job, SubCode.DEADLINE, 0, now_ms, effects)
+                continue
+            queue.pop()
+            self._send(upstream, job, left_ms, now_ms, effects)
+        free_slots = upstream.allowed - upstream.in_flight
+        pool.keep_ready(max(0, min(free_slots, queue.count)), now_ms, effects)
+
+    def _send(
+        self, upstream: Upstream, job: Job, left_ms: int, now_ms: int, effects: list[Any]
+    ) -> None:
+        conn = upstream.pool.take(job).conn
         job.state = _SENT
         job.sent_ms = now_ms
         upstream.in_flight += 1
-        timeout_ms = job.due_ms - now_ms
-        if job.is_run:
-            body = job.head + b'%d,"body":' % left_ms + job.tail + b"}"
-            effects.append(SendRun(connection.conn, body, timeout_ms))
-            return
-        self._sequence += 1
-        job.call = self._call_prefix + b"%d" % self._sequence
-        lo, hi = job.tail
-        body = job.head + b'%d,"lo":%d,"hi":%d,"call":"%b"}' % (left_ms, lo, hi, job.call)
-        effects.append(SendSearch(connection.conn, body, timeout_ms))
-
-    # ---- within: ends
+        body = b"%b%d%b" % (job.head, left_ms, job.tail)
+        effect = SendSearch if job.call else SendRun
+        effects.append(effect(conn, body, job.due_ms - now_ms))
 
-    def _read_answer(
-        self, job: Job, status: int, body: bytes, now_ms: int, effects: list[Any]
+    def _read_search(
+        self,
+        job: Job,
+        connection: Connection,
+        status: int,
+        body: bytes,
+        now_ms: int,
+        effects: list[Any],
     ) -> bool:
         upstream = job.upstream
-        upstream.last_answer_ms = now_ms
-        upstream.connect_failures = 0
-        if job.is_run:
-            kind, retry_after_ms = run_outcome(status, job.key, body)
-            if kind is RunKind.REFUSED_NOT_RUN and status == 503:
-                upstream.limit.on_shed(retry_after_ms, now_ms)
-            if job.state == _SENT:
-                self._finish_run(job, kind, retry_after_ms, body, effects)
-            return kind is not RunKind.UNKNOWN
         code, retry_after_ms = search_outcome(status, job.call, body)
-        if code == SubCode.BROKEN:
-            upstream.failures += 1
-        else:
-            upstream.failures = 0
-        if code == SubCode.SHED:
-            upstream.limit.on_shed(retry_after_ms, now_ms)
-        elif code == _ANSWERED:
-            upstream.limit.on_success()
-            if job.state == _SENT:
-                upstream.observe_service(now_ms - job.sent_ms)
         if job.state == _SENT:
+            if code == _ANSWERED:
+                upstream.observe_service(now_ms - job.sent_ms)
             kept = body if code == _ANSWERED else b""
-            self._finish(job, code, retry_after_ms, kept, now_ms, effects)
-        return code != SubCode.BROKEN
+            finish_search(self._requests, job, code, retry_after_ms, kept, now_ms, effects)
+        if code == _BROKEN:
+            connection.retired = True
+            upstream.failures += 1
+            return False
+        was_failing = upstream.failures > 0
+        upstream.failures = 0
+        if code == _SHED:
+            upstream.limit.on_shed(retry_after_ms, now_ms)
+            return False
+        upstream.limit.on_success()
+        return not was_failing
 
-    def _finish(
+    def _read_run(
         self,
         job: Job,
-        code: int,
-        retry_after_ms: int,
+        connection: Connection,
+        status: int,
         body: bytes,
         now_ms: int,
         effects: list[Any],
-    ) -> None:
-        if job.is_run:
-            sent = job.state == _SENT
-            kind = RunKind.UNKNOWN if sent else RunKind.REFUSED_NOT_RUN
-            self._finish_run(job, kind, retry_after_ms, b"", effects)
-            return
-        sent_ms = job.sent_ms if job.state == _SENT else now_ms
-        self._end(job)
-        call_id, part, attempt = job.key
-        effects.append(
-            Reply(
-                job.peer,
-                call_id,
-                part,
-                attempt,
-                int(code),
-                retry_after_ms,
-                sent_ms - job.queued_ms,
-                now_ms - sent_ms,
-                body,
-            )
-        )
-
-    def _finish_run(
-        self, job: Job, kind: RunKind, retry_after_ms: int, body: bytes, effects: list[Any]
-    ) -> None:
-        self._end(job)
+    ) -> bool:
+        kind, retry_after_ms = run_outcome(status, job.key, body)
+        if job.state == _SENT:
+            finish_run(self._requests, job, kind, retry_after_ms, body, effects)
+        if kind is RunKind.UNKNOWN:
+            connection.retired = True
         if kind is RunKind.REFUSED_NOT_RUN:
-            self._tickets.pop(job.key, None)
-        effects.append(RunResult(job.peer, job.key, kind, body, retry_after_ms))
-
-    def _end(self, job: Job) -> None:
-        if job.state == _QUEUED:
-            self._leave_queue(job)
-        job.state = _DONE
-        jobs = self._jobs.get(job.peer)
-        if jobs is not None:
-            jobs.pop(job.key, None)
-
-    def _abandon(self, job: Job, effects: list[Any]) -> None:
-        sent = job.state == _SENT
-        if job.is_run and not sent:
-            self._tickets.pop(job.key, None)
-        self._end(job)
-        if sent and not job.is_run:
-            effects.append(_cancel(job))
-
-    def _expire(self, now_ms: int, effects: list[Any]) -> None:
-        expiry = self._expiry
-        while expiry and expiry[0][0] <= now_ms:
-            due = heapq.heappop(expiry)[2]
-            if isinstance(due, Connection):
-                if not due.open and not due.closing:
-                    self._close(due, effects)
-                continue
-            self._expire_job(due, now_ms, effects)
+            job.upstream.limit.on_shed(retry_after_ms, now_ms)
+        return kind is RunKind.RAN
 
-    def _expire_job(self, job: Job, now_ms: int, effects: list[Any]) -> None:
-        if job.state == _SENT:
-            job.upstream.failures += 1
-            job.upstream.observe_service(now_ms - job.sent_ms)
-            if not job.is_run:
-                effects.append(_cancel(job))
-            job.connection.retired = True
-        if job.state != _DONE:
-            self._finish(job, SubCode.DEADLINE, 0, b"", now_ms, effects)
-        connection = job.connection
-        if connection is None or connection.closing:
+    def _expire(self, item: Job | Connection, now_ms: int, effects: list[Any]) -> None:
+        if isinstance(item, Connection):
+            if not item.open:
+                item.upstream.pool.close(item, effects)
             return
+        if item.state == _SENT:
+            self._time_out(item, now_ms, effects)
+        if item.state != _DONE:
+            fail(self._requests, item, SubCode.DEADLINE, 0, now_ms, effects)
+        if item.connection is not None:
+            self._close_when_late(item, now_ms, effects)
+
+    def _time_out(self, job: Job, now_ms: int, effects: list[Any]) -> None:
+        job.connection.retired = True
+        job.upstream.observe_timeout(now_ms - job.sent_ms, now_ms)
+        if not job.is_run:
+            effects.append(cancel_effect(job))
+
+    def _close_when_late(self, job: Job, now_ms: int, effects: list[Any]) -> None:
         late_ms = job.due_ms + self._policy.late_answer_ms
         if now_ms >= late_ms:
-            self._close(connection, effects)
-            return
-        self._sequence += 1
-        heapq.heappush(self._expiry, (late_ms, self._sequence, job))
-
-    # ---- within: connections
-
-    def _open_connections(
-        self, upstream: Upstream, allowed: int, now_ms: int, effects: list[Any]
-    ) -> None:
-        if now_ms < upstream.connect_not_before_ms:
-            return
-        free_slots = max(0, allowed - upstream.in_flight)
-        wanted = min(upstream.queued, free_slots) + self._policy.spare_connections
-        if upstream.connect_failures:
-            wanted = 1
-        missing = wanted - len(upstream.idle) - upstream.opening
-        room = upstream.cap - len(upstream.connections)
-        for _ in range(min(missing, room)):
-            self._open(upstream, now_ms, effects)
-
-    def _open(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        self._last_conn += 1
-        connection = Connection(self._last_conn, upstream, now_ms)
-        self._connections[connection.conn] = connection
-        upstream.connections[connection.conn] = connection
-        upstream.opening += 1
-        spec = upstream.spec
-        effects.append(OpenConnection(connection.conn, spec.upstream_id, spec.ip, spec.port))
-        self._sequence += 1
-        due_ms = now_ms + self._policy.connect_timeout_ms
-        heapq.heappush(self._expiry, (due_ms, self._sequence, connection))
-
-    def _close(self, connection: Connection, effects: list[Any]) -> None:
-        connection.closing = True
-        upstream = connection.upstream
-        if connection in upstream.idle:
-            upstream.idle.remove(connection)
-        effects.append(CloseConnection(connection.conn))
-
-    def _release(self, connection: Connection, effects: list[Any]) -> None:
-        if connection.retired:
-            self._close(connection, effects)
+            job.upstream.pool.close(job.connection, effects)
             return
-        connection.upstream.idle.append(connection)
-
-    def _detach(self, connection: Connection) -> None:
-        connection.job.connection = None
-        connection.job = None
-        connection.upstream.in_flight -= 1
-
-    def _note_close(self, connection: Connection, now_ms: int) -> None:
-        upstream = connection.upstream
-        if not connection.open:
-            upstream.opening -= 1
-        if connection.retired or connection.served:
-            return
-        doublings = min(upstream.connect_failures, 16)
-        wait_ms = self._policy.least_connect_wait_ms << doublings
-        upstream.connect_failures += 1
-        upstream.connect_not_before_ms = now_ms + min(wait_ms, self._policy.most_connect_wait_ms)
-
-    # ---- within: health
+        job.connection.retired = True
+        self._deadlines.bucket(late_ms).append(job)
 
     def _poll_health(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
         jitter = 0.5 + self._rng.random()
@@ -701,54 +601,14 @@
         spec = upstream.spec
         effects.append(PollHealth(spec.upstream_id, spec.ip, spec.port))
 
-    def _take_health(
-        self, upstream: Upstream, health: HealthDoc, now_ms: int, effects: list[Any]
-    ) -> None:
-        upstream.health_failures = 0
-        if upstream.incarnation is not None and health.incarnation > upstream.incarnation:
-            upstream.drain.on_incarnation()
-            upstream.limit.restart(now_ms)
-        upstream.incarnation = health.incarnation
-        upstream.limit.set_warming(health.state == "warming", now_ms)
-        if health.state == "draining":
-            upstream.drain.on_signal()
-        if health.holding != upstream.holding:
-            upstream.holding = health.holding
-            effects.append(PublishHolding(health.holding))
-
-    def _forget_tickets(self, now_ms: int) -> None:
-        limit_ms = now_ms - self._policy.ticket_memory_ms
-        for ticket, sent_ms in list(self._tickets.items()):
-            if sent_ms > limit_ms:
-                break
-            del self._tickets[ticket]
-
-
-def _search_head(batch: SubBatch) -> bytes:
-    common = {
-        "collection": batch.collection,
-        "version": batch.version,
-        "text": batch.text,
-        "limit": batch.limit,
-    }
-    return orjson.dumps(common)[:-1] + b',"deadline_ms":'
-
-
-def _run_parts(ticket: str, action: str, body: bytes) -> tuple[bytes, bytes] | None:
-    try:
-        orjson.loads(body)
-        head = orjson.dumps({"ticket": ticket, "action": action})
-    except ValueError:
-        return None
-    return head[:-1] + b',"deadline_ms":', body
-
-
-def _refusal(
-    peer: str, call_id: int, part: int, attempt: int, code: SubCode, retry_after_ms: int = 0
-) -> Reply:
-    return Reply(peer, call_id, part, attempt, int(code), retry_after_ms, 0, 0, b"")
-
-
-def _cancel(job: Job) -> CancelUpstream:
-    spec = job.upstream.spec
-    return CancelUpstream(spec.upstream_id, job.call.decode(), spec.ip, spec.port)
+
+def _same_length(columns: tuple[tuple[Any, ...], ...]) -> bool:
+    return len({len(column) for column in columns}) == 1
+
+
+def _wrong_receiver(peer: str, batch: SubBatch) -> list[Any]:
+    code = int(SubCode.WRONG_RECEIVER)
+    return [
+        Reply(peer, batch.call_id, part, attempt, code, 0, 0, 0, b"")
+        for part, attempt in zip(batch.parts, batch.attempts, strict=True)
+    ]
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -19,12 +19,19 @@
     :param shed_raise_ms: time between two steps of one slot up again.
     :param least_retry_after_ms: least retry-after given with a refusal.
     :param most_pause_ms: longest pause of a searcher that sheds even single requests.
-    :param connect_timeout_ms: time after which an unfinished connection is given up.
+    :param least_connect_timeout_ms: shortest time after which an unfinished connection is given
+        up; longer for searchers that take long to connect to.
+    :param least_connection_life_ms: a connection that the searcher closes sooner, without an
+        answer, counts as a failed one.
     :param least_connect_wait_ms: wait after the first failed connection; doubles from there.
     :param most_connect_wait_ms: longest wait between two connection attempts.
     :param late_answer_ms: time for which a timed-out request may keep its connection and slot.
+    :param most_deadline_ms: longest deadline; a longer one is cut to it.
+    :param most_warming_ms: time for which a searcher is believed that it is warming.
     :param down_failures: failures in a row after which a searcher counts as down.
     :param health_period_ms: mean time between two health polls of a searcher.
+    :param sweep_period_ms: time between two looks at all searchers, for ramps, pauses, connections
+        and requests that have become hopeless.
     :param report_period_ms: time between two load reports.
     :param ticket_memory_ms: time for which a sent run's ticket is refused; above a ticket's life.
     """
@@ -41,11 +48,15 @@
     shed_raise_ms: int = 200
     least_retry_after_ms: int = 5
     most_pause_ms: int = 1000
-    connect_timeout_ms: int = 1000
+    least_connect_timeout_ms: int = 100
+    least_connection_life_ms: int = 1000
     least_connect_wait_ms: int = 20
     most_connect_wait_ms: int = 2000
     late_answer_ms: int = 200
+    most_deadline_ms: int = 60_000
+    most_warming_ms: int = 60_000
     down_failures: int = 3
     health_period_ms: int = 500
+    sweep_period_ms: int = 20
     report_period_ms: int = 100
     ticket_memory_ms: int = 600_000
--- a/rhubarbhinge/routing/_reply.py
+++ b/rhubarbhinge/routing/_reply.py
@@ -1,12 +1,14 @@
 """Effect: answer a sub-query."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(NamedTuple):
     """Answer one sub-query; the shell batches the answers of one turn for each peer.
 
+    A named tuple and no frozen data class: one is made for each sub-query, and a frozen data class
+    of nine fields takes three times as long to make.
+
     :param peer: the entry's link.
     :param call_id: the call.
     :param part: part number within the call.
--- a/rhubarbhinge/routing/_upstream.py
+++ b/rhubarbhinge/routing/_upstream.py
@@ -1,113 +1,176 @@
 """A searcher as its owning relay sees it."""
 
+from math import floor
+from typing import Any
+
 from rhubarbhinge.routing._concurrency import ConcurrencyLimit
-from rhubarbhinge.routing._connection import Connection
+from rhubarbhinge.routing._connectionpool import ConnectionPool
+from rhubarbhinge.routing._connectiontable import ConnectionTable
+from rhubarbhinge.routing._deadlines import Deadlines
 from rhubarbhinge.routing._drainstate import DrainState
-from rhubarbhinge.routing._job import Job
+from rhubarbhinge.routing._healthdoc import HealthDoc
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
+from rhubarbhinge.routing._requestqueue import RequestQueue
 from rhubarbhinge.routing._upstreamspec import UpstreamSpec
 from rhubarbhinge.wire import HoldingReport, UpstreamState
 
+#: Lifts products such as 98 * (1 / 49) that rounding has put just below a whole number.
+ROUNDING_SLACK = 1e-9
+
 
 class Upstream:
     """The state of one searcher: queue, connections, limit, drain and health.
 
+    ``allowed`` is how many requests may be in flight; :meth:`refresh` sets it after each event that
+    may change it, so that sending reads a number.
+
     :param spec: the searcher.
     :param policy: settings.
+    :param table: all connections of the relay.
+    :param deadlines: what becomes due at the relay.
     :param now_ms: the time.
     """
 
-    def __init__(self, spec: UpstreamSpec, policy: RelayPolicy, now_ms: int) -> None:
-        self.policy = policy
+    def __init__(
+        self,
+        spec: UpstreamSpec,
+        policy: RelayPolicy,
+        table: ConnectionTable,
+        deadlines: Deadlines,
+        now_ms: int,
+    ) -> None:
+        self.spec = spec
         self.owned = True
-        self.heap: list[tuple[int, int, int, Job]] = []
-        self.queued_by_weight: dict[int, int] = {}
-        self.queued = 0
+        self.slots = _share(spec.slots, spec.share)
+        self.queue = RequestQueue()
+        self.pool = ConnectionPool(self, spec, _cap(spec, policy), policy, table, deadlines)
+        self.limit = ConcurrencyLimit(self.slots, policy, now_ms)
+        self.drain = DrainState()
         self.in_flight = 0
-        self.connections: dict[int, Connection] = {}
-        self.idle: list[Connection] = []
-        self.opening = 0
-        self.connect_failures = 0
-        self.connect_not_before_ms = 0
+        self.allowed = 0
         self.failures = 0
-        self.health_failures = 0
+        self.service_ms = policy.assumed_service_ms
         self.last_answer_ms: int | None = None
         self.health_at_ms = now_ms
-        self.service_ms = policy.assumed_service_ms
+        self.health_failures = 0
         self.incarnation: int | None = None
         self.holding: HoldingReport | None = None
-        self.drain = DrainState()
-        self.set_spec(spec)
-        self.limit = ConcurrencyLimit(self.slots, policy, now_ms)
+        self._policy = policy
 
-    def set_spec(self, spec: UpstreamSpec) -> None:
-        """Take the searcher's entry of a register revision.
+    def set_spec(self, spec: UpstreamSpec, effects: list[Any]) -> None:
+        """Take the searcher's entry of another register revision.
 
         :param spec: the searcher.
+        :param effects: where effects are put.
         """
         self.spec = spec
-        self.slots = max(1, int(spec.slots * spec.share))
-        shared = int(spec.connections * spec.share)
-        self.cap = max(1, shared - self.policy.control_connections)
+        self.slots = _share(spec.slots, spec.share)
+        self.limit.resize(self.slots)
+        self.pool.resize(spec, _cap(spec, self._policy), effects)
+
+    def refresh(self, now_ms: int) -> None:
+        """Set ``allowed``: none while leaving or paused, one to try with while down.
+
+        :param now_ms: the time.
+        """
+        limit = self.limit.value(now_ms)
+        if not self.owned or self.drain.draining:
+            limit = 0
+        elif self._is_down(now_ms):
+            limit = min(limit, 1)
+        self.allowed = limit
 
     def state(self, now_ms: int) -> UpstreamState:
-        """Give the state that entries are told; own observation goes before its health.
+        """Give the state that entries are told.
 
         :param now_ms: the time.
-        :returns: the state.
+        :returns: the state; own observation goes before what the searcher says.
         """
         if self.drain.draining:
             return UpstreamState.DRAINING
-        if self.is_down():
+        if self._is_down(now_ms):
             return UpstreamState.DOWN
         if self.incarnation is None and self.last_answer_ms is None:
             return UpstreamState.UNKNOWN
         return UpstreamState.WARMING if self.limit.is_cold(now_ms) else UpstreamState.READY
 
-    def is_down(self) -> bool:
-        """Tell whether nothing has worked for a while.
-
-        :returns: True after several failures in a row.
-        """
-        worst = max(self.failures, self.connect_failures)
-        return worst >= self.policy.down_failures
+    def wait_ms(self, weight: int, now_ms: int) -> float:
+        """Estimate the time until a new request would be sent, or answered when it has to queue.
 
-    def allowed(self, now_ms: int) -> int:
-        """Give how many requests may be in flight: one to try with, when nothing works.
+        With a free slot the service time is left out: the searcher is then tried whatever the
+        estimate says, so that an estimate which is too high corrects itself.
 
+        :param weight: the request's weight.
         :param now_ms: the time.
-        :returns: the limit, never above the slots.
+        :returns: the time in ms.
         """
-        limit = self.limit.value(now_ms)
-        return min(limit, 1) if self.is_down() else limit
+        pause_ms = max(0, self.limit.paused_until_ms - now_ms)
+        limit = max(1, self.allowed)
+        if not self.queue.count and self.in_flight < limit:
+            return pause_ms + self.pool.connect_wait_ms(now_ms)
+        ahead = self.queue.ahead(weight)
+        return pause_ms + (ahead + 1) * self.service_ms / limit + self.service_ms
 
-    def wait_ms(self, weight: int, now_ms: int) -> float:
-        """Estimate how long a new request would wait.
+    def observe_service(self, service_ms: int) -> None:
+        """Note how long an answer took.
 
-        :param weight: its class's weight.
-        :param now_ms: the time.
-        :returns: the time in ms until it would be sent.
+        :param service_ms: the time from sending to the answer.
         """
-        pause_ms = max(0, self.limit.paused_until_ms - now_ms)
-        limit = max(1, self.allowed(now_ms))
-        if not self.queued and self.in_flight < limit:
-            return pause_ms + self.connect_wait_ms(now_ms)
-        ahead = sum(count for other, count in self.queued_by_weight.items() if other >= weight)
-        return pause_ms + (ahead + 1) * self.service_ms / limit
+        self.service_ms += self._policy.service_gain * (service_ms - self.service_ms)
 
-    def connect_wait_ms(self, now_ms: int) -> int:
-        """Estimate how long until a connection is idle, when a slot is free.
+    def observe_timeout(self, waited_ms: int, now_ms: int) -> None:
+        """Note that no answer came; it counts against the searcher only if it had its usual time.
 
+        :param waited_ms: the time since sending.
         :param now_ms: the time.
-        :returns: 0 with an idle connection, else the time for a new one.
         """
-        if self.idle:
-            return 0
-        return max(0, self.connect_not_before_ms - now_ms) + self.spec.connect_ms
+        if waited_ms < self.service_ms:
+            return
+        self.observe_service(waited_ms)
+        self.failures += 1
+        self.refresh(now_ms)
 
-    def observe_service(self, service_ms: int) -> None:
-        """Note how long the searcher took.
+    def take_health(self, health: HealthDoc, now_ms: int) -> bool:
+        """Take a health document that is not of an older incarnation.
 
-        :param service_ms: the time from sending to the answer.
+        :param health: the document.
+        :param now_ms: the time.
+        :returns: whether what the searcher holds has changed.
         """
-        self.service_ms += self.policy.service_gain * (service_ms - self.service_ms)
+        if self.incarnation is not None and health.incarnation > self.incarnation:
+            self.drain.on_newer_incarnation()
+            self.limit.restart(now_ms)
+        self._leave_down(now_ms)
+        self.health_failures = 0
+        self.incarnation = health.incarnation
+        self.limit.set_warming(health.state == "warming", now_ms)
+        if health.state == "draining":
+            self.drain.on_signal()
+        changed = health.holding != self.holding
+        self.holding = health.holding
+        return changed
+
+    def _leave_down(self, now_ms: int) -> None:
+        if self.failures >= self._policy.down_failures:
+            self.failures = self._policy.down_failures - 1
+            self.limit.restart(now_ms)
+
+    def _is_down(self, now_ms: int) -> bool:
+        least = self._policy.down_failures
+        if self.failures >= least or self.pool.refused_wait_ms(now_ms) is not None:
+            return True
+        return self.health_failures >= least and not self._answered_lately(now_ms)
+
+    def _answered_lately(self, now_ms: int) -> bool:
+        if self.last_answer_ms is None:
+            return False
+        window_ms = self._policy.down_failures * self._policy.health_period_ms
+        return now_ms - self.last_answer_ms < window_ms
+
+
+def _share(whole: int, share: float) -> int:
+    return max(1, floor(whole * share + ROUNDING_SLACK))
+
+
+def _cap(spec: UpstreamSpec, policy: RelayPolicy) -> int:
+    return max(1, _share(spec.connections, spec.share) - policy.control_connections)
