--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -99,12 +99,16 @@
         """
         return len(self._open)
 
-    def members_changed(self, entries: frozenset[str]) -> None:
-        """Follow a change among the entries of the failure domain.
+    def entries_listed(self, entries: frozenset[str], confirmed_ms: int) -> None:
+        """Follow the platform's list of entries, on each change and each confirmation.
 
-        :param entries: names of the live ones, with this one.
+        All entries of the deployment share the keys, so that a key that is shown in another
+        failure domain is still the same key.
+
+        :param entries: names of all listed entries.
+        :param confirmed_ms: when the list was last confirmed, on this entry's clock.
         """
-        self._keys.on_members(entries, self._now_ms())
+        self._keys.on_entries(entries, confirmed_ms, self._now_ms())
 
     def start(self, request: Request, responder: Responder) -> None:
         """Take ``/v1/run`` or ``/v1/run/<ticket>``.
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -29,13 +29,23 @@
     SubCode.QUEUE_FULL: "queue-full",
     SubCode.WRONG_RECEIVER: "no-replica",
     SubCode.CANCELLED: "deadline",
+    SubCode.LOST: "lost",
 }
-#: Endings that cost the searcher nothing: sending elsewhere is no extra load.
+#: Endings after which sending elsewhere is no extra load: nothing was run, or what ran is gone with
+#: its searcher, whose work the other replicas take over anyway.
 _NOT_LOAD = frozenset(
-    {SubCode.DRAINING, SubCode.VERSION_GONE, SubCode.RANGE_MOVED, SubCode.WRONG_RECEIVER}
+    {
+        SubCode.DRAINING,
+        SubCode.VERSION_GONE,
+        SubCode.RANGE_MOVED,
+        SubCode.WRONG_RECEIVER,
+        SubCode.LOST,
+    }
 )
 #: Endings that speak against the searcher.
-_FAILURES = frozenset({SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE})
+_FAILURES = frozenset(
+    {SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE, SubCode.LOST}
+)
 
 _STATES = {int(state): state for state in UpstreamState}
 
@@ -289,7 +299,7 @@
             return self._settle(call, now_ms)
         if outcome == SubCode.VERSION_GONE and self._other_version(call):
             return self._replan(call, now_ms)
-        if not free and self._wait_for(call, part, now_ms):
+        if outcome in _FAILURES and self._wait_for(call, part, now_ms):
             return []
         call.lose(part)
         return self._settle(call, now_ms)
@@ -346,8 +356,8 @@
             self._scores.on_ended(part.attempts.pop(number).upstream_id)
         if not lost or part.done or part.attempts or call.call_id not in self._calls:
             return []
-        part.why = "broken"
-        return self._again(call, part, SubCode.BROKEN, now_ms)
+        part.why = "lost"
+        return self._again(call, part, SubCode.LOST, now_ms)
 
     # Hedges.
 
