--- a/rhubarbhinge/web/_connections.py
+++ b/rhubarbhinge/web/_connections.py
@@ -97,15 +97,17 @@
         :param headers: more headers, besides those of host and length.
         :param timeout_ms: longest that the reply may take, in milliseconds.
         :raises RuntimeError: when the connection is not open or has a request under way.
+        :raises ValueError: when the method, path or headers are not well-formed.
         """
         found = self._conns.get(conn)
         if found is None or not found.is_open or found.parser is not None:
             raise RuntimeError(f"connection {conn} can not take a request")
         if found.closing or not self._links.is_open(conn):
             return
+        data = encode_request(method, path, found.host, body, headers)
         found.parser = ReplyParser(method)
         found.timer = self._timers.after(timeout_ms, lambda: self._abort(conn, found, TIMEOUT))
-        self._links.send(conn, encode_request(method, path, found.host, body, headers))
+        self._links.send(conn, data)
 
     def close(self, conn: int) -> None:
         """Close a connection at once; ``on_close`` is called later with ``local``.
--- a/rhubarbhinge/web/_errors.py
+++ b/rhubarbhinge/web/_errors.py
@@ -38,6 +38,19 @@
     )
 
 
+def unsupported_coding() -> Response:
+    """Answer a transfer coding other than ``chunked``.
+
+    :returns: the answer.
+    """
+    return error_response(
+        501,
+        "unsupported-coding",
+        "The request's body has a transfer coding that the server does not know.",
+        "Send the body plain, with its length or in chunks.",
+    )
+
+
 def header_too_large(limit_bytes: int) -> Response:
     """Answer headers above the limit.
 
--- a/rhubarbhinge/web/_heads.py
+++ b/rhubarbhinge/web/_heads.py
@@ -20,6 +20,7 @@
 LENGTH_VALUE = re.compile(rb"(?<=\r\n)[Cc]ontent-[Ll]ength: (0|[1-9][0-9]{0,8})(?=\r\n)")
 """The one way of stating a length whose form is kept; up to nine digits."""
 
+LENGTH_FIELD = re.compile(rb"\n *content-length *:([^\r\n]*)")
 LENGTH_NAMES = (b"content-length", b"transfer-encoding")
 
 WITHOUT_BODY = (204, 304)
@@ -52,6 +53,18 @@
     return head.count(b"\n") != pairs or head.count(b"\r") != pairs
 
 
+def has_odd_length(head: bytes) -> bool:
+    """Tell whether a head states a length twice, or not as one plain number.
+
+    h11 takes a length that is given twice alike; a peer that does so is not trusted here.
+
+    :param head: first line and headers.
+    :returns: whether it does.
+    """
+    values = LENGTH_FIELD.findall(head.lower())
+    return len(values) > 1 or not all(value.strip().isdigit() for value in values)
+
+
 def mentions_length(part: bytes) -> bool:
     """Tell whether a part of a head may say more about the length.
 
--- a/rhubarbhinge/web/_parser.py
+++ b/rhubarbhinge/web/_parser.py
@@ -1,18 +1,17 @@
 """Requests out of the bytes of one connection."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 
-from rhubarbhinge.web._errors import body_too_large, header_too_large, malformed
-from rhubarbhinge.web._heads import HEAD_END, has_bare_line_end, stated_lengths
+from rhubarbhinge.web._errors import body_too_large, header_too_large, malformed, unsupported_coding
+from rhubarbhinge.web._heads import HEAD_END, has_bare_line_end, has_odd_length, stated_lengths
 from rhubarbhinge.web._limits import HttpLimits
 from rhubarbhinge.web._request import Request
 from rhubarbhinge.web._request_reading import RequestHead, read_plain_request_head, request_head
 from rhubarbhinge.web._response import Response
 
-LENGTH_FIELD = b"\ncontent-length:"
-
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -126,18 +125,19 @@
         return None
 
     def _read_full_head(self, head: bytes) -> Refusal | None:
+        if has_bare_line_end(head) or has_odd_length(head):
+            return Refusal(malformed())
         self._full = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + len(HEAD_END)
         )
         try:
             self._full.receive_data(head)
             event = self._full.next_event()
-        except h11.RemoteProtocolError:
-            return Refusal(malformed())
+        except h11.RemoteProtocolError as error:
+            odd_coding = error.error_status_hint == HTTPStatus.NOT_IMPLEMENTED
+            return Refusal(unsupported_coding() if odd_coding else malformed())
         if not isinstance(event, h11.Request) or stated_lengths(event.headers) > 1:
             return Refusal(malformed())
-        if has_bare_line_end(head) or head.lower().count(LENGTH_FIELD) > 1:
-            return Refusal(malformed())
         waits = self._full.they_are_waiting_for_100_continue
         self._head = request_head(event, awaits_continue=waits)
         if self._head is None:
--- a/rhubarbhinge/web/_reply_parser.py
+++ b/rhubarbhinge/web/_reply_parser.py
@@ -8,6 +8,7 @@
     HEAD_END,
     WITHOUT_BODY,
     has_bare_line_end,
+    has_odd_length,
     header_dict,
     stated_lengths,
 )
@@ -79,7 +80,7 @@
         end += len(HEAD_END)
         plain = read_plain_reply_head(data[:end]) if self._method != "HEAD" else None
         if plain is None:
-            if has_bare_line_end(data[:end]):
+            if has_bare_line_end(data[:end]) or has_odd_length(data[:end]):
                 return ReplyFault.MALFORMED
             self._full = _FullParser(self._method)
             return self._read_full(data)
--- a/rhubarbhinge/web/_response_writing.py
+++ b/rhubarbhinge/web/_response_writing.py
@@ -2,6 +2,7 @@
 
 import gzip
 from functools import lru_cache
+from http import HTTPStatus
 
 import h11
 
@@ -53,7 +54,7 @@
         fields.append(("Content-Type", content_type))
     fields += [*headers, ("Content-Length", "0")]
     try:
-        response = h11.Response(status_code=status, headers=fields)
+        response = h11.Response(status_code=status, headers=fields, reason=_reason(status))
         head = h11.Connection(h11.SERVER).send(response)
     except h11.LocalProtocolError as error:
         raise ValueError(f"an answer's head is not well-formed: {error}") from error
@@ -62,6 +63,13 @@
     return head[: -len(NO_LENGTH)]
 
 
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode("ascii")
+    except ValueError:
+        return b"Unknown"
+
+
 def _accepts_gzip(request: Request) -> bool:
     for choice in request.headers.get("accept-encoding", "").split(","):
         coding, _, quality = choice.partition(";")
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -92,7 +92,7 @@
         caller.parser.feed(data)
         if caller.responder is None:
             self._read_on(caller)
-        elif caller.parser.overrun:
+        if caller.responder is not None and caller.parser.overrun:
             self._abort(caller)
 
     def _closed(self, link: int, reason: CloseReason) -> None:
