--- a/rhubarbhinge/net/_link.py
+++ b/rhubarbhinge/net/_link.py
@@ -30,6 +30,7 @@
         "number",
         "sock",
         "state",
+        "takes_data",
         "peer_ip",
         "pending",
         "pending_bytes",
@@ -42,6 +43,7 @@
         self.number = number
         self.sock = sock
         self.state = state
+        self.takes_data = True
         self.peer_ip = peer_ip
         self.pending: list[bytes | memoryview] = []
         self.pending_bytes = 0
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -134,7 +134,7 @@
         :param data: the bytes.
         """
         found = self._links.get(link)
-        if found is None or found.state.value > LinkState.OPEN.value:
+        if found is None or not found.takes_data:
             return
         found.pending.append(data)
         found.pending_bytes += len(data)
@@ -150,8 +150,9 @@
         :param link: the link.
         """
         found = self._links.get(link)
-        if found is None or found.state.value > LinkState.OPEN.value:
+        if found is None or not found.takes_data:
             return
+        found.takes_data = False
         if found.state is LinkState.CONNECTING:
             self._end(found, CloseReason.LOCAL)
             return
--- a/rhubarbhinge/net/tests/test_links.py
+++ b/rhubarbhinge/net/tests/test_links.py
@@ -78,6 +78,8 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         link = self.near.links.open(LOOPBACK, port, 5000)
         self.until(lambda: self.near.opened)
+        sock = self.near.links._links[link].sock
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
         peer, _ = listener.accept()
         self.addCleanup(peer.close)
         peer.setblocking(False)
@@ -85,14 +87,17 @@
         for part in parts:
             self.near.links.send(link, part)
         self.near.links.close(link)
+        run_until(self.root, lambda: False, 0.1)
+        self.assertGreater(self.near.links._links[link].pending_bytes, 0)
         got = bytearray()
 
         def read_some():
             try:
-                got.extend(peer.recv(50_000))
+                while len(got) < 3_000_000:
+                    got.extend(peer.recv(1 << 20))
             except BlockingIOError:
-                pass
-            return len(got) == 3_000_000
+                return False
+            return True
 
         self.until(read_some)
         self.assertEqual(b"".join(parts), bytes(got))
--- a/rhubarbhinge/timing/_subscription.py
+++ b/rhubarbhinge/timing/_subscription.py
@@ -28,4 +28,9 @@
         """Make sure that the callback is not called any more; harmless when repeated."""
         if self.active:
             self.active = False
+            self.callback = _nothing
             self._on_cancel()
+
+
+def _nothing() -> None:
+    """Stand in for the callback of a cancelled timer, whose own state can be freed."""
--- a/tools/web_rates.py
+++ b/tools/web_rates.py
@@ -25,10 +25,10 @@
 SEARCH = b'{"call":"e1.17.3.0","collection":"overhauls","version":41,"text":"bearing"}' * 2
 HIT = b'{"id":"overhauls-00017","score":0.91,"title":"bearing housing"}'
 REPLY_BODY = b'{"hits":[' + b",".join([HIT] * 10) + b"]}"
-REPLY = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (
-    len(REPLY_BODY),
-    REPLY_BODY,
-)
+REPLY_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+REPLY = REPLY_HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(REPLY_BODY), REPLY_BODY)
+CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+CHUNKED_REPLY = REPLY_HEAD + CHUNKS % (len(REPLY_BODY), REPLY_BODY)
 
 
 def main() -> None:
@@ -37,7 +37,8 @@
     _show("circuits.web hello, 4 callers", _serve(_run_circuits_web))
     _show("HttpServer hello, 4 callers", _serve(_run_http_server))
     for conns in UPSTREAM_CONNS:
-        _show(f"HttpConnections, {conns} connections", _call(conns))
+        _show(f"HttpConnections, {conns} connections", _call(conns, REPLY))
+    _show("same, chunked replies (full parse)", _call(UPSTREAM_CONNS[-1], CHUNKED_REPLY))
 
 
 def _show(part: str, figures: tuple[float, float]) -> None:
@@ -124,9 +125,9 @@
     root.run()
 
 
-def _call(conns: int) -> tuple[float, float]:
+def _call(conns: int, reply: bytes) -> tuple[float, float]:
     ours, theirs = multiprocessing.Pipe()
-    upstream = multiprocessing.Process(target=_run_upstream, args=(theirs,), daemon=True)
+    upstream = multiprocessing.Process(target=_run_upstream, args=(theirs, reply), daemon=True)
     upstream.start()
     figures = _call_upstream(ours.recv(), conns)
     upstream.terminate()
@@ -134,7 +135,7 @@
     return figures
 
 
-def _run_upstream(pipe) -> None:
+def _run_upstream(pipe, reply: bytes) -> None:
     listener = socket.create_server(("127.0.0.1", 0))
     selector = selectors.DefaultSelector()
     selector.register(listener, selectors.EVENT_READ)
@@ -146,7 +147,7 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 selector.register(sock, selectors.EVENT_READ)
             elif key.fileobj.recv(65536):
-                key.fileobj.sendall(REPLY)
+                key.fileobj.sendall(reply)
             else:
                 selector.unregister(key.fileobj)
                 key.fileobj.close()
