Split sockets off the links; self-connection counts as refused

A connect to a dead local port can meet itself when the kernel picks the same port; it would pass for an upstream. Events that a fail-stop finds already queued are not handled any more.

--- a/rhubarbhinge/net/_datagrams.py
+++ b/rhubarbhinge/net/_datagrams.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller, EPoll
 
+from rhubarbhinge.net._sockets import datagram_socket
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
@@ -37,7 +38,7 @@
     ):
         super().__init__(channel=channel or f"datagrams-{next(_channels)}")
         self._on_datagram = on_datagram
-        self._sock: socket.socket | None = _bound(bind)
+        self._sock: socket.socket | None = datagram_socket(bind)
         self._port = self._sock.getsockname()[1]
         self._poller: BasePoller | None = None
         self._timers: TimerService | None = None
@@ -79,9 +80,11 @@
 
     @handler("_read")
     def _on_read(self, sock) -> None:
-        if self._timers.asleep:
-            self._timers.wake()
+        if not self.root.running:
+            return
         try:
+            if self._timers.asleep:
+                self._timers.wake()
             self._receive_all()
         except Exception as error:
             fail_stop(error)
@@ -104,14 +107,3 @@
             except OSError:
                 continue
             self._on_datagram(address[0], address[1], data)
-
-
-def _bound(bind: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        sock.bind(bind)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/rhubarbhinge/net/_link.py
+++ b/rhubarbhinge/net/_link.py
@@ -5,6 +5,9 @@
 
 from rhubarbhinge.timing import Subscription
 
+BUFFERS_PER_SEND = 512
+"""Most buffers in one ``sendmsg``; Linux takes up to 1024 (``IOV_MAX``)."""
+
 
 class LinkState(Enum):
     """Where a connection stands."""
@@ -51,6 +54,22 @@
         self.polled_for_write = False
         self.timer: Subscription | None = None
 
+    def write_some(self) -> bool:
+        """Give the kernel what it takes of what is pending.
+
+        :returns: whether it took all that was offered.
+        :raises OSError: when it took nothing.
+        """
+        if len(self.pending) == 1:
+            offered_bytes = len(self.pending[0])
+            written_bytes = self.sock.send(self.pending[0])
+        else:
+            buffers = self.pending[:BUFFERS_PER_SEND]
+            offered_bytes = sum(map(len, buffers))
+            written_bytes = self.sock.sendmsg(buffers)
+        self.drop_written(written_bytes)
+        return written_bytes == offered_bytes
+
     def drop_written(self, written_bytes: int) -> None:
         """Forget bytes that the kernel has taken.
 
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -10,6 +10,12 @@
 
 from rhubarbhinge.net._link import Link, LinkState
 from rhubarbhinge.net._reason import CloseReason
+from rhubarbhinge.net._sockets import (
+    connect_error,
+    connecting_socket,
+    is_self_connected,
+    listening_socket,
+)
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
@@ -20,9 +26,6 @@
 RECEIVE_BYTES = 64 * 1024
 """Most bytes read from a link in one loop turn."""
 
-BACKLOG = 1024
-"""Connections that the kernel holds until they are accepted."""
-
 ACCEPTS_PER_TURN = 64
 """Most connections accepted in one loop turn."""
 
@@ -39,9 +42,6 @@
 has not read yet (RFC 9112, 9.6).
 """
 
-BUFFERS_PER_SEND = 512
-"""Most buffers in one ``sendmsg``; Linux takes up to 1024 (``IOV_MAX``)."""
-
 NOTIFY_PRIORITY = 5
 """Closes are told after due timers have run."""
 
@@ -49,7 +49,7 @@
 """Writes happen after all callbacks of a turn and before the poll."""
 
 _AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
-_CONNECT_STARTED = (0, errno.EINPROGRESS, errno.EAGAIN)
+_CONNECT_STARTED = (0, errno.EINPROGRESS)
 _ACCEPT_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _CONNECT_FAULTS = {
     errno.ECONNREFUSED: CloseReason.REFUSED,
@@ -94,7 +94,7 @@
         self._ended: list[tuple[int, CloseReason]] = []
         self._poller: BasePoller | None = None
         self._timers: TimerService | None = None
-        self._listener = None if bind is None else _listen(bind)
+        self._listener = None if bind is None else listening_socket(bind)
         self._port = 0 if bind is None else self._listener.getsockname()[1]
 
     @property
@@ -113,13 +113,11 @@
         self._attach()
         number = next(self._numbers)
         try:
-            socket.inet_pton(socket.AF_INET, ip)
-            sock = _tcp_socket()
+            sock, fault = connecting_socket(ip, port)
         except OSError:
             self._ended.append((number, CloseReason.UNREACHABLE))
             return number
         link = self._add(number, sock, LinkState.CONNECTING, ip)
-        fault = sock.connect_ex((ip, port))
         if fault not in _CONNECT_STARTED:
             self._end(link, _CONNECT_FAULTS.get(fault, CloseReason.UNREACHABLE))
             return number
@@ -180,6 +178,11 @@
         self._listener.close()
         self._listener = None
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes sent on all links that the kernel has not taken yet."""
+        return sum(link.pending_bytes for link in self._links.values())
+
     def is_open(self, link: int) -> bool:
         """Tell whether bytes sent on a link now would go out.
 
@@ -211,6 +214,8 @@
 
     @handler("_read")
     def _on_read(self, sock) -> None:
+        if not self.root.running:
+            return
         try:
             if self._timers.asleep:
                 self._timers.wake()
@@ -225,7 +230,7 @@
     @handler("_write")
     def _on_write(self, sock) -> None:
         link = self._by_sock.get(sock)
-        if link is None:
+        if link is None or not self.root.running:
             return
         try:
             if self._timers.asleep:
@@ -241,7 +246,7 @@
     def _on_broken(self, sock, *_) -> None:
         link = self._by_sock.get(sock)
         if link is not None:
-            self._broken(link, sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+            self._broken(link, connect_error(sock))
 
     @handler("generate_events", priority=NOTIFY_PRIORITY)
     def _on_notify(self, event) -> None:
@@ -313,7 +318,9 @@
             self._poller.addReader(self, self._listener)
 
     def _connected(self, link: Link) -> None:
-        fault = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        fault = connect_error(link.sock)
+        if not fault and is_self_connected(link.sock):
+            fault = errno.ECONNREFUSED
         if fault:
             self._broken(link, fault)
             return
@@ -355,7 +362,7 @@
             return
         try:
             while link.pending:
-                if not self._write_some(link):
+                if not link.write_some():
                     self._poll_for_write(link)
                     return
         except OSError as error:
@@ -366,17 +373,6 @@
             return
         self._flushed(link)
 
-    def _write_some(self, link: Link) -> bool:
-        if len(link.pending) == 1:
-            offered_bytes = len(link.pending[0])
-            written_bytes = link.sock.send(link.pending[0])
-        else:
-            buffers = link.pending[:BUFFERS_PER_SEND]
-            offered_bytes = sum(map(len, buffers))
-            written_bytes = link.sock.sendmsg(buffers)
-        link.drop_written(written_bytes)
-        return written_bytes == offered_bytes
-
     def _flushed(self, link: Link) -> None:
         if link.polled_for_write:
             link.polled_for_write = False
@@ -420,23 +416,3 @@
         self._poller.discard(link.sock)
         link.sock.close()
         return True
-
-
-def _listen(bind: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(bind)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def _tcp_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
--- /dev/null
+++ b/rhubarbhinge/net/_sockets.py
@@ -0,0 +1,78 @@
+"""Making sockets."""
+
+import socket
+
+BACKLOG = 1024
+"""Connections that the kernel holds until they are accepted."""
+
+
+def listening_socket(bind: tuple[str, int]) -> socket.socket:
+    """Make a TCP socket that listens.
+
+    :param bind: IP address and port; port 0 for any free one.
+    :returns: the socket, which does not block.
+    :raises OSError: when the port can not be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(bind)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def connecting_socket(ip: str, port: int) -> tuple[socket.socket, int]:
+    """Make a TCP socket and start its connection.
+
+    :param ip: the peer's IP address.
+    :param port: the peer's port.
+    :returns: the socket, which does not block, and the error number of its start.
+    :raises OSError: when there is no room for a socket or the address is none.
+    """
+    socket.inet_pton(socket.AF_INET, ip)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock, sock.connect_ex((ip, port))
+
+
+def connect_error(sock: socket.socket) -> int:
+    """Tell how a connection came out.
+
+    :param sock: a socket whose connection has ended its start.
+    :returns: the error number, 0 when connected.
+    """
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+def is_self_connected(sock: socket.socket) -> bool:
+    """Tell whether a socket is connected to itself.
+
+    That happens when nothing listens at a local port and the kernel picks the same port for this
+    end (simultaneous open, RFC 9293, 3.5).
+
+    :param sock: a connected socket.
+    :returns: whether both ends are the same.
+    """
+    return sock.getsockname() == sock.getpeername()
+
+
+def datagram_socket(bind: tuple[str, int]) -> socket.socket:
+    """Make a UDP socket.
+
+    :param bind: IP address and port; port 0 for any free one.
+    :returns: the socket, which does not block.
+    :raises OSError: when the port can not be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind(bind)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/rhubarbhinge/net/tests/test_links.py
+++ b/rhubarbhinge/net/tests/test_links.py
@@ -1,3 +1,4 @@
+import errno
 import socket
 import unittest
 from unittest import mock
@@ -5,6 +6,8 @@
 from circuits import BaseComponent
 
 from rhubarbhinge.net import CloseReason, Links
+from rhubarbhinge.net._link import Link
+from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 
 LOOPBACK = "127.0.0.1"
@@ -60,8 +63,8 @@
 
     def test_what_is_sent_in_one_turn_goes_out_in_one_write(self):
         near, far = self.connect()
-        with mock.patch.object(Links, "_write_some", autospec=True, return_value=True) as write:
-            write.side_effect = lambda links, link: link.drop_written(link.pending_bytes) or True
+        with mock.patch.object(Link, "write_some", autospec=True) as write:
+            write.side_effect = lambda link: link.drop_written(link.pending_bytes) or True
             for _ in range(10):
                 self.near.links.send(near, b"x")
             self.until(lambda: write.called)
@@ -154,6 +157,38 @@
         self.until(lambda: len(self.near.opened) + len(self.near.closed) == len(links))
         self.assertEqual({CloseReason.CONNECT_TIMEOUT}, {why for _, why in self.near.closed})
 
+    def test_accepting_rests_while_descriptors_are_out(self):
+        out = OSError(errno.EMFILE, "too many open files")
+        with mock.patch("socket.socket.accept", side_effect=out) as accept:
+            link = self.near.links.open(LOOPBACK, self.port, 5000)
+            self.until(lambda: self.near.opened)
+            run_until(self.root, lambda: False, 0.25)
+            self.assertLess(accept.call_count, 10)
+        self.until(lambda: self.far.opened)
+        self.assertTrue(self.near.links.is_open(link))
+
+    def test_a_connection_to_itself_counts_as_refused(self):
+        with mock.patch("rhubarbhinge.net._links.is_self_connected", return_value=True):
+            link = self.near.links.open(LOOPBACK, self.port, 5000)
+            self.until(lambda: self.near.closed == [(link, CloseReason.REFUSED)])
+
+    def test_a_pause_is_told_before_the_data_that_came_in_meanwhile(self):
+        now_ms, seen = 0.0, []
+        self.root = BaseComponent()
+        self.addCleanup(stop_tree, self.root)
+        timers = TimerService(clock=lambda: now_ms).register(self.root)
+        timers.on_pause(lambda late_ms: seen.append("pause"))
+        end = End(bind=(LOOPBACK, 0))
+        end.links.register(self.root)
+        end.links._on_data = lambda link, data: seen.append("data")
+        peer = socket.create_connection((LOOPBACK, end.links.bound_port))
+        self.addCleanup(peer.close)
+        self.until(lambda: end.opened and timers.asleep)
+        peer.send(b"x")
+        now_ms += 5000
+        self.until(lambda: "data" in seen)
+        self.assertEqual(["pause", "data"], seen)
+
     def test_a_callback_that_raises_stops_the_process(self):
         near, _ = self.connect()
         self.far.links._on_data = lambda link, data: 1 / 0
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -71,6 +71,11 @@
         """How many requests have been handed over and not answered or abandoned."""
         return self._open_requests
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers not written yet; a graceful stop waits until there are none."""
+        return self._links.pending_bytes
+
     def stop_listening(self) -> None:
         """Accept no more connections; each open one is closed after its next answer."""
         self._stopping = True
