--- a/standins/history.py
+++ b/standins/history.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self, path: str | None) -> None:
-        self._file = open(path, "ab") if path else None  # noqa: SIM115
+        self._file = open(path, "ab") if path else None
 
     def add(self, event: Mapping[str, object], durable: bool = False) -> None:
         """Write one event.
--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -1,6 +1,7 @@
 """A listening port."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from standins.http._connection import Connection
@@ -27,31 +28,37 @@
         self.requested = on_request
         self._on_gone = on_gone
         self._on_opened = on_opened
-        self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._serving: asyncio.Task[asyncio.Server] | None = None
         self._open: set[Connection] = set()
 
-    async def listen(self, ip: str, port: int) -> int:
-        """Start to listen.
+    def listen(self, ip: str, port: int) -> int:
+        """Start to listen; a connection made from now on is accepted as soon as the loop runs.
 
         :param ip: The address.
         :param port: The port, or 0 for any free one.
         :returns: The port bound.
+        :raises OSError: When the port cannot be bound.
         """
+        self._socket = socket.create_server((ip, port), backlog=_BACKLOG)
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: Connection(self), ip, port, backlog=_BACKLOG
+        self._serving = loop.create_task(
+            loop.create_server(lambda: Connection(self), sock=self._socket, backlog=_BACKLOG)
         )
-        return self._listener.sockets[0].getsockname()[1]
+        return self._socket.getsockname()[1]
 
     def stop_listening(self) -> None:
         """Refuse new connections; open ones stay."""
-        self._listener.close()
-        self._listener = None
+        if self._serving.done():
+            self._serving.result().close()
+        self._serving.cancel()
+        self._serving = None
+        self._socket.close()
 
     @property
     def is_listening(self) -> bool:
         """Whether new connections are accepted."""
-        return self._listener is not None
+        return self._serving is not None
 
     def opened(self, connection: Connection) -> float | None:
         """Count a new connection.
--- a/standins/platform/_daemon.py
+++ b/standins/platform/_daemon.py
@@ -29,7 +29,7 @@
     platform = PlatformPort(Platform(knobs), history)
     for key, document in config.get("documents", {}).items():
         platform.publish(key, orjson.dumps(document))
-    bound = await platform.listen(config.get("ip", _LOOPBACK), config.get("port", 0))
+    bound = platform.listen(config.get("ip", _LOOPBACK), config.get("port", 0))
     _tick(platform)
     return {"port": bound}
 
--- a/standins/platform/_port.py
+++ b/standins/platform/_port.py
@@ -31,14 +31,14 @@
         self._exchanges = Exchanges()
         self._server = Server(self._requested, self._gone, lambda now_open: 0.0)
 
-    async def listen(self, ip: str, port: int) -> int:
+    def listen(self, ip: str, port: int) -> int:
         """Start to listen.
 
         :param ip: The address.
         :param port: The port, or 0 for any free one.
         :returns: The port bound.
         """
-        return await self._server.listen(ip, port)
+        return self._server.listen(ip, port)
 
     def publish(self, key: str, document: bytes, revision: int | None = None) -> None:
         """Publish a document.
--- a/standins/records.py
+++ b/standins/records.py
@@ -83,13 +83,17 @@
     :returns: Hits with ``id``, ``score`` and ``title``, best first, equal scores by ``id``;
         shared between callers, so not to be changed.
     """
-    found = [
-        _hit(collection, version, key, text)
+    seed = xxhash.xxh32_intdigest(f"{collection}/{version}/{text}".encode())
+    residues = _residues(collection)
+    shift = version * _VERSION_STEP
+    ranked = sorted(
+        (-_score_steps(key, seed), key)
         for key in _matching_keys(lo, hi, text)
-        if exists(collection, version, key)
-    ]
-    found.sort(key=lambda hit: (-hit["score"], hit["id"]))
-    return tuple(found[:limit])
+        if (residues[key] + shift) % _EXISTS_MODULUS < _EXISTS_BELOW
+    )
+    return tuple(
+        _hit(collection, version, key, -steps / _SCORE_STEPS, text) for steps, key in ranked[:limit]
+    )
 
 
 def _matching_keys(lo: int, hi: int, text: str) -> range:
@@ -98,10 +102,14 @@
     return range(first + skipped * _MATCH_STRIDE, hi, _MATCH_STRIDE)
 
 
-def _hit(collection: str, version: int, key: int, text: str) -> dict[str, str | float]:
+def _score_steps(key: int, seed: int) -> int:
+    return xxhash.xxh32_intdigest(b"%d" % key, seed) % _SCORE_STEPS
+
+
+def _hit(
+    collection: str, version: int, key: int, score: float, text: str
+) -> dict[str, str | float]:
     name = record_id(collection, version, key)
-    digest = xxhash.xxh32_intdigest(f"{name}/{text}".encode())
-    score = (digest % _SCORE_STEPS) / _SCORE_STEPS
     return {"id": name, "score": score, "title": f"{text}: record {key} of {collection}"}
 
 
--- a/standins/searcher/_control.py
+++ b/standins/searcher/_control.py
@@ -22,13 +22,13 @@
         self._ports = ports
         self._server = Server(self._requested, lambda connection: None, lambda now_open: 0.0)
 
-    async def listen(self, ip: str) -> int:
+    def listen(self, ip: str) -> int:
         """Start to listen on any free port.
 
         :param ip: The address.
         :returns: The port bound.
         """
-        return await self._server.listen(ip, 0)
+        return self._server.listen(ip, 0)
 
     def _requested(self, connection: Connection, request: Request) -> None:
         try:
--- a/standins/searcher/_daemon.py
+++ b/standins/searcher/_daemon.py
@@ -28,10 +28,8 @@
     for document in config["searchers"]:
         name = document["name"]
         searchers[name] = _searcher_port(document, defaults, history)
-        ports[name] = await searchers[name].listen(
-            document.get("ip", _LOOPBACK), document.get("port", 0)
-        )
-    control_port = await ControlPort(searchers).listen(_LOOPBACK)
+        ports[name] = searchers[name].listen(document.get("ip", _LOOPBACK), document.get("port", 0))
+    control_port = ControlPort(searchers).listen(_LOOPBACK)
     return {"ports": ports, "control_port": control_port}
 
 
--- a/standins/searcher/_port.py
+++ b/standins/searcher/_port.py
@@ -60,14 +60,14 @@
             ("POST", _CONTROL_PATH): self._control,
         }
 
-    async def listen(self, ip: str, port: int) -> int:
+    def listen(self, ip: str, port: int) -> int:
         """Start to listen.
 
         :param ip: The address.
         :param port: The port, or 0 for any free one.
         :returns: The port bound.
         """
-        bound = await self._server.listen(ip, port)
+        bound = self._server.listen(ip, port)
         self._address = (ip, bound)
         return bound
 
@@ -127,7 +127,7 @@
             self._server.stop_listening()
             self._server.abort_all()
         else:
-            asyncio.get_running_loop().create_task(self.listen(*self._address))
+            self.listen(*self._address)
 
     def _opened(self, now_open: int) -> float | None:
         knobs = self._searcher.knobs
