net: the poller calls the owners of ready sockets

Cause: a quarter of a sub-query's CPU time in the relay went into circuits events, one a ready socket. Ruled out: reading several sockets in one event, since the event is fired by the library's poller. Change: ReadyPoller, an EPoll that calls on_readable and on_writable; sockets are looked up before callbacks run, so that a reused number is not told of its predecessor's readiness. The platform's calls carry the reader's name.

--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -277,6 +277,7 @@
             port,
             "GET",
             path,
+            headers=(("Reader", self._identity.name),),
             timeout_ms=effect.wait_ms + _CALL_MARGIN_MS,
             on_done=lambda result: self._polled(effect.key, result),
         )
--- a/rhubarbhinge/net/_datagrams.py
+++ b/rhubarbhinge/net/_datagrams.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, EPoll
 
+from rhubarbhinge.net._poller import ReadyPoller
 from rhubarbhinge.net._sockets import datagram_socket
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
@@ -40,7 +40,7 @@
         self._on_datagram = on_datagram
         self._sock: socket.socket | None = datagram_socket(bind)
         self._port = self._sock.getsockname()[1]
-        self._poller: BasePoller | None = None
+        self._poller: ReadyPoller | None = None
         self._timers: TimerService | None = None
 
     @property
@@ -66,7 +66,7 @@
     def _on_registered(self, component, manager) -> None:
         if component is self:
             self._timers = shared_component(self, TimerService)
-            self._poller = shared_component(self, BasePoller, EPoll)
+            self._poller = shared_component(self, ReadyPoller)
             self._poller.addReader(self, self._sock)
 
     @handler("stopped", channel="*")
@@ -78,8 +78,11 @@
         self._sock.close()
         self._sock = None
 
-    @handler("_read")
-    def _on_read(self, sock) -> None:
+    def on_readable(self, sock) -> None:
+        """Read from a socket; called by the poller.
+
+        :param sock: the socket.
+        """
         if not self.root.running:
             return
         try:
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, EPoll
 
 from rhubarbhinge.net._link import Link, LinkState
+from rhubarbhinge.net._poller import ReadyPoller
 from rhubarbhinge.net._reason import CloseReason
 from rhubarbhinge.net._sockets import (
     connect_error,
@@ -92,7 +92,7 @@
         self._by_sock: dict[socket.socket, Link] = {}
         self._dirty: list[Link] = []
         self._ended: list[tuple[int, CloseReason]] = []
-        self._poller: BasePoller | None = None
+        self._poller: ReadyPoller | None = None
         self._timers: TimerService | None = None
         self._listener = None if bind is None else listening_socket(bind)
         self._port = 0 if bind is None else self._listener.getsockname()[1]
@@ -212,8 +212,11 @@
         for link in list(self._links.values()):
             self._forget(link)
 
-    @handler("_read")
-    def _on_read(self, sock) -> None:
+    def on_readable(self, sock) -> None:
+        """Read from a socket; called by the poller.
+
+        :param sock: the socket.
+        """
         if not self.root.running:
             return
         try:
@@ -227,8 +230,11 @@
         except Exception as error:
             fail_stop(error)
 
-    @handler("_write")
-    def _on_write(self, sock) -> None:
+    def on_writable(self, sock) -> None:
+        """Write to a socket; called by the poller.
+
+        :param sock: the socket.
+        """
         link = self._by_sock.get(sock)
         if link is None or not self.root.running:
             return
@@ -280,7 +286,7 @@
         if self._poller is not None:
             return
         self._timers = shared_component(self, TimerService)
-        self._poller = shared_component(self, BasePoller, EPoll)
+        self._poller = shared_component(self, ReadyPoller)
         if self._listener is not None:
             self._poller.addReader(self, self._listener)
 
