Stand-ins: only what cannot be read is answered 400

Cause: any KeyError or TypeError under a request was told as 400, so a fault of the stand-in itself would have looked like the caller's.

Ruled out: reading requests by a schema library (one more dependency for six small bodies).

--- a/standins/fleet/_calls.py
+++ b/standins/fleet/_calls.py
@@ -1,5 +1,6 @@
 """Calls to the control endpoints of stand-ins."""
 
+import urllib.error
 import urllib.request
 
 import orjson
@@ -23,3 +24,21 @@
     request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data=body)
     with urllib.request.urlopen(request, timeout=wait_s) as answer:
         return orjson.loads(answer.read() or b"null")
+
+
+def answers(port: int, path: str, wait_s: float = 1.0) -> bool:
+    """Say whether a path is answered with success, such as ``/readyz`` of a node.
+
+    :param port: The port.
+    :param path: The path.
+    :param wait_s: How long to wait for the answer, in seconds.
+    :returns: False for another status, and without an answer.
+    """
+    try:
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", timeout=wait_s) as answer:
+            return answer.status < 300
+    except urllib.error.HTTPError as refused:
+        refused.close()
+        return False
+    except OSError:
+        return False
--- a/standins/http/__init__.py
+++ b/standins/http/__init__.py
@@ -6,8 +6,18 @@
 
 from standins.http._connection import Connection
 from standins.http._exchanges import Exchanges
+from standins.http._malformed import MalformedError, reads
 from standins.http._reply import Delivery, Reply
 from standins.http._request import Request
 from standins.http._server import Server
 
-__all__ = ["Connection", "Delivery", "Exchanges", "Reply", "Request", "Server"]
+__all__ = [
+    "Connection",
+    "Delivery",
+    "Exchanges",
+    "MalformedError",
+    "Reply",
+    "Request",
+    "Server",
+    "reads",
+]
--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 from standins.http._connection import Connection
+from standins.http._malformed import MalformedError
+from standins.http._reply import Reply
 from standins.http._request import Request
 
 _BACKLOG = 1024
@@ -13,7 +15,8 @@
 class Server:
     """Listens on one port.
 
-    :param on_request: Called with the connection and its request.
+    :param on_request: Called with the connection and its request; may raise
+        :class:`MalformedError`.
     :param on_gone: Called with a connection that was closed while its request was open.
     :param on_opened: Called at each accept with the number of open connections, this one included;
         gives the time to hold the connection, in milliseconds, or None to close it at once.
@@ -25,7 +28,7 @@
         on_gone: Callable[[Connection], None],
         on_opened: Callable[[int], float | None],
     ) -> None:
-        self.requested = on_request
+        self._on_request = on_request
         self._on_gone = on_gone
         self._on_opened = on_opened
         self._socket: socket.socket | None = None
@@ -81,6 +84,17 @@
         if busy:
             self._on_gone(connection)
 
+    def requested(self, connection: Connection, request: Request) -> None:
+        """Pass a request on; a malformed one is answered 400.
+
+        :param connection: The connection it came on.
+        :param request: The request.
+        """
+        try:
+            self._on_request(connection, request)
+        except MalformedError:
+            connection.reply(Reply(400, b'{"code":"malformed"}'))
+
     def abort_all(self) -> None:
         """Close every open connection at once, with what is not yet sent."""
         for connection in tuple(self._open):
--- a/standins/platform/_daemon.py
+++ b/standins/platform/_daemon.py
@@ -10,6 +10,7 @@
 from standins.platform._knobs import PlatformKnobs
 from standins.platform._model import Platform
 from standins.platform._port import PlatformPort
+from standins.platform._publication import read_publication
 
 _LOOPBACK = "127.0.0.1"
 _TICK_S = 0.01
@@ -28,7 +29,7 @@
         raise SystemExit(str(knobs))
     platform = PlatformPort(Platform(knobs), history)
     for key, document in config.get("documents", {}).items():
-        platform.publish(key, orjson.dumps(document))
+        platform.publish(read_publication(key, orjson.dumps(document)))
     bound = platform.listen(config.get("ip", _LOOPBACK), config.get("port", 0))
     _tick(platform)
     return {"port": bound}
--- a/standins/platform/_model.py
+++ b/standins/platform/_model.py
@@ -4,12 +4,10 @@
 
 from standins.platform._answer import Answer
 from standins.platform._knobs import PlatformKnobs
+from standins.platform._publication import KEYS, Publication
 from standins.platform._rate import Rate
 from standins.platform._watch import Watch
 
-KEYS = ("register", "rules", "vms")
-"""The published keys (docs/architecture.md)."""
-
 
 class Platform:
     """The platform. Every method gives the answers to write.
@@ -39,15 +37,14 @@
             return [Answer(call.exchange, 404, b'{"code":"no-such-key"}')]
         return self._read(call, now_ms)
 
-    def publish(self, key: str, revision: int, document: bytes) -> list[Answer]:
+    def publish(self, publication: Publication) -> list[Answer]:
         """Publish a document; one older than the newest is kept but not told.
 
-        :param key: The key.
-        :param revision: The document's revision.
-        :param document: The raw document.
+        :param publication: The document with its key and revision.
         :returns: The answers to the watches that it ends.
         """
-        self._documents[key][revision] = document
+        revisions = self._documents[publication.key]
+        revisions[publication.revision] = publication.document
         return self._end_watches()
 
     def change(self, knobs: PlatformKnobs) -> list[Answer]:
--- a/standins/platform/_port.py
+++ b/standins/platform/_port.py
@@ -1,21 +1,20 @@
 """The platform behind its port."""
 
 import asyncio
-from collections.abc import Mapping
 from dataclasses import asdict
 
 import orjson
 
 from standins._knobs import BadKnobs, changed
 from standins.history import History, monotonic_ms
-from standins.http import Connection, Delivery, Exchanges, Reply, Request, Server
+from standins.http import Connection, Delivery, Exchanges, Reply, Request, Server, reads
 from standins.platform._answer import Answer
-from standins.platform._model import KEYS, Platform
+from standins.platform._model import Platform
+from standins.platform._publication import Publication, read_publication
 from standins.platform._watch import Watch
 
 _CONFIG_PATH = "/v1/config/"
 _READER_HEADER = "reader"
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class PlatformPort:
@@ -40,38 +39,27 @@
         """
         return self._server.listen(ip, port)
 
-    def publish(self, key: str, document: bytes, revision: int | None = None) -> None:
+    def publish(self, publication: Publication) -> None:
         """Publish a document.
 
-        :param key: The key.
-        :param document: The raw document.
-        :param revision: Its revision; None to read it from the document.
-        :raises ValueError: For an unknown key, or without a revision.
+        :param publication: The document with its key and revision.
         """
-        revision = _revision(document) if revision is None else revision
-        if key not in KEYS or revision is None:
-            raise ValueError(key)
-        self._note("publish", {"key": key, "revision": revision}, durable=True)
-        self._give(self._platform.publish(key, revision, document))
+        fields = {"key": publication.key, "revision": publication.revision}
+        self._note("publish", fields, durable=True)
+        self._give(self._platform.publish(publication))
 
     def tick(self) -> None:
         """End the watches that have waited long enough."""
         self._give(self._platform.tick(monotonic_ms()))
 
     def _requested(self, connection: Connection, request: Request) -> None:
-        try:
-            self._route(connection, request)
-        except _MALFORMED:
-            connection.reply(Reply(400, b'{"code":"malformed"}'))
-
-    def _route(self, connection: Connection, request: Request) -> None:
         asked = (request.method, request.path)
         if request.method == "GET" and request.path.startswith(_CONFIG_PATH):
             self._get(connection, request)
         elif asked == ("POST", "/standin/publish"):
             self._publish(connection, request)
         elif asked == ("POST", "/standin"):
-            self._control(connection, orjson.loads(request.body))
+            self._control(connection, request)
         elif asked in (("GET", "/standin"), ("GET", "/standin/stats")):
             connection.reply(Reply(200, orjson.dumps(self._shown())))
         else:
@@ -79,30 +67,30 @@
 
     def _get(self, connection: Connection, request: Request) -> None:
         now_ms = monotonic_ms()
-        after = request.query.get("after")
+        after, wait_ms = _waits(request)
         call = Watch(
             exchange=self._exchanges.open(connection),
             reader=request.headers.get(_READER_HEADER, connection.peer_ip),
             key=request.path[len(_CONFIG_PATH) :],
-            after=None if after is None else int(after),
-            until_ms=now_ms + float(request.query.get("wait_ms", 0)),
+            after=after,
+            until_ms=now_ms + wait_ms,
         )
         self._note("get", {"key": call.key, "reader": call.reader, "after": call.after})
         self._give(self._platform.get(call, now_ms))
 
     def _publish(self, connection: Connection, request: Request) -> None:
-        revision = request.query.get("revision")
-        number = None if revision is None else int(revision)
-        self.publish(request.query["key"], request.body, number)
+        query = request.query
+        self.publish(read_publication(query.get("key"), request.body, query.get("revision")))
         connection.reply(Reply(200, b"{}"))
 
-    def _control(self, connection: Connection, document: Mapping[str, object]) -> None:
+    def _control(self, connection: Connection, request: Request) -> None:
+        document = _document(request)
         knobs = changed(self._platform.knobs, document)
         if isinstance(knobs, BadKnobs):
             body = {"code": "bad-knobs", **asdict(knobs)}
             connection.reply(Reply(400, orjson.dumps(body)))
             return
-        self._note("knobs", dict(document), durable=True)
+        self._note("knobs", document, durable=True)
         self._give(self._platform.change(knobs))
         connection.reply(Reply(200, orjson.dumps(self._shown())))
 
@@ -138,10 +126,13 @@
     return Reply(answer.status, answer.body, headers)
 
 
-def _revision(document: bytes) -> int | None:
-    """Read a document's revision; a document that is not JSON has none."""
-    try:
-        revision = orjson.loads(document)["revision"]
-    except (orjson.JSONDecodeError, KeyError, TypeError):
-        return None
-    return revision if isinstance(revision, int) else None
+@reads
+def _waits(request: Request) -> tuple[int | None, float]:
+    after = request.query.get("after")
+    wait_ms = float(request.query.get("wait_ms", 0))
+    return (None if after is None else int(after)), wait_ms
+
+
+@reads
+def _document(request: Request) -> dict[str, object]:
+    return dict(orjson.loads(request.body).items())
--- a/standins/searcher/_change.py
+++ b/standins/searcher/_change.py
@@ -3,7 +3,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import orjson
+
 from standins._knobs import BadKnobs, changed
+from standins.http import reads
 from standins.searcher._holdings import Holdings, holdings_from, ranges_from
 from standins.searcher._knobs import SearcherKnobs
 
@@ -27,17 +30,17 @@
     lost: bool | None = None
 
 
-def read_change(
-    document: Mapping[str, object], knobs: SearcherKnobs, holdings: Holdings
-) -> Change | BadKnobs:
+@reads
+def read_change(body: bytes, knobs: SearcherKnobs, holdings: Holdings) -> Change | BadKnobs:
     """Read a change.
 
-    :param document: The request's body.
+    :param body: The request's body.
     :param knobs: The present knobs.
     :param holdings: The present holdings.
     :returns: The change, or why it was refused.
-    :raises KeyError: When part of a change of the holdings is missing.
+    :raises MalformedError: When it is no JSON object, or lacks part of a change of holdings.
     """
+    document = orjson.loads(body)
     others = (*_HOLDINGS_NAMES, *_LIFE_NAMES)
     new_knobs = changed(knobs, {name: document[name] for name in document if name not in others})
     if isinstance(new_knobs, BadKnobs):
--- a/standins/searcher/_control.py
+++ b/standins/searcher/_control.py
@@ -1,12 +1,11 @@
 """The control port of a process of searchers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import orjson
 
 from standins._knobs import BadKnobs
-from standins.http import Connection, Reply, Request, Server
-from standins.searcher._parsing import MALFORMED
+from standins.http import Connection, Reply, Request, Server, reads
 from standins.searcher._port import SearcherPort, refused
 
 _PATH = "/standin"
@@ -31,26 +30,28 @@
         return self._server.listen(ip, 0)
 
     def _requested(self, connection: Connection, request: Request) -> None:
-        try:
-            connection.reply(self._answer(request))
-        except MALFORMED:
-            connection.reply(Reply(400, b'{"code":"malformed"}'))
+        connection.reply(self._answer(request))
 
     def _answer(self, request: Request) -> Reply:
         if request.path != _PATH:
             return Reply(404, b'{"code":"no-such-path"}')
-        names = request.query.get("searcher")
-        chosen = names.split(",") if names else tuple(self._ports)
+        chosen = self._chosen(request)
         if request.method == "POST":
-            return self._change(chosen, orjson.loads(request.body))
-        shown = {name: self._ports[name].shown() for name in chosen}
+            return self._change(chosen, request.body)
+        shown = {name: port.shown() for name, port in chosen.items()}
         return Reply(200, orjson.dumps(shown))
 
-    def _change(self, names: Iterable[str], document: Mapping[str, object]) -> Reply:
-        changes = {name: self._ports[name].read_change(document) for name in names}
+    @reads
+    def _chosen(self, request: Request) -> dict[str, SearcherPort]:
+        names = request.query.get("searcher")
+        chosen = names.split(",") if names else self._ports
+        return {name: self._ports[name] for name in chosen}
+
+    def _change(self, chosen: Mapping[str, SearcherPort], body: bytes) -> Reply:
+        changes = {name: port.read_change(body) for name, port in chosen.items()}
         for change in changes.values():
             if isinstance(change, BadKnobs):
                 return refused(change)
         for name, change in changes.items():
-            self._ports[name].apply(change)
+            chosen[name].apply(change)
         return Reply(200, orjson.dumps({"changed": list(changes)}))
--- a/standins/searcher/_daemon.py
+++ b/standins/searcher/_daemon.py
@@ -3,11 +3,10 @@
 import random
 from collections.abc import Mapping
 
-from standins import records
 from standins._knobs import BadKnobs, changed
 from standins.history import History
 from standins.searcher._control import ControlPort
-from standins.searcher._holdings import Holdings, holdings_from
+from standins.searcher._holdings import holdings_from
 from standins.searcher._knobs import SearcherKnobs
 from standins.searcher._port import SearcherPort
 
@@ -41,7 +40,7 @@
     if isinstance(knobs, BadKnobs):
         raise SystemExit(f"{name}: {knobs}")
     holdings = holdings_from(document.get("holdings", {}))
-    _count_records(holdings)
+    holdings.count_records()
     return SearcherPort(
         name=name,
         incarnation=document.get("incarnation", 1),
@@ -50,10 +49,3 @@
         rng=random.Random(document.get("seed", name)),
         history=history,
     )
-
-
-def _count_records(holdings: Holdings) -> None:
-    """Fill the cache of record counts, so that no request waits for it."""
-    for collection, versions in holdings.ranges.items():
-        for version in versions:
-            records.total_records(collection, version)
--- a/standins/searcher/_holdings.py
+++ b/standins/searcher/_holdings.py
@@ -48,6 +48,12 @@
         versions = {version: ranges for version in self.ranges.get(collection, {})}
         return Holdings({**self.ranges, collection: versions})
 
+    def count_records(self) -> None:
+        """Fill the cache of record counts, so that no request waits for it."""
+        for collection, versions in self.ranges.items():
+            for version in versions:
+                records.total_records(collection, version)
+
     def document(self) -> dict[str, dict[str, Ranges]]:
         """Give the holdings as JSON, the way :func:`holdings_from` reads them.
 
--- a/standins/searcher/_parsing.py
+++ b/standins/searcher/_parsing.py
@@ -1,13 +1,12 @@
-"""Reading requests from JSON; a malformed one raises KeyError, TypeError or ValueError."""
+"""Reading requests from JSON; a malformed one raises :class:`standins.http.MalformedError`."""
 
 import orjson
 
+from standins.http import reads
 from standins.searcher._requests import RunRequest, SearchRequest
 
-MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
-"""What reading a malformed request raises."""
-
 
+@reads
 def search_request(body: bytes) -> SearchRequest:
     """Read the body of ``POST /search``.
 
@@ -27,6 +26,7 @@
     )
 
 
+@reads
 def run_request(body: bytes) -> RunRequest:
     """Read the body of ``POST /run``.
 
@@ -40,3 +40,13 @@
         body=document["body"],
         deadline_ms=float(document["deadline_ms"]),
     )
+
+
+@reads
+def cancelled_call(body: bytes) -> str:
+    """Read the body of ``POST /cancel``.
+
+    :param body: The body.
+    :returns: The call's identity.
+    """
+    return orjson.loads(body)["call"]
--- a/standins/searcher/_port.py
+++ b/standins/searcher/_port.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
 from dataclasses import asdict, replace
 
 import orjson
@@ -15,7 +14,7 @@
 from standins.searcher._holdings import Holdings
 from standins.searcher._knobs import SearcherKnobs
 from standins.searcher._model import Searcher
-from standins.searcher._parsing import MALFORMED, run_request, search_request
+from standins.searcher._parsing import cancelled_call, run_request, search_request
 
 _DRAINING = (("Draining", "1"),)
 _CONTROL_PATH = "/standin"
@@ -71,13 +70,13 @@
         self._address = (ip, bound)
         return bound
 
-    def read_change(self, document: Mapping[str, object]) -> Change | BadKnobs:
+    def read_change(self, body: bytes) -> Change | BadKnobs:
         """Read a change of this searcher.
 
-        :param document: What ``POST /standin`` was given.
+        :param body: What ``POST /standin`` was given.
         :returns: The change, or why it was refused.
         """
-        return read_change(document, self._searcher.knobs, self._searcher.holdings)
+        return read_change(body, self._searcher.knobs, self._searcher.holdings)
 
     def apply(self, change: Change) -> None:
         """Carry out a change.
@@ -85,11 +84,11 @@
         :param change: The change.
         """
         searcher = self._searcher
-        now_ms = monotonic_ms()
         if change.knobs != searcher.knobs:
-            self._do(searcher.change(change.knobs, now_ms))
+            self._do(searcher.change(change.knobs, monotonic_ms()))
         if change.holdings != searcher.holdings:
-            self._do(searcher.hold(change.holdings, now_ms))
+            change.holdings.count_records()
+            self._do(searcher.hold(change.holdings, monotonic_ms()))
         if change.restart:
             self._restart()
         if change.lost is not None:
@@ -146,10 +145,7 @@
         if route is None:
             connection.reply(Reply(404, b'{"code":"no-such-path"}'))
             return
-        try:
-            route(connection, request)
-        except MALFORMED:
-            connection.reply(Reply(400, b'{"code":"malformed"}'))
+        route(connection, request)
 
     def _gone(self, connection: Connection) -> None:
         exchange = self._exchanges.close_of(connection)
@@ -167,7 +163,7 @@
         self._do(self._searcher.run(exchange, run, monotonic_ms()))
 
     def _cancel(self, connection: Connection, request: Request) -> None:
-        call = orjson.loads(request.body)["call"]
+        call = cancelled_call(request.body)
         self._do(self._searcher.cancel(call, monotonic_ms()))
         connection.reply(Reply(204, headers=self._drain_header()))
 
@@ -182,7 +178,7 @@
         connection.reply(Reply(200, orjson.dumps(self.shown())))
 
     def _control(self, connection: Connection, request: Request) -> None:
-        change = self.read_change(orjson.loads(request.body))
+        change = self.read_change(request.body)
         if isinstance(change, BadKnobs):
             connection.reply(refused(change))
             return
--- a/standins/tests/test_platform_model.py
+++ b/standins/tests/test_platform_model.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from standins.platform import Answer, Platform, PlatformKnobs, Watch
+from standins.platform import Answer, Platform, PlatformKnobs, Publication, Watch
 
 
 def get(platform, exchange, after=None, now_ms=0.0, wait_ms=100.0, reader="r1"):
@@ -13,20 +13,22 @@
 class PlatformTest(unittest.TestCase):
     def setUp(self):
         self.platform = Platform(PlatformKnobs())
-        self.platform.publish("rules", 3, b"three")
+        self.platform.publish(Publication("rules", 3, b"three"))
 
     def change(self, **knobs):
         return self.platform.change(replace(self.platform.knobs, **knobs))
 
     def test_get_gives_the_newest(self):
-        self.platform.publish("rules", 5, b"five")
-        self.platform.publish("rules", 4, b"four")
+        self.platform.publish(Publication("rules", 5, b"five"))
+        self.platform.publish(Publication("rules", 4, b"four"))
         self.assertEqual(get(self.platform, 1), [Answer(1, 200, b"five", 5)])
 
     def test_watch_waits_for_a_higher_revision(self):
         self.assertEqual(get(self.platform, 1, after=3), [])
-        self.assertEqual(self.platform.publish("rules", 3, b"again"), [])
-        self.assertEqual(self.platform.publish("rules", 4, b"four"), [Answer(1, 200, b"four", 4)])
+        self.assertEqual(self.platform.publish(Publication("rules", 3, b"again")), [])
+        self.assertEqual(
+            self.platform.publish(Publication("rules", 4, b"four")), [Answer(1, 200, b"four", 4)]
+        )
 
     def test_watch_ends_without_news(self):
         get(self.platform, 1, after=3)
@@ -40,7 +42,7 @@
         self.assertEqual(answer.status, 404)
 
     def test_stale_answers_an_older_revision(self):
-        self.platform.publish("rules", 4, b"four")
+        self.platform.publish(Publication("rules", 4, b"four"))
         self.change(stale_revision={"rules": 3})
         self.assertEqual(get(self.platform, 1), [Answer(1, 200, b"three", 3)])
         self.assertEqual(get(self.platform, 2, after=3), [])
@@ -59,7 +61,7 @@
         get(self.platform, 1, after=3)
         self.change(hang=True)
         self.assertEqual(get(self.platform, 2), [])
-        self.assertEqual(self.platform.publish("rules", 4, b"four"), [])
+        self.assertEqual(self.platform.publish(Publication("rules", 4, b"four")), [])
         self.assertEqual(self.platform.tick(1e6), [])
 
     def test_cut_off_readers_only(self):
@@ -82,4 +84,4 @@
     def test_abandoned_watch_is_forgotten(self):
         get(self.platform, 1, after=3)
         self.platform.abandon(1)
-        self.assertEqual(self.platform.publish("rules", 4, b"four"), [])
+        self.assertEqual(self.platform.publish(Publication("rules", 4, b"four")), [])
--- a/standins/tests/test_processes.py
+++ b/standins/tests/test_processes.py
@@ -8,7 +8,7 @@
 import orjson
 
 from standins import records
-from standins.fleet import Fleet, call, free_ports, wait_until
+from standins.fleet import Fleet, answers, call, free_ports, wait_until
 
 WAIT_S = 10.0
 RUN = {"ticket": "t1", "action": "parts-order", "body": {}, "deadline_ms": 5000}
@@ -143,6 +143,13 @@
         status, body = self.refusal("/standin", {"slot": 1})
         self.assertEqual((status, body["unknown"]), (400, ["slot"]))
 
+    def test_malformed_change_is_refused_and_changes_nothing(self):
+        control = self.process.control_port
+        for path in ("/standin?searcher=a", "/standin?searcher=c"):
+            change = {"slots": 9, "publish": [{"collection": "overhauls"}]}
+            self.assertEqual(self.refusal(path, change, control)[0], 400)
+        self.assertEqual(call(self.port, "/standin")["knobs"]["slots"], 2)
+
 
 class ConnectionTest(SearcherCase):
     def test_connections_above_the_cap_are_closed(self):
@@ -294,6 +301,15 @@
         self.assertEqual(caught.exception.code, 503)
         caught.exception.close()
 
+    def test_malformed_calls(self):
+        for path in ("/standin/publish?key=other", "/standin/publish?key=rules", "/standin"):
+            with self.assertRaises(HTTPError) as caught:
+                call(self.port, path, [1])
+            self.assertEqual(caught.exception.code, 400)
+            caught.exception.close()
+        get = b"GET /v1/config/rules?after=x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        self.assertIn(b" 400 ", exchange(self.port, get))
+
     def test_history_tells_calls_and_publications(self):
         call(self.port, "/v1/config/rules")
         self.process.terminate()
@@ -325,5 +341,12 @@
         with self.assertRaises(ChildProcessError):
             self.fleet.platform(config={"knobs": {"hangs": True}})
 
+    def test_answers_tells_success_from_refusal_and_absence(self):
+        process = self.fleet.platform()
+        self.assertTrue(answers(process.port(), "/standin"))
+        self.assertFalse(answers(process.port(), "/v1/config/rules"))
+        process.kill()
+        self.assertFalse(answers(process.port(), "/standin"))
+
     def test_free_ports_differ(self):
         self.assertEqual(len(set(free_ports(20))), 20)
