routing: cells of few relays own a system's searchers

Cause: spread over all 564 relays of a failure domain at the target, a query of 150 sub-queries would make 144 messages of one sub-query, and each change of membership cost 2.5 s to find all owners. Ruled out: cells by plain rendezvous: a relay would belong to none or up to five cells. Change: cells with bounded loads; one owner table a domain, found anew only when something changed.

--- a/rhubarbhinge/daemons/_ownership.py
+++ b/rhubarbhinge/daemons/_ownership.py
@@ -2,8 +2,9 @@
 
 from dataclasses import replace
 
+from rhubarbhinge.daemons._domainowners import DomainOwners
 from rhubarbhinge.register import Register, Upstream
-from rhubarbhinge.routing import UpstreamSpec, owners
+from rhubarbhinge.routing import UpstreamSpec
 from rhubarbhinge.wire import upstream_id
 
 #: A new owner keeps to half of a searcher for so long, while the former owner is still up: the
@@ -24,6 +25,7 @@
         self._relay = relay
         self._failure_domain = failure_domain
         self._slots_apply = slots_apply
+        self._owners = DomainOwners()
         self._owner_before: dict[str, str] = {}
         self._full_share_ms: dict[str, float] = {}
 
@@ -42,11 +44,12 @@
         :param now_ms: the time.
         :returns: the searchers, each with the share that may be used.
         """
+        table = self._owners.table(register, self._failure_domain, live_relays)
         specs = []
         for upstream in register.upstreams:
             if upstream.failure_domain != self._failure_domain:
                 continue
-            owner, _ = owners(upstream.name, live_relays)
+            owner = table.owner(upstream.system, upstream.name)
             if owner == self._relay:
                 specs.append(self._spec(register, upstream, alive_relays, now_ms))
             self._owner_before[upstream.name] = owner or ""
--- a/rhubarbhinge/daemons/_relaydirectory.py
+++ b/rhubarbhinge/daemons/_relaydirectory.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from rhubarbhinge.daemons._domainowners import DomainOwners
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.query import RelayTarget
 from rhubarbhinge.register import Register
-from rhubarbhinge.routing import owners
 from rhubarbhinge.wire import upstream_id
 
 
@@ -23,6 +23,7 @@
     ) -> None:
         self._live_relays = live_relays
         self._peer_of = peer_of
+        self._owners = DomainOwners()
         self._targets: dict[int, RelayTarget] = {}
 
     def relay_of(self, upstream_id: int) -> RelayTarget | None:
@@ -39,9 +40,13 @@
         :param register: the register in force.
         """
         live = {domain: self._linked(domain) for domain in register.failure_domains}
+        tables = {
+            domain: self._owners.table(register, domain, tuple(linked))
+            for domain, linked in live.items()
+        }
         targets = {}
         for upstream in register.upstreams:
-            owner, _ = owners(upstream.name, tuple(live[upstream.failure_domain]))
+            owner = tables[upstream.failure_domain].owner(upstream.system, upstream.name)
             if owner is not None:
                 target = live[upstream.failure_domain][owner]
                 targets[upstream_id(upstream.name)] = target
--- a/rhubarbhinge/routing/__init__.py
+++ b/rhubarbhinge/routing/__init__.py
@@ -1,6 +1,7 @@
 """Searcher queues, slots, connections and drain: the decisions of the relay."""
 
 from rhubarbhinge.routing._cancelupstream import CancelUpstream
+from rhubarbhinge.routing._cells import CellTable, cells
 from rhubarbhinge.routing._closeconnection import CloseConnection
 from rhubarbhinge.routing._droppeer import DropPeer
 from rhubarbhinge.routing._openconnection import OpenConnection
@@ -20,6 +21,7 @@
 
 __all__ = [
     "CancelUpstream",
+    "CellTable",
     "CloseConnection",
     "DropPeer",
     "OpenConnection",
@@ -35,6 +37,7 @@
     "SendRun",
     "SendSearch",
     "UpstreamSpec",
+    "cells",
     "owners",
     "rendezvous",
 ]
--- /dev/null
+++ b/rhubarbhinge/routing/_cells.py
@@ -0,0 +1,96 @@
+"""Which few relays of a failure domain own the searchers of a system.
+
+A query asks many searchers of one system. Spread over all relays of a large failure domain, each of
+its sub-queries would be a message of its own; kept to a cell of few relays, they share messages.
+"""
+
+import heapq
+from collections.abc import Mapping, Sequence
+from math import ceil
+
+import xxhash
+
+from rhubarbhinge.routing._ownership import owners, rendezvous
+
+#: Relays of a cell besides those that the searchers' number asks for: one is lost now and then.
+_LEAST_CELL = 2
+#: A relay takes at most this many times its even share of searchers. 1.25 is the usual bound of
+#: consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018).
+_LOAD_BOUND = 1.25
+
+Cells = Mapping[str, tuple[str, ...]]
+
+
+def cells(searchers_by_system: Mapping[str, int], relays: Sequence[str]) -> Cells:
+    """Give each system a cell of relays.
+
+    Systems take turns by name; each takes the relays that rank highest for it by rendezvous hashing
+    and still have room. The result follows from the arguments alone, so that all nodes that see the
+    same members agree without a word. A relay's loss moves its own cells and few others.
+
+    :param searchers_by_system: number of searchers of each system in the failure domain.
+    :param relays: names of the live relays of the failure domain.
+    :returns: the relays of each system's cell, by rank.
+    """
+    if not relays:
+        return dict.fromkeys(searchers_by_system, ())
+    total = sum(searchers_by_system.values())
+    per_relay = max(1.0, total / len(relays))
+    most = ceil(per_relay * _LOAD_BOUND)
+    load = dict.fromkeys(relays, 0.0)
+    found = {}
+    for system in sorted(searchers_by_system):
+        count = searchers_by_system[system]
+        size = min(len(relays), max(_LEAST_CELL, ceil(count / per_relay)))
+        chosen = _choose(system, relays, load, most, size, count / size)
+        for relay in chosen:
+            load[relay] += count / size
+        found[system] = chosen
+    return found
+
+
+def _choose(
+    system: str,
+    relays: Sequence[str],
+    load: Mapping[str, float],
+    most: float,
+    size: int,
+    share: float,
+) -> tuple[str, ...]:
+    free = [relay for relay in relays if load[relay] + share <= most]
+    chosen = rendezvous(system, free, size) if free else ()
+    if len(chosen) == size:
+        return chosen
+    rest = [relay for relay in relays if relay not in chosen]
+    seed = xxhash.xxh64_intdigest(system.encode())
+    least = heapq.nsmallest(
+        size - len(chosen),
+        rest,
+        key=lambda relay: (load[relay], xxhash.xxh64_intdigest(relay.encode(), seed), relay),
+    )
+    return chosen + tuple(least)
+
+
+class CellTable:
+    """Owners of searchers under one register and one version of the membership.
+
+    Owners are found when they are first asked for.
+
+    :param searchers_by_system: number of searchers of each system in the failure domain.
+    :param relays: names of the live relays of the failure domain.
+    """
+
+    def __init__(self, searchers_by_system: Mapping[str, int], relays: Sequence[str]) -> None:
+        self._cells = cells(searchers_by_system, relays)
+        self._owners: dict[str, str | None] = {}
+
+    def owner(self, system: str, upstream_name: str) -> str | None:
+        """Give a searcher's owner.
+
+        :param system: the searcher's system.
+        :param upstream_name: its name in the register.
+        :returns: the relay, None when there is none.
+        """
+        if upstream_name not in self._owners:
+            self._owners[upstream_name] = owners(upstream_name, self._cells[system])[0]
+        return self._owners[upstream_name]
