history: pure checkers over recorded events, each with planted violations

Change: eight rules over events as mappings, read from JSON lines; what a record or a hit is comes from the test, so that the code under test is not trusted. Conclusion: process-level tests can record these events and check them after the fact.

--- /dev/null
+++ b/rhubarbhinge/history/tests/test_checkers.py
@@ -0,0 +1,189 @@
+"""Every checker accepts a good history and catches each planted violation."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from rhubarbhinge.history import (
+    at_most_once,
+    drain_bound,
+    monotonic_config,
+    no_cut,
+    one_snapshot,
+    own_answer,
+    read_events,
+    true_coverage,
+)
+
+HALF = 32_768
+WHOLE = 65_536
+
+
+def event(name, at_ms=0.0, **fields):
+    return {"event": name, "at_ms": at_ms, **fields}
+
+
+def answered(request, body=None, whole=True, at_ms=10.0):
+    return event("answered", at_ms, request=request, body=body or {}, whole=whole)
+
+
+def count_records(_collection, version, lo, hi):
+    return (hi - lo) // 2 if version else 0
+
+
+def snapshot_of(hit):
+    collection, version, _ = hit["id"].split(".")
+    return collection, int(version)
+
+
+def covering(records=HALF // 2, fraction=0.5, total=HALF, missing=((HALF, WHOLE, None),), **other):
+    gaps = [dict(zip(("lo", "hi", "records"), gap, strict=True)) for gap in missing]
+    coverage = {"records": records, "fraction": fraction, "total_records": total, "missing": gaps}
+    return {"snapshot": {"collection": "c", "version": 4}, "coverage": coverage, **other}
+
+
+def served(lo, hi, version=4):
+    return event("served", request=1, collection="c", version=version, lo=lo, hi=hi)
+
+
+class CheckerTest(unittest.TestCase):
+    def assertRules(self, rules, found):
+        self.assertEqual(rules, [violation.rule for violation in found])
+
+    def test_one_snapshot(self):
+        for hits, rules in (
+            ((), []),
+            (("c.4.1", "c.4.2"), []),
+            (("c.4.1", "c.5.2"), ["mixed-snapshot"]),
+            (("d.4.1",), ["mixed-snapshot"]),
+        ):
+            with self.subTest(hits):
+                body = covering(hits=[{"id": name} for name in hits])
+                self.assertRules(rules, one_snapshot([answered(1, body)], snapshot_of))
+
+    def test_true_coverage(self):
+        half = ((HALF, WHOLE, HALF // 2),)
+        for body, rules in (
+            (covering(), []),
+            (covering(missing=half), []),
+            (covering(HALF, 1.0, missing=()), []),
+            (covering(records=HALF // 2 + 1), ["coverage-overstated"]),
+            (covering(fraction=0.500001), ["coverage-overstated"]),
+            (covering(missing=((HALF - 2, WHOLE, None),)), ["coverage-overstated"]),
+            (covering(records=HALF // 2 - 1), ["coverage-understated"]),
+            (covering(fraction=0.499999), ["coverage-understated"]),
+            (covering(total=HALF - 1), ["total-misstated"]),
+            (covering(missing=((HALF, WHOLE, 7),)), ["missing-misstated"]),
+            (covering(missing=half + half), ["missing-ranges-overlap"]),
+        ):
+            with self.subTest(str(body)):
+                self.assertRules(rules, true_coverage([answered(1, body)], count_records))
+
+    def test_covered_ranges_were_served_at_the_version(self):
+        for ranges, rules in (
+            ([(0, HALF, 4)], []),
+            ([(100, HALF, 4), (0, 200, 4)], []),
+            ([(0, HALF, 5)], ["covered-not-served"]),
+            ([(0, 100, 4), (200, HALF, 4)], ["covered-not-served"]),
+        ):
+            with self.subTest(ranges):
+                events = [served(*span) for span in ranges] + [answered(1, covering())]
+                self.assertRules(rules, true_coverage(events, count_records))
+
+    def test_own_answer(self):
+        asked = [event("asked", request=1, text="a"), event("asked", request=2, text="b")]
+        first, second = answered(1, {"text": "a"}), answered(2, {"text": "b"})
+        for events, rules in (
+            ([second, first], []),
+            ([first], ["not-answered"]),
+            ([first, second, second], ["answered-twice"]),
+            ([answered(1, {"text": "b"}), second], ["answer-of-another"]),
+            ([answered(1, {"text": "a"}, whole=False), second], ["answer-cut"]),
+            ([first, second, answered(3)], ["never-asked"]),
+        ):
+            with self.subTest(rules):
+                found = own_answer(
+                    asked + events, lambda ask, reply: ask["text"] == reply["body"]["text"]
+                )
+                self.assertRules(rules, found)
+
+    def test_at_most_once(self):
+        good = [
+            event("run", ticket="t"),
+            answered(1, {"outcome": "ran", "ticket": "t"}),
+            answered(2, {"outcome": "refused_not_run", "ticket": "u"}),
+            answered(3, {"outcome": "unknown", "ticket": "t"}),
+        ]
+        for planted, rules in (
+            ([], []),
+            ([event("run", ticket="t")], ["ran-twice"]),
+            ([event("run", ticket="u")], ["refused-but-ran"]),
+            ([answered(4, {"outcome": "ran", "ticket": "v"})], ["told-ran-but-did-not"]),
+        ):
+            with self.subTest(rules):
+                self.assertRules(rules, at_most_once(good + planted))
+
+    def test_drain_bound(self):
+        def arrival(name, at_ms):
+            return event(name, at_ms, searcher="s", arrived_ms=at_ms)
+
+        drain = event("drain", 10.0, searcher="s")
+        undone = event("drain-undone", 3_000.0, searcher="s")
+        for events, rules in (
+            ([arrival("search", 5.0), drain, arrival("search", 1_000.0)], []),
+            ([drain, drain | {"at_ms": 900.0}, arrival("run", 1_500.0)], ["work-after-drain"]),
+            ([drain, arrival("search", 1_500.0)], ["work-after-drain"]),
+            ([drain, undone, arrival("search", 4_000.0)], []),
+        ):
+            with self.subTest(events):
+                self.assertRules(rules, drain_bound(events, 1_000.0))
+
+    def test_no_cut(self):
+        before = event("asked", 1.0, request=1, node="n")
+        after = event("asked", 9.0, request=2, node="n")
+        stop, end = event("stop", 5.0, node="n"), event("end", 20.0, node="n")
+        for events, rules in (
+            ([before, stop, after, answered(1), end], []),
+            ([before, stop, end], ["cut-at-stop"]),
+            ([before, stop, answered(1, whole=False), end], ["cut-at-stop"]),
+            ([before, stop, answered(1)], ["did-not-end"]),
+            ([before, answered(1)], []),
+        ):
+            with self.subTest(events):
+                self.assertRules(rules, no_cut(events))
+
+    def test_monotonic_config(self):
+        def of_life(name, at_ms, life=1, **fields):
+            return event(name, at_ms, node="n", incarnation=life, **fields)
+
+        def adopt(at_ms, revision, life=1):
+            return of_life("adopt", at_ms, life, key="rules", revision=revision)
+
+        publish = event("publish", 100.0, key="rules", revision=2)
+        good = [adopt(0.0, 1), of_life("ready", 1.0), publish, adopt(200.0, 2)]
+        late = event("tail", 9_000.0)
+        again = [of_life("end", 300.0), of_life("ready", 5_000.0, 2)]
+        for events, rules in (
+            ([*good, late], []),
+            ([*good, adopt(250.0, 1), late], ["revision-fell"]),
+            ([*good[:3], adopt(3_000.0, 2), late], ["revision-late"]),
+            ([*good[:3], of_life("end", 300.0), late], []),
+            ([*good, of_life("end", 300.0), adopt(4_000.0, 2, 2), *again[1:], late], []),
+            (
+                [*good, of_life("end", 300.0), adopt(4_000.0, 1, 2), *again[1:], late],
+                ["revision-late"],
+            ),
+        ):
+            with self.subTest(events):
+                self.assertRules(rules, monotonic_config(events, 1_000.0))
+
+    def test_histories_are_read_in_the_order_of_time_without_a_cut_line(self):
+        with tempfile.TemporaryDirectory() as folder:
+            first, second = Path(folder, "a"), Path(folder, "b")
+            first.write_text('{"event":"x","at_ms":1}\n{"event":"z","at_ms":3}\n')
+            second.write_text('{"event":"y","at_ms":2}\n{"event":"cu')
+            self.assertEqual("xyz", "".join(e["event"] for e in read_events([first, second])))
+
+
+if __name__ == "__main__":
+    unittest.main()
