--- /dev/null
+++ b/rhubarbhinge/query/tests/test_schedules.py
@@ -0,0 +1,98 @@
+"""Hypothesis schedules over the query core: every answer is whole, true and in time."""
+
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from rhubarbhinge.history import covered_ranges, one_snapshot, own_answer, true_coverage
+from rhubarbhinge.query import Shortfall
+from rhubarbhinge.query.tests.builders import best_hits
+from rhubarbhinge.query.tests.schedule import CLASSES, Schedule
+from standins import records
+
+STEPS = ("start",) * 5 + ("wait",) * 5 + ("abandon", "publish", "drop", "split", "merge", "move")
+STEPS += ("drain", "lose_relay", "pause")
+STEP = st.tuples(st.sampled_from(STEPS), st.integers(0, 11), st.integers(0, 11))
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=200,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+
+
+def play(seed: int, trouble: float, steps: list) -> Schedule:
+    schedule = Schedule(seed, trouble)
+    for name, first, second in steps:
+        getattr(schedule, name)(first, second)
+    schedule.run(1_000)
+    return schedule
+
+
+def snapshot_of(hit: dict) -> tuple[str, int]:
+    collection, version, _ = hit["id"].split(".")
+    return collection, int(version)
+
+
+class ScheduleTest(unittest.TestCase):
+    @SETTINGS
+    @given(
+        st.integers(0, 2**32),
+        st.sampled_from((0.0, 0.1, 0.4)),
+        st.lists(STEP, min_size=10, max_size=50),
+    )
+    def test_every_answer_is_whole_true_and_in_time(self, seed, trouble, steps):
+        schedule = play(seed, trouble, steps)
+        self.assertEqual([], own_answer(schedule.events, self.is_own(schedule)))
+        self.assertEqual([], one_snapshot(schedule.events, snapshot_of))
+        self.assertEqual([], true_coverage(schedule.events, records.record_count))
+        for event in schedule.events:
+            if event["event"] == "answered":
+                self.check_answer(schedule, event)
+        self.check_budget(schedule)
+        self.check_nothing_is_left(schedule)
+
+    def is_own(self, schedule):
+        def check(asked, answered):
+            text = schedule.requests[asked["request"]].text
+            hits = answered["body"].get("hits", ())
+            return all(hit["title"].startswith(f"{text}:") for hit in hits)
+
+        return check
+
+    def check_answer(self, schedule, event):
+        request = schedule.requests[event["request"]]
+        effect, coverage = event["effect"], event["body"]["coverage"]
+        short = coverage["records"] < request.traffic_class.least_coverage * max(
+            1, coverage["total_records"]
+        )
+        self.assertEqual(short, isinstance(effect, Shortfall))
+        if not short:
+            spans = covered_ranges(coverage["missing"])
+            wanted = best_hits(effect.version, spans, request.text, request.limit)
+            self.assertEqual(wanted, event["body"]["hits"])
+
+    def check_budget(self, schedule):
+        """A sub-query beyond a part's first counts unless it was refused as not run."""
+        sends = {}
+        for call_id, part, _ in schedule.sent:
+            sends[call_id, part] = sends.get((call_id, part), 0) + 1
+        for traffic in CLASSES:
+            extra = sum(
+                max(0, number - schedule.refused[key] - 1)
+                for key, number in sends.items()
+                if schedule.requests[key[0]].traffic_class is traffic
+            )
+            self.assertLessEqual(extra, schedule.earned[traffic.name] + 1e-6)
+
+    def check_nothing_is_left(self, schedule):
+        core = schedule.core
+        self.assertEqual(set(schedule.sent), schedule.ended & set(schedule.sent))
+        self.assertEqual((0, {}, []), (core.in_flight(), core._call_by_request, core._due))
+        self.assertEqual({0}, {seen.outstanding for seen in core._scores._seen.values()} | {0})
+
+
+if __name__ == "__main__":
+    unittest.main()
