--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -450,7 +450,7 @@
 
 def _answer(call: Call, now_ms: float) -> Answer:
     limit = call.request.limit
-    hits = heapq.nlargest(limit, call.hits, key=lambda hit: hit["score"])
+    hits = heapq.nsmallest(limit, call.hits, key=_rank)
     return Answer(
         call.request.request_id,
         call.request.collection,
@@ -463,6 +463,10 @@
     )
 
 
+def _rank(hit: dict) -> tuple[float, str]:
+    return -hit["score"], str(hit["id"])
+
+
 def _first_key(missing: Missing) -> int:
     return missing.lo
 
