query: ask nobody for a query that cannot meet its class; replans earn no budget

Cause: a query whose gaps already rule out its least coverage was fanned out and cancelled at once, counted as no load; a replan earned hedges and retries from sub-queries that are extra themselves. Ruled out: withdrawing rows from the outbox, which needs a search for each cancel. Change: settle before sending; base and budget are counted once, from what was sent; what was not asked says so. EndTest.test_a_hopeless_query_falls_short_at_once_and_asks_nobody and VersionTest.test_replanned_sub_queries_earn_no_budget failed before and pass now.

--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -91,7 +91,6 @@
         self._calls[call.call_id] = call
         self._call_by_request[request.request_id] = call.call_id
         effects = self._begin(call, now_ms)
-        call.base = len(call.plan.tiles)
         if call.call_id in self._calls:
             self._schedule(call, now_ms)
         return effects + self._flush(now_ms)
@@ -194,14 +193,27 @@
     def _begin(self, call: Call, now_ms: float) -> list[Effect]:
         plan = self._catalog.plan(call.request.collection, call.gone_versions)
         call.begin(plan)
-        budget = self._budget(call)
-        budget.earn(len(plan.tiles), call.request.traffic_class.extra_load)
         for tile in plan.tiles:
-            part = call.add_part(tile)
-            if not self._send(call, part, now_ms, extra=False):
+            call.add_part(tile)
+        return self._settle(call, now_ms) or self._send_all(call, now_ms)
+
+    def _send_all(self, call: Call, now_ms: float) -> list[Effect]:
+        sent = 0
+        for part in call.parts.values():
+            if self._send(call, part, now_ms, extra=False):
+                sent += 1
+            else:
                 call.lose(part)
+        self._count_sent(call, sent)
         return self._settle(call, now_ms)
 
+    def _count_sent(self, call: Call, sent: int) -> None:
+        if call.base:
+            call.retries += sent
+            return
+        call.base = sent
+        self._budget(call).earn(sent, call.request.traffic_class.extra_load)
+
     def _send(self, call: Call, part: Part, now_ms: float, extra: bool) -> bool:
         chosen = self._choose(part, now_ms)
         if chosen is None:
@@ -334,9 +346,7 @@
     def _replan(self, call: Call, now_ms: float) -> list[Effect]:
         call.gone_versions |= {call.plan.version}
         self._cancel_all(call)
-        effects = self._begin(call, now_ms)
-        call.retries += len(call.plan.tiles)
-        return effects
+        return self._begin(call, now_ms)
 
     def _lose_relay(self, call: Call, part: Part, relay: str, now_ms: float) -> list[Effect]:
         lost = [number for number, attempt in part.attempts.items() if attempt.relay == relay]
@@ -404,6 +414,8 @@
             if not part.done:
                 if part.attempts:
                     part.why = "deadline"
+                elif not part.sent:
+                    part.why = "not-asked"
                 call.lose(part)
         self._end(call)
         answer = _answer(call, now_ms)
--- a/rhubarbhinge/query/_missing.py
+++ b/rhubarbhinge/query/_missing.py
@@ -11,7 +11,7 @@
     :param hi: key after the last.
     :param records: records within, None where nobody announces them.
     :param why: ``no-replica``, ``deadline``, ``shed``, ``broken``, ``draining``, ``version-gone``,
-        ``range-moved`` or ``queue-full``.
+        ``range-moved``, ``queue-full`` or ``not-asked`` (the rest cannot meet the class).
     """
 
     lo: int
