query: a redirect keeps its token; a searcher that moved to another relay is asked there

Cause: a hedge or retry that was refused as not run gave its token back and was sent on for free, so that failures after it were load outside the budget; and a searcher refused by its old relay counted as tried, so that its new owner was never asked and a range with one replica was lost. Change: the token goes with the redirect; a wrong-receiver refusal forgets the searcher when its owner differs by now, else waits for it. Both touch the attempt's target, so they stand in one commit.

--- a/rhubarbhinge/query/_call.py
+++ b/rhubarbhinge/query/_call.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.query._missing import Missing
 from rhubarbhinge.query._plan import Gap, Plan
+from rhubarbhinge.query._relaytarget import RelayTarget
 from rhubarbhinge.query._searchrequest import SearchRequest
 from rhubarbhinge.query._tile import Tile
 
@@ -10,16 +11,16 @@
     """One sub-query that was sent.
 
     :ivar upstream_id: the searcher.
-    :ivar relay: the relay's node name.
+    :ivar target: the relay that it was sent to.
     :ivar sent_ms: when.
-    :ivar extra: whether it spent a token of the budget.
+    :ivar extra: whether a token of the budget was spent on it.
     """
 
-    __slots__ = ("upstream_id", "relay", "sent_ms", "extra", "overdue")
+    __slots__ = ("upstream_id", "target", "sent_ms", "extra", "overdue")
 
-    def __init__(self, upstream_id: int, relay: str, sent_ms: float, extra: bool) -> None:
+    def __init__(self, upstream_id: int, target: RelayTarget, sent_ms: float, extra: bool) -> None:
         self.upstream_id = upstream_id
-        self.relay = relay
+        self.target = target
         self.sent_ms = sent_ms
         self.extra = extra
         self.overdue = False
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -117,7 +117,7 @@
             call = self._calls.get(call_id)
             part = call.parts.get(number) if call else None
             attempt = part.attempts.get(attempt_number) if part else None
-            if attempt is None or attempt.relay != relay:
+            if attempt is None or attempt.target.name != relay:
                 continue
             del part.attempts[attempt_number]
             self._scores.on_ended(attempt.upstream_id)
@@ -222,7 +222,7 @@
         attempt = part.sent
         part.sent += 1
         part.tried.add(upstream_id)
-        part.attempts[attempt] = Attempt(upstream_id, target.name, now_ms, extra)
+        part.attempts[attempt] = Attempt(upstream_id, target, now_ms, extra)
         self._scores.on_sent(upstream_id)
         self._outbox.send(target, call, part, attempt, upstream_id)
         return True
@@ -266,12 +266,20 @@
             outcome = SubCode.BROKEN
         if outcome in _FAILURES:
             self._scores.on_failure(attempt.upstream_id, now_ms)
-        if attempt.extra and outcome in _NOT_LOAD:
-            self._budget(call).give_back()
+        if outcome == SubCode.WRONG_RECEIVER:
+            self._forget_owner(part, attempt)
         part.why = _WHY.get(outcome, "broken")
-        if part.attempts:
-            return []
-        return self._again(call, part, outcome, now_ms)
+        unspent = attempt.extra and outcome in _NOT_LOAD
+        if not part.attempts:
+            return self._again(call, part, outcome, unspent, now_ms)
+        if unspent:
+            self._budget(call).give_back()
+        return []
+
+    def _forget_owner(self, part: Part, attempt: Attempt) -> None:
+        target = self._relay_of(attempt.upstream_id)
+        if target is not None and target != attempt.target:
+            part.tried.discard(attempt.upstream_id)
 
     def _take(
         self, call: Call, part: Part, attempt: Attempt, hits: list[dict], now_ms: float
@@ -285,25 +293,44 @@
         self._cancel_rest(call, part)
         return self._settle(call, now_ms)
 
-    def _again(self, call: Call, part: Part, outcome: int, now_ms: float) -> list[Effect]:
+    def _again(
+        self, call: Call, part: Part, outcome: int, unspent: bool, now_ms: float
+    ) -> list[Effect]:
         free = outcome in _NOT_LOAD
-        budget = self._budget(call)
-        if free or not self._policy.budgeted or budget.spend():
-            if self._send(call, part, now_ms, extra=not free):
-                call.redirects += free
-                call.retries += not free
-                return []
-            if not free:
-                budget.give_back()
+        resend = self._redirect if free else self._retry
+        if resend(call, part, unspent, now_ms):
+            return []
         if outcome == SubCode.RANGE_MOVED and self._split(call, part, now_ms):
             return self._settle(call, now_ms)
+        if unspent:
+            self._budget(call).give_back()
         if outcome == SubCode.VERSION_GONE and self._other_version(call):
             return self._replan(call, now_ms)
-        if not free and self._wait_for(call, part, now_ms):
+        may_wait = not free or outcome == SubCode.WRONG_RECEIVER
+        if may_wait and self._wait_for(call, part, now_ms):
             return []
         call.lose(part)
         return self._settle(call, now_ms)
 
+    def _redirect(self, call: Call, part: Part, unspent: bool, now_ms: float) -> bool:
+        sent = self._send(call, part, now_ms, extra=unspent)
+        call.redirects += sent
+        return sent
+
+    def _retry(self, call: Call, part: Part, _unspent: bool, now_ms: float) -> bool:
+        sent = self._send_extra(call, part, now_ms)
+        call.retries += sent
+        return sent
+
+    def _send_extra(self, call: Call, part: Part, now_ms: float) -> bool:
+        budgeted = self._policy.budgeted
+        if budgeted and not self._budget(call).spend():
+            return False
+        sent = self._send(call, part, now_ms, extra=budgeted)
+        if budgeted and not sent:
+            self._budget(call).give_back()
+        return sent
+
     def _wait_for(self, call: Call, part: Part, now_ms: float) -> bool:
         at_ms = now_ms + max(self._policy.least_wait_ms, part.wait_ms)
         in_time = at_ms < call.deadline_ms - 2 * self._policy.answer_margin_ms
@@ -349,13 +376,13 @@
         return self._begin(call, now_ms)
 
     def _lose_relay(self, call: Call, part: Part, relay: str, now_ms: float) -> list[Effect]:
-        lost = [number for number, attempt in part.attempts.items() if attempt.relay == relay]
+        lost = [number for number, attempt in part.attempts.items() if attempt.target.name == relay]
         for number in lost:
             self._scores.on_ended(part.attempts.pop(number).upstream_id)
         if not lost or part.done or part.attempts or call.call_id not in self._calls:
             return []
         part.why = "broken"
-        return self._again(call, part, SubCode.BROKEN, now_ms)
+        return self._again(call, part, SubCode.BROKEN, False, now_ms)
 
     # Hedges.
 
@@ -363,7 +390,6 @@
         if not self._policy.hedging:
             return
         delay_ms = self._hedge_delay_ms(call)
-        budget = self._budget(call)
         for part in call.parts.values():
             if part.done or len(part.attempts) != 1:
                 continue
@@ -374,15 +400,7 @@
             if not attempt.overdue:
                 attempt.overdue = True
                 self._scores.on_overdue(attempt.upstream_id, waited_ms, now_ms)
-            self._hedge_part(call, part, budget, now_ms)
-
-    def _hedge_part(self, call: Call, part: Part, budget: ExtraLoadBudget, now_ms: float) -> None:
-        if self._policy.budgeted and not budget.spend():
-            return
-        if self._send(call, part, now_ms, extra=True):
-            call.hedges += 1
-        elif self._policy.budgeted:
-            budget.give_back()
+            call.hedges += self._send_extra(call, part, now_ms)
 
     def _hedge_delay_ms(self, call: Call) -> float:
         share = call.request.traffic_class.hedge_quantile
@@ -438,7 +456,7 @@
 
     def _cancel_rest(self, call: Call, part: Part) -> None:
         for number, attempt in part.attempts.items():
-            self._outbox.cancel(attempt.relay, call.call_id, part.number, number)
+            self._outbox.cancel(attempt.target.name, call.call_id, part.number, number)
             self._scores.on_ended(attempt.upstream_id)
         part.attempts.clear()
 
