query: one wake-up a call, and a retry that cannot be sent keeps its token

Cause: every waiting part added a chain of wake-ups that lasted as long as the call (65 for 64 parts, each a walk over all parts); a retry without a replica to send to spent a token every 5 ms; without hedging, such a retry was not tried again before the deadline. Ruled out: one heap entry a part, which walks the parts as often. Change: a call has one planned wake-up, earlier ones replace it. WaitTest.test_waiting_parts_share_one_wake_up, test_a_retry_that_cannot_be_sent_keeps_its_token and test_waiting_parts_are_asked_again_without_hedging_too failed before and pass now.

--- a/rhubarbhinge/query/_call.py
+++ b/rhubarbhinge/query/_call.py
@@ -6,6 +6,9 @@
 from rhubarbhinge.query._searchrequest import SearchRequest
 from rhubarbhinge.query._tile import Tile
 
+#: The time of what is not planned.
+NEVER_MS = float("inf")
+
 
 class Attempt:
     """One sub-query that was sent.
@@ -62,6 +65,13 @@
         self.wait_ms = 0
         self.retry_at_ms = 0.0
 
+    def waits(self) -> bool:
+        """Say whether nothing is outstanding and a retry is planned.
+
+        :returns: True when it waits.
+        """
+        return not self.done and not self.attempts and self.retry_at_ms > 0.0
+
 
 class Call:
     """One query that is being answered.
@@ -70,6 +80,7 @@
     :ivar request: the search as admitted.
     :ivar started_ms: when it began.
     :ivar deadline_ms: when it has to be answered, on the same clock.
+    :ivar wake_ms: when it is looked at next.
     """
 
     __slots__ = (
@@ -77,6 +88,7 @@
         "request",
         "started_ms",
         "deadline_ms",
+        "wake_ms",
         "plan",
         "parts",
         "open_parts",
@@ -96,6 +108,7 @@
         self.request = request
         self.started_ms = now_ms
         self.deadline_ms = now_ms + request.deadline_ms
+        self.wake_ms = NEVER_MS
         self.gone_versions: frozenset[int] = frozenset()
         self.next_part = 0
         self.base = 0
@@ -145,6 +158,14 @@
         tile = part.tile
         self.lost.append(Missing(tile.lo, tile.hi, tile.records, part.why))
 
+    def next_retry_ms(self) -> float:
+        """Give the time of the next retry of a waiting part.
+
+        :returns: :data:`NEVER_MS` when no part waits.
+        """
+        waiting = [part.retry_at_ms for part in self.parts.values() if part.waits()]
+        return min(waiting, default=NEVER_MS)
+
     def best_coverage(self) -> float:
         """Give the coverage if all open parts are answered.
 
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from rhubarbhinge.query._budget import ExtraLoadBudget
-from rhubarbhinge.query._call import Attempt, Call, Part
+from rhubarbhinge.query._call import NEVER_MS, Attempt, Call, Part
 from rhubarbhinge.query._catalog import Catalog
 from rhubarbhinge.query._effects import Answer, Effect, QueryStats, Shortfall
 from rhubarbhinge.query._latency import LatencyWindow
@@ -176,10 +176,11 @@
         """
         effects: list[Effect] = []
         while self._due and self._due[0][0] <= now_ms:
-            _, call_id = heapq.heappop(self._due)
+            at_ms, call_id = heapq.heappop(self._due)
             call = self._calls.get(call_id)
-            if call is None:
+            if call is None or call.wake_ms != at_ms:
                 continue
+            call.wake_ms = NEVER_MS
             if now_ms >= call.deadline_ms - self._policy.answer_margin_ms:
                 effects.append(self._finish(call, now_ms))
                 continue
@@ -337,18 +338,16 @@
         if not in_time or part.sent >= self._policy.most_attempts:
             return False
         part.retry_at_ms = at_ms
-        heapq.heappush(self._due, (at_ms, call.call_id))
+        self._wake(call, at_ms)
         return True
 
     def _retry_waiting(self, call: Call, now_ms: float) -> None:
         for part in call.parts.values():
-            if part.done or part.attempts or not 0.0 < part.retry_at_ms <= now_ms:
+            if not part.waits() or part.retry_at_ms > now_ms:
                 continue
-            if self._policy.budgeted and not self._budget(call).spend():
-                continue
-            part.retry_at_ms = 0.0
             part.tried.clear()
-            if self._send(call, part, now_ms, extra=True):
+            if self._send_extra(call, part, now_ms):
+                part.retry_at_ms = 0.0
                 call.retries += 1
             else:
                 part.retry_at_ms = now_ms + self._policy.least_wait_ms
@@ -408,14 +407,18 @@
         return max(self._policy.least_hedge_ms, delay_ms)
 
     def _schedule(self, call: Call, now_ms: float) -> None:
-        end_ms = call.deadline_ms - self._policy.answer_margin_ms
-        if not self._policy.hedging:
-            heapq.heappush(self._due, (end_ms, call.call_id))
-            return
-        delay_ms = self._hedge_delay_ms(call)
-        if now_ms > call.started_ms:
-            delay_ms = max(self._policy.least_hedge_ms, delay_ms / 4)
-        heapq.heappush(self._due, (min(end_ms, now_ms + delay_ms), call.call_id))
+        at_ms = min(call.deadline_ms - self._policy.answer_margin_ms, call.next_retry_ms())
+        if self._policy.hedging:
+            delay_ms = self._hedge_delay_ms(call)
+            if now_ms > call.started_ms:
+                delay_ms = max(self._policy.least_hedge_ms, delay_ms / 4)
+            at_ms = min(at_ms, now_ms + delay_ms)
+        self._wake(call, at_ms)
+
+    def _wake(self, call: Call, at_ms: float) -> None:
+        if at_ms < call.wake_ms:
+            call.wake_ms = at_ms
+            heapq.heappush(self._due, (at_ms, call.call_id))
 
     # Ending.
 
