query: replan only on a version that reaches more, and not late for what is enough

Cause: one range whose version was gone made the whole query start over on any other version, also on one that reaches a quarter of the records, and also just before the deadline when what was covered met the class. Change: the other version has to reach more than the rest of this one; past half of the time a sufficient answer is kept.

--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -127,7 +127,7 @@
             if version in without:
                 continue
             plan = self._plan_of(collection, version)
-            share = plan.reachable_records() / max(1, plan.total_records)
+            share = plan.reachable_share()
             if share > best_share:
                 best = plan
                 best_share = share
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -305,7 +305,7 @@
             return self._settle(call, now_ms)
         if unspent:
             self._budget(call).give_back()
-        if outcome == SubCode.VERSION_GONE and self._other_version(call):
+        if outcome == SubCode.VERSION_GONE and self._better_version(call, part, now_ms):
             return self._replan(call, now_ms)
         may_wait = not free or outcome == SubCode.WRONG_RECEIVER
         if may_wait and self._wait_for(call, part, now_ms):
@@ -365,9 +365,15 @@
                 call.lose(inner_part)
         return True
 
-    def _other_version(self, call: Call) -> bool:
+    def _better_version(self, call: Call, part: Part, now_ms: float) -> bool:
+        spent_ms = now_ms - call.started_ms
+        left_ms = call.deadline_ms - self._policy.answer_margin_ms - now_ms
+        rest = call.coverage_without(part)
+        if spent_ms > left_ms and rest >= call.request.traffic_class.least_coverage:
+            return False
         gone = call.gone_versions | {call.plan.version}
-        return bool(self._catalog.plan(call.request.collection, gone).tiles)
+        plan = self._catalog.plan(call.request.collection, gone)
+        return bool(plan.tiles) and plan.reachable_share() > rest
 
     def _replan(self, call: Call, now_ms: float) -> list[Effect]:
         call.gone_versions |= {call.plan.version}
--- a/rhubarbhinge/query/_plan.py
+++ b/rhubarbhinge/query/_plan.py
@@ -38,3 +38,10 @@
         :returns: the sum of the tiles' records.
         """
         return sum(tile.records for tile in self.tiles)
+
+    def reachable_share(self) -> float:
+        """Give the share of records that the tiles reach.
+
+        :returns: between 0 and 1.
+        """
+        return self.reachable_records() / max(1, self.total_records)
--- a/rhubarbhinge/query/tests/test_core.py
+++ b/rhubarbhinge/query/tests/test_core.py
@@ -222,6 +222,18 @@
         (answer,) = all_answers(effects)
         self.assertEqual((1, "version-gone"), (answer.version, answer.missing[0].why))
 
+    def test_a_late_replan_does_not_throw_away_what_meets_the_class(self):
+        for now_ms, replans in ((50.0, True), (150.0, False)):
+            with self.subTest(now_ms):
+                bench = Bench({1: [LOW, HIGH], 2: [(2, 0, builders.KEYS)]})
+                bench.catalog.on_state(2, UpstreamState.DOWN)
+                low, high = bench.sends(bench.start())
+                bench.catalog.on_state(2, UpstreamState.READY)
+                bench.answer(low, 5.0)
+                effects = bench.answer(high, now_ms, SubCode.VERSION_GONE)
+                self.assertEqual(replans, bool(bench.sends(effects)))
+                self.assertEqual(not replans, bool(all_answers(effects)))
+
     def test_replanned_sub_queries_earn_no_budget(self):
         bench = Bench({1: [LOW, HIGH], 2: [(2, 0, builders.KEYS)]})
         bench.catalog.on_state(2, UpstreamState.DOWN)
