query: refuse hits that are nested too deep to be written again

Cause: orjson reads 1,024 levels but writes 254, so that one searcher's answer with a hit 300 levels deep was merged and then raised in the entry while the answer was rendered. Ruled out: walking every hit, which costs on each answer; the walk is made only when there are more brackets than flat hits have. ReplyTest.test_malformed_answers_are_not_merged failed before and passes now.

--- a/rhubarbhinge/query/_subanswer.py
+++ b/rhubarbhinge/query/_subanswer.py
@@ -4,6 +4,9 @@
 
 from rhubarbhinge.query._call import Call, Part
 
+#: Lists and objects may be nested this deep in a hit; orjson reads 1,024 levels and writes 254.
+_MOST_DEPTH = 16
+
 
 def checked_hits(body: bytes, call: Call, part: Part) -> list[dict] | None:
     """Read a searcher's answer.
@@ -35,8 +38,22 @@
     hits = answer.get("hits")
     if not isinstance(hits, list):
         return None
-    return hits if all(map(_is_hit, hits)) else None
+    if not all(map(_is_hit, hits)) or not _is_shallow(body, hits):
+        return None
+    return hits
 
 
 def _is_hit(hit: object) -> bool:
     return isinstance(hit, dict) and isinstance(hit.get("score"), int | float) and "id" in hit
+
+
+def _is_shallow(body: bytes, hits: list[dict]) -> bool:
+    flat = body.count(b"{") + body.count(b"[") <= len(hits) + 2
+    return flat or _depth_is_below(hits, _MOST_DEPTH)
+
+
+def _depth_is_below(value: object, bound: int) -> bool:
+    if not isinstance(value, dict | list):
+        return True
+    inner = value.values() if isinstance(value, dict) else value
+    return bound > 0 and all(_depth_is_below(each, bound - 1) for each in inner)
