query: announcements with empty ranges or false totals neither raise nor overstate

Cause: a range whose end is not above its start raised KeyError in the tiling of every query of its collection, and a total below the sum of the ranges gave a coverage above 1. Health documents are from anyone. Change: such ranges are passed over; the total is at least what the tiles reach. CatalogTest.test_false_announcements_never_overstate and TilingTest.test_the_best_choice_is_found_and_nothing_counts_twice (brute force) failed before and pass.

--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -135,7 +135,9 @@
 
     def _plan_of(self, collection: str, version: int) -> Plan:
         tiles, gaps = tiling(self._announced(collection, version), FIRST_KEY, LAST_KEY)
-        return Plan(version, self._totals[collection, version], tiles, gaps)
+        reachable = sum(tile.records for tile in tiles)
+        total = max(self._totals[collection, version], reachable)
+        return Plan(version, total, tiles, gaps)
 
     def _announced(self, collection: str, version: int) -> list[Tile]:
         holders = self._holders.get(collection, {}).get(version, {})
--- a/rhubarbhinge/query/_tiling.py
+++ b/rhubarbhinge/query/_tiling.py
@@ -18,7 +18,7 @@
     :param hi: key after the last wanted.
     :returns: the chosen tiles by first key, and the gaps between them.
     """
-    inside = [tile for tile in tiles if lo <= tile.lo and tile.hi <= hi]
+    inside = [tile for tile in tiles if lo <= tile.lo < tile.hi <= hi]
     starts: dict[int, list[Tile]] = {}
     for tile in inside:
         starts.setdefault(tile.lo, []).append(tile)
--- /dev/null
+++ b/rhubarbhinge/query/tests/test_catalog.py
@@ -0,0 +1,119 @@
+"""Tiling against brute force; plans from announcements that overlap, fall behind or lie."""
+
+import itertools
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbhinge.query import Catalog, Tile, tiling
+from rhubarbhinge.query.tests import builders
+from rhubarbhinge.wire import HoldingReport, UpstreamState
+
+KEYS = builders.KEYS
+SETTINGS = settings(derandomize=True, deadline=None, database=None, max_examples=300)
+TILE = st.builds(
+    Tile,
+    st.integers(0, 12),
+    st.integers(0, 12),
+    st.integers(0, 9),
+    st.sampled_from(((1,), (1, 2), (1, 2, 3))),
+)
+
+
+def disjoint(tiles):
+    ordered = sorted(tiles, key=lambda tile: tile.lo)
+    return all(left.hi <= right.lo for left, right in itertools.pairwise(ordered))
+
+
+def most_records(tiles, lo, hi):
+    """Try every choice of tiles."""
+    inside = [tile for tile in tiles if lo <= tile.lo < tile.hi <= hi]
+    choices = itertools.chain.from_iterable(
+        itertools.combinations(inside, size) for size in range(len(inside) + 1)
+    )
+    return max(sum(tile.records for tile in choice) for choice in choices if disjoint(choice))
+
+
+def catalog(held):
+    made = Catalog()
+    for number, spans in held.items():
+        made.on_holdings(builders.holding(number, spans))
+    return made
+
+
+def spans_of(plan):
+    return [(tile.lo, tile.hi) for tile in plan.tiles]
+
+
+class TilingTest(unittest.TestCase):
+    @SETTINGS
+    @given(st.lists(TILE, max_size=7), st.integers(0, 4), st.integers(8, 12))
+    def test_the_best_choice_is_found_and_nothing_counts_twice(self, tiles, lo, hi):
+        chosen, gaps = tiling(tiles, lo, hi)
+        self.assertEqual(most_records(tiles, lo, hi), sum(tile.records for tile in chosen))
+        spans = sorted([(each.lo, each.hi) for each in chosen + gaps])
+        self.assertEqual([lo, *(span[1] for span in spans)], [*(span[0] for span in spans), hi])
+        self.assertTrue(set(chosen) <= set(tiles))
+
+
+class CatalogTest(unittest.TestCase):
+    def test_overlapping_ranges_of_a_split_count_once(self):
+        halves = [(1, 0, KEYS // 2), (1, KEYS // 2, KEYS)]
+        plan = catalog({1: [(1, 0, KEYS)], 2: halves[:1], 3: halves[1:]}).plan(builders.COLLECTION)
+        self.assertEqual(plan.total_records, plan.reachable_records())
+        self.assertEqual([], list(plan.gaps))
+        self.assertEqual([(1, 2), (1, 3)], [tile.upstream_ids for tile in plan.tiles])
+
+    def test_a_wider_holder_serves_a_gap_that_parts_leave(self):
+        held = {1: [(1, 0, KEYS)], 2: [(1, 0, KEYS // 2)]}
+        self.assertEqual([(0, KEYS)], spans_of(catalog(held).plan(builders.COLLECTION)))
+
+    def test_the_version_that_reaches_most_wins_and_the_newest_among_equals(self):
+        whole, half = (0, KEYS), (0, KEYS // 2)
+        for held, version in (
+            ({1: [(1, *whole)], 2: [(2, *half)]}, 1),
+            ({1: [(1, *whole)], 2: [(2, *whole)]}, 2),
+        ):
+            with self.subTest(version):
+                made = catalog(held)
+                self.assertEqual(version, made.plan(builders.COLLECTION).version)
+                other = made.plan(builders.COLLECTION, frozenset({version}))
+                self.assertEqual(3 - version, other.version)
+
+    def test_searchers_that_drain_or_are_forgotten_leave_the_plan(self):
+        made = catalog({1: [(1, 0, KEYS)], 2: [(1, 0, KEYS)]})
+        for leave, left in (
+            (lambda: made.on_state(1, UpstreamState.DRAINING), [(2,)]),
+            (lambda: made.on_state(1, UpstreamState.READY), [(1, 2)]),
+            (lambda: made.on_state(2, UpstreamState.DOWN), [(1,)]),
+            (lambda: made.forget([1]), []),
+        ):
+            leave()
+            tiles = made.plan(builders.COLLECTION).tiles
+            self.assertEqual(left, [tile.upstream_ids for tile in tiles])
+
+    def test_an_announcement_of_an_older_life_is_ignored(self):
+        made = Catalog()
+        made.on_holdings(builders.holding(1, [(1, 0, KEYS)], incarnation=2))
+        made.on_holdings(builders.holding(1, [], incarnation=1))
+        self.assertEqual([(0, KEYS)], spans_of(made.plan(builders.COLLECTION)))
+
+    def test_false_announcements_never_overstate(self):
+        for rows in (
+            [(0, KEYS, 100, 100), (5, 5, 3, 100), (9, 4, 3, 100), (0, 2 * KEYS, 9, 100)],
+            [(0, KEYS, 100, 7)],
+            [(0, KEYS // 2, 60, 100), (KEYS // 2, KEYS, 60, 100)],
+        ):
+            with self.subTest(rows):
+                los, his, counts, totals = zip(*rows, strict=True)
+                names, versions = (builders.COLLECTION,) * len(rows), (1,) * len(rows)
+                made = Catalog()
+                made.on_holdings(HoldingReport(1, 1, names, versions, totals, los, his, counts))
+                plan = made.plan(builders.COLLECTION)
+                self.assertLessEqual(plan.reachable_records(), plan.total_records)
+                self.assertEqual((0, KEYS), (plan.tiles[0].lo, plan.tiles[-1].hi))
+
+
+if __name__ == "__main__":
+    unittest.main()
