--- a/rhubarbhinge/admission/_limiter.py
+++ b/rhubarbhinge/admission/_limiter.py
@@ -128,7 +128,7 @@
 
     def _adapt(self) -> None:
         if self._bad > _BAD_SHARE * self._ended:
-            self._limit = max(_LEAST_LIMIT, self._limit * _DECREASE)
+            self._limit = min(self._most, max(_LEAST_LIMIT, self._limit * _DECREASE))
         elif self._peak >= _USED_SHARE * self._limit:
             step = max(1.0, self._limit * _INCREASE_SHARE)
             self._limit = min(self._most, self._limit + step)
