api: fractions are exact, run fields keep every digit, deep bodies are refused

Ruled out: decimal numbers through a second encoder, which would change their text again. Change: whole-number arithmetic; the fields' own bytes are cut out of the body; runs nested deeper than 64 levels get a 400. RenderTest.test_the_fraction_is_never_rounded_up, BodyTest.test_a_runs_fields_arrive_as_they_were_sent and test_a_body_nested_too_deep_is_refused failed before and pass now.

--- a/rhubarbhinge/api/_parse.py
+++ b/rhubarbhinge/api/_parse.py
@@ -8,7 +8,9 @@
 
 from rhubarbhinge.api._apierror import ApiError
 from rhubarbhinge.api._commands import RunCommand, SearchCommand
+from rhubarbhinge.api._rawfield import raw_field
 from rhubarbhinge.register import Register, Rules
+from rhubarbhinge.utils.nesting import is_nested_below
 
 #: Longest search text: far above what people type on phones.
 MOST_TEXT_CHARACTERS = 1_000
@@ -16,6 +18,8 @@
 MOST_LIMIT = 1_000
 #: A caller may shorten its class's deadline, not below this.
 LEAST_DEADLINE_MS = 5.0
+#: Levels of lists and objects in a run's body; parsers of upstreams have bounds of their own.
+MOST_DEPTH = 64
 
 _SEARCH_FIELDS = frozenset({"collection", "text", "limit", "class", "deadline_ms"})
 
@@ -93,16 +97,18 @@
         )
     if not isinstance(document.get("body"), dict):
         return _bad("body has to be an object", "Send the action's own fields in it.")
+    if not is_nested_below(document, MOST_DEPTH):
+        return _bad(f"the body is nested deeper than {MOST_DEPTH} levels", "Send a flatter body.")
     return RunCommand(action, body)
 
 
 def run_fields(body: bytes) -> bytes:
-    """Take the action's own fields out of a run request that was checked.
+    """Take the action's own fields out of a run request that was checked, byte for byte.
 
     :param body: as given to :func:`parse_run`.
     :returns: the fields, JSON.
     """
-    return orjson.dumps(orjson.loads(body)["body"])
+    return raw_field(body.decode(), "body").encode()
 
 
 def _document(body: bytes) -> Mapping[str, Any] | ApiError:
--- a/rhubarbhinge/api/_render.py
+++ b/rhubarbhinge/api/_render.py
@@ -11,6 +11,9 @@
 
 _STATUS = {OutcomeKind.RAN: 200, OutcomeKind.REFUSED_NOT_RUN: 503, OutcomeKind.UNKNOWN: 504}
 
+#: Fractions are rounded down to a millionth.
+_FRACTION_STEPS = 1_000_000
+
 
 def error(fault: ApiError) -> Response:
     """Render an error.
@@ -104,7 +107,7 @@
 
 def _coverage(found: Answer) -> dict:
     return {
-        "fraction": _rounded_down(found.coverage),
+        "fraction": _fraction(found),
         "records": found.covered_records,
         "total_records": found.total_records,
         "missing": [_missing(missing) for missing in found.missing],
@@ -120,8 +123,11 @@
     }
 
 
-def _rounded_down(share: float) -> float:
-    return math.floor(share * 1e6) / 1e6
+def _fraction(found: Answer) -> float:
+    if found.total_records == 0:
+        return found.coverage
+    # Whole numbers, for a float's quotient may already be rounded up.
+    return found.covered_records * _FRACTION_STEPS // found.total_records / _FRACTION_STEPS
 
 
 def _retry_after(retry_after_ms: float | None) -> tuple[tuple[str, str], ...]:
--- a/rhubarbhinge/query/_subanswer.py
+++ b/rhubarbhinge/query/_subanswer.py
@@ -3,6 +3,7 @@
 import orjson
 
 from rhubarbhinge.query._call import Call, Part
+from rhubarbhinge.utils.nesting import is_nested_below
 
 #: Lists and objects may be nested this deep in a hit; orjson reads 1,024 levels and writes 254.
 _MOST_DEPTH = 16
@@ -49,11 +50,4 @@
 
 def _is_shallow(body: bytes, hits: list[dict]) -> bool:
     flat = body.count(b"{") + body.count(b"[") <= len(hits) + 2
-    return flat or _depth_is_below(hits, _MOST_DEPTH)
-
-
-def _depth_is_below(value: object, bound: int) -> bool:
-    if not isinstance(value, dict | list):
-        return True
-    inner = value.values() if isinstance(value, dict) else value
-    return bound > 0 and all(_depth_is_below(each, bound - 1) for each in inner)
+    return flat or is_nested_below(hits, _MOST_DEPTH)
