--- a/rhubarbhinge/daemons/_configview.py
+++ b/rhubarbhinge/daemons/_configview.py
@@ -1,6 +1,7 @@
 """The configuration in force, as models."""
 
 from rhubarbhinge.register import (
+    Checked,
     Register,
     Rules,
     VmList,
@@ -27,15 +28,30 @@
         self.vms: VmList | None = None
         self.leaving_instances: frozenset[str] = frozenset()
         self._revisions: dict[str, int] = {}
+        self._last: tuple[str, bytes, Checked] | None = None
+
+    def validate(self, key: str, data: bytes) -> tuple[bool, tuple[str, ...]]:
+        """Check a published document; the same bytes get the same verdict on every node.
+
+        :param key: ``register``, ``rules`` or ``vms``.
+        :param data: its bytes.
+        :returns: whether it is accepted, and the faults.
+        """
+        checked = self._parse(key, data)
+        faults = [f"{fault.place}: {fault.message} ({fault.todo})" for fault in checked.faults]
+        if checked.more_faults:
+            faults.append(f"and {checked.more_faults} more faults")
+        return checked.ok, tuple(faults)
 
     def adopt(self, key: str, data: bytes) -> None:
         """Put an accepted document in force.
 
         :param key: ``register``, ``rules`` or ``vms``.
-        :param data: its bytes, which passed :func:`validate`.
+        :param data: its bytes, which passed :meth:`validate`.
         :raises RuntimeError: when they do not parse, a broken invariant.
         """
-        checked = _PARSERS[key](data)
+        checked = self._parse(key, data)
+        self._last = None
         if checked.value is None:
             raise RuntimeError(f"an accepted {key} document does not parse")
         setattr(self, key, checked.value)
@@ -68,14 +84,7 @@
             return ()
         return tuple(str(fault) for fault in cross_check(self.register, self.rules))
 
-
-def validate(key: str, data: bytes) -> tuple[bool, tuple[str, ...]]:
-    """Check a published document; the same bytes get the same verdict on every node.
-
-    :param key: ``register``, ``rules`` or ``vms``.
-    :param data: its bytes.
-    :returns: whether it is accepted, and the faults.
-    """
-    checked = _PARSERS[key](data)
-    faults = tuple(f"{fault.place}: {fault.message}" for fault in checked.faults)
-    return checked.ok, faults
+    def _parse(self, key: str, data: bytes) -> Checked:
+        if self._last is None or self._last[:2] != (key, data):
+            self._last = (key, data, _PARSERS[key](data))
+        return self._last[2]
--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -18,7 +18,7 @@
     SendPeer,
     VmNode,
 )
-from rhubarbhinge.daemons._configview import ConfigView, validate
+from rhubarbhinge.daemons._configview import ConfigView
 from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._peeraddress import PeerAddress
@@ -103,7 +103,7 @@
             "alive",
         )
         seeds = [_address(text) for text in settings.peers]
-        self._core = ControlNode(me, rng, validate, _vm_nodes, seeds)
+        self._core = ControlNode(me, rng, self.config.validate, _vm_nodes, seeds)
         self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
             self
         )
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -107,9 +107,11 @@
         ticket_given = request.path.startswith("/v1/run/")
         if not self._is_known(request):
             responder.answer(no_such_path(request))
+        elif ticket_given:
+            self._runs.start(request, responder)
         elif not self.control.ready():
             responder.answer(api.error(_elsewhere("not-ready", "This entry is starting.")))
-        elif self.refusing and not ticket_given:
+        elif self.refusing:
             responder.answer(api.error(_elsewhere("draining", "This entry is stopping.")))
         elif request.path == "/v1/search":
             self._searches.start(request, responder)
--- a/rhubarbhinge/daemons/_poolshell.py
+++ b/rhubarbhinge/daemons/_poolshell.py
@@ -89,6 +89,9 @@
                 self._on_output(effect)
             else:
                 action(effect)
+
+    def turn_ended(self) -> None:
+        """Set the timer for the core's next tick; called once a loop turn."""
         self._waker.wake_by(self._core.next_wake_ms())
 
     def tick(self) -> None:
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -113,9 +113,10 @@
         self._pool.tick()
 
     def flush(self) -> None:
-        """Send the answers of this loop turn."""
+        """Send the answers of this loop turn, and set the core's timer."""
         for entry, batch in self._outbox.flush(self.core.register_revision):
             self._send(entry, batch)
+        self._pool.turn_ended()
 
     def open_work(self) -> int:
         """Count what a graceful stop waits for.
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -23,6 +23,7 @@
     Signer,
     StartRun,
     TicketBook,
+    kind_of,
 )
 from rhubarbhinge.query import Catalog, RelayTarget
 from rhubarbhinge.register import Action
@@ -276,7 +277,7 @@
         if not mine or self._relay_by_ticket.get(reply.ticket) != peer:
             return
         del self._relay_by_ticket[reply.ticket]
-        kind = OutcomeKind(reply.kind)
+        kind = kind_of(reply.kind) or OutcomeKind.UNKNOWN
         self._ended(reply.ticket, kind, reply.result, reply.retry_after_ms)
 
     def _ended(self, ticket: str, kind: OutcomeKind, result: bytes, retry_after_ms: int) -> None:
--- a/rhubarbhinge/once/__init__.py
+++ b/rhubarbhinge/once/__init__.py
@@ -18,7 +18,7 @@
 from rhubarbhinge.once._guard import RunGuard
 from rhubarbhinge.once._incarnation import draw_incarnation
 from rhubarbhinge.once._keybook import KeyBook
-from rhubarbhinge.once._outcome import Outcome, OutcomeKind
+from rhubarbhinge.once._outcome import Outcome, OutcomeKind, kind_of
 from rhubarbhinge.once._permit import SendPermit
 from rhubarbhinge.once._settings import OnceSettings
 from rhubarbhinge.once._signer import Signer
@@ -48,4 +48,5 @@
     "TicketFault",
     "body_digest",
     "draw_incarnation",
+    "kind_of",
 ]
--- a/rhubarbhinge/once/_book.py
+++ b/rhubarbhinge/once/_book.py
@@ -18,7 +18,7 @@
 from rhubarbhinge.once._fault import TicketFault
 from rhubarbhinge.once._key_results import KeyBound, KeyEffect, KeyRefused
 from rhubarbhinge.once._keybook import KeyBook
-from rhubarbhinge.once._outcome import Outcome, OutcomeKind
+from rhubarbhinge.once._outcome import Outcome, OutcomeKind, kind_of
 from rhubarbhinge.once._permit import SendPermit
 from rhubarbhinge.once._record import TicketRecord, TicketState
 from rhubarbhinge.once._settings import OnceSettings
@@ -149,10 +149,10 @@
         pending = self._forwards.get(reply.call)
         if pending is None or reply.to_incarnation != self._signer.incarnation:
             return []
-        if pending.ticket != reply.ticket or reply.kind not in OutcomeKind:
+        kind = kind_of(reply.kind)
+        if pending.ticket != reply.ticket or kind is None:
             return []
         del self._forwards[reply.call]
-        kind = OutcomeKind(reply.kind)
         found = Outcome(
             kind, reply.code, reply.message, reply.todo, reply.retry_after_ms, reply.result
         )
--- a/rhubarbhinge/once/_outcome.py
+++ b/rhubarbhinge/once/_outcome.py
@@ -30,3 +30,15 @@
     todo: str
     retry_after_ms: int = 0
     result: bytes = b""
+
+
+_KIND_BY_VALUE = {kind.value: kind for kind in OutcomeKind}
+
+
+def kind_of(text: str) -> OutcomeKind | None:
+    """Read an outcome's kind out of a message.
+
+    :param text: as it came from another node.
+    :returns: the kind, or None for a text that is none.
+    """
+    return _KIND_BY_VALUE.get(text)
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -37,6 +37,8 @@
 #: Endings that speak against the searcher.
 _FAILURES = frozenset({SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE})
 
+_STATES = {int(state): state for state in UpstreamState}
+
 _RelayOf = Callable[[int], RelayTarget | None]
 
 
@@ -141,7 +143,7 @@
             strict=True,
         )
         for upstream_id, state, queued, in_flight, slots in rows:
-            self._catalog.on_state(upstream_id, UpstreamState(state))
+            self._catalog.on_state(upstream_id, _STATES.get(state, UpstreamState.UNKNOWN))
             self._scores.on_report(upstream_id, queued, in_flight, slots)
 
     def on_relay_gone(self, relay: str, now_ms: float) -> list[Effect]:
--- a/rhubarbhinge/wire/__init__.py
+++ b/rhubarbhinge/wire/__init__.py
@@ -4,6 +4,7 @@
 
 from rhubarbhinge.wire._cancelbatch import CancelBatch
 from rhubarbhinge.wire._codec import Codec
+from rhubarbhinge.wire._columns import check_columns
 from rhubarbhinge.wire._config_busy import ConfigBusy
 from rhubarbhinge.wire._config_chunk import ConfigChunk
 from rhubarbhinge.wire._config_digest import ConfigDigest
@@ -126,4 +127,6 @@
     :returns: the message.
     :raises FrameError: with code ``malformed``.
     """
-    return _CODEC.decode(data)
+    message = _CODEC.decode(data)
+    check_columns(message)
+    return message
--- a/rhubarbhinge/wire/tests/test_wire.py
+++ b/rhubarbhinge/wire/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Frames and messages from honest and from hostile senders."""
 
+import dataclasses
 import unittest
 
 from hypothesis import given, settings
@@ -77,6 +78,13 @@
         except FrameError as error:
             self.assertEqual(error.code, "malformed")
 
+    def test_lists_of_unequal_length_are_malformed(self):
+        for message, name in ((BATCH, "los"), (REPLIES, "bodies"), (HOLDING, "records")):
+            cut = dataclasses.replace(message, **{name: getattr(message, name)[:-1]})
+            with self.assertRaises(FrameError) as caught:
+                decode(encode(cut))
+            self.assertEqual(caught.exception.code, "malformed")
+
     def test_an_oversized_frame_is_refused_from_its_length_alone(self):
         with self.assertRaises(FrameError) as caught:
             FrameSplitter().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "little"))
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -22,13 +22,18 @@
 _POLL_S = 0.05
 
 
+#: Searchers of one failure domain share a process, so that replicas never do.
+BY_DOMAIN = -1
+
+
 @dataclass(frozen=True, slots=True)
 class Size:
     """How large a deployment is set up.
 
     :param scale: factor on the brief's number of searchers.
     :param vms_per_domain: entry VMs in each failure domain.
-    :param searcher_processes: processes that the searchers are spread over; 0 for one each.
+    :param searcher_processes: processes that the searchers are spread over; 0 for one each,
+        :data:`BY_DOMAIN` for one for each failure domain.
     """
 
     scale: float = 0.1
@@ -250,13 +255,21 @@
                     "holdings": holdings.get(upstream["name"], {}),
                 }
             )
-        count = self.size.searcher_processes or len(documents)
-        for place in range(min(count, len(documents))):
-            share = documents[place::count]
+        for place, share in enumerate(self._shares(documents)):
             process = self.fleet.searchers(f"{self.tenant}-searchers-{place}", {"searchers": share})
             for document in share:
                 self.searchers[document["name"]] = process
 
+    def _shares(self, documents: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
+        count = self.size.searcher_processes or len(documents)
+        if count != BY_DOMAIN:
+            return [documents[place::count] for place in range(min(count, len(documents)))]
+        domains = {each["name"]: each["failure_domain"] for each in self.register["upstreams"]}
+        return [
+            [document for document in documents if domains[document["name"]] == domain]
+            for domain in self.register["failure_domains"]
+        ]
+
     def _vms(self, ports: Iterable[int]) -> list[Vm]:
         vms = []
         for domain in self.register["failure_domains"]:
--- /dev/null
+++ b/tools/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole path on loopback, set up, used, broken and checked."""
