--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -154,6 +154,24 @@
         members = self._core.membership.live("entry", failure_domain)
         return frozenset(member.name for member in members)
 
+    def listed_entries(self) -> tuple[frozenset[str], int | None]:
+        """Give the entries that the platform lists, in all failure domains.
+
+        :returns: node names, and when the platform last confirmed the list, None for never.
+        """
+        now_ms = self._now_ms()
+        ages = {age.key: age for age in self._core.dissemination.ages(now_ms)}
+        age_ms = ages["vms"].platform_age_ms
+        if self.config.vms is None or age_ms < 0:
+            return frozenset(), None
+        names = [
+            vm.node_name(node)
+            for vm in self.config.vms.vms
+            for node in vm.nodes
+            if node.role == "entry"
+        ]
+        return frozenset(names), now_ms - age_ms
+
     def peer_up(self, peer: Peer) -> None:
         """Follow a new link.
 
--- a/rhubarbhinge/wire/_subcode.py
+++ b/rhubarbhinge/wire/_subcode.py
@@ -18,7 +18,7 @@
     RANGE_MOVED = 4
     #: The deadline passed before an answer.
     DEADLINE = 5
-    #: The connection failed or the answer was malformed.
+    #: The answer was malformed, or was not that of this request.
     BROKEN = 6
     #: The relay's queue cannot serve it in time; not run.
     QUEUE_FULL = 7
@@ -26,3 +26,5 @@
     WRONG_RECEIVER = 8
     #: The call was cancelled.
     CANCELLED = 9
+    #: The connection was refused or lost before an answer: the searcher is gone or starts anew.
+    LOST = 10
