--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -17,6 +17,8 @@
 
 #: Queries in flight before the rules are known; the rules' own limit replaces it.
 _FIRST_IN_FLIGHT = 64
+#: How often the owners of idempotency keys follow the platform's list.
+_KEY_OWNERS_MS = 500.0
 #: When a caller may come back to an entry that is not ready or is stopping.
 _ELSEWHERE_RETRY_MS = 500
 
@@ -54,6 +56,7 @@
             self.metrics,
             self.rng,
         )
+        self.timers.every(_KEY_OWNERS_MS, self._follow_entries)
 
     def config_changed(self) -> None:
         """Follow a new register, rules or VM list."""
@@ -65,7 +68,6 @@
         register = self.control.config.register
         if register is not None:
             self._directory.follow(register)
-        self._runs.members_changed(self.control.live_entries(self.identity.failure_domain))
         if self._direct is not None and register is not None and self.control.ready():
             entries = sum(
                 len(self.control.live_entries(domain)) for domain in register.failure_domains
@@ -107,9 +109,11 @@
         ticket_given = request.path.startswith("/v1/run/")
         if not self._is_known(request):
             responder.answer(no_such_path(request))
+        elif ticket_given:
+            self._runs.start(request, responder)
         elif not self.control.ready():
             responder.answer(api.error(_elsewhere("not-ready", "This entry is starting.")))
-        elif self.refusing and not ticket_given:
+        elif self.refusing:
             responder.answer(api.error(_elsewhere("draining", "This entry is stopping.")))
         elif request.path == "/v1/search":
             self._searches.start(request, responder)
@@ -142,6 +146,11 @@
             "searchers_announced": len(self._searches.catalog.known()),
         }
 
+    def _follow_entries(self) -> None:
+        listed, confirmed_ms = self.control.listed_entries()
+        if confirmed_ms is not None:
+            self._runs.entries_listed(listed, confirmed_ms)
+
     def _send_node(self, node: str, message: Any) -> bool:
         if self._direct is not None and self._direct.send(node, message):
             return True
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -29,13 +29,27 @@
     SubCode.QUEUE_FULL: "queue-full",
     SubCode.WRONG_RECEIVER: "no-replica",
     SubCode.CANCELLED: "deadline",
+    SubCode.LOST: "lost",
 }
-#: Endings that cost the searcher nothing: sending elsewhere is no extra load.
+#: Endings after which sending elsewhere is no extra load: nothing was run, or what ran is gone with
+#: its searcher, whose work the other replicas take over anyway.
 _NOT_LOAD = frozenset(
-    {SubCode.DRAINING, SubCode.VERSION_GONE, SubCode.RANGE_MOVED, SubCode.WRONG_RECEIVER}
+    {
+        SubCode.DRAINING,
+        SubCode.VERSION_GONE,
+        SubCode.RANGE_MOVED,
+        SubCode.WRONG_RECEIVER,
+        SubCode.LOST,
+    }
 )
 #: Endings that speak against the searcher.
-_FAILURES = frozenset({SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE})
+_FAILURES = frozenset(
+    {SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE, SubCode.LOST}
+)
+#: Endings after which the same replicas may answer a little later.
+_WORTH_WAITING = _FAILURES | {SubCode.WRONG_RECEIVER}
+
+_STATES = {int(state): state for state in UpstreamState}
 
 _RelayOf = Callable[[int], RelayTarget | None]
 
@@ -140,7 +154,7 @@
             strict=True,
         )
         for upstream_id, state, queued, in_flight, slots in rows:
-            self._catalog.on_state(upstream_id, UpstreamState(state))
+            self._catalog.on_state(upstream_id, _STATES.get(state, UpstreamState.UNKNOWN))
             self._scores.on_report(upstream_id, queued, in_flight, slots)
 
     def on_relay_gone(self, relay: str, now_ms: float) -> list[Effect]:
@@ -307,8 +321,7 @@
             self._budget(call).give_back()
         if outcome == SubCode.VERSION_GONE and self._better_version(call, part, now_ms):
             return self._replan(call, now_ms)
-        may_wait = not free or outcome == SubCode.WRONG_RECEIVER
-        if may_wait and self._wait_for(call, part, now_ms):
+        if outcome in _WORTH_WAITING and self._wait_for(call, part, now_ms):
             return []
         call.lose(part)
         return self._settle(call, now_ms)
@@ -386,8 +399,8 @@
             self._scores.on_ended(part.attempts.pop(number).upstream_id)
         if not lost or part.done or part.attempts or call.call_id not in self._calls:
             return []
-        part.why = "broken"
-        return self._again(call, part, SubCode.BROKEN, False, now_ms)
+        part.why = "lost"
+        return self._again(call, part, SubCode.LOST, False, now_ms)
 
     # Hedges.
 
