--- a/rhubarbhinge/history/__init__.py
+++ b/rhubarbhinge/history/__init__.py
@@ -9,6 +9,9 @@
 ``served``       a searcher's answer for ``request`` came back to the entry: ``collection``,
                  ``version``, ``lo`` and ``hi``
 ``search``       a searcher, ``searcher``, took a search; ``arrived_ms``
+``mint``         an entry minted ``ticket``
+``bind``         a caller was shown ``ticket`` for its idempotency ``key``
+``send``         an entry sent ``ticket`` to a relay
 ``run``          a searcher, ``searcher``, ran ``ticket``; ``arrived_ms``
 ``drain``        a searcher, ``searcher``, began to leave, by any signal
 ``drain-undone`` it takes work again
