--- a/rhubarbhinge/query/_call.py
+++ b/rhubarbhinge/query/_call.py
@@ -2,24 +2,28 @@
 
 from rhubarbhinge.query._missing import Missing
 from rhubarbhinge.query._plan import Gap, Plan
+from rhubarbhinge.query._relaytarget import RelayTarget
 from rhubarbhinge.query._searchrequest import SearchRequest
 from rhubarbhinge.query._tile import Tile
 
+#: The time of what is not planned.
+NEVER_MS = float("inf")
+
 
 class Attempt:
     """One sub-query that was sent.
 
     :ivar upstream_id: the searcher.
-    :ivar relay: the relay's node name.
+    :ivar target: the relay that it was sent to.
     :ivar sent_ms: when.
-    :ivar extra: whether it spent a token of the budget.
+    :ivar extra: whether a token of the budget was spent on it.
     """
 
-    __slots__ = ("upstream_id", "relay", "sent_ms", "extra", "overdue")
+    __slots__ = ("upstream_id", "target", "sent_ms", "extra", "overdue")
 
-    def __init__(self, upstream_id: int, relay: str, sent_ms: float, extra: bool) -> None:
+    def __init__(self, upstream_id: int, target: RelayTarget, sent_ms: float, extra: bool) -> None:
         self.upstream_id = upstream_id
-        self.relay = relay
+        self.target = target
         self.sent_ms = sent_ms
         self.extra = extra
         self.overdue = False
@@ -61,6 +65,13 @@
         self.wait_ms = 0
         self.retry_at_ms = 0.0
 
+    def waits(self) -> bool:
+        """Say whether nothing is outstanding and a retry is planned.
+
+        :returns: True when it waits.
+        """
+        return not self.done and not self.attempts and self.retry_at_ms > 0.0
+
 
 class Call:
     """One query that is being answered.
@@ -69,6 +80,7 @@
     :ivar request: the search as admitted.
     :ivar started_ms: when it began.
     :ivar deadline_ms: when it has to be answered, on the same clock.
+    :ivar wake_ms: when it is looked at next.
     """
 
     __slots__ = (
@@ -76,6 +88,7 @@
         "request",
         "started_ms",
         "deadline_ms",
+        "wake_ms",
         "plan",
         "parts",
         "open_parts",
@@ -95,6 +108,7 @@
         self.request = request
         self.started_ms = now_ms
         self.deadline_ms = now_ms + request.deadline_ms
+        self.wake_ms = NEVER_MS
         self.gone_versions: frozenset[int] = frozenset()
         self.next_part = 0
         self.base = 0
@@ -144,6 +158,14 @@
         tile = part.tile
         self.lost.append(Missing(tile.lo, tile.hi, tile.records, part.why))
 
+    def next_retry_ms(self) -> float:
+        """Give the time of the next retry of a waiting part.
+
+        :returns: :data:`NEVER_MS` when no part waits.
+        """
+        waiting = [part.retry_at_ms for part in self.parts.values() if part.waits()]
+        return min(waiting, default=NEVER_MS)
+
     def best_coverage(self) -> float:
         """Give the coverage if all open parts are answered.
 
@@ -154,15 +176,14 @@
             return 0.0 if self.lost else 1.0
         return (self.covered_records + self._open_records()) / total
 
-    def coverage(self) -> float:
-        """Give the coverage so far.
+    def coverage_without(self, part: Part) -> float:
+        """Give the coverage if all open parts but one are answered.
 
+        :param part: the one.
         :returns: between 0 and 1.
         """
-        total = self.plan.total_records
-        if total == 0:
-            return 0.0 if self.lost or self.open_parts else 1.0
-        return self.covered_records / total
+        records = self.covered_records + self._open_records() - part.tile.records
+        return records / max(1, self.plan.total_records)
 
     def _open_records(self) -> int:
         return sum(part.tile.records for part in self.parts.values() if not part.done)
--- a/rhubarbhinge/query/_subanswer.py
+++ b/rhubarbhinge/query/_subanswer.py
@@ -3,6 +3,10 @@
 import orjson
 
 from rhubarbhinge.query._call import Call, Part
+from rhubarbhinge.utils.nesting import is_nested_below
+
+#: Lists and objects may be nested this deep in a hit; orjson reads 1,024 levels and writes 254.
+_MOST_DEPTH = 16
 
 
 def checked_hits(body: bytes, call: Call, part: Part) -> list[dict] | None:
@@ -35,8 +39,15 @@
     hits = answer.get("hits")
     if not isinstance(hits, list):
         return None
-    return hits if all(map(_is_hit, hits)) else None
+    if not all(map(_is_hit, hits)) or not _is_shallow(body, hits):
+        return None
+    return hits
 
 
 def _is_hit(hit: object) -> bool:
     return isinstance(hit, dict) and isinstance(hit.get("score"), int | float) and "id" in hit
+
+
+def _is_shallow(body: bytes, hits: list[dict]) -> bool:
+    flat = body.count(b"{") + body.count(b"[") <= len(hits) + 2
+    return flat or is_nested_below(hits, _MOST_DEPTH)
