standins: at most once on real processes, entries, relays and upstreams killed and frozen

Ten cases on one shared deployment; the upstreams' logs and the callers' answers are checked by rhubarbhinge.history. Searchers can be restarted with their ports and history.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -96,6 +96,7 @@
         if change is not None:
             change(self.register, self.rules)
         self.searchers: dict[str, Process] = {}
+        self._searcher_documents: dict[str, dict[str, Any]] = {}
         self.searcher_ports = {
             upstream["name"]: upstream["port"] for upstream in self.register["upstreams"]
         }
@@ -222,6 +223,28 @@
         """
         call(self.searcher_ports[name], "/standin", changes)
 
+    def shown(self, name: str) -> dict[str, Any]:
+        """Read a searcher's knobs, holdings and figures.
+
+        :param name: its name.
+        :returns: what it shows.
+        """
+        return call(self.searcher_ports[name], "/standin")
+
+    def restart_searchers(self, process: Process) -> Process:
+        """Start a process of searchers that has ended anew, with its ports and its history.
+
+        :param process: the ended process.
+        :returns: the new one.
+        """
+        names = [name for name, owner in self.searchers.items() if owner is process]
+        documents = [self._searcher_documents[name] for name in names]
+        for document in documents:
+            document["incarnation"] = document.get("incarnation", 1) + 1
+        started = self.fleet.searchers(process.name, {"searchers": documents})
+        self.searchers.update(dict.fromkeys(names, started))
+        return started
+
     def holders(self, collection: str) -> dict[tuple[int, int], list[str]]:
         """Give who holds each shard of a collection.
 
@@ -259,6 +282,7 @@
             process = self.fleet.searchers(f"{self.tenant}-searchers-{place}", {"searchers": share})
             for document in share:
                 self.searchers[document["name"]] = process
+                self._searcher_documents[document["name"]] = document
 
     def _shares(self, documents: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
         count = self.size.searcher_processes or len(documents)
--- /dev/null
+++ b/standins/tests/test_live_runs.py
@@ -0,0 +1,154 @@
+"""At most once, on real processes: entries, relays and upstreams killed, frozen and restarted."""
+
+import time
+
+from rhubarbhinge.history import at_most_once
+from rhubarbhinge.once import OnceSettings, OutcomeKind
+from standins.tests._live import ACTION, LiveCase, in_background
+
+RAN = OutcomeKind.RAN.value
+REFUSED = OutcomeKind.REFUSED_NOT_RUN.value
+UNKNOWN = OutcomeKind.UNKNOWN.value
+LONG_RUN_MS = 1_500
+#: On top of a run's longest time.
+_LATER_S = 1.0
+
+
+class LiveRunsTest(LiveCase):
+    def setUp(self):
+        super().setUp()
+        self.home, *self.others = self.live.vms
+        (action,) = [each for each in self.live.register["actions"] if each["name"] == ACTION]
+        self.upstreams = action["upstreams"]
+
+    def check(self):
+        self.assertEqual(at_most_once(self.history()), [])
+
+    def test_entry_killed_before_the_send(self):
+        ticket = self.callers.mint(self.home)
+        self.home.nodes["entry"].kill()
+        shown = [each.result() for each in ticket.show_all(self.others)]
+        self.restart(self.home, "entry")
+        shown += [ticket.show(vm) for vm in self.live.vms]
+        self.assertEqual(set(shown), {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 0)
+        self.check()
+
+    def test_entry_killed_during_the_run(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        first = in_background(ticket.show, self.home)
+        self.wait_run(ticket)
+        self.home.nodes["entry"].kill()
+        shown = [each.result() for each in ticket.show_all(self.others)]
+        self.restart(self.home, "entry")
+        shown += [ticket.show(vm) for vm in self.live.vms]
+        self.assertEqual(first.result(), "cut")
+        self.assertEqual(set(shown), {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_entry_killed_after_the_run(self):
+        ticket = self.callers.mint(self.home)
+        self.assertEqual(ticket.show(self.others[0]), RAN)
+        self.home.nodes["entry"].kill()
+        self.restart(self.home, "entry")
+        shown = {ticket.show(vm) for vm in self.live.vms}
+        self.assertEqual(shown, {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_entry_frozen_past_the_deadline(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        begun, unused = self.callers.mint(self.home), self.callers.mint(self.home, 2)
+        shown = [in_background(begun.show, self.home)]
+        self.wait_run(begun)
+        entry = self.home.nodes["entry"]
+        entry.freeze()
+        self.addCleanup(entry.thaw)
+        for ticket in (begun, unused):
+            shown += ticket.show_all([*self.others, *self.others, self.home])
+        time.sleep(OnceSettings().run_ms / 1000 + _LATER_S)
+        entry.thaw()
+        self.live.wait_serving()
+        for ticket in (begun, unused):
+            shown += ticket.show_all(self.live.vms)
+        outcomes = {each.result() for each in shown}
+        self.assertLessEqual(outcomes, {RAN, UNKNOWN})
+        self.assertEqual(self.times_run(begun), 1)
+        self.assertEqual(self.times_run(unused), 1)
+        self.check()
+
+    def test_shown_to_all_entries_at_once(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        shown = ticket.show_all(self.live.vms * 3)
+        self.wait_run(ticket)
+        shown += ticket.show_all(self.live.vms)
+        self.assertEqual({each.result() for each in shown}, {RAN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_relay_killed_during_the_run(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        first = in_background(ticket.show, self.home)
+        vm = self._carrier(self.wait_run(ticket)["searcher"])
+        vm.nodes["relay"].kill()
+        shown = [first, *ticket.show_all(self.live.vms)]
+        self.assertEqual({each.result() for each in shown}, {UNKNOWN})
+        self.restart(vm, "relay")
+        self.assertEqual({ticket.show(each) for each in self.live.vms}, {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_relay_frozen_with_the_run(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        first = in_background(ticket.show, self.home)
+        relay = self._carrier(self.wait_run(ticket)["searcher"]).nodes["relay"]
+        relay.freeze()
+        self.addCleanup(relay.thaw)
+        shown = [first, *ticket.show_all(self.live.vms)]
+        self.assertLessEqual({each.result() for each in shown}, {RAN, UNKNOWN})
+        relay.thaw()
+        self.live.wait_serving()
+        self.assertLessEqual({ticket.show(vm) for vm in self.live.vms}, {RAN, UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_answer_of_the_upstream_lost(self):
+        self.set_knobs(self.upstreams, run_lose_probability=1.0)
+        ticket = self.callers.mint(self.home)
+        shown = {ticket.show(vm) for vm in self.live.vms}
+        self.assertEqual(shown, {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_upstream_killed_during_the_run(self):
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        first = in_background(ticket.show, self.home)
+        process = self.live.searchers[self.wait_run(ticket)["searcher"]]
+        process.kill()
+        self.assertEqual(first.result(), UNKNOWN)
+        self.live.restart_searchers(process)
+        self.assertEqual({ticket.show(vm) for vm in self.live.vms}, {UNKNOWN})
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
+    def test_refused_by_the_upstream(self):
+        self.set_knobs(self.upstreams, run_refuse_probability=1.0)
+        ticket = self.callers.mint(self.home)
+        first = {each.result() for each in ticket.show_all(self.live.vms)}
+        self.assertEqual(first, {REFUSED})
+        self.set_knobs(self.upstreams, run_refuse_probability=0.0)
+        self.assertEqual({ticket.show(vm) for vm in self.live.vms}, {REFUSED})
+        self.assertEqual(self.times_run(ticket), 0)
+        self.check()
+
+    def _carrier(self, searcher):
+        upstreams = {each["name"]: each for each in self.live.register["upstreams"]}
+        domain = upstreams[searcher]["failure_domain"]
+        (vm,) = [vm for vm in self.live.vms if vm.failure_domain == domain]
+        return vm
