--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -6,7 +6,6 @@
 import threading
 import time
 import unittest
-import urllib.error
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
