once: copies of keys can be looked up, tests of book, keys and guard

Cause: with the first owner lost, a caller whose redirect was lost got no answer for a window. Ruled out: granting from one owner; reads from a copy that the first had named are safe. Change: claim steps order, copy and lookup; bindings slide with each claim; the history checker flags a key that shows two tickets.

--- a/rhubarbhinge/once/_keybook.py
+++ b/rhubarbhinge/once/_keybook.py
@@ -4,33 +4,25 @@
 
 from rhubarbhinge.once._codes import Code, not_run, unknown
 from rhubarbhinge.once._effects import SendClaim
+from rhubarbhinge.once._key_bindings import KeyBindings
 from rhubarbhinge.once._key_owners import KeyOwners
+from rhubarbhinge.once._key_reply_code import KeyReplyCode
 from rhubarbhinge.once._key_results import KeyBound, KeyEffect, KeyRefused
+from rhubarbhinge.once._key_step import KeyStep
+from rhubarbhinge.once._outcome import Outcome
 from rhubarbhinge.once._settings import OnceSettings
 from rhubarbhinge.wire._key_claim import KeyClaim
 from rhubarbhinge.wire._key_claim_reply import KeyClaimReply
 
-BOUND = "bound"
-HELD = "held"
-YOUNG = "young"
-LIST_OLD = "list-old"
-NOT_OWNER = "not-owner"
-FULL = "full"
-_REFUSALS = {
-    YOUNG: Code.KEY_OWNER_YOUNG,
-    LIST_OLD: Code.KEY_LIST_OLD,
-    NOT_OWNER: Code.KEY_NOT_OWNER,
-    FULL: Code.KEY_FULL,
+_REFUSALS: dict[str, Code] = {
+    KeyReplyCode.NOT_HELD: Code.KEY_OWNER_GONE,
+    KeyReplyCode.YOUNG: Code.KEY_OWNER_YOUNG,
+    KeyReplyCode.LIST_OLD: Code.KEY_LIST_OLD,
+    KeyReplyCode.NOT_OWNER: Code.KEY_NOT_OWNER,
+    KeyReplyCode.FULL: Code.KEY_FULL,
 }
 
 
-@dataclass(frozen=True, slots=True)
-class _Binding:
-    ticket: str
-    digest: bytes
-    until_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class _Claim:
     request: int
@@ -39,15 +31,21 @@
     proposed: str
     ticket: str
     owners: tuple[str, ...]
-    step: int
+    step: KeyStep
     deadline_ms: int
+    refusal: Outcome | None = None
+
+    @property
+    def asked(self) -> str:
+        return self.owners[0] if self.step is KeyStep.ORDER else self.owners[-1]
 
 
 class KeyBook:
     """The book of idempotency keys: claims made here, and keys owned here.
 
     A claim goes to the first owner, which orders claims of the same key, and then, with the ticket
-    that the first one holds, to the second. Only a key that both hold for the same ticket is used.
+    that the first one holds, to the second. A ticket is shown for a key only if both hold it, or if
+    the first can't say and the second holds a copy that the first had named.
 
     :param entry: name of this entry.
     :param incarnation: its incarnation.
@@ -58,10 +56,9 @@
     def __init__(self, entry: str, incarnation: int, settings: OnceSettings, started_ms: int):
         self._entry = entry
         self._incarnation = incarnation
-        self._settings = settings
-        self._started_ms = started_ms
+        self._claim_ms = settings.key_claim_ms
         self._owners = KeyOwners(settings.key_window_ms)
-        self._bindings: dict[str, _Binding] = {}
+        self._bindings = KeyBindings(entry, settings, started_ms, self._owners)
         self._claims: dict[int, _Claim] = {}
         self._next_call = 0
 
@@ -86,12 +83,12 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects.
         """
-        if not self._owners.is_current(now_ms):
-            refusal = unknown(Code.KEY_LIST_OLD, self._settings.key_claim_ms)
-            return [KeyRefused(request, refusal, ticket)]
         owners = self._owners.owners(key, now_ms)
-        deadline_ms = now_ms + self._settings.key_claim_ms
-        claim = _Claim(request, key, digest, ticket, ticket, owners, 0, deadline_ms)
+        if not owners or not self._owners.is_current(now_ms):
+            refusal = unknown(Code.KEY_LIST_OLD, self._claim_ms)
+            return [KeyRefused(request, refusal, ticket)]
+        deadline_ms = now_ms + self._claim_ms
+        claim = _Claim(request, key, digest, ticket, ticket, owners, KeyStep.ORDER, deadline_ms)
         return [self._ask(claim)]
 
     def on_claim(self, claim: KeyClaim, now_ms: int) -> KeyClaimReply:
@@ -101,17 +98,7 @@
         :param now_ms: time on this entry's clock.
         :returns: the reply.
         """
-        self._forget(now_ms)
-        held = self._bindings.get(claim.key)
-        if held is not None:
-            return self._reply(claim, HELD, held.ticket, held.digest)
-        refusal = self._refusal(claim.key, now_ms)
-        if refusal is not None:
-            code, retry_after_ms = refusal
-            return self._reply(claim, code, "", b"", retry_after_ms)
-        until_ms = now_ms + self._settings.key_window_ms
-        self._bindings[claim.key] = _Binding(claim.ticket, claim.digest, until_ms)
-        return self._reply(claim, BOUND, claim.ticket, claim.digest)
+        return self._bindings.on_claim(claim, now_ms)
 
     def on_reply(self, reply: KeyClaimReply, now_ms: int) -> list[KeyEffect]:
         """Take the answer of an owner of a key.
@@ -123,10 +110,15 @@
         claim = self._claims.get(reply.call)
         if claim is None or reply.to_incarnation != self._incarnation:
             return []
-        if (reply.key, reply.from_entry) != (claim.key, claim.owners[claim.step]):
+        if (reply.key, reply.from_entry) != (claim.key, claim.asked):
             return []
         del self._claims[reply.call]
-        return [self._next_step(claim, reply, now_ms)]
+        if now_ms >= claim.deadline_ms:
+            return [self._fall_back(claim, unknown(Code.KEY_OWNER_GONE, self._claim_ms), now_ms)]
+        if reply.code != KeyReplyCode.HELD:
+            code = _REFUSALS.get(reply.code, Code.KEY_OWNER_GONE)
+            return [self._fall_back(claim, unknown(code, reply.retry_after_ms), now_ms)]
+        return [self._on_held(claim, reply)]
 
     def on_peer_gone(self, entry: str, now_ms: int) -> list[KeyEffect]:
         """End the claims that wait for an entry that can't be reached.
@@ -135,8 +127,9 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects.
         """
-        calls = [call for call, c in self._claims.items() if c.owners[c.step] == entry]
-        return [self._give_up(call) for call in calls]
+        return self._give_up(
+            [c for c, claim in self._claims.items() if claim.asked == entry], now_ms
+        )
 
     def tick(self, now_ms: int) -> list[KeyEffect]:
         """End the claims that have waited too long, and forget old keys.
@@ -144,72 +137,44 @@
         :param now_ms: time on this entry's clock.
         :returns: the effects.
         """
-        self._forget(now_ms)
+        self._bindings.forget(now_ms)
         late = [call for call, claim in self._claims.items() if now_ms >= claim.deadline_ms]
-        return [self._give_up(call) for call in late]
+        return self._give_up(late, now_ms)
 
     def _ask(self, claim: _Claim) -> SendClaim:
         call = self._next_call
         self._next_call += 1
         self._claims[call] = claim
-        to = claim.owners[claim.step]
         message = KeyClaim(
-            call, self._entry, self._incarnation, to, claim.key, claim.digest, claim.ticket
-        )
-        return SendClaim(to, message)
-
-    def _next_step(self, claim: _Claim, reply: KeyClaimReply, now_ms: int) -> KeyEffect:
-        first = claim.step == 0
-        unused = claim.proposed if first and reply.ticket != claim.proposed else None
-        if now_ms >= claim.deadline_ms:
-            return KeyRefused(claim.request, unknown(Code.KEY_OWNER_GONE), unused)
-        if reply.code in _REFUSALS:
-            refusal = unknown(_REFUSALS[reply.code], reply.retry_after_ms)
-            return KeyRefused(claim.request, refusal, unused)
-        if reply.digest != claim.digest:
-            return KeyRefused(claim.request, not_run(Code.KEY_MISMATCH), unused)
-        if not first and reply.ticket != claim.ticket:
-            return KeyRefused(claim.request, unknown(Code.KEY_CONFLICT), unused)
-        if claim.step + 1 < len(claim.owners):
-            return self._ask(replace(claim, ticket=reply.ticket, step=claim.step + 1))
-        shown = claim.proposed == reply.ticket
-        return KeyBound(claim.request, reply.ticket, None if shown else claim.proposed)
-
-    def _give_up(self, call: int) -> KeyEffect:
-        claim = self._claims.pop(call)
-        refusal = unknown(Code.KEY_OWNER_GONE, self._settings.key_claim_ms)
-        return KeyRefused(claim.request, refusal, None)
-
-    def _refusal(self, key: str, now_ms: int) -> tuple[str, int] | None:
-        age_ms = now_ms - self._started_ms
-        if age_ms < self._settings.key_window_ms:
-            return YOUNG, self._settings.key_window_ms - age_ms
-        if not self._owners.is_current(now_ms):
-            return LIST_OLD, self._settings.key_claim_ms
-        if self._entry not in self._owners.owners(key, now_ms):
-            return NOT_OWNER, self._settings.key_claim_ms
-        if len(self._bindings) >= self._settings.most_keys:
-            oldest = next(iter(self._bindings.values()))
-            return FULL, max(1, oldest.until_ms - now_ms)
-        return None
-
-    def _reply(
-        self, claim: KeyClaim, code: str, ticket: str, digest: bytes, retry_after_ms: int = 0
-    ) -> KeyClaimReply:
-        return KeyClaimReply(
-            claim.call,
-            claim.from_incarnation,
+            call,
             self._entry,
+            self._incarnation,
+            claim.asked,
+            int(claim.step),
             claim.key,
-            ticket,
-            digest,
-            code,
-            retry_after_ms,
+            claim.digest,
+            claim.ticket,
         )
+        return SendClaim(claim.asked, message)
 
-    def _forget(self, now_ms: int) -> None:
-        while self._bindings:
-            key, binding = next(iter(self._bindings.items()))
-            if now_ms < binding.until_ms:
-                return
-            del self._bindings[key]
+    def _on_held(self, claim: _Claim, reply: KeyClaimReply) -> KeyEffect:
+        unused = None if reply.ticket == claim.proposed else claim.proposed
+        if reply.digest != claim.digest:
+            return KeyRefused(claim.request, not_run(Code.KEY_MISMATCH), unused)
+        if claim.step is KeyStep.ORDER and len(claim.owners) > 1:
+            return self._ask(replace(claim, ticket=reply.ticket, step=KeyStep.COPY))
+        if claim.step is KeyStep.COPY and reply.ticket != claim.ticket:
+            return KeyRefused(claim.request, unknown(Code.KEY_CONFLICT, self._claim_ms), None)
+        return KeyBound(claim.request, reply.ticket, unused)
+
+    def _give_up(self, calls: list[int], now_ms: int) -> list[KeyEffect]:
+        gone = unknown(Code.KEY_OWNER_GONE, self._claim_ms)
+        return [self._fall_back(self._claims.pop(call), gone, now_ms) for call in calls]
+
+    def _fall_back(self, claim: _Claim, refusal: Outcome, now_ms: int) -> KeyEffect:
+        """Ask the second owner for its copy when the first can't say, else refuse."""
+        if claim.step is not KeyStep.ORDER or len(claim.owners) == 1:
+            return KeyRefused(claim.request, claim.refusal or refusal, None)
+        deadline_ms = now_ms + self._claim_ms
+        lookup = replace(claim, step=KeyStep.LOOKUP, deadline_ms=deadline_ms, refusal=refusal)
+        return self._ask(lookup)
--- a/rhubarbhinge/once/_violation.py
+++ b/rhubarbhinge/once/_violation.py
@@ -15,7 +15,7 @@
     REFUSED_BUT_RAN = "refused-but-ran"
     REFUSED_THEN_SENT = "refused-then-sent"
     ANSWERED_WITHOUT_RUN = "answered-without-run"
-    KEY_RAN_TWICE = "key-ran-twice"
+    KEY_TWO_TICKETS = "key-two-tickets"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rhubarbhinge/once/tests/test_book.py
@@ -0,0 +1,239 @@
+"""Tests of single steps of the book of tickets and of the relay's guard."""
+
+import unittest
+from dataclasses import replace
+
+from rhubarbhinge.once import AnswerOutcome, AnswerRedirect, OutcomeKind, RunGuard, StartRun
+from rhubarbhinge.once.tests._fakes import BODIES, ENTRIES, KEYS, SETTINGS, Fleet
+from rhubarbhinge.wire._run_request import RunRequest
+
+OWNER, OTHER = ENTRIES[:2]
+BODY = BODIES[0]
+
+
+class BookTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.book = self.fleet.books[OWNER]
+        self.ticket = self.mint()
+
+    def mint(self) -> str:
+        return self.fleet.answers[self.fleet.mint(OWNER, BODY, None)].ticket
+
+    def code(self, request: int) -> tuple[str, str]:
+        answer = self.fleet.answers[request]
+        return answer.kind.value, answer.code
+
+    def upstream(self, kind: OutcomeKind, payload: bytes = b"") -> None:
+        ticket, fleet = self.ticket, self.fleet
+        fleet.act(OWNER, lambda book, now_ms: book.on_upstream(ticket, kind, payload, 7, now_ms))
+
+    def start_and_send(self) -> int:
+        request = self.fleet.run(OWNER, self.ticket, BODY)
+        self.assertTrue(self.book.on_send(self.ticket, self.fleet.now_ms).send)
+        return request
+
+    def test_a_read_never_runs(self):
+        first = self.fleet.read(OWNER, self.ticket)
+        self.assertEqual(("unknown", "not-started"), self.code(first))
+        self.assertEqual([], self.fleet.outboxes[OWNER])
+
+    def test_another_body_is_not_run_and_leaves_the_ticket_usable(self):
+        wrong = self.fleet.run(OWNER, self.ticket, BODIES[1])
+        self.assertEqual(("refused_not_run", "body-mismatch"), self.code(wrong))
+        self.fleet.run(OWNER, self.ticket, BODY)
+        self.assertEqual(1, len(self.fleet.outboxes[OWNER]))
+
+    def test_the_permit_to_send_is_given_once(self):
+        self.start_and_send()
+        self.assertFalse(self.book.on_send(self.ticket, self.fleet.now_ms).send)
+
+    def test_a_process_frozen_before_the_send_does_not_send(self):
+        request = self.fleet.run(OWNER, self.ticket, BODY)
+        self.fleet.sleep(SETTINGS.run_ms)
+        self.fleet.send_run(OWNER, "a/relay")
+        self.assertEqual([], self.fleet.network)
+        self.assertEqual(("refused_not_run", "late-send"), self.code(request))
+
+    def test_expiry_ends_a_run_that_was_started_just_before_it(self):
+        self.fleet.sleep(SETTINGS.lifetime_ms - 1)
+        self.fleet.run(OWNER, self.ticket, BODY)
+        self.fleet.sleep(1)
+        self.assertFalse(self.book.on_send(self.ticket, self.fleet.now_ms).send)
+
+    def test_expiry(self):
+        self.fleet.sleep(SETTINGS.lifetime_ms)
+        late = self.fleet.run(OWNER, self.ticket, BODY)
+        self.assertEqual(("refused_not_run", "ticket-expired-unused"), self.code(late))
+        self.fleet.sleep(SETTINGS.keep_ms)
+        self.fleet.tick(OWNER)
+        later = self.fleet.read(OWNER, self.ticket)
+        self.assertEqual(("unknown", "ticket-expired"), self.code(later))
+
+    def test_a_refused_ticket_is_used_up(self):
+        first = self.start_and_send()
+        self.upstream(OutcomeKind.REFUSED_NOT_RUN)
+        again = self.fleet.run(OWNER, self.ticket, BODY)
+        self.assertEqual(("refused_not_run", "upstream-refused"), self.code(first))
+        self.assertEqual(self.fleet.answers[first], self.fleet.answers[again])
+        self.assertEqual(7, self.fleet.answers[first].retry_after_ms)
+
+    def test_late_news(self):
+        request = self.start_and_send()
+        self.fleet.sleep(SETTINGS.run_ms)
+        self.upstream(OutcomeKind.REFUSED_NOT_RUN)
+        self.assertEqual(("unknown", "upstream-unknown"), self.code(request))
+        self.upstream(OutcomeKind.RAN, b"done")
+        self.upstream(OutcomeKind.REFUSED_NOT_RUN)
+        self.assertEqual(("ran", "done"), self.code(self.fleet.read(OWNER, self.ticket)))
+
+    def test_a_result_that_is_too_large_is_dropped_but_ran(self):
+        request = self.start_and_send()
+        self.upstream(OutcomeKind.RAN, b"x" * (SETTINGS.most_result_bytes + 1))
+        self.assertEqual(("ran", "result-too-large"), self.code(request))
+
+    def test_bounds(self):
+        for _ in range(SETTINGS.most_tickets - 1):
+            self.mint()
+        full = self.fleet.mint(OWNER, BODY, None)
+        self.assertEqual(("refused_not_run", "tickets-full"), self.code(full))
+        wait_ms = SETTINGS.lifetime_ms + SETTINGS.keep_ms
+        self.assertEqual(wait_ms, self.fleet.answers[full].retry_after_ms)
+        copies = [self.fleet.run(OWNER, self.ticket, BODY) for _ in range(5)]
+        self.assertEqual(("unknown", "waiters-full"), self.code(copies[-1]))
+        self.fleet.sleep(wait_ms)
+        self.fleet.tick(OWNER)
+        self.assertIsInstance(
+            self.fleet.answers[self.fleet.mint(OWNER, BODY, None)], AnswerRedirect
+        )
+
+    def test_drain_stops_minting_and_lets_tickets_run(self):
+        report = self.book.drain(self.fleet.now_ms)
+        self.assertEqual((1, 0, 0, SETTINGS.lifetime_ms), _fields(report))
+        refused = self.fleet.mint(OWNER, BODY, None)
+        self.assertEqual(("refused_not_run", "draining"), self.code(refused))
+        self.start_and_send()
+        self.assertEqual((0, 1, 0, SETTINGS.run_ms), _fields(self.book.drain(self.fleet.now_ms)))
+
+    def test_the_owner_is_lost(self):
+        asked = self.fleet.run(OTHER, self.ticket, BODY)
+        self.fleet.start_entry(OWNER, self.fleet.now_ms)
+        self.fleet.flush()
+        self.assertEqual(("unknown", "ticket-other-incarnation"), self.code(asked))
+        here = self.fleet.run(OWNER, self.ticket, BODY)
+        self.assertEqual(("unknown", "ticket-other-incarnation"), self.code(here))
+
+    def test_a_silent_owner(self):
+        asked = self.fleet.run(OTHER, self.ticket, BODY)
+        self.fleet.sleep(SETTINGS.forward_ms)
+        self.fleet.tick(OTHER)
+        self.assertEqual(("unknown", "owner-silent"), self.code(asked))
+
+    def test_bad_tickets(self):
+        wrong = self.ticket[:-1] + ("A" if self.ticket[-1] != "A" else "Q")
+        for text in ("", "x" * 40, wrong):
+            effects = self.book.on_run(99, text, BODY, self.fleet.now_ms)
+            self.assertIsInstance(effects[0], AnswerOutcome)
+            self.assertEqual(OutcomeKind.REFUSED_NOT_RUN, effects[0].outcome.kind)
+
+    def test_consumed_before_the_effect(self):
+        effects = self.book.on_run(98, self.ticket, BODY, self.fleet.now_ms)
+        self.assertIsInstance(effects[0], StartRun)
+        self.assertEqual([], self.book.on_run(99, self.ticket, BODY, self.fleet.now_ms))
+
+
+class KeyTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.owners = self.fleet.keys[OWNER]._owners.owners(KEYS[0], self.fleet.now_ms)
+        self.third = next(name for name in ENTRIES if name not in self.owners)
+        self.ticket = self.ask(self.third).ticket
+
+    def ask(self, entry: str, body: bytes = BODY):
+        request = self.fleet.mint(entry, body, KEYS[0])
+        self.fleet.flush()
+        return self.fleet.answers[request]
+
+    def test_every_entry_shows_the_same_ticket(self):
+        self.assertEqual({self.ticket}, {self.ask(entry).ticket for entry in ENTRIES})
+        self.assertEqual([0, 0, 1], sorted(self.fleet.books[name].held for name in ENTRIES))
+
+    def test_another_body_is_refused(self):
+        self.assertEqual("key-mismatch", self.ask(OWNER, BODIES[1]).code)
+
+    def test_the_copy_answers_when_the_first_owner_is_lost(self):
+        self.fleet.start_entry(self.owners[0], self.fleet.now_ms)
+        self.assertEqual(self.ticket, self.ask(self.third).ticket)
+
+    def test_nothing_is_granted_while_both_owners_are_young(self):
+        for name in self.owners:
+            self.fleet.start_entry(name, self.fleet.now_ms)
+        refused = self.ask(self.third)
+        self.assertEqual(("unknown", "key-owner-young"), (refused.kind, refused.code))
+
+    def test_nothing_is_granted_when_both_owners_were_delisted(self):
+        self.fleet.listed = frozenset({self.third})
+        self.fleet.sleep(1)
+        self.fleet.split = frozenset(self.owners)
+        request = self.fleet.mint(self.third, BODY, KEYS[0])
+        for _ in range(2):
+            self.fleet.sleep(SETTINGS.key_claim_ms)
+            self.fleet.tick(self.third)
+        self.assertEqual("key-owner-gone", self.fleet.answers[request].code)
+
+    def test_a_cut_off_side_stops_granting_before_the_others_begin(self):
+        self.fleet.split = frozenset(self.owners)
+        self.fleet.sleep(SETTINGS.key_window_ms)
+        self.assertEqual("key-list-old", self.ask(self.owners[0]).code)
+
+    def test_owners_that_hold_two_tickets_are_a_conflict(self):
+        first = self.fleet.keys[self.owners[0]]
+        held = first._bindings._bindings
+        held[KEYS[0]] = replace(held[KEYS[0]], ticket="other")
+        self.assertEqual("key-conflict", self.ask(self.third).code)
+
+    def test_the_window_follows_the_last_request(self):
+        self.fleet.sleep(SETTINGS.key_window_ms - 1)
+        self.assertEqual(self.ticket, self.ask(self.third).ticket)
+        self.fleet.sleep(SETTINGS.key_window_ms - 1)
+        self.assertEqual(self.ticket, self.ask(self.third).ticket)
+        self.fleet.sleep(SETTINGS.key_window_ms)
+        self.assertNotEqual(self.ticket, self.ask(self.third).ticket)
+
+
+class GuardTest(unittest.TestCase):
+    def setUp(self):
+        self.guard = RunGuard("a/relay", 5, window_ms=100, most=2)
+
+    def request(self, ticket: str, incarnation: int = 5) -> RunRequest:
+        return RunRequest("a/entry", 1, "a/relay", incarnation, ticket, "order", b"", 10)
+
+    def codes(self, *replies) -> list[tuple[str, str] | None]:
+        return [reply and (reply.kind, reply.code) for reply in replies]
+
+    def test_a_ticket_passes_once(self):
+        request = self.request("t")
+        found = [self.guard.on_request(request, 0), self.guard.may_send(request, 9)]
+        found += [self.guard.on_request(request, 9), self.guard.may_send(request, 9)]
+        again = ("unknown", "run-duplicate")
+        self.assertEqual([None, None, again, again], self.codes(*found))
+
+    def test_a_frozen_relay_does_not_send(self):
+        request = self.request("t")
+        found = [self.guard.on_request(request, 0), self.guard.may_send(request, 10)]
+        self.assertEqual([None, ("refused_not_run", "late-send")], self.codes(*found))
+
+    def test_a_restarted_relay_refuses_what_was_meant_for_the_one_before(self):
+        found = self.guard.on_request(self.request("t", incarnation=4), 0)
+        self.assertEqual([("unknown", "ticket-other-incarnation")], self.codes(found))
+
+    def test_the_guard_is_bounded(self):
+        found = [self.guard.on_request(self.request(name), 0) for name in "abc"]
+        found.append(self.guard.on_request(self.request("c"), 100))
+        self.assertEqual(
+            [None, None, ("refused_not_run", "tickets-full"), None], self.codes(*found)
+        )
+
+
+def _fields(report) -> tuple[int, int, int, int]:
+    return report.unused, report.running, report.forwards, report.open_ms
--- a/rhubarbhinge/wire/_key_claim_reply.py
+++ b/rhubarbhinge/wire/_key_claim_reply.py
@@ -13,7 +13,7 @@
     :param key: the key.
     :param ticket: text of the ticket that the key is bound to; empty when refused.
     :param digest: digest that the key is bound to; empty when refused.
-    :param code: ``bound``, ``held``, ``young``, ``list-old``, ``not-owner`` or ``full``.
+    :param code: ``held``, ``not-held``, ``young``, ``list-old``, ``not-owner`` or ``full``.
     :param retry_after_ms: when refused, earliest useful time of another claim, in ms from now.
     """
 
