once: ledger apart from the book; bad tickets and refused keys are unknown

Cause: a bad ticket, and a keyed request that met a full or draining entry, were answered as not run, though the ticket (before a change of the deployment key) or the key may have run before. Ruled out: telling the cases apart; the entry can't.

--- a/rhubarbhinge/once/_codes.py
+++ b/rhubarbhinge/once/_codes.py
@@ -44,8 +44,8 @@
 _TEXTS: dict[Code, tuple[str, str]] = {
     Code.DONE: ("The request ran.", ""),
     Code.RESULT_TOO_LARGE: ("The request ran; its result was too large to keep.", ""),
-    Code.FORGED: ("The ticket's signature is wrong.", "Ask for a new ticket."),
-    Code.MALFORMED: ("This is not a ticket.", "Ask for a new ticket."),
+    Code.FORGED: ("The ticket's signature is not this system's.", ASK_PEOPLE),
+    Code.MALFORMED: ("This is not the text of a ticket.", ASK_PEOPLE),
     Code.EXPIRED: ("The ticket expired and its outcome is no longer kept.", ASK_PEOPLE),
     Code.EXPIRED_UNUSED: ("The ticket expired before it was used.", NEW_TICKET),
     Code.OTHER_INCARNATION: ("The process that held the ticket is gone.", ASK_PEOPLE),
--- /dev/null
+++ b/rhubarbhinge/once/_ledger.py
@@ -0,0 +1,278 @@
+"""The tickets that one entry has minted."""
+
+from rhubarbhinge.once._answers import answer
+from rhubarbhinge.once._asker import Asker
+from rhubarbhinge.once._codes import Code, not_run, outcome, unknown
+from rhubarbhinge.once._digest import body_digest
+from rhubarbhinge.once._effects import Effect, StartRun
+from rhubarbhinge.once._fault import TicketFault
+from rhubarbhinge.once._outcome import Outcome, OutcomeKind
+from rhubarbhinge.once._permit import SendPermit
+from rhubarbhinge.once._record import TicketRecord, TicketState
+from rhubarbhinge.once._settings import OnceSettings
+from rhubarbhinge.once._signer import Signer
+from rhubarbhinge.once._ticket import Ticket
+
+NOT_STARTED_RETRY_MS = 1_000
+"""Advice to a reader of an unused ticket, in ms."""
+
+
+class TicketLedger:
+    """The tickets that one entry has minted, each with its state and outcome.
+
+    :param signer: mints and checks tickets under this entry's name and incarnation.
+    :param settings: bounds.
+    """
+
+    def __init__(self, signer: Signer, settings: OnceSettings):
+        self._signer = signer
+        self._settings = settings
+        self._records: dict[int, TicketRecord] = {}
+        self._running: set[int] = set()
+        self._next_sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def running(self) -> int:
+        """Tell how many tickets are consumed and have no outcome yet.
+
+        :returns: the number.
+        """
+        return len(self._running)
+
+    def unused(self, now_ms: int) -> int:
+        """Tell how many tickets are alive and not used yet.
+
+        :param now_ms: time on this entry's clock.
+        :returns: the number.
+        """
+        return sum(_is_unused(record, now_ms) for record in self._records.values())
+
+    def open_until_ms(self, now_ms: int) -> int:
+        """Tell when the last open ticket is over at the latest.
+
+        :param now_ms: time on this entry's clock.
+        :returns: that time; now if none is open.
+        """
+        ends = [r.ticket.expires_ms for r in self._records.values() if _is_unused(r, now_ms)]
+        ends += [self._records[sequence].deadline_ms for sequence in self._running]
+        return max(ends, default=now_ms)
+
+    def full_for_ms(self, now_ms: int) -> int:
+        """Tell how long no ticket can be minted.
+
+        :param now_ms: time on this entry's clock.
+        :returns: time until the next place is free, in ms; 0 if one is free.
+        """
+        if len(self._records) < self._settings.most_tickets:
+            return 0
+        oldest = next(iter(self._records.values()))
+        return max(1, oldest.ticket.expires_ms + self._settings.keep_ms - now_ms)
+
+    def mint(self, action: str, digest: bytes, now_ms: int) -> str:
+        """Mint a ticket; there must be a free place.
+
+        :param action: name of the action.
+        :param digest: digest of the action and the body.
+        :param now_ms: time on this entry's clock.
+        :returns: the ticket's text.
+        """
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        expires_ms = now_ms + self._settings.lifetime_ms
+        me = self._signer
+        ticket = Ticket(me.entry, me.incarnation, sequence, action, expires_ms, digest)
+        self._records[sequence] = TicketRecord(ticket)
+        return self._signer.mint(sequence, action, digest, expires_ms)
+
+    def left_ms(self, text: str, now_ms: int) -> int:
+        """Tell the rest of a ticket's life.
+
+        :param text: the ticket's text.
+        :param now_ms: time on this entry's clock.
+        :returns: the rest in ms; 0 if it is over or another entry's.
+        """
+        record = self._own_record(text)
+        return 0 if record is None else max(0, record.ticket.expires_ms - now_ms)
+
+    def release(self, text: str) -> None:
+        """Drop a ticket that nobody has been shown.
+
+        :param text: the ticket's text.
+        """
+        record = self._own_record(text)
+        if record is not None and record.state is TicketState.MINTED:
+            del self._records[record.ticket.sequence]
+
+    def run(
+        self, asker: Asker, ticket: Ticket, text: str, body: bytes, now_ms: int
+    ) -> list[Effect]:
+        """Run a ticket of this ledger, once; a copy waits for, or reads, the same outcome.
+
+        :param asker: who waits for the outcome.
+        :param ticket: the checked ticket.
+        :param text: its text.
+        :param body: the caller's body.
+        :param now_ms: time on this entry's clock.
+        :returns: the effects; with ``StartRun`` the ticket is consumed already.
+        """
+        if body_digest(ticket.action, body) != ticket.digest:
+            return [answer(asker, text, not_run(Code.BODY_MISMATCH))]
+        record = self._records.get(ticket.sequence)
+        if record is None:
+            return [answer(asker, text, unknown(Code.EXPIRED))]
+        if record.state is TicketState.MINTED:
+            return self._start(record, asker, text, body, now_ms)
+        return self._wait(record, asker, text)
+
+    def read(self, asker: Asker, ticket: Ticket, now_ms: int) -> list[Effect]:
+        """Read the outcome of a ticket of this ledger.
+
+        :param asker: who waits for the outcome.
+        :param ticket: the checked ticket.
+        :param now_ms: time on this entry's clock.
+        :returns: the effects; never a run.
+        """
+        text = self._text(ticket)
+        record = self._records.get(ticket.sequence)
+        if record is None:
+            return [answer(asker, text, unknown(Code.EXPIRED))]
+        if record.state is not TicketState.MINTED:
+            return self._wait(record, asker, text)
+        if now_ms >= ticket.expires_ms:
+            record.waiters.append(asker)
+            return self._finish(record, not_run(Code.EXPIRED_UNUSED))
+        return [answer(asker, text, unknown(Code.NOT_STARTED, NOT_STARTED_RETRY_MS))]
+
+    def on_send(self, text: str, now_ms: int) -> SendPermit:
+        """Check once more, just before the first byte of a run leaves.
+
+        A process that was frozen after ``StartRun`` finds its ticket expired or its run past its
+        deadline here; then nothing is sent, and the outcome is known to be not run.
+
+        :param text: the ticket's text.
+        :param now_ms: time on this entry's clock, read after everything that can block.
+        :returns: whether to send; True once in a ticket's life.
+        """
+        record = self._own_record(text)
+        if record is None or record.state is not TicketState.CONSUMED:
+            return SendPermit(False)
+        if now_ms >= min(record.deadline_ms, record.ticket.expires_ms):
+            late = not_run(Code.LATE_SEND)
+            return SendPermit(False, tuple(self._finish(record, late)))
+        record.state = TicketState.SENT
+        return SendPermit(True)
+
+    def on_upstream(
+        self, text: str, kind: OutcomeKind, payload: bytes, retry_after_ms: int, now_ms: int
+    ) -> list[Effect]:
+        """Take what came of a run.
+
+        ``refused_not_run`` is for two cases only: nothing was sent, or the upstream refused in so
+        many words. Everything else but an answer is ``unknown``, and so is a refusal that comes
+        after the run's deadline: a relay's guard may then have forgotten that it sent the ticket.
+
+        :param text: the ticket's text.
+        :param kind: what is known.
+        :param payload: the upstream's result, when it ran.
+        :param retry_after_ms: the upstream's advice, when it refused.
+        :param now_ms: time on this entry's clock.
+        :returns: the effects.
+        """
+        record = self._own_record(text)
+        if record is None or record.state is TicketState.MINTED:
+            return []
+        if record.state is TicketState.DONE and not _may_replace(record.outcome, kind):
+            return []
+        late = record.state is TicketState.SENT and now_ms >= record.deadline_ms
+        if late and kind is OutcomeKind.REFUSED_NOT_RUN:
+            kind = OutcomeKind.UNKNOWN
+        return self._finish(record, self._outcome_of(kind, payload, retry_after_ms))
+
+    def end_late_runs(self, now_ms: int) -> list[Effect]:
+        """End the runs that are past their deadline.
+
+        :param now_ms: time on this entry's clock.
+        :returns: the answers.
+        """
+        effects: list[Effect] = []
+        for sequence in sorted(self._running):
+            record = self._records[sequence]
+            if now_ms < record.deadline_ms:
+                continue
+            sent = record.state is TicketState.SENT
+            found = unknown(Code.DEADLINE) if sent else not_run(Code.LATE_SEND)
+            effects += self._finish(record, found)
+        return effects
+
+    def forget(self, now_ms: int) -> None:
+        """Forget the tickets whose outcome is no longer kept.
+
+        :param now_ms: time on this entry's clock.
+        """
+        while self._records:
+            sequence, record = next(iter(self._records.items()))
+            if now_ms < record.ticket.expires_ms + self._settings.keep_ms:
+                return
+            if sequence in self._running:
+                return
+            del self._records[sequence]
+
+    def _start(
+        self, record: TicketRecord, asker: Asker, text: str, body: bytes, now_ms: int
+    ) -> list[Effect]:
+        if now_ms >= record.ticket.expires_ms:
+            record.waiters.append(asker)
+            return self._finish(record, not_run(Code.EXPIRED_UNUSED))
+        record.state = TicketState.CONSUMED
+        record.deadline_ms = now_ms + self._settings.run_ms
+        record.waiters.append(asker)
+        self._running.add(record.ticket.sequence)
+        return [StartRun(text, record.ticket.action, body, record.deadline_ms)]
+
+    def _wait(self, record: TicketRecord, asker: Asker, text: str) -> list[Effect]:
+        if record.outcome is not None:
+            return [answer(asker, text, record.outcome)]
+        if len(record.waiters) >= self._settings.most_waiters:
+            late = unknown(Code.WAITERS_FULL, self._settings.run_ms)
+            return [answer(asker, text, late)]
+        record.waiters.append(asker)
+        return []
+
+    def _finish(self, record: TicketRecord, found: Outcome) -> list[Effect]:
+        record.state = TicketState.DONE
+        record.outcome = found
+        self._running.discard(record.ticket.sequence)
+        waiters, record.waiters = record.waiters, []
+        text = self._text(record.ticket)
+        return [answer(asker, text, found) for asker in waiters]
+
+    def _outcome_of(self, kind: OutcomeKind, payload: bytes, retry_after_ms: int) -> Outcome:
+        if kind is OutcomeKind.REFUSED_NOT_RUN:
+            return not_run(Code.UPSTREAM_REFUSED, retry_after_ms)
+        if kind is OutcomeKind.UNKNOWN:
+            return unknown(Code.UPSTREAM_UNKNOWN)
+        if len(payload) > self._settings.most_result_bytes:
+            return outcome(kind, Code.RESULT_TOO_LARGE)
+        return outcome(kind, Code.DONE, result=payload)
+
+    def _own_record(self, text: str) -> TicketRecord | None:
+        ticket = self._signer.verify(text)
+        if isinstance(ticket, TicketFault) or not self._signer.owns(ticket):
+            return None
+        return self._records.get(ticket.sequence)
+
+    def _text(self, ticket: Ticket) -> str:
+        return self._signer.mint(ticket.sequence, ticket.action, ticket.digest, ticket.expires_ms)
+
+
+def _is_unused(record: TicketRecord, now_ms: int) -> bool:
+    return record.state is TicketState.MINTED and now_ms < record.ticket.expires_ms
+
+
+def _may_replace(old: Outcome | None, kind: OutcomeKind) -> bool:
+    """Tell whether late news replaces an outcome; only an answer does, and only ``unknown``."""
+    was_unknown = old is not None and old.kind is OutcomeKind.UNKNOWN
+    return was_unknown and kind is OutcomeKind.RAN
