--- a/rhubarbhinge/once/_codes.py
+++ b/rhubarbhinge/once/_codes.py
@@ -13,7 +13,7 @@
     """What happened, as a short code."""
 
     DONE = "done"
-    RESULT_TOO_LARGE = "result-too-large"
+    RESULT_DROPPED = "result-dropped"
     FORGED = "ticket-forged"
     MALFORMED = "ticket-malformed"
     EXPIRED = "ticket-expired"
@@ -43,7 +43,7 @@
 
 _TEXTS: dict[Code, tuple[str, str]] = {
     Code.DONE: ("The request ran.", ""),
-    Code.RESULT_TOO_LARGE: ("The request ran; its result was too large to keep.", ""),
+    Code.RESULT_DROPPED: ("The request ran; there was no room for its result.", ""),
     Code.FORGED: ("The ticket's signature is not this system's.", ASK_PEOPLE),
     Code.MALFORMED: ("This is not the text of a ticket.", ASK_PEOPLE),
     Code.EXPIRED: ("The ticket expired and its outcome is no longer kept.", ASK_PEOPLE),
--- a/rhubarbhinge/once/_ledger.py
+++ b/rhubarbhinge/once/_ledger.py
@@ -30,6 +30,7 @@
         self._records: dict[int, TicketRecord] = {}
         self._running: set[int] = set()
         self._next_sequence = 0
+        self._kept_bytes = 0
 
     def __len__(self) -> int:
         return len(self._records)
@@ -220,6 +221,8 @@
             if sequence in self._running:
                 return
             del self._records[sequence]
+            if record.outcome is not None:
+                self._kept_bytes -= len(record.outcome.result)
 
     def _start(
         self, record: TicketRecord, asker: Asker, text: str, body: bytes, now_ms: int
@@ -245,6 +248,7 @@
     def _finish(self, record: TicketRecord, found: Outcome) -> list[Effect]:
         record.state = TicketState.DONE
         record.outcome = found
+        self._kept_bytes += len(found.result)
         self._running.discard(record.ticket.sequence)
         waiters, record.waiters = record.waiters, []
         return [answer(asker, record.text, found) for asker in waiters]
@@ -254,10 +258,15 @@
             return not_run(Code.UPSTREAM_REFUSED, retry_after_ms)
         if kind is OutcomeKind.UNKNOWN:
             return unknown(Code.UPSTREAM_UNKNOWN)
-        if len(payload) > self._settings.most_result_bytes:
-            return outcome(kind, Code.RESULT_TOO_LARGE)
+        if not self._has_room(len(payload)):
+            return outcome(kind, Code.RESULT_DROPPED)
         return outcome(kind, Code.DONE, result=payload)
 
+    def _has_room(self, size: int) -> bool:
+        if size > self._settings.most_result_bytes:
+            return False
+        return self._kept_bytes + size <= self._settings.most_kept_bytes
+
     def _own_record(self, text: str) -> TicketRecord | None:
         ticket = self._signer.verify(text)
         if isinstance(ticket, TicketFault) or not self._signer.owns(ticket):
--- a/rhubarbhinge/once/tests/_fakes.py
+++ b/rhubarbhinge/once/tests/_fakes.py
@@ -34,6 +34,8 @@
     forward_ms=30,
     most_tickets=12,
     most_waiters=4,
+    most_result_bytes=8,
+    most_kept_bytes=20,
     key_window_ms=WINDOW_MS,
     key_claim_ms=20,
 )
--- a/rhubarbhinge/once/tests/test_book.py
+++ b/rhubarbhinge/once/tests/test_book.py
@@ -87,10 +87,20 @@
         self.upstream(OutcomeKind.REFUSED_NOT_RUN)
         self.assertEqual(("ran", "done"), self.code(self.fleet.read(OWNER, self.ticket)))
 
-    def test_a_result_that_is_too_large_is_dropped_but_ran(self):
+    def test_results_are_bounded_one_by_one_and_together(self):
+        codes = [self.run_with_result(size) for size in (9, 8, 8, 8, 4)]
+        self.assertEqual(["result-dropped", "done", "done", "result-dropped", "done"], codes)
+        self.fleet.sleep(SETTINGS.lifetime_ms + SETTINGS.keep_ms)
+        self.fleet.tick(OWNER)
+        self.assertEqual("done", self.run_with_result(8))
+
+    def run_with_result(self, size: int) -> str:
+        self.ticket = self.mint()
         request = self.start_and_send()
-        self.upstream(OutcomeKind.RAN, b"x" * (SETTINGS.most_result_bytes + 1))
-        self.assertEqual(("ran", "result-too-large"), self.code(request))
+        self.upstream(OutcomeKind.RAN, b"x" * size)
+        kind, code = self.code(request)
+        self.assertEqual("ran", kind)
+        return code
 
     def test_bounds(self):
         for _ in range(SETTINGS.most_tickets - 1):
--- a/rhubarbhinge/telemetry/_events.py
+++ b/rhubarbhinge/telemetry/_events.py
@@ -2,6 +2,8 @@
 
 from absl import logging
 
+from rhubarbhinge.telemetry._levels import LEVELS
+
 RESERVED = frozenset({"time", "level", "node", "event"})
 """Names that the line itself uses; a field of such a name gets an underscore at its end."""
 EVENT_MARK = "is_event"
@@ -11,16 +13,17 @@
 Value = str | int | float | bool | None
 
 
-def log_event(name: str, *, level: int = logging.INFO, **fields: Value) -> None:
+def log_event(name: str, *, level: str = "info", **fields: Value) -> None:
     """Write one event to the log.
 
     :param name: name of the event, as in docs/telemetry.md.
-    :param level: one of ``absl.logging``'s levels.
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
     :param fields: the event's fields, with the unit at the end of the name.
     """
-    if logging.get_verbosity() < level:
+    number = LEVELS[level]
+    if logging.get_verbosity() < number:
         return
-    logging.log(level, "%s", format_event(name, fields), extra={EVENT_MARK: True})
+    logging.log(number, "%s", format_event(name, fields), extra={EVENT_MARK: True})
 
 
 def format_event(name: str, fields: dict[str, Value]) -> str:
--- a/rhubarbhinge/telemetry/_setup.py
+++ b/rhubarbhinge/telemetry/_setup.py
@@ -6,9 +6,7 @@
 from absl import flags, logging
 
 from rhubarbhinge.telemetry._events import EVENT_MARK, format_event, format_value
-
-LEVELS = ("debug", "info", "warning", "error")
-"""Levels of the log."""
+from rhubarbhinge.telemetry._levels import LEVELS
 
 
 class LineFormatter(standard_logging.Formatter):
--- a/rhubarbhinge/telemetry/tests/test_events.py
+++ b/rhubarbhinge/telemetry/tests/test_events.py
@@ -51,6 +51,8 @@
 
     def test_level_holds_back(self):
         self.assertEqual([], self.lines("warning", lambda: log_event("drain")))
+        loud = self.lines("warning", lambda: log_event("drain", level="error"))
+        self.assertRegex(loud[0], "level=error node=kgn-a-1/entry event=drain$")
         with self.assertRaises(ValueError):
             setup_logging("loud", "n")
 
