--- a/rhubarbhinge/routing/_concurrency.py
+++ b/rhubarbhinge/routing/_concurrency.py
@@ -118,4 +118,6 @@
 
     def _ramped(self, now_ms: int) -> int:
         elapsed_ms = now_ms - self._ramp_start_ms
+        if elapsed_ms >= self._policy.ramp_ms:
+            return self._slots
         return 1 + self._slots * elapsed_ms // self._policy.ramp_ms
--- a/rhubarbhinge/routing/_connection.py
+++ b/rhubarbhinge/routing/_connection.py
@@ -21,7 +21,7 @@
         self.opened_ms = opened_ms
         #: Whether the searcher has accepted it.
         self.open = False
-        #: Whether the shell was told to close it.
+        #: Whether the shell was told to close it, or has reported it closed.
         self.closing = False
         #: Whether it takes no further request.
         self.retired = False
--- a/rhubarbhinge/routing/_connectionpool.py
+++ b/rhubarbhinge/routing/_connectionpool.py
@@ -180,18 +180,21 @@
         :param now_ms: the time.
         """
         del self._connections[connection.conn]
+        connection.closing = True
         if connection in self.idle:
             self.idle.remove(connection)
         if not connection.open:
             self._opening -= 1
         if not connection.retired and self._was_useless(connection, now_ms):
-            self._back_off(now_ms)
+            self._back_off(connection, now_ms)
 
     def _was_useless(self, connection: Connection, now_ms: int) -> bool:
         short = now_ms - connection.opened_ms < self._policy.least_connection_life_ms
         return not connection.open or (short and not connection.served)
 
-    def _back_off(self, now_ms: int) -> None:
+    def _back_off(self, connection: Connection, now_ms: int) -> None:
+        if self._failures and connection.opened_ms <= self._failed_ms:
+            return
         wait_ms = self._policy.least_connect_wait_ms << min(self._failures, MOST_DOUBLINGS)
         self._failures += 1
         self._failed_ms = now_ms
--- a/rhubarbhinge/routing/_drainstate.py
+++ b/rhubarbhinge/routing/_drainstate.py
@@ -10,6 +10,7 @@
 
     def __init__(self) -> None:
         self._by_register = False
+        self._register_revision = -1
         self._by_searcher_or_list = False
         self._listed = False
 
@@ -18,13 +19,15 @@
         """Whether any signal stands."""
         return self._by_register or self._by_searcher_or_list
 
-    def on_register(self, leaving: bool, newer_revision: bool) -> None:
+    def on_register(self, leaving: bool, revision: int) -> None:
         """Note the register's flag.
 
         :param leaving: the flag.
-        :param newer_revision: whether the register is a newer one; only this undoes the flag.
+        :param revision: the register's revision; only a newer one undoes the flag.
         """
-        self._by_register = leaving or (self._by_register and not newer_revision)
+        if leaving or revision > self._register_revision:
+            self._by_register = leaving
+            self._register_revision = revision
 
     def on_vm_list(self, leaving: bool) -> None:
         """Note the VM list; only a change to leaving counts, since the list lags.
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -8,6 +8,7 @@
 from rhubarbhinge.routing._connection import Connection
 from rhubarbhinge.routing._connectiontable import ConnectionTable
 from rhubarbhinge.routing._deadlines import Deadlines
+from rhubarbhinge.routing._drainmemory import DrainMemory
 from rhubarbhinge.routing._droppeer import DropPeer
 from rhubarbhinge.routing._healthdoc import health_doc
 from rhubarbhinge.routing._job import Job
@@ -64,6 +65,7 @@
         self._rng = rng
         self._revision = -1
         self._leaving: frozenset[int] = frozenset()
+        self._drains = DrainMemory()
         self._upstreams: dict[int, Upstream] = {}
         self._connections = ConnectionTable()
         self._requests = RequestTable(settings.ticket_memory_ms)
@@ -102,14 +104,13 @@
         effects: list[Any] = []
         if register_revision < self._revision:
             return effects
-        newer = register_revision > self._revision
         self._revision = register_revision
         kept = {spec.upstream_id for spec in owned}
         for upstream_id, upstream in list(self._upstreams.items()):
             if upstream.owned and upstream_id not in kept:
                 self._disown(upstream, now_ms, effects)
         for spec in owned:
-            self._own(spec, newer, now_ms, effects)
+            self._own(spec, now_ms, effects)
         return effects
 
     def set_leaving(self, upstream_ids: frozenset[int], now_ms: int) -> list[Any]:
@@ -401,17 +402,16 @@
     def _owned(self) -> list[Upstream]:
         return [upstream for upstream in self._upstreams.values() if upstream.owned]
 
-    def _own(
-        self, spec: UpstreamSpec, newer_revision: bool, now_ms: int, effects: list[Any]
-    ) -> None:
+    def _own(self, spec: UpstreamSpec, now_ms: int, effects: list[Any]) -> None:
         upstream = self._upstreams.get(spec.upstream_id)
         if upstream is None:
             upstream = Upstream(spec, self._policy, self._connections, self._deadlines, now_ms)
+            upstream.drain, upstream.incarnation = self._drains.take(spec.upstream_id)
             upstream.drain.on_vm_list(spec.upstream_id in self._leaving)
             self._upstreams[spec.upstream_id] = upstream
         upstream.owned = True
         upstream.set_spec(spec, effects)
-        upstream.drain.on_register(spec.leaving, newer_revision)
+        upstream.drain.on_register(spec.leaving, self._revision)
         self._after_event(upstream, now_ms, effects)
 
     def _disown(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
@@ -423,7 +423,9 @@
 
     def _forget_if_gone(self, upstream: Upstream) -> None:
         if not upstream.owned and not len(upstream.pool):
-            self._upstreams.pop(upstream.spec.upstream_id, None)
+            upstream_id = upstream.spec.upstream_id
+            self._drains.keep(upstream_id, upstream.drain, upstream.incarnation)
+            del self._upstreams[upstream_id]
 
     def _after_event(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
         upstream.refresh(now_ms)
@@ -582,7 +584,6 @@
             self._close_when_late(item, now_ms, effects)
 
     def _time_out(self, job: Job, now_ms: int, effects: list[Any]) -> None:
-        job.connection.retired = True
         job.upstream.observe_timeout(now_ms - job.sent_ms, now_ms)
         if not job.is_run:
             effects.append(cancel_effect(job))
--- a/rhubarbhinge/routing/_upstream.py
+++ b/rhubarbhinge/routing/_upstream.py
@@ -69,14 +69,14 @@
         self.pool.resize(spec, _cap(spec, self._policy), effects)
 
     def refresh(self, now_ms: int) -> None:
-        """Set ``allowed``: none while leaving or paused, one to try with while down.
+        """Set ``allowed``: none while leaving or paused, one to try with while down or silent.
 
         :param now_ms: the time.
         """
         limit = self.limit.value(now_ms)
         if not self.owned or self.drain.draining:
             limit = 0
-        elif self._is_down(now_ms):
+        elif self._is_down(now_ms) or self._is_silent(now_ms):
             limit = min(limit, 1)
         self.allowed = limit
 
@@ -90,7 +90,7 @@
             return UpstreamState.DRAINING
         if self._is_down(now_ms):
             return UpstreamState.DOWN
-        if self.incarnation is None and self.last_answer_ms is None:
+        if self._is_silent(now_ms) or self._is_new():
             return UpstreamState.UNKNOWN
         return UpstreamState.WARMING if self.limit.is_cold(now_ms) else UpstreamState.READY
 
@@ -156,10 +156,17 @@
             self.limit.restart(now_ms)
 
     def _is_down(self, now_ms: int) -> bool:
-        least = self._policy.down_failures
-        if self.failures >= least or self.pool.refused_wait_ms(now_ms) is not None:
+        if self.failures >= self._policy.down_failures:
             return True
-        return self.health_failures >= least and not self._answered_lately(now_ms)
+        return self.pool.refused_wait_ms(now_ms) is not None
+
+    def _is_new(self) -> bool:
+        return self.incarnation is None and self.last_answer_ms is None
+
+    def _is_silent(self, now_ms: int) -> bool:
+        if self.health_failures < self._policy.down_failures:
+            return False
+        return not self._answered_lately(now_ms)
 
     def _answered_lately(self, now_ms: int) -> bool:
         if self.last_answer_ms is None:
