--- a/rhubarbhinge/control/_config_store.py
+++ b/rhubarbhinge/control/_config_store.py
@@ -72,20 +72,21 @@
         :param digest: its content hash; 0 if not known.
         :returns: true if it is above what is accepted and was not refused before.
         """
-        if (key, revision, digest) in self._refused:
+        if self._was_refused(key, revision, digest):
             return False
         return (revision, digest) > self.position(key) and revision > 0
 
-    def digest(self, platform_age_ms: int) -> ConfigDigest:
+    def digest(self, platform_contact: int, platform_age_ms: int) -> ConfigDigest:
         """Summarize what is accepted.
 
-        :param platform_age_ms: time since the platform answered a node in reach; -1 for never.
+        :param platform_contact: identifies the newest known answer of the platform; 0 for none.
+        :param platform_age_ms: time since that answer.
         :returns: revisions and content hashes of all keys.
         """
         positions = [self.position(key) for key in KEYS]
         revisions = [revision for revision, _ in positions]
         hashes = [digest for _, digest in positions]
-        return ConfigDigest(*revisions, *hashes, platform_age_ms)
+        return ConfigDigest(*revisions, *hashes, platform_contact, platform_age_ms)
 
     def offer(
         self, key: str, revision: int, data: bytes, source: str, now_ms: int
@@ -125,6 +126,11 @@
         """
         return tuple(self._age(key, platform_age_ms, now_ms) for key in KEYS)
 
+    def _was_refused(self, key: str, revision: int, digest: int) -> bool:
+        if digest:
+            return (key, revision, digest) in self._refused
+        return any(known[:2] == (key, revision) for known in self._refused)
+
     def _age(self, key: str, platform_age_ms: int, now_ms: int) -> ConfigAge:
         document = self._accepted.get(key)
         revision = document.revision if document else 0
--- a/rhubarbhinge/control/_dissemination.py
+++ b/rhubarbhinge/control/_dissemination.py
@@ -31,8 +31,6 @@
 from rhubarbhinge.wire._config_notice import ConfigNotice
 from rhubarbhinge.wire._config_request import ConfigRequest
 
-AGE_STEP_MS = 1_000
-
 DisseminationEffect = SendPeer | PollPlatform | Adopted | Refused
 
 
@@ -43,7 +41,7 @@
     ``RevisionsSeen`` of the membership to :meth:`on_revisions`.
 
     :param store: the accepted configuration.
-    :param membership: whom this node knows; its ``revisions`` are kept up to date from here.
+    :param membership: whom this node knows; its probes carry the revisions from here.
     :param rng: source of random choices.
     :param settings: budgets and periods.
     """
@@ -65,7 +63,7 @@
         self._sources_by_key = {key: TransferSource() for key in KEYS}
         burst = self._settings.upload_burst_bytes
         self._upload = TokenBucket(self._settings.upload_bytes_per_s, burst, burst)
-        self._announced_ms = 0
+        membership.announce_with(self.announcement)
 
     @property
     def is_reader(self) -> bool:
@@ -90,15 +88,23 @@
         """
         return self._store.ages(self._reader.platform_age_ms(now_ms), now_ms)
 
+    def announcement(self, now_ms: int) -> ConfigDigest:
+        """Summarize what is in force here and how fresh it is.
+
+        :param now_ms: the time.
+        :returns: what rides on messages to other nodes.
+        """
+        age_ms = max(0, self._reader.platform_age_ms(now_ms))
+        return self._store.digest(self._reader.contact, age_ms)
+
     def tick(self, now_ms: int) -> list[DisseminationEffect]:
         """Let time pass: call the platform, ask peers, give up silent ones.
 
         :param now_ms: the time.
         :returns: effects.
         """
-        self._refresh_announcement(now_ms)
         effects: list[DisseminationEffect] = list(self._puller.tick(now_ms))
-        own = self._membership.revisions
+        own = self.announcement(now_ms)
         for name in self._startup.tick(self._may_be_ready(), self._reader.tried(), now_ms):
             effects.append(SendPeer(name, ConfigNotice(own, answer=True)))
         for key, wait_ms in self._reader.due(self.ready(), now_ms):
@@ -113,7 +119,7 @@
         :returns: requests for pulls under way, and notices that ask for an answer.
         """
         effects: list[DisseminationEffect] = list(self._puller.abandon(now_ms))
-        question = ConfigNotice(self._membership.revisions, answer=True)
+        question = ConfigNotice(self.announcement(now_ms), answer=True)
         return effects + [SendPeer(name, question) for name in self._neighbours.near()]
 
     def on_platform(
@@ -148,7 +154,7 @@
         :returns: requests for what is missing here.
         """
         self._startup.on_answer(member_name, revisions)
-        self._reader.on_peer_age(revisions.platform_age_ms, now_ms)
+        self._reader.on_contact(revisions.platform_contact, revisions.platform_age_ms, now_ms)
         effects: list[DisseminationEffect] = []
         for key in KEYS:
             position = digest_of(revisions, key)
@@ -186,7 +192,7 @@
     ) -> list[DisseminationEffect]:
         effects = self.on_revisions(member, notice.revisions, now_ms)
         if notice.answer:
-            effects.append(SendPeer(member, ConfigNotice(self._membership.revisions)))
+            effects.append(SendPeer(member, ConfigNotice(self.announcement(now_ms))))
         return effects
 
     def _on_request(
@@ -202,7 +208,7 @@
             offset = 0
             transfer = source.transfer(base, now_ms)
         if transfer is None:
-            return [SendPeer(member, ConfigNotice(self._membership.revisions))]
+            return [SendPeer(member, ConfigNotice(self.announcement(now_ms)))]
         data = transfer.data[offset : offset + CHUNK_BYTES]
         if not self._upload.take(len(data), now_ms):
             wait_ms = self._upload.wait_ms(len(data), now_ms)
@@ -245,22 +251,12 @@
         if isinstance(result, Refused):
             return [result]
         self._sources_by_key[key].adopted(result.document, links)
-        self._announce(now_ms)
-        notice = ConfigNotice(self._membership.revisions)
+        notice = ConfigNotice(self.announcement(now_ms))
         told = self._neighbours.near()
         if not source:
             told += self._neighbours.far()
         return [result] + [SendPeer(name, notice) for name in told if name != source]
 
-    def _announce(self, now_ms: int) -> None:
-        self._announced_ms = now_ms
-        age_ms = self._reader.platform_age_ms(now_ms)
-        self._membership.revisions = self._store.digest(age_ms)
-
-    def _refresh_announcement(self, now_ms: int) -> None:
-        if now_ms >= self._announced_ms + AGE_STEP_MS:
-            self._announce(now_ms)
-
     def _may_be_ready(self) -> bool:
         required = self._settings.required_keys
         if not all(self._store.accepted(key) for key in required):
--- a/rhubarbhinge/control/_dissemination_settings.py
+++ b/rhubarbhinge/control/_dissemination_settings.py
@@ -23,6 +23,7 @@
     :param backoff_ms: first wait after a failed call; doubles up to ``backoff_limit_ms``.
     :param backoff_limit_ms: longest wait between failed calls.
     :param peers_first_ms: after the start peers are asked alone for this long.
+    :param start_settle_ms: a node is not ready sooner, so that it has found those to ask.
     :param start_wait_ms: after this a node no longer waits for those it asked at its start.
     :param neighbours: members of the own failure domain that are told of a change.
     :param remote_neighbours: members of each other failure domain that a reader tells.
@@ -46,6 +47,7 @@
     backoff_ms: int = 500
     backoff_limit_ms: int = 15_000
     peers_first_ms: int = 500
+    start_settle_ms: int = 1_000
     start_wait_ms: int = 3_000
     neighbours: int = 3
     remote_neighbours: int = 2
--- a/rhubarbhinge/control/_member_table.py
+++ b/rhubarbhinge/control/_member_table.py
@@ -1,6 +1,7 @@
 """The members that this node knows, with cached queries."""
 
 import bisect
+from collections import Counter
 from collections.abc import Iterator
 
 from rhubarbhinge.control._member_state import is_live, supersedes
@@ -17,7 +18,8 @@
         self.version = 0
         self._members: dict[str, Member] = {}
         self._live: dict[tuple[str | None, str | None], tuple[Member, ...]] = {}
-        self._by_name: list[str] | None = None
+        self._names: list[str] = []
+        self._live_counts: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._members)
@@ -40,7 +42,9 @@
         if known is not None and not supersedes(claim, known):
             return False
         if known is None:
-            self._by_name = None
+            bisect.insort(self._names, claim.name)
+        self._count(known, -1)
+        self._count(claim, 1)
         self._members[claim.name] = claim
         self._changed()
         return True
@@ -50,9 +54,20 @@
 
         :param name: its name.
         """
-        if self._members.pop(name, None) is not None:
-            self._by_name = None
-            self._changed()
+        known = self._members.pop(name, None)
+        if known is None:
+            return
+        self._names.remove(name)
+        self._count(known, -1)
+        self._changed()
+
+    def live_count(self, domain: str) -> int:
+        """Count the members of a failure domain that may get new work.
+
+        :param domain: the failure domain.
+        :returns: their number, kept up to date without a walk over all.
+        """
+        return self._live_counts[domain]
 
     def live(self, role: str | None, domain: str | None) -> tuple[Member, ...]:
         """List the members that may get new work.
@@ -81,14 +96,16 @@
         :param domain: only this failure domain; empty for any.
         :returns: members in the order of their names.
         """
-        ordered = self._in_order()
-        first = bisect.bisect_right(ordered, name, key=lambda member: member.name)
-        return (m for m in ordered[first:] if domain in ("", m.failure_domain))
+        first = bisect.bisect_right(self._names, name)
+        following = (self._members[found] for found in self._names[first:])
+        return (member for member in following if domain in ("", member.failure_domain))
 
     def _in_order(self) -> list[Member]:
-        if self._by_name is None:
-            self._by_name = sorted(self._members)
-        return [self._members[name] for name in self._by_name]
+        return [self._members[name] for name in self._names]
+
+    def _count(self, member: Member | None, change: int) -> None:
+        if member is not None and is_live(member):
+            self._live_counts[member.failure_domain] += change
 
     def _changed(self) -> None:
         self.version += 1
--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -10,7 +10,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from rhubarbhinge.control._candidates import Candidates
@@ -38,11 +38,14 @@
 DATAGRAM_LIMIT_BYTES = 1_400
 JOIN_PROBES = 6
 JOIN_INTERVAL_MS = 300
+JOIN_ROUNDS = 10
 LEAVE_PROBES = 6
 HEAL_PROBES = 4
 SMALL_DOMAIN = 32
 NO_CONFIG = ConfigDigest(0, 0, 0, 0, 0, 0)
 
+Announce = Callable[[int], ConfigDigest]
+
 MembershipEffect = SendDatagram | MemberChanged | RevisionsSeen | Superseded
 
 
@@ -50,7 +53,6 @@
     """One node's picture of the others.
 
     Every input returns the effects that the shell carries out. ``version`` grows with each change.
-    ``revisions`` is what this node announces; the owner sets it when a document is adopted.
 
     :param self_member: this node, with its incarnation.
     :param rng: source of random choices.
@@ -85,9 +87,12 @@
         self._last_tick_ms: int | None = None
         self._next_probe_ms = 0
         self._next_page_ms = 0
+        self._next_join_ms = 0
+        self._join_rounds = 0
         self._intervals = 0
         self._joined = False
-        self.revisions = NO_CONFIG
+        self._now_ms = 0
+        self._announce: Announce = lambda now_ms: NO_CONFIG
         self._updates.add(self_member)
 
     @property
@@ -105,6 +110,13 @@
         """Number of live nodes in the platform's VM list; 0 before any list."""
         return self._candidates.listed
 
+    def announce_with(self, announce: Announce) -> None:
+        """Choose what rides on each probe message.
+
+        :param announce: gives the accepted configuration at the time passed to it.
+        """
+        self._announce = announce
+
     def get(self, name: str) -> Member | None:
         """Look a member up.
 
@@ -161,6 +173,7 @@
         :param now_ms: the time.
         :returns: probes that carry the announcement, and the change.
         """
+        self._now_ms = now_ms
         if self._self.state == LEAVING:
             return []
         effects = self._set_self(LEAVING, self._self.counter + 1)
@@ -175,6 +188,7 @@
         :param now_ms: the time; call this several times within a probe timeout.
         :returns: effects.
         """
+        self._now_ms = now_ms
         last_ms = self._last_tick_ms
         self._last_tick_ms = now_ms
         if last_ms is not None and now_ms - last_ms > self._timings.pause_ms:
@@ -183,6 +197,8 @@
         effects += self._expire_suspicions(now_ms)
         if now_ms >= self._next_probe_ms:
             effects += self._probe_round(now_ms)
+        if now_ms >= self._next_join_ms:
+            effects += self._join_round(now_ms)
         if now_ms >= self._next_page_ms:
             effects += self._pull_page(now_ms)
         return effects
@@ -198,6 +214,7 @@
         :param now_ms: the time.
         :returns: effects, answers among them.
         """
+        self._now_ms = now_ms
         handler = _HANDLERS.get(type(message))
         if handler is None:
             return []
@@ -206,12 +223,12 @@
     # Inputs by kind of message.
 
     def _on_probe(self, probe: Probe, ip: str, port: int, now_ms: int) -> list[MembershipEffect]:
+        effects = self._hear(probe.sender, probe.revisions, probe.updates, now_ms)
         if not self._is_receiver(probe.receiver_name, probe.receiver_incarnation):
             refusal = WrongReceiver(
                 probe.sequence, self._self, probe.receiver_name, probe.receiver_incarnation
             )
-            return [SendDatagram(ip, port, refusal)]
-        effects = self._hear(probe.sender, probe.revisions, probe.updates, now_ms)
+            return effects + self._superseded_by(probe) + [SendDatagram(ip, port, refusal)]
         return effects + [self._ack(probe.sequence, self._self, probe.sender, ip, port)]
 
     def _on_ack(self, ack: ProbeAck, ip: str, port: int, now_ms: int) -> list[MembershipEffect]:
@@ -264,7 +281,7 @@
         self, request: MembersRequest, ip: str, port: int, now_ms: int
     ) -> list[MembershipEffect]:
         effects = self._hear(request.sender, request.revisions, (), now_ms)
-        page = MembersPage(request.sequence, self._self, self.revisions, (), "")
+        page = MembersPage(request.sequence, self._self, self._announce(self._now_ms), (), "")
         room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(page) - len(request.after_name) - 64
         found: list[Member] = []
         next_name = ""
@@ -295,6 +312,12 @@
             return False
         return not incarnation or incarnation == self._self.incarnation
 
+    def _superseded_by(self, probe: Probe) -> list[MembershipEffect]:
+        newer = probe.receiver_incarnation > self._self.incarnation
+        if probe.receiver_name != self._self.name or not newer:
+            return []
+        return [Superseded(replace(self._self, incarnation=probe.receiver_incarnation))]
+
     def _hear(
         self,
         sender: Member,
@@ -344,13 +367,13 @@
         return [MemberChanged(member)]
 
     def _is_followed(self, claim: Member) -> bool:
-        if claim.failure_domain == self._self.failure_domain or self._table.get(claim.name):
+        if self._is_near(claim) or self._is_live(claim.name):
             return True
         if not is_live(claim):
-            return False
-        links = self._table.live(None, claim.failure_domain)
-        if len(links) < self._timings.links_per_domain:
+            return self._table.get(claim.name) is not None
+        if self._lacks(claim):
             return True
+        links = self._table.live(None, claim.failure_domain)
         worst = min(links, key=self._rank)
         if self._rank(worst) >= self._rank(claim):
             return False
@@ -416,7 +439,7 @@
         return effects
 
     def _suspicion_ms(self) -> int:
-        members = len(self.live(None, self._self.failure_domain))
+        members = self._table.live_count(self._self.failure_domain)
         return int(self._timings.suspicion_ms * max(1.0, math.log10(members + 1)))
 
     def _forget_dead(self, now_ms: int) -> None:
@@ -430,10 +453,6 @@
     def _probe_round(self, now_ms: int) -> list[MembershipEffect]:
         self._intervals += 1
         self._forget_dead(now_ms)
-        others = self._others()
-        if not others:
-            self._next_probe_ms = now_ms + self._jittered(JOIN_INTERVAL_MS)
-            return self._probe_gone(None, JOIN_PROBES, now_ms)
         self._next_probe_ms = now_ms + self._jittered(self._timings.probe_interval_ms)
         effects: list[MembershipEffect] = []
         for member in self._next_in_rounds():
@@ -442,6 +461,14 @@
             effects += self._probe_gone(None, 1, now_ms)
         return effects
 
+    def _join_round(self, now_ms: int) -> list[MembershipEffect]:
+        self._join_rounds += 1
+        self._next_join_ms = now_ms + self._jittered(JOIN_INTERVAL_MS)
+        if self._join_rounds > JOIN_ROUNDS and self._others():
+            self._next_join_ms = now_ms + self._jittered(self._timings.page_interval_ms)
+            return []
+        return self._probe_gone(None, JOIN_PROBES, now_ms)
+
     def _jittered(self, period_ms: int) -> int:
         return int(period_ms * self._rng.uniform(0.9, 1.1))
 
@@ -474,7 +501,7 @@
         return member is not None and is_live(member)
 
     def _is_small(self) -> bool:
-        return len(self.live(None, self._self.failure_domain)) <= SMALL_DOMAIN
+        return self._table.live_count(self._self.failure_domain) <= SMALL_DOMAIN
 
     def _probe(self, member: Member, now_ms: int) -> list[MembershipEffect]:
         expires_ms = now_ms + self._timings.probe_timeout_ms
@@ -505,25 +532,29 @@
     def _lacks(self, member: Member) -> bool:
         if self._is_near(member):
             return True
-        links = self._table.live(None, member.failure_domain)
-        return len(links) < self._timings.links_per_domain
+        return self._table.live_count(member.failure_domain) < self._timings.links_per_domain
 
     def _send_probe(self, member: Member, wait: PendingProbe) -> SendDatagram:
         self._sequence += 1
         self._pending[self._sequence] = wait
         probe = Probe(
-            self._sequence, self._self, self.revisions, member.name, member.incarnation, ()
+            self._sequence,
+            self._self,
+            self._announce(self._now_ms),
+            member.name,
+            member.incarnation,
+            (),
         )
         return self._send(member.ip, member.peer_port, probe, member.name)
 
     def _send_indirect(self, sequence: int, helper: Member, target: Member) -> SendDatagram:
-        request = IndirectProbe(sequence, self._self, self.revisions, target, ())
+        request = IndirectProbe(sequence, self._self, self._announce(self._now_ms), target, ())
         return self._send(helper.ip, helper.peer_port, request, helper.name)
 
     def _ack(
         self, sequence: int, subject: Member, asker: Member | None, ip: str, port: int
     ) -> SendDatagram:
-        ack = ProbeAck(sequence, self._self, self.revisions, subject, ())
+        ack = ProbeAck(sequence, self._self, self._announce(self._now_ms), subject, ())
         return self._send(ip, port, ack, asker.name if asker else "")
 
     def _send(self, ip: str, port: int, message: object, name: str) -> SendDatagram:
@@ -547,7 +578,9 @@
     def _request_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
         self._sequence += 1
         domain = "" if self._is_near(member) else self._self.failure_domain
-        request = MembersRequest(self._sequence, self._self, self.revisions, domain, after_name)
+        request = MembersRequest(
+            self._sequence, self._self, self._announce(self._now_ms), domain, after_name
+        )
         return [SendDatagram(member.ip, member.peer_port, request)]
 
 
--- a/rhubarbhinge/control/_platform_reader.py
+++ b/rhubarbhinge/control/_platform_reader.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 
 from rhubarbhinge.control._config_keys import KEYS
+from rhubarbhinge.control._contacts import Contacts
+from rhubarbhinge.control._content_hash import HASH_MASK
 from rhubarbhinge.control._dissemination_settings import DisseminationSettings
 from rhubarbhinge.control._member_state import LEAVING
 from rhubarbhinge.control._membership import Membership
@@ -55,8 +57,8 @@
         self._peak_domain = 1
         self._ranked = False
         self._acting = False
-        self._own_contact_ms: int | None = None
-        self._heard_contact_ms: int | None = None
+        self._own_contact_ms = 0
+        self._contacts = Contacts()
 
     @property
     def is_reader(self) -> bool:
@@ -83,20 +85,24 @@
         :param now_ms: the time.
         :returns: age, -1 for never.
         """
-        known = [ms for ms in (self._own_contact_ms, self._heard_contact_ms) if ms is not None]
-        return max(0, now_ms - max(known)) if known else -1
+        newest_ms = self._contacts.newest_ms
+        return -1 if newest_ms is None else max(0, now_ms - newest_ms)
 
-    def on_peer_age(self, platform_age_ms: int, now_ms: int) -> None:
-        """Hear how long ago a peer knows the platform to have answered.
+    @property
+    def contact(self) -> int:
+        """Identifies the newest answer of the platform known here; 0 for none."""
+        return self._contacts.newest
+
+    def on_contact(self, contact: int, age_ms: int, now_ms: int) -> None:
+        """Hear of an answer that the platform gave to some node.
 
-        :param platform_age_ms: the peer's figure, -1 for never.
+        :param contact: identifies the answer; 0 for none.
+        :param age_ms: time since then.
         :param now_ms: the time.
         """
-        if platform_age_ms < 0:
+        contact_ms = now_ms - age_ms
+        if not contact or not self._contacts.hear(contact, contact_ms):
             return
-        contact_ms = now_ms - platform_age_ms
-        if self._heard_contact_ms is None or contact_ms > self._heard_contact_ms:
-            self._heard_contact_ms = contact_ms
         if self._acting and contact_ms > self._own_contact_ms + CONTACT_MARGIN_MS:
             self._acting = False
 
@@ -127,7 +133,8 @@
         if now_ms < self._started_ms + self._settings.peers_first_ms:
             return []
         calls = []
-        for key, poll in self._polls.items():
+        for key in self._rng.sample(KEYS, len(KEYS)):
+            poll = self._polls[key]
             if poll.expires_ms and now_ms >= poll.expires_ms:
                 self.on_outcome(key, PlatformOutcome.FAILED, False, now_ms)
             if poll.expires_ms or now_ms < poll.next_ms:
@@ -157,6 +164,7 @@
             self._acting = True
             self._call_soon()
         self._own_contact_ms = now_ms
+        self._contacts.hear(self._rng.randint(1, HASH_MASK), now_ms)
         poll.failures = 0
         poll.answered = True
         poll.next_ms = now_ms
--- a/rhubarbhinge/control/_pull.py
+++ b/rhubarbhinge/control/_pull.py
@@ -14,6 +14,7 @@
     :param source: the peer that was asked.
     :param others: peers that may be asked next.
     :param expires_ms: when the source is given up.
+    :param failures: sources given up since the last chunk.
     :param transfer: position that the transfer decodes to; zeros before the first chunk.
     :param base_revision: revision that its deltas apply to; 0 for a whole document.
     :param total_bytes: length of the transfer.
@@ -25,6 +26,7 @@
     source: str
     others: list[str] = field(default_factory=list)
     expires_ms: int = 0
+    failures: int = 0
     transfer: Position = (0, 0)
     base_revision: int = 0
     total_bytes: int = 0
--- a/rhubarbhinge/control/_puller.py
+++ b/rhubarbhinge/control/_puller.py
@@ -16,6 +16,7 @@
 
 CHUNK_BYTES = 16 * 1024
 SOURCES_KEPT = 16
+FAILURES_LIMIT = 8
 
 Received = tuple[int, bytes, list[DeltaLink]]
 
@@ -23,6 +24,9 @@
 class Puller:
     """Keeps at most one pull a key, asking the announcers one after another.
 
+    A document that nobody gives is dropped after ``FAILURES_LIMIT`` sources; if somebody holds it,
+    the next announcement begins a new pull.
+
     :param store: what is accepted.
     :param rng: source of random choices.
     :param timeout_ms: a source that sends no chunk for this long is given up.
@@ -128,6 +132,8 @@
         pull = self._pulls.get(chunk.key)
         if pull is None or pull.source != member:
             return [], None
+        if _is_repeated(pull, chunk):
+            return [], None
         if not self._append(pull, chunk):
             return self._next_source(pull, now_ms), None
         if len(pull.received) < pull.total_bytes:
@@ -157,7 +163,8 @@
 
     def _next_source(self, pull: Pull, now_ms: int) -> list[SendPeer]:
         pull.restart()
-        if not self._store.wants(pull.key, *pull.wanted):
+        pull.failures += 1
+        if pull.failures > FAILURES_LIMIT or not self._store.wants(pull.key, *pull.wanted):
             del self._pulls[pull.key]
             return []
         if not pull.others:
@@ -188,6 +195,7 @@
         if not 0 < len(chunk.data) <= CHUNK_BYTES or pull.total_bytes > DOCUMENT_LIMIT_BYTES:
             return False
         pull.received += chunk.data
+        pull.failures = 0
         return len(pull.received) <= pull.total_bytes
 
     def _decode(self, pull: Pull) -> Received:
@@ -202,3 +210,8 @@
         if not links or links[-1].position != pull.transfer:
             raise BadTransfer("the deltas lead elsewhere")
         return revision, decode_links(held.data, links), links
+
+
+def _is_repeated(pull: Pull, chunk: ConfigChunk) -> bool:
+    same = (chunk.revision, chunk.content_hash) == pull.transfer
+    return same and chunk.offset < len(pull.received)
--- a/rhubarbhinge/control/_startup.py
+++ b/rhubarbhinge/control/_startup.py
@@ -7,6 +7,7 @@
 from rhubarbhinge.wire._config_digest import ConfigDigest
 
 ASKED_PER_DOMAIN = 8
+REPEAT_MS = 500
 
 
 class Startup:
@@ -22,11 +23,13 @@
     ) -> None:
         self._membership = membership
         self._rng = rng
+        self._settle_ms = settings.start_settle_ms
         self._wait_ms = settings.start_wait_ms
         self._keys = settings.required_keys
         self._asked: dict[str, str] = {}
         self._heard: set[str] = set()
         self._started_ms: int | None = None
+        self._next_ask_ms = 0
         self.peer_answered = False
         self.ready = False
 
@@ -54,12 +57,23 @@
             return []
         if self._started_ms is None:
             self._started_ms = now_ms
-        waited = now_ms >= self._started_ms + self._wait_ms
-        answered = platform_tried and self._asked and self._heard.issuperset(self._asked)
-        if may_be_ready and (waited or answered):
+        if may_be_ready and self._has_waited(platform_tried, now_ms - self._started_ms):
             self.ready = True
             return []
-        return self._choose()
+        return self._choose() + self._repeat(now_ms)
+
+    def _has_waited(self, platform_tried: bool, waited_ms: int) -> bool:
+        if waited_ms >= self._wait_ms:
+            return True
+        if waited_ms < self._settle_ms or not platform_tried or not self._asked:
+            return False
+        return self._heard.issuperset(self._asked)
+
+    def _repeat(self, now_ms: int) -> list[str]:
+        if now_ms < self._next_ask_ms:
+            return []
+        self._next_ask_ms = now_ms + REPEAT_MS
+        return [name for name in self._asked if name not in self._heard]
 
     def _choose(self) -> list[str]:
         counts: dict[str, int] = {}
--- a/rhubarbhinge/control/tests/schedule.py
+++ b/rhubarbhinge/control/tests/schedule.py
@@ -8,11 +8,9 @@
 import orjson
 
 from rhubarbhinge.control import (
-    Adopted,
     ControlNode,
     DisseminationSettings,
     Member,
-    MemberChanged,
     MembershipTimings,
     PlatformOutcome,
     PollPlatform,
@@ -33,7 +31,10 @@
 
 
 class Platform:
-    """Published documents; each node may see them at once, as of earlier, or not at all."""
+    """Published documents; each node may see them at once, as of earlier, or not at all.
+
+    While stale it answers with old documents, whatever revision it is asked to go above.
+    """
 
     def __init__(self) -> None:
         self.documents: dict[str, tuple[int, bytes]] = {}
@@ -46,7 +47,7 @@
         if key not in documents:
             return PlatformOutcome.MISSING, 0, b""
         revision, data = documents[key]
-        if revision <= after:
+        if revision <= after and self.stale is None:
             return PlatformOutcome.UNCHANGED, 0, b""
         return PlatformOutcome.CHANGED, revision, data
 
@@ -137,8 +138,6 @@
                 self._send(name, target, self._peer_message(name, effect))
             elif isinstance(effect, PollPlatform):
                 self._call(name, node, effect)
-            elif isinstance(effect, (Adopted, MemberChanged)):
-                pass
 
     def _tick(self, node: ControlNode) -> None:
         name = node.membership.self_member.name
--- a/rhubarbhinge/wire/_config_digest.py
+++ b/rhubarbhinge/wire/_config_digest.py
@@ -13,8 +13,9 @@
     :param register_hash: 63-bit hash of the asset register's bytes.
     :param rules_hash: 63-bit hash of the rules' bytes.
     :param vms_hash: 63-bit hash of the VM list's bytes.
-    :param platform_age_ms: time since a node in reach last had an answer of the platform; -1 for
-        never.
+    :param platform_contact: identifies the newest answer of the platform that the sender knows of;
+        0 for none.
+    :param platform_age_ms: time since that answer, at the time of sending.
     """
 
     register_revision: int
@@ -23,4 +24,5 @@
     register_hash: int
     rules_hash: int
     vms_hash: int
-    platform_age_ms: int = -1
+    platform_contact: int = 0
+    platform_age_ms: int = 0
