--- a/rhubarbhinge/control/_dissemination_settings.py
+++ b/rhubarbhinge/control/_dissemination_settings.py
@@ -52,5 +52,5 @@
     neighbours: int = 3
     remote_neighbours: int = 2
     pull_timeout_ms: int = 1_000
-    upload_bytes_per_s: float = 4_000.0
+    upload_bytes_per_s: float = 2_500.0
     upload_burst_bytes: float = 512 * 1024.0
--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -297,7 +297,8 @@
     def _on_page(
         self, page: MembersPage, ip: str, port: int, now_ms: int
     ) -> list[MembershipEffect]:
-        effects = self._hear(page.sender, page.revisions, page.updates, now_ms)
+        effects = self._hear(page.sender, page.revisions, (), now_ms)
+        effects += self._claims(page.updates, now_ms, spread=False)
         if self._joined or page.sender.failure_domain != self._self.failure_domain:
             return effects
         if not page.next_name:
@@ -331,13 +332,16 @@
         effects.append(RevisionsSeen(sender.name, revisions))
         return effects
 
-    def _claims(self, claims: Iterable[Member], now_ms: int) -> list[MembershipEffect]:
+    def _claims(
+        self, claims: Iterable[Member], now_ms: int, spread: bool = True
+    ) -> list[MembershipEffect]:
         effects: list[MembershipEffect] = []
         for claim in claims:
             if claim.name == self._self.name:
                 effects += self._claim_of_self(claim)
             elif self._is_followed(claim) and self._table.adopt(claim):
                 effects += self._adopted(claim, now_ms)
+                self._spread(claim, spread)
         return effects
 
     def _claim_of_self(self, claim: Member) -> list[MembershipEffect]:
@@ -356,8 +360,6 @@
         return [MemberChanged(self._self)]
 
     def _adopted(self, member: Member, now_ms: int) -> list[MembershipEffect]:
-        if member.failure_domain == self._self.failure_domain or self._is_small():
-            self._updates.add(member)
         self._suspicions.pop(member.name, None)
         self._dead_since_ms.pop(member.name, None)
         if member.state == SUSPECT:
@@ -366,6 +368,12 @@
             self._dead_since_ms[member.name] = now_ms
         return [MemberChanged(member)]
 
+    def _spread(self, member: Member, wanted: bool) -> None:
+        if not wanted:
+            self._updates.discard(member.name)
+        elif self._is_near(member) or self._is_small():
+            self._updates.add(member)
+
     def _is_followed(self, claim: Member) -> bool:
         if self._is_near(claim) or self._is_live(claim.name):
             return True
@@ -519,14 +527,11 @@
     def _gone(self) -> list[Member]:
         gone = [self._table.get(name) for name in self._dead_since_ms]
         found = [member for member in gone if member is not None and self._lacks(member)]
-        for node in self._candidates.nodes():
-            member = _unconfirmed(node)
-            if self._table.get(node.name) is None and self._lacks(member):
-                found.append(member)
-        known = {(member.ip, member.peer_port) for member in self._table.members()}
-        for ip, port in self._seeds:
-            if (ip, port) not in known:
-                found.append(Member("", "", "", ip, port, 0, DEAD))
+        nodes = [node for node in self._candidates.nodes() if self._table.get(node.name) is None]
+        found += [member for member in map(_unconfirmed, nodes) if self._lacks(member)]
+        if self._seeds:
+            known = {(member.ip, member.peer_port) for member in self._table.members()}
+            found += [_unnamed(*address) for address in self._seeds if address not in known]
         return found
 
     def _lacks(self, member: Member) -> bool:
@@ -584,6 +589,10 @@
         return [SendDatagram(member.ip, member.peer_port, request)]
 
 
+def _unnamed(ip: str, port: int) -> Member:
+    return Member("", "", "", ip, port, 0, DEAD)
+
+
 def _unconfirmed(node: VmNode) -> Member:
     return Member(node.name, node.role, node.failure_domain, node.ip, node.peer_port, 0, DEAD)
 
--- a/rhubarbhinge/control/_message_bytes.py
+++ b/rhubarbhinge/control/_message_bytes.py
@@ -6,7 +6,9 @@
 """
 
 from dataclasses import fields
-from functools import cache
+from functools import cache, lru_cache
+
+from rhubarbhinge.wire._member import Member
 
 WORD_BYTES = 8
 FRAME_BYTES = 32
@@ -36,6 +38,11 @@
     return tuple(field.name for field in fields(kind))
 
 
+@lru_cache(maxsize=4_096)
+def _member_bytes(member: Member) -> int:
+    return WORD_BYTES + struct_bytes(member)
+
+
 def _value_bytes(value: object) -> int:
     if isinstance(value, (int, float)):
         return WORD_BYTES
@@ -45,6 +52,8 @@
         return WORD_BYTES + _round_up(len(value))
     if isinstance(value, tuple):
         return 2 * WORD_BYTES + sum(_value_bytes(item) for item in value)
+    if isinstance(value, Member):
+        return _member_bytes(value)
     return WORD_BYTES + struct_bytes(value)
 
 
--- a/rhubarbhinge/control/_platform_reader.py
+++ b/rhubarbhinge/control/_platform_reader.py
@@ -20,7 +20,6 @@
 from rhubarbhinge.control._token_bucket import TokenBucket
 
 CALL_BURST = 3
-CALL_START_S = 2
 REVIEW_MS = 1_000
 OVERLOAD_FACTOR = 4
 CONTACT_MARGIN_MS = 1_000
@@ -219,7 +218,8 @@
         self._rate_per_s = rate_per_s
 
     def _start_tokens(self, rate_per_s: float) -> float:
-        return min(CALL_BURST, rate_per_s * CALL_START_S * self._rng.uniform(0.5, 1.0))
+        # Evenly spread over one token, so that nodes that start at once do not call at once.
+        return self._rng.random() + min(rate_per_s, CALL_BURST - 1) / 2
 
     def _node_rate_per_s(self) -> float:
         settings = self._settings
@@ -235,5 +235,7 @@
         readers = settings.readers_per_domain * max(len(seen), settings.expected_domains)
         rate_per_s = settings.platform_calls_per_s * settings.reader_share / readers
         live = len(self._membership.live(None, me.failure_domain))
-        usual = max(self._peak_domain, self._membership.listed // max(1, len(seen)))
+        expected = settings.expected_nodes // settings.expected_domains
+        listed = self._membership.listed // max(1, len(seen))
+        usual = max(self._peak_domain, listed, expected)
         return min(settings.reader_calls_per_s, rate_per_s) * min(1.0, live / usual)
--- a/rhubarbhinge/control/_update_queue.py
+++ b/rhubarbhinge/control/_update_queue.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rhubarbhinge.control._message_bytes import struct_bytes
+from rhubarbhinge.control._message_bytes import WORD_BYTES, struct_bytes
 from rhubarbhinge.wire._member import Member
 
 SENDS_PER_DOUBLING = 3
@@ -28,9 +28,17 @@
         :param update: the update to spread.
         """
         self._updates.pop(update.name, None)
-        self._updates[update.name] = (update, struct_bytes(update))
+        self._updates[update.name] = (update, WORD_BYTES + struct_bytes(update))
         self._sent[update.name] = 0
 
+    def discard(self, name: str) -> None:
+        """Stop spreading what is no longer the newest of a member.
+
+        :param name: the member.
+        """
+        self._updates.pop(name, None)
+        self._sent.pop(name, None)
+
     def take(self, limit_bytes: int, members: int) -> tuple[Member, ...]:
         """Choose the updates for one message, those least sent first.
 
--- a/rhubarbhinge/control/tests/schedule.py
+++ b/rhubarbhinge/control/tests/schedule.py
@@ -40,7 +40,7 @@
         self.documents: dict[str, tuple[int, bytes]] = {}
         self.stale: dict[str, tuple[int, bytes]] | None = None
         self.unreachable: Callable[[str], bool] = lambda name: False
-        self.calls = 0
+        self.calls_ms: list[int] = []
 
     def answer(self, key: str, after: int) -> tuple[PlatformOutcome, int, bytes]:
         documents = self.documents if self.stale is None else self.stale
@@ -69,6 +69,7 @@
         self.timings = MembershipTimings()
         self.settings = settings or DisseminationSettings()
         self.seeds: tuple[tuple[str, int], ...] = ()
+        self.node_type: type[ControlNode] = ControlNode
         self._paused_until_ms: dict[str, int] = {}
         self._by_address: dict[tuple[str, int], str] = {}
         self._watches: list[tuple[str, ControlNode, PollPlatform, int]] = []
@@ -78,7 +79,7 @@
     def add(self, member: Member) -> ControlNode:
         self.members[member.name] = member
         self._by_address[member.ip, member.peer_port] = member.name
-        node = ControlNode(
+        node = self.node_type(
             member,
             random.Random(self.rng.random()),
             validate,
@@ -179,7 +180,7 @@
         self.do(target, deliver(target))
 
     def _call(self, name: str, node: ControlNode, poll: PollPlatform) -> None:
-        self.platform.calls += 1
+        self.platform.calls_ms.append(self.now_ms)
         if self.platform.unreachable(name):
             self._outcome(name, node, poll, (PlatformOutcome.FAILED, 0, b""))
             return
--- a/rhubarbhinge/control/tests/test_fleet.py
+++ b/rhubarbhinge/control/tests/test_fleet.py
@@ -1,9 +1,10 @@
 """A small fleet starts, follows changes, restarts, and meets single faults."""
 
 import unittest
+from collections import Counter
 from dataclasses import replace
 
-from rhubarbhinge.control import DEAD, LEAVING, MemberChanged
+from rhubarbhinge.control import DEAD, LEAVING, DisseminationSettings, MemberChanged
 from rhubarbhinge.control.tests.schedule import Schedule, fleet, vms_document
 
 DOMAIN = "kgn-a"
@@ -53,10 +54,10 @@
         schedule = start()
         schedule.publish("register", 2, b"bad")
         schedule.run(1_000)
-        calls = schedule.platform.calls
+        calls = len(schedule.platform.calls_ms)
         schedule.run(5_000)
         self.assertTrue(in_force(schedule, "register", 1))
-        self.assertLess(schedule.platform.calls - calls, 30)
+        self.assertLess(len(schedule.platform.calls_ms) - calls, 30)
         schedule.publish("register", 3, b"{3}")
         schedule.run(5_000)
         self.assertTrue(in_force(schedule, "register", 3))
@@ -112,6 +113,20 @@
         schedule.run(60_000)
         self.assertFalse(any(node.ready() for node in schedule.nodes.values()))
 
+    def test_a_mass_start_stays_under_the_platforms_rate(self):
+        settings = DisseminationSettings(expected_nodes=40, platform_calls_per_s=40)
+        schedule = Schedule(4, settings)
+        members = fleet(40, 4)
+        schedule.seeds = tuple((member.ip, member.peer_port) for member in members[:4])
+        schedule.platform.unreachable = lambda name: schedule.now_ms < 15_000
+        schedule.platform.documents = {"register": (1, b"{}"), "rules": (1, b"{}")}
+        for member in members:
+            schedule.add(member)
+        schedule.run(40_000)
+        seconds = Counter(at_ms // 1_000 for at_ms in schedule.platform.calls_ms)
+        self.assertLessEqual(max(seconds.values()), 40)
+        self.assertTrue(all(node.ready() for node in schedule.nodes.values()))
+
     def test_two_documents_of_one_revision_have_one_winner(self):
         schedule = start()
         names = sorted(schedule.nodes)
