--- a/rhubarbhinge/control/tests/schedule.py
+++ b/rhubarbhinge/control/tests/schedule.py
@@ -8,11 +8,9 @@
 import orjson
 
 from rhubarbhinge.control import (
-    Adopted,
     ControlNode,
     DisseminationSettings,
     Member,
-    MemberChanged,
     MembershipTimings,
     PlatformOutcome,
     PollPlatform,
@@ -33,20 +31,23 @@
 
 
 class Platform:
-    """Published documents; each node may see them at once, as of earlier, or not at all."""
+    """Published documents; each node may see them at once, as of earlier, or not at all.
+
+    While stale it answers with old documents, whatever revision it is asked to go above.
+    """
 
     def __init__(self) -> None:
         self.documents: dict[str, tuple[int, bytes]] = {}
         self.stale: dict[str, tuple[int, bytes]] | None = None
         self.unreachable: Callable[[str], bool] = lambda name: False
-        self.calls = 0
+        self.calls_ms: list[int] = []
 
     def answer(self, key: str, after: int) -> tuple[PlatformOutcome, int, bytes]:
         documents = self.documents if self.stale is None else self.stale
         if key not in documents:
             return PlatformOutcome.MISSING, 0, b""
         revision, data = documents[key]
-        if revision <= after:
+        if revision <= after and self.stale is None:
             return PlatformOutcome.UNCHANGED, 0, b""
         return PlatformOutcome.CHANGED, revision, data
 
@@ -68,6 +69,7 @@
         self.timings = MembershipTimings()
         self.settings = settings or DisseminationSettings()
         self.seeds: tuple[tuple[str, int], ...] = ()
+        self.node_type: type[ControlNode] = ControlNode
         self._paused_until_ms: dict[str, int] = {}
         self._by_address: dict[tuple[str, int], str] = {}
         self._watches: list[tuple[str, ControlNode, PollPlatform, int]] = []
@@ -77,7 +79,7 @@
     def add(self, member: Member) -> ControlNode:
         self.members[member.name] = member
         self._by_address[member.ip, member.peer_port] = member.name
-        node = ControlNode(
+        node = self.node_type(
             member,
             random.Random(self.rng.random()),
             validate,
@@ -137,8 +139,6 @@
                 self._send(name, target, self._peer_message(name, effect))
             elif isinstance(effect, PollPlatform):
                 self._call(name, node, effect)
-            elif isinstance(effect, (Adopted, MemberChanged)):
-                pass
 
     def _tick(self, node: ControlNode) -> None:
         name = node.membership.self_member.name
@@ -180,7 +180,7 @@
         self.do(target, deliver(target))
 
     def _call(self, name: str, node: ControlNode, poll: PollPlatform) -> None:
-        self.platform.calls += 1
+        self.platform.calls_ms.append(self.now_ms)
         if self.platform.unreachable(name):
             self._outcome(name, node, poll, (PlatformOutcome.FAILED, 0, b""))
             return
--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -18,7 +18,7 @@
     SendPeer,
     VmNode,
 )
-from rhubarbhinge.daemons._configview import ConfigView, validate
+from rhubarbhinge.daemons._configview import ConfigView
 from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._peeraddress import PeerAddress
@@ -103,7 +103,7 @@
             "alive",
         )
         seeds = [_address(text) for text in settings.peers]
-        self._core = ControlNode(me, rng, validate, _vm_nodes, seeds)
+        self._core = ControlNode(me, rng, self.config.validate, _vm_nodes, seeds)
         self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
             self
         )
@@ -154,6 +154,24 @@
         members = self._core.membership.live("entry", failure_domain)
         return frozenset(member.name for member in members)
 
+    def listed_entries(self) -> tuple[frozenset[str], int | None]:
+        """Give the entries that the platform lists, in all failure domains.
+
+        :returns: node names, and when the platform last confirmed the list, None for never.
+        """
+        now_ms = self._now_ms()
+        ages = {age.key: age for age in self._core.dissemination.ages(now_ms)}
+        age_ms = ages["vms"].platform_age_ms
+        if self.config.vms is None or age_ms < 0:
+            return frozenset(), None
+        names = [
+            vm.node_name(node)
+            for vm in self.config.vms.vms
+            for node in vm.nodes
+            if node.role == "entry"
+        ]
+        return frozenset(names), now_ms - age_ms
+
     def peer_up(self, peer: Peer) -> None:
         """Follow a new link.
 
@@ -259,6 +277,7 @@
             port,
             "GET",
             path,
+            headers=(("Reader", self._identity.name),),
             timeout_ms=effect.wait_ms + _CALL_MARGIN_MS,
             on_done=lambda result: self._polled(effect.key, result),
         )
--- a/rhubarbhinge/once/_codes.py
+++ b/rhubarbhinge/once/_codes.py
@@ -13,7 +13,7 @@
     """What happened, as a short code."""
 
     DONE = "done"
-    RESULT_TOO_LARGE = "result-too-large"
+    RESULT_DROPPED = "result-dropped"
     FORGED = "ticket-forged"
     MALFORMED = "ticket-malformed"
     EXPIRED = "ticket-expired"
@@ -34,6 +34,8 @@
     UPSTREAM_UNKNOWN = "upstream-unknown"
     KEY_OWNER_YOUNG = "key-owner-young"
     KEY_OWNER_GONE = "key-owner-gone"
+    KEY_NOT_OWNER = "key-not-owner"
+    KEY_LIST_OLD = "key-list-old"
     KEY_FULL = "key-full"
     KEY_CONFLICT = "key-conflict"
     KEY_MISMATCH = "key-mismatch"
@@ -41,9 +43,9 @@
 
 _TEXTS: dict[Code, tuple[str, str]] = {
     Code.DONE: ("The request ran.", ""),
-    Code.RESULT_TOO_LARGE: ("The request ran; its result was too large to keep.", ""),
-    Code.FORGED: ("The ticket's signature is wrong.", "Ask for a new ticket."),
-    Code.MALFORMED: ("This is not a ticket.", "Ask for a new ticket."),
+    Code.RESULT_DROPPED: ("The request ran; there was no room for its result.", ""),
+    Code.FORGED: ("The ticket's signature is not this system's.", ASK_PEOPLE),
+    Code.MALFORMED: ("This is not the text of a ticket.", ASK_PEOPLE),
     Code.EXPIRED: ("The ticket expired and its outcome is no longer kept.", ASK_PEOPLE),
     Code.EXPIRED_UNUSED: ("The ticket expired before it was used.", NEW_TICKET),
     Code.OTHER_INCARNATION: ("The process that held the ticket is gone.", ASK_PEOPLE),
@@ -71,6 +73,14 @@
         "A process that could know this key can't be reached.",
         "Ask again after the given time, or check at the upstream.",
     ),
+    Code.KEY_NOT_OWNER: (
+        "Two processes disagree on who could know this key.",
+        "Ask again after the given time, or check at the upstream.",
+    ),
+    Code.KEY_LIST_OLD: (
+        "The list of processes that could know this key is too old.",
+        "Ask again after the given time, or send the request without a key.",
+    ),
     Code.KEY_FULL: ("No more keys can be held at present.", "Ask again after the given time."),
     Code.KEY_CONFLICT: ("The key is bound to two tickets.", ASK_PEOPLE),
     Code.KEY_MISMATCH: (
--- a/rhubarbhinge/routing/__init__.py
+++ b/rhubarbhinge/routing/__init__.py
@@ -1,10 +1,12 @@
 """Searcher queues, slots, connections and drain: the decisions of the relay."""
 
 from rhubarbhinge.routing._cancelupstream import CancelUpstream
+from rhubarbhinge.routing._cells import CellTable, cells
 from rhubarbhinge.routing._closeconnection import CloseConnection
 from rhubarbhinge.routing._droppeer import DropPeer
 from rhubarbhinge.routing._openconnection import OpenConnection
 from rhubarbhinge.routing._ownership import owners, rendezvous
+from rhubarbhinge.routing._ownertable import OwnerTable
 from rhubarbhinge.routing._pollhealth import PollHealth
 from rhubarbhinge.routing._publishholding import PublishHolding
 from rhubarbhinge.routing._publishload import PublishLoad
@@ -19,9 +21,11 @@
 
 __all__ = [
     "CancelUpstream",
+    "CellTable",
     "CloseConnection",
     "DropPeer",
     "OpenConnection",
+    "OwnerTable",
     "PollHealth",
     "PublishHolding",
     "PublishLoad",
@@ -33,6 +37,7 @@
     "SendRun",
     "SendSearch",
     "UpstreamSpec",
+    "cells",
     "owners",
     "rendezvous",
 ]
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -22,13 +22,18 @@
 _POLL_S = 0.05
 
 
+#: Searchers of one failure domain share a process, so that replicas never do.
+BY_DOMAIN = -1
+
+
 @dataclass(frozen=True, slots=True)
 class Size:
     """How large a deployment is set up.
 
     :param scale: factor on the brief's number of searchers.
     :param vms_per_domain: entry VMs in each failure domain.
-    :param searcher_processes: processes that the searchers are spread over; 0 for one each.
+    :param searcher_processes: processes that the searchers are spread over; 0 for one each,
+        :data:`BY_DOMAIN` for one for each failure domain.
     """
 
     scale: float = 0.1
@@ -91,6 +96,7 @@
         if change is not None:
             change(self.register, self.rules)
         self.searchers: dict[str, Process] = {}
+        self._searcher_documents: dict[str, dict[str, Any]] = {}
         self.searcher_ports = {
             upstream["name"]: upstream["port"] for upstream in self.register["upstreams"]
         }
@@ -217,6 +223,28 @@
         """
         call(self.searcher_ports[name], "/standin", changes)
 
+    def shown(self, name: str) -> dict[str, Any]:
+        """Read a searcher's knobs, holdings and figures.
+
+        :param name: its name.
+        :returns: what it shows.
+        """
+        return call(self.searcher_ports[name], "/standin")
+
+    def restart_searchers(self, process: Process) -> Process:
+        """Start a process of searchers that has ended anew, with its ports and its history.
+
+        :param process: the ended process.
+        :returns: the new one.
+        """
+        names = [name for name, owner in self.searchers.items() if owner is process]
+        documents = [self._searcher_documents[name] for name in names]
+        for document in documents:
+            document["incarnation"] = document.get("incarnation", 1) + 1
+        started = self.fleet.searchers(process.name, {"searchers": documents})
+        self.searchers.update(dict.fromkeys(names, started))
+        return started
+
     def holders(self, collection: str) -> dict[tuple[int, int], list[str]]:
         """Give who holds each shard of a collection.
 
@@ -250,12 +278,21 @@
                     "holdings": holdings.get(upstream["name"], {}),
                 }
             )
-        count = self.size.searcher_processes or len(documents)
-        for place in range(min(count, len(documents))):
-            share = documents[place::count]
+        for place, share in enumerate(self._shares(documents)):
             process = self.fleet.searchers(f"{self.tenant}-searchers-{place}", {"searchers": share})
             for document in share:
                 self.searchers[document["name"]] = process
+                self._searcher_documents[document["name"]] = document
+
+    def _shares(self, documents: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
+        count = self.size.searcher_processes or len(documents)
+        if count != BY_DOMAIN:
+            return [documents[place::count] for place in range(min(count, len(documents)))]
+        domains = {each["name"]: each["failure_domain"] for each in self.register["upstreams"]}
+        return [
+            [document for document in documents if domains[document["name"]] == domain]
+            for domain in self.register["failure_domains"]
+        ]
 
     def _vms(self, ports: Iterable[int]) -> list[Vm]:
         vms = []
