Peek before a request, so that stale connections are told from sent requests

Cause: a request on a connection that the upstream had already ended, or on which it had sent a second reply, was written all the same; a soak trial with misbehaving upstreams gave the second reply to the next call. Ruled out: catching a second reply that comes after the next request has left, which HTTP does not allow; docs/web.md says who has to. Change: one MSG_PEEK a request; request() tells whether anything was handed over.

--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -183,14 +183,20 @@
         """Bytes sent on all links that the kernel has not taken yet."""
         return sum(link.pending_bytes for link in self._links.values())
 
-    def is_open(self, link: int) -> bool:
-        """Tell whether bytes sent on a link now would go out.
+    def is_quiet(self, link: int) -> bool:
+        """Tell whether a link is open and has neither data nor its end waiting to be read.
 
         :param link: the link.
-        :returns: whether it is open, as far as this side knows.
+        :returns: whether nothing has come in that ``on_data`` or ``on_close`` has not told.
         """
         found = self._links.get(link)
-        return found is not None and found.state is LinkState.OPEN
+        if found is None or found.state is not LinkState.OPEN:
+            return False
+        try:
+            found.sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in _AGAIN
+        return False
 
     def peer_ip(self, link: int) -> str:
         """Tell the IP address of a link's peer.
--- a/rhubarbhinge/web/_client.py
+++ b/rhubarbhinge/web/_client.py
@@ -120,10 +120,9 @@
 
     def _send(self, conn: int, call: _Call) -> None:
         call.conn = conn
-        call.sent = True
         method, path, body, headers = call.arguments
         left_ms = call.end_ms - self._timers.now_ms()
-        self._connections.request(conn, method, path, body, headers, left_ms)
+        call.sent = self._connections.request(conn, method, path, body, headers, left_ms)
 
     def _opened(self, conn: int) -> None:
         call = self._calls.get(self._by_conn[conn])
--- a/rhubarbhinge/web/_connections.py
+++ b/rhubarbhinge/web/_connections.py
@@ -85,10 +85,11 @@
         body: bytes,
         headers: tuple[tuple[str, str], ...] = (),
         timeout_ms: float = 30_000.0,
-    ) -> None:
+    ) -> bool:
         """Send a request; ``on_reply`` or ``on_close`` is called later.
 
-        Nothing happens on a connection that is closed and whose ``on_close`` is still to come.
+        Nothing is sent on a connection that the upstream has closed, or on which it has sent
+        something unasked, even if that is still to be told.
 
         :param conn: an open connection without a request under way.
         :param method: the method.
@@ -96,18 +97,20 @@
         :param body: the whole body.
         :param headers: more headers, besides those of host and length.
         :param timeout_ms: longest that the reply may take, in milliseconds.
+        :returns: whether the request was handed to the connection; if not, none of it leaves.
         :raises RuntimeError: when the connection is not open or has a request under way.
         :raises ValueError: when the method, path or headers are not well-formed.
         """
         found = self._conns.get(conn)
         if found is None or not found.is_open or found.parser is not None:
             raise RuntimeError(f"connection {conn} can not take a request")
-        if found.closing or not self._links.is_open(conn):
-            return
         data = encode_request(method, path, found.host, body, headers)
+        if found.closing or not self._links.is_quiet(conn):
+            return False
         found.parser = ReplyParser(method)
         found.timer = self._timers.after(timeout_ms, lambda: self._abort(conn, found, TIMEOUT))
         self._links.send(conn, data)
+        return True
 
     def close(self, conn: int) -> None:
         """Close a connection at once; ``on_close`` is called later with ``local``.
@@ -122,12 +125,12 @@
         """Tell whether a connection can take a request now.
 
         :param conn: the connection.
-        :returns: whether it is open, without a request under way, and not being closed.
+        :returns: whether it is open and quiet, and without a request under way.
         """
         found = self._conns.get(conn)
         if found is None or found.parser is not None or found.closing:
             return False
-        return self._links.is_open(conn)
+        return self._links.is_quiet(conn)
 
     def _opened(self, conn: int, inbound: bool) -> None:
         self._conns[conn].is_open = True
--- a/rhubarbhinge/web/tests/test_client.py
+++ b/rhubarbhinge/web/tests/test_client.py
@@ -38,7 +38,6 @@
         peer = self.upstream.accept().until_got(b"GET /1 ").send(reply(b"one"))
         self.tree.until(lambda: self.done)
         peer.sock.close()
-        self.tree.settle()
         self.call("/2")
         self.upstream.accept().until_got(b"GET /2 ").send(reply(b"two"))
         self.tree.until(lambda: len(self.done) == 2)
--- a/rhubarbhinge/web/tests/test_connections.py
+++ b/rhubarbhinge/web/tests/test_connections.py
@@ -120,6 +120,21 @@
         self.until_closed(conn, "unasked")
         self.assertEqual([(conn, b"own")], self.bodies())
 
+    def test_nothing_is_sent_where_something_unasked_or_the_end_waits(self):
+        for reason, act in (
+            ("unasked", lambda peer: peer.send(reply(b"unasked"))),
+            ("peer", lambda peer: peer.sock.close()),
+        ):
+            with self.subTest(reason):
+                self.closed.clear()
+                conn, peer = self.connect()
+                self.assertTrue(self.conns.reusable(conn))
+                act(peer)
+                self.assertFalse(self.conns.reusable(conn))
+                self.assertFalse(self.conns.request(conn, "GET", "/", b"", (), 5000))
+                self.until_closed(conn, reason)
+        self.assertEqual([], self.replies)
+
     def test_a_connection_that_the_upstream_ends_is_not_reusable(self):
         conn, peer = self.ask()
         peer.send(reply(b"last", b"Connection: close"))
