--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -62,7 +62,8 @@
     """Owns TCP connections, inbound and outbound, and hands their data to plain callbacks.
 
     Callbacks run in the loop's thread and never from inside a method of this class. A peer that
-    closes its sending side counts as gone. Addresses are IPv4.
+    closes its sending side counts as gone. Addresses are IPv4. The tree's poller and timer service
+    are used; a tree that has its own registers them first.
 
     :param on_open: called with the link and whether it is inbound.
     :param on_data: called with the link and the bytes read.
