--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -9,12 +9,12 @@
 from circuits.core.pollers import BasePoller, EPoll
 
 from rhubarbhinge.net._link import Link, LinkState
+from rhubarbhinge.net._listener import Listener
 from rhubarbhinge.net._reason import CloseReason
 from rhubarbhinge.net._sockets import (
     connect_error,
     connecting_socket,
     is_self_connected,
-    listening_socket,
 )
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
@@ -26,12 +26,6 @@
 RECEIVE_BYTES = 64 * 1024
 """Most bytes read from a link in one loop turn."""
 
-ACCEPTS_PER_TURN = 64
-"""Most connections accepted in one loop turn."""
-
-ACCEPT_PAUSE_MS = 100.0
-"""How long accepting rests when the process is out of descriptors, in milliseconds."""
-
 FLUSH_BOUND_MS = 30_000.0
 """Longest that a close waits for what is pending to be written, in milliseconds."""
 
@@ -50,7 +44,6 @@
 
 _AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 _CONNECT_STARTED = (0, errno.EINPROGRESS)
-_ACCEPT_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _CONNECT_FAULTS = {
     errno.ECONNREFUSED: CloseReason.REFUSED,
     errno.ETIMEDOUT: CloseReason.CONNECT_TIMEOUT,
@@ -95,13 +88,12 @@
         self._ended: list[tuple[int, CloseReason]] = []
         self._poller: BasePoller | None = None
         self._timers: TimerService | None = None
-        self._listener = None if bind is None else listening_socket(bind)
-        self._port = 0 if bind is None else self._listener.getsockname()[1]
+        self._listener = None if bind is None else Listener(bind)
 
     @property
     def bound_port(self) -> int:
         """The port listened at, 0 when made without one."""
-        return self._port
+        return 0 if self._listener is None else self._listener.port
 
     def open(self, ip: str, port: int, timeout_ms: float) -> int:
         """Start a connection; ``on_open`` or ``on_close`` is called later.
@@ -172,12 +164,8 @@
 
     def stop_listening(self) -> None:
         """Accept no more connections; those that are open stay."""
-        if self._listener is None:
-            return
-        if self._poller is not None:
-            self._poller.discard(self._listener)
-        self._listener.close()
-        self._listener = None
+        if self._listener is not None:
+            self._listener.close()
 
     @property
     def pending_bytes(self) -> int:
@@ -229,8 +217,8 @@
             link = self._by_sock.get(sock)
             if link is not None:
                 self._receive(link)
-            elif sock is self._listener:
-                self._accept_all()
+            elif self._listener is not None and sock is self._listener.sock:
+                self._accept()
         except Exception as error:
             fail_stop(error)
 
@@ -289,7 +277,7 @@
         self._timers = shared_component(self, TimerService)
         self._poller = shared_component(self, BasePoller, EPoll)
         if self._listener is not None:
-            self._poller.addReader(self, self._listener)
+            self._listener.attach(self, self._poller, self._timers)
 
     def _add(self, number: int, sock: socket.socket, state: LinkState, peer_ip: str) -> Link:
         link = Link(number, sock, state, peer_ip)
@@ -297,32 +285,11 @@
         self._by_sock[sock] = link
         return link
 
-    def _accept_all(self) -> None:
-        for _ in range(ACCEPTS_PER_TURN):
-            if self._listener is None:
-                return
-            try:
-                sock, address = self._listener.accept()
-            except OSError as error:
-                if error.errno in _ACCEPT_EXHAUSTED:
-                    self._rest_accepting()
-                return
-            self._accepted(sock, address[0])
-
-    def _accepted(self, sock: socket.socket, peer_ip: str) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
-        self._poller.addReader(self, sock)
-        self._on_open(link.number, True)
-
-    def _rest_accepting(self) -> None:
-        self._poller.discard(self._listener)
-        self._timers.after(ACCEPT_PAUSE_MS, self._accept_again)
-
-    def _accept_again(self) -> None:
-        if self._listener is not None:
-            self._poller.addReader(self, self._listener)
+    def _accept(self) -> None:
+        for sock, peer_ip in self._listener.accept_all():
+            link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
+            self._poller.addReader(self, sock)
+            self._on_open(link.number, True)
 
     def _connected(self, link: Link) -> None:
         fault = connect_error(link.sock)
