once: successors of a delisted key owner wait a window and a half

Cause: an owner that is cut off binds keys until its list is half a window old; its successors began a window after the delisting, so two tickets could be shown half a window apart. Ruled out: refusing as soon as the list is not confirmed; every hiccup of the platform would refuse. Change: lists are used for a quarter of a window, a delisted entry binds nothing and keeps its rank for a window and a half, owners are young for as long. parse_event reads log lines back.

--- a/rhubarbhinge/once/_key_bindings.py
+++ b/rhubarbhinge/once/_key_bindings.py
@@ -81,17 +81,21 @@
         if claim.step == KeyStep.LOOKUP:
             return KeyReplyCode.NOT_HELD, retry_ms
         age_ms = now_ms - self._started_ms
-        if age_ms < self._settings.key_window_ms:
-            return KeyReplyCode.YOUNG, self._settings.key_window_ms - age_ms
+        if age_ms < self._owners.memory_ms:
+            return KeyReplyCode.YOUNG, self._owners.memory_ms - age_ms
         if not self._owners.is_current(now_ms):
             return KeyReplyCode.LIST_OLD, retry_ms
-        if self._entry not in self._owners.owners(claim.key, now_ms):
+        if not self._is_owner(claim.key, now_ms):
             return KeyReplyCode.NOT_OWNER, retry_ms
         if len(self._bindings) >= self._settings.most_keys:
             oldest = next(iter(self._bindings.values()))
             return KeyReplyCode.FULL, max(1, oldest.until_ms - now_ms)
         return None
 
+    def _is_owner(self, key: str, now_ms: int) -> bool:
+        listed = self._owners.is_listed(self._entry)
+        return listed and self._entry in self._owners.owners(key, now_ms)
+
     def _reply(
         self,
         claim: KeyClaim,
--- a/rhubarbhinge/once/_key_owners.py
+++ b/rhubarbhinge/once/_key_owners.py
@@ -4,13 +4,19 @@
 
 OWNERS = 2
 """Owners of a key: one orders the claims, the other keeps a copy."""
-LIST_AGE_DIVISOR = 2
-"""A list of entries that is older than the window by this divisor is not used."""
+LIST_AGE_SHARE = 0.25
+"""Oldest list of entries that is used, as a share of the window."""
+MEMORY_SHARE = 1.5
+"""Time over which a delisted entry keeps its rank, as a share of the window.
+
+A cut-off owner may bind keys until its list is too old; the entries that take its place must begin
+a window after that, and a quarter of a window is left for lists that differ.
+"""
 _SCORE_BYTES = 8
 
 
 class KeyOwners:
-    """Ranks the entries that could know a key: listed now, or delisted within the window.
+    """Ranks the entries that could know a key: listed now, or delisted not long ago.
 
     The rank follows the platform's list of VMs, not liveness: an entry that is only out of reach
     keeps its place, so that no other grants anew what it may have granted.
@@ -19,7 +25,8 @@
     """
 
     def __init__(self, window_ms: int):
-        self._window_ms = window_ms
+        self.memory_ms = int(window_ms * MEMORY_SHARE)
+        self._list_age_ms = int(window_ms * LIST_AGE_SHARE)
         self._listed: frozenset[str] = frozenset()
         self._delisted_ms: dict[str, int] = {}
         self._confirmed_ms: int | None = None
@@ -37,7 +44,7 @@
         self._confirmed_ms = confirmed_ms
         kept = self._delisted_ms.items()
         self._delisted_ms = {
-            name: ms for name, ms in kept if name not in listed and now_ms < ms + self._window_ms
+            name: ms for name, ms in kept if name not in listed and now_ms < ms + self.memory_ms
         }
 
     def is_current(self, now_ms: int) -> bool:
@@ -48,7 +55,15 @@
         """
         if self._confirmed_ms is None:
             return False
-        return now_ms - self._confirmed_ms < self._window_ms // LIST_AGE_DIVISOR
+        return now_ms - self._confirmed_ms < self._list_age_ms
+
+    def is_listed(self, name: str) -> bool:
+        """Tell whether the list names an entry now.
+
+        :param name: name of the entry.
+        :returns: True if so.
+        """
+        return name in self._listed
 
     def owners(self, key: str, now_ms: int) -> tuple[str, ...]:
         """Name the owners of a key, the one that orders the claims first.
@@ -57,7 +72,7 @@
         :param now_ms: time on this entry's clock.
         :returns: the names; fewer than two in a smaller domain.
         """
-        recent = {n for n, ms in self._delisted_ms.items() if now_ms < ms + self._window_ms}
+        recent = {n for n, ms in self._delisted_ms.items() if now_ms < ms + self.memory_ms}
         ranked = sorted(self._listed | recent, key=lambda name: _score(key, name), reverse=True)
         return tuple(ranked[:OWNERS])
 
--- a/rhubarbhinge/once/tests/_fakes.py
+++ b/rhubarbhinge/once/tests/_fakes.py
@@ -48,7 +48,7 @@
 
     def __init__(self, old: bool = True):
         self.now_ms = 10_000
-        self.started_ms = self.now_ms - (WINDOW_MS if old else 0)
+        self.started_ms = self.now_ms - (2 * WINDOW_MS if old else 0)
         self.incarnations = 0
         self.history: list[str] = []
         self.tickets: list[tuple[str, bytes]] = []
--- a/rhubarbhinge/once/tests/test_book.py
+++ b/rhubarbhinge/once/tests/test_book.py
@@ -210,9 +210,25 @@
             self.fleet.tick(self.third)
         self.assertEqual("key-owner-gone", self.fleet.answers[request].code)
 
+    def test_a_delisted_owner_grants_nothing(self):
+        self.fleet.listed = frozenset(ENTRIES) - {self.owners[0]}
+        self.fleet.sleep(1)
+        for name in self.owners:
+            self.fleet.keys[name]._bindings._bindings.clear()
+        self.assertEqual("key-not-owner", self.ask(self.third).code)
+
+    def test_a_delisted_owner_keeps_its_rank_for_a_window_and_a_half(self):
+        self.fleet.listed = frozenset(ENTRIES) - {self.owners[0]}
+        self.fleet.sleep(1)
+        memory_ms = SETTINGS.key_window_ms * 3 // 2
+        self.fleet.sleep(memory_ms - 1)
+        self.assertEqual("key-not-owner", self.ask(self.third).code)
+        self.fleet.sleep(1)
+        self.assertIsInstance(self.ask(self.third), AnswerRedirect)
+
     def test_a_cut_off_side_stops_granting_before_the_others_begin(self):
         self.fleet.split = frozenset(self.owners)
-        self.fleet.sleep(SETTINGS.key_window_ms)
+        self.fleet.sleep(SETTINGS.key_window_ms // 4)
         self.assertEqual("key-list-old", self.ask(self.owners[0]).code)
 
     def test_owners_that_hold_two_tickets_are_a_conflict(self):
--- a/rhubarbhinge/telemetry/__init__.py
+++ b/rhubarbhinge/telemetry/__init__.py
@@ -4,6 +4,7 @@
 from rhubarbhinge.telemetry._exposition import CONTENT_TYPE
 from rhubarbhinge.telemetry._loghistogram import RELATIVE_ERROR, LogHistogram
 from rhubarbhinge.telemetry._metrics import Metrics
+from rhubarbhinge.telemetry._parse import parse_event
 from rhubarbhinge.telemetry._setup import setup_logging
 from rhubarbhinge.telemetry._subquerykind import SubQueryKind
 
@@ -15,5 +16,6 @@
     "SubQueryKind",
     "format_event",
     "log_event",
+    "parse_event",
     "setup_logging",
 ]
--- a/rhubarbhinge/telemetry/tests/test_events.py
+++ b/rhubarbhinge/telemetry/tests/test_events.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbhinge.telemetry import format_event, log_event, setup_logging
+from rhubarbhinge.telemetry import format_event, log_event, parse_event, setup_logging
 from rhubarbhinge.telemetry._setup import LineFormatter
 
 
@@ -27,7 +27,20 @@
     def test_any_text_stays_on_one_line_and_reads_back(self, first, second):
         line = format_event("x", {"first": first, "second": second})
         self.assertEqual(1, len(line.splitlines()))
-        self.assertEqual([first, second], _parse(line)[1:])
+        self.assertEqual({"event": "x", "first": first, "second": second}, parse_event(line))
+
+    def test_what_is_no_event_is_not_parsed(self):
+        for line in (
+            "event",
+            'a="b',
+            'a="b"c=d',
+            'a="b\\',
+            'a="\\u12"',
+            'a="\\uzzzz"',
+            'a="\\Uffffffff"',
+        ):
+            with self.subTest(line):
+                self.assertIsNone(parse_event(line))
 
 
 class LogTest(unittest.TestCase):
@@ -60,40 +73,3 @@
         record = standard_logging.LogRecord("lib", 30, "f", 1, "a\nb", (), None)
         line = LineFormatter("n").format(record)
         self.assertTrue(line.endswith('event=log logger=lib message="a\\nb"'))
-
-
-def _parse(line: str) -> list[str]:
-    values = []
-    rest = line
-    while rest:
-        _, _, rest = rest.partition("=")
-        value, rest = _quoted(rest[1:]) if rest.startswith('"') else _plain(rest)
-        values.append(value)
-    return values
-
-
-def _plain(text: str) -> tuple[str, str]:
-    value, _, rest = text.partition(" ")
-    return value, rest
-
-
-def _quoted(text: str) -> tuple[str, str]:
-    end = 0
-    while text[end] != '"':
-        end += 2 if text[end] == "\\" else 1
-    raw = text[:end]
-    value = ""
-    while raw:
-        char, raw = _unescape(raw)
-        value += char
-    return value, text[end + 2 :]
-
-
-def _unescape(raw: str) -> tuple[str, str]:
-    if raw[0] != "\\":
-        return raw[0], raw[1:]
-    sizes = {"u": 4, "U": 8}
-    if raw[1] in sizes:
-        size = sizes[raw[1]]
-        return chr(int(raw[2 : 2 + size], 16)), raw[2 + size :]
-    return {"n": "\n", "r": "\r", "t": "\t"}.get(raw[1], raw[1]), raw[2:]
