telemetry: fields called name, and numbers of enumerations

Cause: a field called name broke the call; an enumeration's number was written as its repr. Ruled out: reserving more names. Change: the event's name is positional only; numbers are written plainly.

--- a/rhubarbhinge/telemetry/_events.py
+++ b/rhubarbhinge/telemetry/_events.py
@@ -13,7 +13,7 @@
 Value = str | int | float | bool | None
 
 
-def log_event(name: str, *, level: str = "info", **fields: Value) -> None:
+def log_event(name: str, /, *, level: str = "info", **fields: Value) -> None:
     """Write one event to the log.
 
     :param name: name of the event, as in docs/telemetry.md.
@@ -50,8 +50,10 @@
         return "true" if value else "false"
     if value is None:
         return "none"
-    if isinstance(value, int | float):
-        return repr(value)
+    if isinstance(value, int):
+        return str(int(value))
+    if isinstance(value, float):
+        return repr(float(value))
     text = str(value)
     if text and all(_is_plain(char) for char in text):
         return text
--- a/rhubarbhinge/telemetry/tests/test_events.py
+++ b/rhubarbhinge/telemetry/tests/test_events.py
@@ -3,6 +3,7 @@
 import io
 import logging as standard_logging
 import unittest
+from enum import IntEnum
 from unittest import mock
 
 from absl import logging
@@ -19,6 +20,10 @@
         wanted = 'event=drain upstream=desk-01 why="a b" age_ms=1.5 ok=true left=none'
         self.assertEqual(wanted, format_event("drain", fields))
 
+    def test_numbers_of_any_type_are_plain(self):
+        level = IntEnum("Level", {"HIGH": 3}).HIGH
+        self.assertEqual("event=x a=3 b=0.5", format_event("x", {"a": level, "b": 0.5}))
+
     def test_reserved_names_get_an_underscore(self):
         self.assertEqual("event=x time_=3 node_=a", format_event("x", {"time": 3, "node": "a"}))
 
@@ -57,8 +62,8 @@
             return stream.getvalue().splitlines()
 
     def test_one_line_with_time_level_and_node(self):
-        found = self.lines("info", lambda: log_event("drain", upstream="a", age_ms=3))
-        pattern = r"^time=\S+Z level=info node=kgn-a-1/entry event=drain upstream=a age_ms=3$"
+        found = self.lines("info", lambda: log_event("drain", name="a", age_ms=3))
+        pattern = r"^time=\S+Z level=info node=kgn-a-1/entry event=drain name=a age_ms=3$"
         self.assertEqual(1, len(found))
         self.assertRegex(found[0], pattern)
 
