--- a/rhubarbhinge/web/tests/test_connections.py
+++ b/rhubarbhinge/web/tests/test_connections.py
@@ -70,10 +70,7 @@
     def test_a_late_reply_is_given_to_no_one(self):
         conn, peer = self.ask(timeout_ms=50)
         self.until_closed(conn, "timeout")
-        try:
-            peer.send(reply(b"late"))
-        except OSError:
-            pass
+        peer.send(reply(b"late"))
         other, other_peer = self.connect()
         self.conns.request(other, "GET", "/", b"", (), 5000)
         other_peer.until_got(b"GET /").send(reply(b"own"))
@@ -120,6 +117,21 @@
         self.until_closed(conn, "unasked")
         self.assertEqual([(conn, b"own")], self.bodies())
 
+    def test_nothing_is_sent_where_something_unasked_or_the_end_waits(self):
+        for reason, act in (
+            ("unasked", lambda peer: peer.send(reply(b"unasked"))),
+            ("peer", lambda peer: peer.sock.close()),
+        ):
+            with self.subTest(reason):
+                self.closed.clear()
+                conn, peer = self.connect()
+                self.assertTrue(self.conns.reusable(conn))
+                act(peer)
+                self.assertFalse(self.conns.reusable(conn))
+                self.assertFalse(self.conns.request(conn, "GET", "/", b"", (), 5000))
+                self.until_closed(conn, reason)
+        self.assertEqual([], self.replies)
+
     def test_a_connection_that_the_upstream_ends_is_not_reusable(self):
         conn, peer = self.ask()
         peer.send(reply(b"last", b"Connection: close"))
