--- a/tools/bench/_report.py
+++ b/tools/bench/_report.py
@@ -36,11 +36,12 @@
     return "\n\n".join(part for part in parts if part)
 
 
-def ramp_line(tenant: str, capacity: Capacity) -> str:
+def ramp_line(tenant: str, capacity: Capacity, slots_per_s: float) -> str:
     """Describe a ramp.
 
     :param tenant: the tenant.
     :param capacity: what it found.
+    :param slots_per_s: the rate at which all slots would be busy.
     :returns: one line.
     """
     steps = ", ".join(f"{each.offered_per_s:.0f}:{each.good_per_s:.0f}" for each in capacity.steps)
@@ -49,7 +50,8 @@
         f"{name} {cores:.2f}" for name, cores in last.busiest.items() if name != "machine"
     )
     return (
-        f"{tenant}: capacity {capacity.per_s:.0f} queries/s (offered:good a second {steps}); "
+        f"{tenant}: capacity {capacity.per_s:.0f} queries/s, slots alone would carry "
+        f"{slots_per_s:.0f} (offered:good a second {steps}); "
         f"last step: machine {100 * last.machine_share:.0f}% busy, busiest process of {busiest}"
     )
 
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -120,7 +120,8 @@
             wait_healed(tenant)
             found = self._ramp(tenant)
             self._capacity[tenant.name] = found.per_s
-            self._say(ramp_line(tenant.name, found))
+            slots_per_s = tenant.slots_carry_per_s(self._options.loaded_median_ms)
+            self._say(ramp_line(tenant.name, found, slots_per_s))
         _stop(tenants)
 
     def _ramp(self, tenant: Tenant) -> Capacity:
--- a/tools/bench/_tenant.py
+++ b/tools/bench/_tenant.py
@@ -1,5 +1,7 @@
 """One tenant's deployment while it is measured."""
 
+import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -65,6 +67,22 @@
             self.change(self.searchers, {"median_ms": median_ms})
             self._median_ms = median_ms
 
+    def slots_carry_per_s(self, median_ms: float) -> float:
+        """Work out the queries a second at which the searched systems' slots are all busy.
+
+        :param median_ms: median of the searchers' service time.
+        :returns: the rate, each collection having an equal part of it.
+        """
+        mean_s = median_ms / 1000 * math.exp(SIGMA**2 / 2)
+        register = self.deployment.register
+        slots = {each["name"]: each["slots"] for each in register["systems"]}
+        total = Counter(each["system"] for each in register["upstreams"])
+        asked: Counter[str] = Counter()
+        for each in register["collections"]:
+            if each["name"] in self.traffic.collections:
+                asked[each["system"]] += len(each["shards"]) / len(self.traffic.collections)
+        return min(slots[name] * total[name] / (shards * mean_s) for name, shards in asked.items())
+
     def entry_ports(self) -> list[int]:
         """Give the HTTP ports of the entries.
 
