routing: react to shed answers once a round trip, and recover sooner

Cause: a trial with a searcher whose slots others take for 1 s of every 2 s showed two faults. The limit was lowered at most once each 100 ms, and shed answers come within 1 ms, so the queue was spent on them. The pause grew to 1 s and the limit rose by one slot each 200 ms, so little was served after the others had gone. Change: only a request sent after the limit was lowered lowers it again; pauses of 50 to 200 ms; the limit rises by a quarter of the slots.

--- a/rhubarbhinge/routing/_concurrency.py
+++ b/rhubarbhinge/routing/_concurrency.py
@@ -4,16 +4,18 @@
 
 #: Doublings of the pause before its bound applies at the latest.
 MOST_DOUBLINGS = 10
+#: Steps in which the limit rises from none to all slots.
+RAISE_STEPS = 4
 
 
 class ConcurrencyLimit:
     """A limit between one and all slots.
 
     A cold searcher starts at one and rises to all slots within ``ramp_ms``. A shed answer halves
-    the limit (multiplicative decrease); it rises by one slot each ``shed_raise_ms`` (additive
-    increase; Chiu and Jain, Analysis of the Increase and Decrease Algorithms for Congestion
-    Avoidance in Computer Networks, 1989). Shed answers at a limit of one pause the searcher, twice
-    as long each time.
+    the limit (multiplicative decrease); each ``shed_raise_ms`` it rises by a quarter of the slots
+    (additive increase; Chiu and Jain, Analysis of the Increase and Decrease Algorithms for
+    Congestion Avoidance in Computer Networks, 1989). Shed answers at a limit of one pause the
+    searcher, twice as long each time.
 
     :param slots: the most.
     :param policy: settings.
@@ -26,7 +28,7 @@
         self._ceiling = slots
         self._ramp_start_ms = now_ms
         self._warming_since_ms: int | None = None
-        self._hold_until_ms = now_ms
+        self._lowered_ms = now_ms
         self._raise_at_ms = now_ms
         self._pauses = 0
         self.paused_until_ms = now_ms
@@ -72,20 +74,21 @@
         """
         return self._is_warming(now_ms) or now_ms - self._ramp_start_ms < self._policy.ramp_ms
 
-    def on_shed(self, retry_after_ms: int, now_ms: int) -> None:
-        """Lower the limit after a shed answer, at most once each ``shed_hold_ms``.
+    def on_shed(self, retry_after_ms: int, sent_ms: int, now_ms: int) -> None:
+        """Lower the limit after a shed answer, once for all that was sent before it was lowered.
 
         :param retry_after_ms: what the searcher asked for.
+        :param sent_ms: when the request was sent that was shed.
         :param now_ms: the time.
         """
-        if now_ms < self._hold_until_ms:
+        if sent_ms < self._lowered_ms:
             return
-        self._hold_until_ms = now_ms + self._policy.shed_hold_ms
+        self._lowered_ms = now_ms
         if self._ceiling > 1:
             self._ceiling //= 2
+            self._raise_at_ms = now_ms + self._policy.shed_raise_ms
         else:
             self._pause(retry_after_ms, now_ms)
-        self._raise_at_ms = self._hold_until_ms + self._policy.shed_raise_ms
 
     def on_success(self) -> None:
         """Note an answer: the next pause is a short one again."""
@@ -100,17 +103,20 @@
         if now_ms < self.paused_until_ms:
             return 0
         if self._ceiling < self._slots and now_ms >= self._raise_at_ms:
-            self._ceiling += 1
+            step = max(1, self._slots // RAISE_STEPS)
+            self._ceiling = min(self._slots, self._ceiling + step)
             self._raise_at_ms = now_ms + self._policy.shed_raise_ms
         if self._is_warming(now_ms):
             return 1
         return min(self._ceiling, self._ramped(now_ms))
 
     def _pause(self, retry_after_ms: int, now_ms: int) -> None:
-        pause_ms = max(retry_after_ms, self._policy.shed_hold_ms) << self._pauses
+        pause_ms = self._policy.least_pause_ms << self._pauses
         self._pauses = min(self._pauses + 1, MOST_DOUBLINGS)
-        self._hold_until_ms = now_ms + min(pause_ms, self._policy.most_pause_ms)
-        self.paused_until_ms = self._hold_until_ms
+        pause_ms = max(retry_after_ms, min(pause_ms, self._policy.most_pause_ms))
+        self.paused_until_ms = now_ms + pause_ms
+        self._lowered_ms = self.paused_until_ms
+        self._raise_at_ms = self.paused_until_ms + self._policy.shed_raise_ms
 
     def _is_warming(self, now_ms: int) -> bool:
         since_ms = self._warming_since_ms
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -357,7 +357,8 @@
         """
         effects: list[Any] = []
         for item in self._deadlines.pop_due(now_ms):
-            self._expire(item, now_ms, effects)
+            if type(item) is Connection or item.state != _DONE or item.connection is not None:
+                self._expire(item, now_ms, effects)
         if now_ms >= self._sweep_at_ms:
             self._sweep_at_ms = now_ms + self._policy.sweep_period_ms
             self._sweep(now_ms, effects)
@@ -548,7 +549,7 @@
         was_failing = upstream.failures > 0
         upstream.failures = 0
         if code == _SHED:
-            upstream.limit.on_shed(retry_after_ms, now_ms)
+            upstream.limit.on_shed(retry_after_ms, job.sent_ms, now_ms)
             return False
         upstream.limit.on_success()
         return not was_failing
@@ -568,7 +569,7 @@
         if kind is RunKind.UNKNOWN:
             connection.retired = True
         if kind is RunKind.REFUSED_NOT_RUN:
-            job.upstream.limit.on_shed(retry_after_ms, now_ms)
+            job.upstream.limit.on_shed(retry_after_ms, job.sent_ms, now_ms)
         return kind is RunKind.RAN
 
     def _expire(self, item: Job | Connection, now_ms: int, effects: list[Any]) -> None:
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -15,10 +15,10 @@
     :param assumed_service_ms: service time assumed until one was observed.
     :param service_gain: weight of a new service time in the moving average.
     :param ramp_ms: time in which a cold searcher's concurrency rises to all its slots.
-    :param shed_hold_ms: time for which the concurrency stays down after a shed answer.
-    :param shed_raise_ms: time between two steps of one slot up again.
+    :param shed_raise_ms: time between two steps of the concurrency up again after a shed answer.
     :param least_retry_after_ms: least retry-after given with a refusal.
-    :param most_pause_ms: longest pause of a searcher that sheds even single requests.
+    :param least_pause_ms: first pause of a searcher that sheds even single requests; doubles.
+    :param most_pause_ms: longest such pause, unless the searcher asks for a longer one.
     :param least_connect_timeout_ms: shortest time after which an unfinished connection is given
         up; longer for searchers that take long to connect to.
     :param least_connection_life_ms: a connection that the searcher closes sooner, without an
@@ -44,10 +44,10 @@
     assumed_service_ms: float = 20.0
     service_gain: float = 0.1
     ramp_ms: int = 2000
-    shed_hold_ms: int = 100
     shed_raise_ms: int = 200
     least_retry_after_ms: int = 5
-    most_pause_ms: int = 1000
+    least_pause_ms: int = 50
+    most_pause_ms: int = 200
     least_connect_timeout_ms: int = 100
     least_connection_life_ms: int = 1000
     least_connect_wait_ms: int = 20
