routing: split the relay core further; a shed answer always has a retry-after

Change: refusals, sending, reading of answers and expiry are modules of functions; the retry-after is at least the pause that the relay itself makes; service times weigh 0.2 in the average.

--- /dev/null
+++ b/rhubarbhinge/routing/_answerreading.py
@@ -0,0 +1,95 @@
+"""Ends requests by their searcher's answers, and learns from these."""
+
+from typing import Any
+
+from rhubarbhinge.routing._answers import run_outcome, search_outcome
+from rhubarbhinge.routing._connection import Connection
+from rhubarbhinge.routing._job import Job
+from rhubarbhinge.routing._requestends import finish_run, finish_search
+from rhubarbhinge.routing._requesttable import RequestTable
+from rhubarbhinge.routing._runkind import RunKind
+from rhubarbhinge.routing._upstream import Upstream
+from rhubarbhinge.wire import SubCode
+
+_SENT = Job.SENT
+#: Plain numbers: comparing members of an IntEnum costs several times as much.
+_ANSWERED = int(SubCode.ANSWERED)
+_SHED = int(SubCode.SHED)
+_BROKEN = int(SubCode.BROKEN)
+
+
+def read_search(
+    table: RequestTable,
+    job: Job,
+    connection: Connection,
+    status: int,
+    body: bytes,
+    now_ms: int,
+    effects: list[Any],
+) -> bool:
+    """Read the answer to a search; a late one is only learned from.
+
+    :param table: where the request is forgotten.
+    :param job: the sub-query.
+    :param connection: the connection; retired when the answer was broken.
+    :param status: HTTP status.
+    :param body: the answer's body.
+    :param now_ms: the time.
+    :param effects: where effects are put.
+    :returns: whether it leaves as it is how many requests the searcher gets.
+    """
+    upstream = job.upstream
+    code, retry_after_ms = search_outcome(status, job.call, body)
+    if code == _SHED:
+        retry_after_ms = _note_shed(upstream, job, retry_after_ms, now_ms)
+    if job.state == _SENT:
+        if code == _ANSWERED:
+            upstream.observe_service(now_ms - job.sent_ms)
+        kept = body if code == _ANSWERED else b""
+        finish_search(table, job, code, retry_after_ms, kept, now_ms, effects)
+    if code == _BROKEN:
+        connection.retired = True
+        upstream.failures += 1
+        return False
+    was_failing = upstream.failures > 0
+    upstream.failures = 0
+    if code == _SHED:
+        return False
+    upstream.limit.on_success()
+    return not was_failing
+
+
+def read_run(
+    table: RequestTable,
+    job: Job,
+    connection: Connection,
+    status: int,
+    body: bytes,
+    now_ms: int,
+    effects: list[Any],
+) -> bool:
+    """Read the answer to a run.
+
+    :param table: where the request is forgotten.
+    :param job: the run.
+    :param connection: the connection; retired when the answer proves nothing.
+    :param status: HTTP status.
+    :param body: the answer's body.
+    :param now_ms: the time.
+    :param effects: where effects are put.
+    :returns: whether it leaves as it is how many requests the searcher gets.
+    """
+    kind, retry_after_ms = run_outcome(status, job.key, body)
+    if kind is RunKind.REFUSED_NOT_RUN:
+        retry_after_ms = _note_shed(job.upstream, job, retry_after_ms, now_ms)
+    if kind is RunKind.UNKNOWN:
+        connection.retired = True
+    if job.state == _SENT:
+        finish_run(table, job, kind, retry_after_ms, body, effects)
+    return kind is RunKind.RAN
+
+
+def _note_shed(upstream: Upstream, job: Job, retry_after_ms: int, now_ms: int) -> int:
+    upstream.limit.on_shed(retry_after_ms, job.sent_ms, now_ms)
+    pause_ms = upstream.limit.paused_until_ms - now_ms
+    return max(retry_after_ms, pause_ms, upstream.policy.least_retry_after_ms)
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -4,33 +4,34 @@
 from random import Random
 from typing import Any
 
-from rhubarbhinge.routing._answers import run_outcome, says_draining, search_outcome
+from rhubarbhinge.routing._answerreading import read_run, read_search
+from rhubarbhinge.routing._answers import says_draining
 from rhubarbhinge.routing._connection import Connection
 from rhubarbhinge.routing._connectiontable import ConnectionTable
 from rhubarbhinge.routing._deadlines import Deadlines
 from rhubarbhinge.routing._drainmemory import DrainMemory
 from rhubarbhinge.routing._droppeer import DropPeer
+from rhubarbhinge.routing._expiry import expire
 from rhubarbhinge.routing._healthdoc import health_doc
 from rhubarbhinge.routing._job import Job
 from rhubarbhinge.routing._pollhealth import PollHealth
 from rhubarbhinge.routing._publishholding import PublishHolding
 from rhubarbhinge.routing._publishload import PublishLoad
+from rhubarbhinge.routing._refusal import Refusal
+from rhubarbhinge.routing._refusals import refusal
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
 from rhubarbhinge.routing._reply import Reply
 from rhubarbhinge.routing._requestbodies import run_parts, search_head
-from rhubarbhinge.routing._requestends import (
-    abandon,
-    cancel_effect,
-    fail,
-    fail_queue,
-    finish_run,
-    finish_search,
-)
+from rhubarbhinge.routing._requestends import abandon, fail, fail_queue
 from rhubarbhinge.routing._requesttable import RequestTable
 from rhubarbhinge.routing._runkind import RunKind
 from rhubarbhinge.routing._runresult import RunResult
-from rhubarbhinge.routing._sendrun import SendRun
-from rhubarbhinge.routing._sendsearch import SendSearch
+from rhubarbhinge.routing._sending import (
+    after_event,
+    refuse_hopeless,
+    send_or_queue,
+    send_queued,
+)
 from rhubarbhinge.routing._upstream import Upstream
 from rhubarbhinge.routing._upstreamspec import UpstreamSpec
 from rhubarbhinge.wire import CancelBatch, HoldingReport, SubBatch, SubCode, UpstreamReport
@@ -38,13 +39,8 @@
 #: Runs go before searches of any class; the weights of classes are far below.
 RUN_WEIGHT = 1 << 62
 
-_QUEUED = Job.QUEUED
 _SENT = Job.SENT
 _DONE = Job.DONE
-#: Plain numbers: comparing members of an IntEnum costs several times as much.
-_ANSWERED = int(SubCode.ANSWERED)
-_SHED = int(SubCode.SHED)
-_BROKEN = int(SubCode.BROKEN)
 
 
 class RelayCore:
@@ -124,7 +120,7 @@
         self._leaving = upstream_ids
         for upstream_id, upstream in self._upstreams.items():
             upstream.drain.on_vm_list(upstream_id in upstream_ids)
-            self._after_event(upstream, now_ms, effects)
+            after_event(self._requests, upstream, now_ms, effects)
         return effects
 
     def on_batch(self, peer: str, batch: SubBatch, now_ms: int) -> list[Any]:
@@ -161,12 +157,9 @@
             if key in jobs:
                 continue
             upstream = upstreams.get(upstream_id)
-            refusal = self._refusal(upstream, weight, due_ms, now_ms)
-            if refusal is not None:
-                code, retry_after_ms = refusal
-                effects.append(
-                    Reply(peer, call_id, part, attempt, int(code), retry_after_ms, 0, 0, b"")
-                )
+            refused = refusal(upstream, weight, due_ms, now_ms)
+            if refused is not None:
+                effects.append(_refusal_reply(peer, key, refused))
                 continue
             self._sequence = sequence = self._sequence + 1
             call = call_format % sequence
@@ -174,7 +167,7 @@
             job = Job(peer, key, upstream, weight, now_ms, due_ms, call, head, tail)
             jobs[key] = job
             due.append(job)
-            self._send_or_queue(upstream, job, now_ms, effects)
+            send_or_queue(upstream, job, now_ms, effects)
         return effects
 
     def on_run(
@@ -205,16 +198,17 @@
         if parts is None:
             return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", 0)]
         due_ms = self._due_ms(deadline_ms, now_ms)
-        refusal = self._refusal(upstream, RUN_WEIGHT, due_ms, now_ms)
-        if refusal is not None:
-            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", refusal[1])]
+        refused = refusal(upstream, RUN_WEIGHT, due_ms, now_ms)
+        if refused is not None:
+            retry_after_ms = refused.retry_after_ms
+            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", retry_after_ms)]
         head, tail = parts
         job = Job(peer, ticket, upstream, RUN_WEIGHT, now_ms, due_ms, b"", head, tail)
         self._requests.remember_ticket(ticket, now_ms)
         self._requests.of_live_peer(peer)[ticket] = job
         self._deadlines.bucket(due_ms).append(job)
         effects: list[Any] = []
-        self._send_or_queue(upstream, job, now_ms, effects)
+        send_or_queue(upstream, job, now_ms, effects)
         return effects
 
     def on_cancel(self, peer: str, batch: CancelBatch, now_ms: int) -> list[Any]:
@@ -261,7 +255,7 @@
         if connection is None or connection.open or connection.closing:
             return effects
         connection.upstream.pool.opened(connection, effects)
-        self._after_event(connection.upstream, now_ms, effects)
+        after_event(self._requests, connection.upstream, now_ms, effects)
         return effects
 
     def on_connection_closed(self, conn: int, now_ms: int) -> list[Any]:
@@ -287,7 +281,7 @@
         wait_ms = upstream.pool.refused_wait_ms(now_ms)
         if wait_ms is not None:
             fail_queue(self._requests, upstream, SubCode.BROKEN, wait_ms, now_ms, effects)
-        self._after_event(upstream, now_ms, effects)
+        after_event(self._requests, upstream, now_ms, effects)
         self._forget_if_gone(upstream)
         return effects
 
@@ -319,13 +313,13 @@
         upstream.pool.served(connection)
         if draining_header or says_draining(status, body):
             upstream.drain.on_signal()
-        read = self._read_search if job.call else self._read_run
-        plain = read(job, connection, status, body, now_ms, effects)
+        read = read_search if job.call else read_run
+        plain = read(self._requests, job, connection, status, body, now_ms, effects)
         upstream.pool.release(connection, effects)
         if not plain or upstream.drain.draining:
-            self._after_event(upstream, now_ms, effects)
+            after_event(self._requests, upstream, now_ms, effects)
         elif upstream.queue.count:
-            self._send_queued(upstream, now_ms, effects)
+            send_queued(self._requests, upstream, now_ms, effects)
         return effects
 
     def on_health(self, upstream_id: int, doc: dict[str, Any] | None, now_ms: int) -> list[Any]:
@@ -346,7 +340,7 @@
         elif upstream.incarnation is None or health.incarnation >= upstream.incarnation:
             if upstream.take_health(health, now_ms):
                 effects.append(PublishHolding(health.holding))
-        self._after_event(upstream, now_ms, effects)
+        after_event(self._requests, upstream, now_ms, effects)
         return effects
 
     def tick(self, now_ms: int) -> list[Any]:
@@ -358,7 +352,7 @@
         effects: list[Any] = []
         for item in self._deadlines.pop_due(now_ms):
             if type(item) is Connection or item.state != _DONE or item.connection is not None:
-                self._expire(item, now_ms, effects)
+                expire(self._requests, self._deadlines, item, now_ms, effects)
         if now_ms >= self._sweep_at_ms:
             self._sweep_at_ms = now_ms + self._policy.sweep_period_ms
             self._sweep(now_ms, effects)
@@ -413,7 +407,7 @@
         upstream.owned = True
         upstream.set_spec(spec, effects)
         upstream.drain.on_register(spec.leaving, self._revision)
-        self._after_event(upstream, now_ms, effects)
+        after_event(self._requests, upstream, now_ms, effects)
 
     def _disown(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
         upstream.owned = False
@@ -428,174 +422,16 @@
             self._drains.keep(upstream_id, upstream.drain, upstream.incarnation)
             del self._upstreams[upstream_id]
 
-    def _after_event(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        upstream.refresh(now_ms)
-        if not upstream.owned:
-            return
-        if upstream.drain.draining:
-            fail_queue(self._requests, upstream, SubCode.DRAINING, 0, now_ms, effects)
-            upstream.pool.retire_all(effects)
-            return
-        self._send_queued(upstream, now_ms, effects)
-
     def _due_ms(self, deadline_ms: int, now_ms: int) -> int:
         left_ms = min(deadline_ms, self._policy.most_deadline_ms)
         return now_ms + left_ms - self._policy.reply_margin_ms
 
-    def _refusal(
-        self, upstream: Upstream | None, weight: int, due_ms: int, now_ms: int
-    ) -> tuple[SubCode, int] | None:
-        if upstream is None or not upstream.owned:
-            return SubCode.WRONG_RECEIVER, 0
-        left_ms = due_ms - now_ms - self._policy.upstream_margin_ms
-        if left_ms > 0 and upstream.in_flight < upstream.allowed and upstream.pool.idle:
-            return None
-        if upstream.drain.draining:
-            return SubCode.DRAINING, 0
-        if left_ms <= 0:
-            return SubCode.DEADLINE, 0
-        return self._queue_refusal(upstream, weight, left_ms, now_ms)
-
-    def _queue_refusal(
-        self, upstream: Upstream, weight: int, left_ms: int, now_ms: int
-    ) -> tuple[SubCode, int] | None:
-        least_ms = self._policy.least_retry_after_ms
-        refused_ms = upstream.pool.refused_wait_ms(now_ms)
-        if refused_ms is not None:
-            return SubCode.BROKEN, max(least_ms, refused_ms)
-        late_ms = ceil(upstream.wait_ms(weight, now_ms) - left_ms)
-        if upstream.queue.count >= self._policy.queue_limit:
-            late_ms = max(late_ms, ceil(upstream.service_ms))
-        if late_ms <= 0:
-            return None
-        return SubCode.QUEUE_FULL, max(least_ms, late_ms)
-
     def _sweep(self, now_ms: int, effects: list[Any]) -> None:
         for upstream in self._owned():
             if now_ms >= upstream.health_at_ms:
                 self._poll_health(upstream, now_ms, effects)
-            self._after_event(upstream, now_ms, effects)
-            self._refuse_hopeless(upstream, now_ms, effects)
-
-    def _refuse_hopeless(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        if not upstream.queue.count:
-            return
-        turn_ms = upstream.service_ms / max(1, upstream.allowed)
-        start_ms = max(now_ms, upstream.limit.paused_until_ms)
-        for job in upstream.queue.in_order():
-            late_ms = ceil(start_ms + turn_ms - job.due_ms)
-            if late_ms > 0:
-                retry_after_ms = max(self._policy.least_retry_after_ms, late_ms)
-                fail(self._requests, job, SubCode.QUEUE_FULL, retry_after_ms, now_ms, effects)
-                continue
-            start_ms += turn_ms
-
-    def _send_or_queue(self, upstream: Upstream, job: Job, now_ms: int, effects: list[Any]) -> None:
-        pool = upstream.pool
-        if pool.idle and upstream.in_flight < upstream.allowed:
-            left_ms = job.due_ms - now_ms - self._policy.upstream_margin_ms
-            self._send(upstream, job, left_ms, now_ms, effects)
-            pool.keep_ready(0, now_ms, effects)
-            return
-        upstream.queue.push(job)
-        free_slots = upstream.allowed - upstream.in_flight
-        pool.keep_ready(max(0, min(free_slots, upstream.queue.count)), now_ms, effects)
-
-    def _send_queued(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
-        pool = upstream.pool
-        queue = upstream.queue
-        while queue.count and pool.idle and upstream.in_flight < upstream.allowed:
-            job = queue.first()
-            left_ms = job.due_ms - now_ms - self._policy.upstream_margin_ms
-            if left_ms <= 0:
-                fail(self._requests, job, SubCode.DEADLINE, 0, now_ms, effects)
-                continue
-            queue.pop()
-            self._send(upstream, job, left_ms, now_ms, effects)
-        free_slots = upstream.allowed - upstream.in_flight
-        pool.keep_ready(max(0, min(free_slots, queue.count)), now_ms, effects)
-
-    def _send(
-        self, upstream: Upstream, job: Job, left_ms: int, now_ms: int, effects: list[Any]
-    ) -> None:
-        conn = upstream.pool.take(job).conn
-        job.state = _SENT
-        job.sent_ms = now_ms
-        upstream.in_flight += 1
-        body = b"%b%d%b" % (job.head, left_ms, job.tail)
-        effect = SendSearch if job.call else SendRun
-        effects.append(effect(conn, body, job.due_ms - now_ms))
-
-    def _read_search(
-        self,
-        job: Job,
-        connection: Connection,
-        status: int,
-        body: bytes,
-        now_ms: int,
-        effects: list[Any],
-    ) -> bool:
-        upstream = job.upstream
-        code, retry_after_ms = search_outcome(status, job.call, body)
-        if job.state == _SENT:
-            if code == _ANSWERED:
-                upstream.observe_service(now_ms - job.sent_ms)
-            kept = body if code == _ANSWERED else b""
-            finish_search(self._requests, job, code, retry_after_ms, kept, now_ms, effects)
-        if code == _BROKEN:
-            connection.retired = True
-            upstream.failures += 1
-            return False
-        was_failing = upstream.failures > 0
-        upstream.failures = 0
-        if code == _SHED:
-            upstream.limit.on_shed(retry_after_ms, job.sent_ms, now_ms)
-            return False
-        upstream.limit.on_success()
-        return not was_failing
-
-    def _read_run(
-        self,
-        job: Job,
-        connection: Connection,
-        status: int,
-        body: bytes,
-        now_ms: int,
-        effects: list[Any],
-    ) -> bool:
-        kind, retry_after_ms = run_outcome(status, job.key, body)
-        if job.state == _SENT:
-            finish_run(self._requests, job, kind, retry_after_ms, body, effects)
-        if kind is RunKind.UNKNOWN:
-            connection.retired = True
-        if kind is RunKind.REFUSED_NOT_RUN:
-            job.upstream.limit.on_shed(retry_after_ms, job.sent_ms, now_ms)
-        return kind is RunKind.RAN
-
-    def _expire(self, item: Job | Connection, now_ms: int, effects: list[Any]) -> None:
-        if isinstance(item, Connection):
-            if not item.open:
-                item.upstream.pool.close(item, effects)
-            return
-        if item.state == _SENT:
-            self._time_out(item, now_ms, effects)
-        if item.state != _DONE:
-            fail(self._requests, item, SubCode.DEADLINE, 0, now_ms, effects)
-        if item.connection is not None:
-            self._close_when_late(item, now_ms, effects)
-
-    def _time_out(self, job: Job, now_ms: int, effects: list[Any]) -> None:
-        job.upstream.observe_timeout(now_ms - job.sent_ms, now_ms)
-        if not job.is_run:
-            effects.append(cancel_effect(job))
-
-    def _close_when_late(self, job: Job, now_ms: int, effects: list[Any]) -> None:
-        late_ms = job.due_ms + self._policy.late_answer_ms
-        if now_ms >= late_ms:
-            job.upstream.pool.close(job.connection, effects)
-            return
-        job.connection.retired = True
-        self._deadlines.bucket(late_ms).append(job)
+            after_event(self._requests, upstream, now_ms, effects)
+            refuse_hopeless(self._requests, upstream, now_ms, effects)
 
     def _poll_health(self, upstream: Upstream, now_ms: int, effects: list[Any]) -> None:
         jitter = 0.5 + self._rng.random()
@@ -609,8 +445,13 @@
 
 
 def _wrong_receiver(peer: str, batch: SubBatch) -> list[Any]:
-    code = int(SubCode.WRONG_RECEIVER)
+    refused = Refusal(int(SubCode.WRONG_RECEIVER))
     return [
-        Reply(peer, batch.call_id, part, attempt, code, 0, 0, 0, b"")
+        _refusal_reply(peer, (batch.call_id, part, attempt), refused)
         for part, attempt in zip(batch.parts, batch.attempts, strict=True)
     ]
+
+
+def _refusal_reply(peer: str, key: tuple[int, int, int], refused: Refusal) -> Reply:
+    call_id, part, attempt = key
+    return Reply(peer, call_id, part, attempt, refused.code, refused.retry_after_ms, 0, 0, b"")
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -42,7 +42,7 @@
     spare_connections: int = 2
     control_connections: int = 1
     assumed_service_ms: float = 20.0
-    service_gain: float = 0.1
+    service_gain: float = 0.2
     ramp_ms: int = 2000
     shed_raise_ms: int = 200
     least_retry_after_ms: int = 5
--- a/rhubarbhinge/routing/_upstream.py
+++ b/rhubarbhinge/routing/_upstream.py
@@ -55,7 +55,7 @@
         self.health_failures = 0
         self.incarnation: int | None = None
         self.holding: HoldingReport | None = None
-        self._policy = policy
+        self.policy = policy
 
     def set_spec(self, spec: UpstreamSpec, effects: list[Any]) -> None:
         """Take the searcher's entry of another register revision.
@@ -66,7 +66,7 @@
         self.spec = spec
         self.slots = _share(spec.slots, spec.share)
         self.limit.resize(self.slots)
-        self.pool.resize(spec, _cap(spec, self._policy), effects)
+        self.pool.resize(spec, _cap(spec, self.policy), effects)
 
     def refresh(self, now_ms: int) -> None:
         """Set ``allowed``: none while leaving or paused, one to try with while down or silent.
@@ -116,7 +116,7 @@
 
         :param service_ms: the time from sending to the answer.
         """
-        self.service_ms += self._policy.service_gain * (service_ms - self.service_ms)
+        self.service_ms += self.policy.service_gain * (service_ms - self.service_ms)
 
     def observe_timeout(self, waited_ms: int, now_ms: int) -> None:
         """Note that no answer came; it counts against the searcher only if it had its usual time.
@@ -151,12 +151,12 @@
         return changed
 
     def _leave_down(self, now_ms: int) -> None:
-        if self.failures >= self._policy.down_failures:
-            self.failures = self._policy.down_failures - 1
+        if self.failures >= self.policy.down_failures:
+            self.failures = self.policy.down_failures - 1
             self.limit.restart(now_ms)
 
     def _is_down(self, now_ms: int) -> bool:
-        if self.failures >= self._policy.down_failures:
+        if self.failures >= self.policy.down_failures:
             return True
         return self.pool.refused_wait_ms(now_ms) is not None
 
@@ -164,14 +164,14 @@
         return self.incarnation is None and self.last_answer_ms is None
 
     def _is_silent(self, now_ms: int) -> bool:
-        if self.health_failures < self._policy.down_failures:
+        if self.health_failures < self.policy.down_failures:
             return False
         return not self._answered_lately(now_ms)
 
     def _answered_lately(self, now_ms: int) -> bool:
         if self.last_answer_ms is None:
             return False
-        window_ms = self._policy.down_failures * self._policy.health_period_ms
+        window_ms = self.policy.down_failures * self.policy.health_period_ms
         return now_ms - self.last_answer_ms < window_ms
 
 
--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -178,6 +178,12 @@
         shell.wait(30)
         self.assertEqual(shell.report()["slots"], 2)
 
+    def test_a_shed_answer_without_a_retry_after_gets_one(self):
+        shell = FakeShell(spec(0, slots=1)).warm()
+        shell.batch(0)
+        reply = shell.answer(status=503, code="shed")[0]
+        self.assertEqual(reply.retry_after_ms, 50)
+
     def test_requests_sent_before_the_limit_was_lowered_lower_it_once(self):
         shell = FakeShell(spec(0, slots=8, connections=25)).warm()
         shell.batch(*[0] * 8)
