--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -12,7 +12,7 @@
 from rhubarbhinge.routing._drainmemory import DrainMemory
 from rhubarbhinge.routing._droppeer import DropPeer
 from rhubarbhinge.routing._expiry import expire
-from rhubarbhinge.routing._healthdoc import health_doc
+from rhubarbhinge.routing._healthdoc import HealthDoc, health_doc
 from rhubarbhinge.routing._job import Job
 from rhubarbhinge.routing._pollhealth import PollHealth
 from rhubarbhinge.routing._publishholding import PublishHolding
@@ -312,7 +312,7 @@
         upstream.last_answer_ms = now_ms
         upstream.pool.served(connection)
         if draining_header or says_draining(status, body):
-            upstream.drain.on_signal()
+            self._note_drain(connection)
         read = read_search if job.call else read_run
         plain = read(self._requests, job, connection, status, body, now_ms, effects)
         upstream.pool.release(connection, effects)
@@ -322,12 +322,19 @@
             send_queued(self._requests, upstream, now_ms, effects)
         return effects
 
-    def on_health(self, upstream_id: int, doc: dict[str, Any] | None, now_ms: int) -> list[Any]:
+    def on_health(
+        self,
+        upstream_id: int,
+        doc: dict[str, Any] | None,
+        now_ms: int,
+        draining_header: bool = False,
+    ) -> list[Any]:
         """Take the answer to a health poll; one of an older incarnation is ignored.
 
         :param upstream_id: the searcher.
         :param doc: the parsed document, or None when there was none.
         :param now_ms: the time.
+        :param draining_header: whether the answer carried ``Draining: 1``.
         :returns: effects.
         """
         effects: list[Any] = []
@@ -338,8 +345,7 @@
         if health is None:
             upstream.health_failures += 1
         elif upstream.incarnation is None or health.incarnation >= upstream.incarnation:
-            if upstream.take_health(health, now_ms):
-                effects.append(PublishHolding(health.holding))
+            self._take_health(upstream, health, draining_header, now_ms, effects)
         after_event(self._requests, upstream, now_ms, effects)
         return effects
 
@@ -416,6 +422,23 @@
         upstream.pool.retire_all(effects)
         self._forget_if_gone(upstream)
 
+    def _take_health(
+        self,
+        upstream: Upstream,
+        health: HealthDoc,
+        draining_header: bool,
+        now_ms: int,
+        effects: list[Any],
+    ) -> None:
+        if upstream.take_health(health, now_ms, effects):
+            effects.append(PublishHolding(health.holding))
+        if draining_header:
+            upstream.drain.on_signal()
+
+    def _note_drain(self, connection: Connection) -> None:
+        if connection.opened_ms >= connection.upstream.started_ms:
+            connection.upstream.drain.on_signal()
+
     def _forget_if_gone(self, upstream: Upstream) -> None:
         if not upstream.owned and not len(upstream.pool):
             upstream_id = upstream.spec.upstream_id
--- a/rhubarbhinge/routing/_upstream.py
+++ b/rhubarbhinge/routing/_upstream.py
@@ -55,6 +55,8 @@
         self.health_failures = 0
         self.incarnation: int | None = None
         self.holding: HoldingReport | None = None
+        #: When its newest incarnation was first heard of; older connections are of another one.
+        self.started_ms = now_ms
         self.policy = policy
 
     def set_spec(self, spec: UpstreamSpec, effects: list[Any]) -> None:
@@ -130,16 +132,16 @@
         self.failures += 1
         self.refresh(now_ms)
 
-    def take_health(self, health: HealthDoc, now_ms: int) -> bool:
+    def take_health(self, health: HealthDoc, now_ms: int, effects: list[Any]) -> bool:
         """Take a health document that is not of an older incarnation.
 
         :param health: the document.
         :param now_ms: the time.
+        :param effects: where effects are put.
         :returns: whether what the searcher holds has changed.
         """
         if self.incarnation is not None and health.incarnation > self.incarnation:
-            self.drain.on_newer_incarnation()
-            self.limit.restart(now_ms)
+            self._start_anew(now_ms, effects)
         self._leave_down(now_ms)
         self.health_failures = 0
         self.incarnation = health.incarnation
@@ -150,6 +152,12 @@
         self.holding = health.holding
         return changed
 
+    def _start_anew(self, now_ms: int, effects: list[Any]) -> None:
+        self.drain.on_newer_incarnation()
+        self.limit.restart(now_ms)
+        self.pool.retire_all(effects)
+        self.started_ms = now_ms
+
     def _leave_down(self, now_ms: int) -> None:
         if self.failures >= self.policy.down_failures:
             self.failures = self.policy.down_failures - 1
--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -262,6 +262,28 @@
     def test_by_the_header_of_any_answer(self):
         self.drained(lambda shell: shell.answer(draining=True))
 
+    def test_by_the_header_of_a_health_answer(self):
+        upstream_id = spec(0).upstream_id
+
+        def signal(shell: FakeShell) -> None:
+            effects = shell.core.on_health(upstream_id, health(0), shell.now_ms, True)
+            shell.leaving.add(upstream_id)
+            shell.apply(effects)
+
+        self.drained(signal)
+
+    def test_a_late_answer_of_an_older_life_does_not_drain_the_new_one(self):
+        shell = warm()
+        shell.batch(0)
+        shell.lives[0] = 2
+        shell.restarted(0)
+        shell.answer(draining=True)
+        self.assertEqual(shell.report()["states"], UpstreamState.WARMING)
+        shell.close_asked()
+        shell.connect()
+        shell.batch(0)
+        self.assertEqual(len(shell.busy), 1)
+
     def test_by_a_refusal_that_says_so(self):
         self.drained(lambda shell: shell.answer(status=503, code="draining"))
 
