--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -92,6 +92,17 @@
         self.assertEqual(shell.report()["in_flight"], 2)
         self.assertIsInstance(shell.answer()[0], SendSearch)
 
+    def test_equal_numbers_of_two_entries_are_kept_apart(self):
+        shell = warm()
+        shell.batch(0, peer="entry", call_id=5)
+        shell.batch(0, peer="other", call_id=5)
+        first, second = shell.busy
+        (reply,) = shell.answer(second, records=2)
+        self.assertEqual((reply.peer, reply.call_id), ("other", 5))
+        self.assertIn(b'"records":2', reply.body)
+        shell.peer_gone()
+        self.assertEqual(shell.answer(first), [])
+
     def test_a_gone_peer_leaves_nothing_queued_and_cancels_what_is_in_flight(self):
         shell = warm()
         shell.batch(0, 0, 0)
@@ -173,20 +184,38 @@
         reply = shell.answer(status=503, **SHED)[0]
         self.assertEqual((reply.code, reply.retry_after_ms), (SubCode.SHED, 50))
         self.assertEqual((shell.report()["slots"], len(shell.busy)), (1, 1))
-        shell.wait(320)
+        shell.wait(190)
+        self.assertEqual(shell.report()["slots"], 1)
+        shell.wait(30)
         self.assertEqual(shell.report()["slots"], 2)
 
-    def test_shed_answers_at_a_limit_of_one_pause_the_searcher_ever_longer(self):
+    def test_a_shed_answer_without_a_retry_after_gets_one(self):
         shell = FakeShell(spec(0, slots=1)).warm()
-        pauses = []
+        shell.batch(0)
+        reply = shell.answer(status=503, code="shed")[0]
+        self.assertEqual(reply.retry_after_ms, 50)
+
+    def test_requests_sent_before_the_limit_was_lowered_lower_it_once(self):
+        shell = FakeShell(spec(0, slots=8, connections=25)).warm()
+        shell.batch(*[0] * 8)
+        shell.connect()
+        self.assertEqual(len(shell.busy), 8)
+        shell.now_ms += 2
         for _ in range(3):
-            shell.batch(0, deadline_ms=900)
             shell.answer(status=503, **SHED)
+        self.assertEqual(shell.report()["slots"], 4)
+
+    def test_shed_answers_at_a_limit_of_one_pause_the_searcher_ever_longer(self):
+        shell = FakeShell(spec(0, slots=1), sweep_period_ms=1).warm()
+        pauses = []
+        for retry_after_ms in (0, 0, 0, 0, 350):
+            shell.batch(0, deadline_ms=900)
+            shell.answer(status=503, **SHED | {"retry_after_ms": retry_after_ms})
             started_ms = shell.now_ms
             while not shell.report()["slots"]:
                 shell.wait(10)
             pauses.append(shell.now_ms - started_ms)
-        self.assertEqual([round(pause_ms, -2) for pause_ms in pauses], [100, 200, 400])
+        self.assertEqual(pauses, [50, 100, 200, 200, 350])
 
     def test_timeouts_count_for_more_than_a_health_that_says_ready(self):
         shell = warm()
@@ -244,6 +273,28 @@
     def test_by_the_header_of_any_answer(self):
         self.drained(lambda shell: shell.answer(draining=True))
 
+    def test_by_the_header_of_a_health_answer(self):
+        upstream_id = spec(0).upstream_id
+
+        def signal(shell: FakeShell) -> None:
+            effects = shell.core.on_health(upstream_id, health(0), shell.now_ms, True)
+            shell.leaving.add(upstream_id)
+            shell.apply(effects)
+
+        self.drained(signal)
+
+    def test_a_late_answer_of_an_older_life_does_not_drain_the_new_one(self):
+        shell = warm()
+        shell.batch(0)
+        shell.lives[0] = 2
+        shell.restarted(0)
+        shell.answer(draining=True)
+        self.assertEqual(shell.report()["states"], UpstreamState.WARMING)
+        shell.close_asked()
+        shell.connect()
+        shell.batch(0)
+        self.assertEqual(len(shell.busy), 1)
+
     def test_by_a_refusal_that_says_so(self):
         self.drained(lambda shell: shell.answer(status=503, code="draining"))
 
