--- a/standins/fleet/_ports.py
+++ b/standins/fleet/_ports.py
@@ -8,16 +8,20 @@
 up, Linux ip_local_port_range), so that no connection of anyone takes one before it is bound."""
 END_PORT = 32_000
 
+_given: set[int] = set()
+"""Ports given before: two deployments of one process, or nodes that stop and start, must not meet."""
+
 
 def free_ports(number: int) -> list[int]:
     """Find free TCP ports on 127.0.0.1 that are also free for UDP.
 
     :param number: How many.
-    :returns: Different ports, chosen at random so that concurrent callers seldom meet.
+    :returns: Different ports that this process did not give before, chosen at random so that
+        concurrent processes seldom meet.
     """
     held: list[socket.socket] = []
     ports: list[int] = []
-    candidates = list(range(FIRST_PORT, END_PORT))
+    candidates = [port for port in range(FIRST_PORT, END_PORT) if port not in _given]
     random.SystemRandom().shuffle(candidates)
     try:
         while len(ports) < number:
@@ -27,6 +31,7 @@
     finally:
         for taken in held:
             taken.close()
+    _given.update(ports)
     return ports
 
 
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -28,6 +28,9 @@
 OVERLOAD_FACTOR = 1.5
 """Offered load over the measured capacity, as issue 5 asks."""
 
+START_TRIES = 2
+"""Starts of a variant before it is given up; a failed start is printed."""
+
 
 @dataclass(frozen=True, slots=True)
 class Options:
@@ -115,7 +118,8 @@
         if options.capacity_per_s:
             self._capacity = dict.fromkeys(options.tenants, options.capacity_per_s)
             return
-        start_all(tenants, VARIANTS[FULL])
+        if not self._start_nodes(tenants, FULL):
+            raise SystemExit("the deployments do not start: no capacity, no overload")
         for tenant in tenants:
             wait_healed(tenant)
             found = self._ramp(tenant)
@@ -136,19 +140,38 @@
         )
 
     def _round(self, tenants: Sequence[Tenant], planned: Round) -> None:
+        if not self._start_nodes(tenants, planned.variant):
+            self._say(f"NOT RUN: {planned.variant}, repetition {planned.repeat}")
+            return
         try:
-            start_all(tenants, VARIANTS[planned.variant])
             moderate = [name for name in planned.scenarios if _is_moderate(name)]
             with ThreadPoolExecutor(len(tenants) if self._options.together else 1) as pool:
                 list(pool.map(lambda tenant: self._cells(tenant, planned, moderate), tenants))
             loaded = [name for name in planned.scenarios if not _is_moderate(name)]
             for tenant in tenants:
                 self._cells(tenant, planned, loaded)
-        except TimeoutError as error:
-            self._say(f"NOT RUN: {planned.variant}, repetition {planned.repeat}: {error}")
+        except OSError as error:
+            self._say(f"CUT SHORT: {planned.variant}, repetition {planned.repeat}: {error}")
+            self._say_dead(tenants)
         finally:
             _stop(tenants)
 
+    def _start_nodes(self, tenants: Sequence[Tenant], variant: str) -> bool:
+        for _ in range(START_TRIES):
+            try:
+                start_all(tenants, VARIANTS[variant])
+                return True
+            except OSError as error:
+                self._say(f"FAILED START of {variant}: {error}")
+                self._say_dead(tenants)
+                _stop(tenants)
+        return False
+
+    def _say_dead(self, tenants: Sequence[Tenant]) -> None:
+        for tenant in tenants:
+            for line in tenant.dead_nodes():
+                self._say(f"DEAD NODE: {line}")
+
     def _cells(self, tenant: Tenant, planned: Round, scenarios: Sequence[str]) -> None:
         for scenario in scenarios:
             self._cell(tenant, planned, scenario)
@@ -168,6 +191,7 @@
         plan = CellPlan(key, SCENARIOS[scenario], streams, measured_s, median_ms, path)
         cell = run_cell(tenant, self._generators[tenant.name], plan, self._rngs[tenant.name])
         found = self._results.add(cell)
+        self._say_dead([tenant])
         self._say(
             f"{'/'.join(map(str, _parts(key)))}: p50 {number(found.p50_ms)} "
             f"p99 {number(found.p99_ms)} ms, coverage {number(found.coverage, 4)}, "
--- a/tools/bench/_tenant.py
+++ b/tools/bench/_tenant.py
@@ -14,6 +14,7 @@
 SIGMA = 0.3
 """Standard deviation of the logarithm of the searchers' service time."""
 
+_LOG_END_CHARACTERS = 2_000
 _BOTH_ROLES = ("relay", "entry")
 
 
@@ -40,7 +41,7 @@
         """Start the entries and relays of a variant, and wait until they serve.
 
         :param variant: the variant; direct pools go without relays.
-        :raises TimeoutError: when they are not ready in time.
+        :raises OSError: when they are not ready in time, or end.
         """
         deployment = self.deployment
         roles = ("entry",) if variant.is_direct else _BOTH_ROLES
@@ -51,6 +52,19 @@
         for vm in deployment.vms:
             wait_for(lambda vm=vm: self._knows_all(vm), f"{vm.name} knows all searchers")
 
+    def dead_nodes(self) -> list[str]:
+        """Find the nodes that ended by themselves.
+
+        :returns: a line for each, with the end of what it logged.
+        """
+        return [
+            f"{process.name} ended with {process.popen.returncode}: "
+            f"{process.errors().strip()[-_LOG_END_CHARACTERS:]}"
+            for vm in self.deployment.vms
+            for process in vm.nodes.values()
+            if not process.is_running()
+        ]
+
     def stop_nodes(self) -> None:
         """End all entries and relays at once."""
         for vm in self.deployment.vms:
