A run that was held up on the way is not run late

Cause: the deadline of a run was stated as time left, so that a message that waited in a frozen relay's socket, or in TCP over a cut, looked fresh. The entry had told unknown after 10 s, a person could send the order anew, and the relay then ran the old one. Ruled out: synchronized clocks (nothing promises them); a shorter run time (only makes it rarer). Change: relays send a reading of their clock with each load report; the entry states the deadline on the relay's clock by the last reading, which is never too late, less a margin; the guard refuses what is past it. A relay that was paused closes its links with what waits in them.

--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -95,6 +95,7 @@
                 self._searches.on_reply(peer.name, message)
             case UpstreamReport():
                 self._searches.on_report(message)
+                self._runs.on_relay_clock(peer.name, message.relay_now_ms)
             case HoldingReport():
                 self._searches.on_holding(message)
             case _:
--- a/rhubarbhinge/daemons/_peerlinks.py
+++ b/rhubarbhinge/daemons/_peerlinks.py
@@ -138,6 +138,14 @@
         self._sockets.send(link, frame(encode(message)))
         return True
 
+    def drop_all(self, code: str) -> None:
+        """Close all links, with all that waits in them unread.
+
+        :param code: why.
+        """
+        for link in list(self._links):
+            self._refuse(link, code)
+
     def drop(self, name: str, code: str) -> None:
         """Close the link to a node that broke the protocol.
 
--- a/rhubarbhinge/daemons/_poolshell.py
+++ b/rhubarbhinge/daemons/_poolshell.py
@@ -148,7 +148,9 @@
 
     def _polled(self, upstream_id: int, result: HttpReply | Failure) -> None:
         document = _health(result)
-        self.carry_out(self._core.on_health(upstream_id, document, self._timers.now_ms()))
+        draining = isinstance(result, HttpReply) and result.headers.get("draining") == "1"
+        now_ms = self._timers.now_ms()
+        self.carry_out(self._core.on_health(upstream_id, document, now_ms, draining))
 
     def _opened(self, http: int) -> None:
         conn = self._core_by_http[http]
--- a/rhubarbhinge/daemons/_relaydaemon.py
+++ b/rhubarbhinge/daemons/_relaydaemon.py
@@ -78,8 +78,12 @@
     def on_pause(self, gap_ms: float) -> None:
         """Expire what went past its deadline meanwhile, before anything is sent.
 
+        Messages that waited in the links would look fresh: the links are closed with them, and the
+        entries ask anew what they still want.
+
         :param gap_ms: how long the pause was.
         """
+        self.links.drop_all("paused")
         self._work.tick()
 
     def open_work(self) -> int:
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -161,7 +161,7 @@
             request.upstream_id,
             request.action,
             request.body,
-            request.budget_ms,
+            request.relay_deadline_ms - int(now_ms),
             now_ms,
         )
         self._pool.carry_out(effects)
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -43,6 +43,8 @@
 )
 
 _TICK_MS = 100.0
+#: A relay does not send a run later than this before its entry gives it up.
+_SEND_MARGIN_MS = 1_000
 _TICKET_PREFIX = "/v1/run/"
 #: Longest idempotency key: far above a UUID.
 _MOST_KEY_CHARACTERS = 200
@@ -91,6 +93,7 @@
         self._book = TicketBook(signer, self._keys, settings)
         self._open: dict[int, tuple[Responder, str]] = {}
         self._relay_by_ticket: dict[str, str] = {}
+        self._clock_ahead_ms: dict[str, int] = {}
         self._numbers = itertools.count(1)
         timers.every(_TICK_MS, self._tick)
 
@@ -157,12 +160,23 @@
         :param peer: the node.
         """
         now_ms = self._now_ms()
+        self._clock_ahead_ms.pop(peer.name, None)
         self._carry_out(self._book.on_peer_gone(peer.name, peer.incarnation, now_ms))
         lost = [ticket for ticket, relay in self._relay_by_ticket.items() if relay == peer.name]
         for ticket in lost:
             del self._relay_by_ticket[ticket]
             self._ended(ticket, OutcomeKind.UNKNOWN, b"", 0)
 
+    def on_relay_clock(self, relay: str, relay_now_ms: int) -> None:
+        """Take a reading of a relay's clock.
+
+        The reading is older than its arrival, so that a deadline stated by it is never too late.
+
+        :param relay: its node name.
+        :param relay_now_ms: its clock when it sent the reading.
+        """
+        self._clock_ahead_ms[relay] = relay_now_ms - self._now_ms()
+
     def drain(self) -> None:
         """Stop minting."""
         report = self._book.drain(self._now_ms())
@@ -251,6 +265,7 @@
             self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
             return
         number, relay = target
+        relay_deadline_ms = run.deadline_ms + self._clock_ahead_ms[relay.name] - _SEND_MARGIN_MS
         body = api.run_fields(run.body)
         now_ms = self._now_ms()
         permit = self._book.on_send(run.ticket, now_ms)
@@ -265,7 +280,7 @@
             run.ticket,
             run.action,
             body,
-            max(1, run.deadline_ms - now_ms),
+            relay_deadline_ms,
             number,
         )
         self._relay_by_ticket[run.ticket] = relay.name
@@ -282,7 +297,8 @@
         self._rng.shuffle(numbers)
         for number in numbers:
             relay = self._relay_of(number)
-            if relay is not None and self._catalog.usable(number):
+            reachable = relay is not None and relay.name in self._clock_ahead_ms
+            if reachable and self._catalog.usable(number):
                 return number, relay
         return None
 
--- a/rhubarbhinge/once/_guard.py
+++ b/rhubarbhinge/once/_guard.py
@@ -48,7 +48,9 @@
             return _reply(request, OutcomeKind.UNKNOWN, Code.DUPLICATE)
         if len(self._seen) >= self._most:
             return _reply(request, OutcomeKind.REFUSED_NOT_RUN, Code.FULL)
-        deadline_ms = now_ms + request.budget_ms
+        deadline_ms = request.relay_deadline_ms
+        if now_ms >= deadline_ms:
+            return _reply(request, OutcomeKind.REFUSED_NOT_RUN, Code.LATE_SEND)
         until_ms = now_ms + self._window_ms
         self._seen[request.ticket] = _Seen(deadline_ms, until_ms)
         return None
--- a/rhubarbhinge/once/tests/_fakes.py
+++ b/rhubarbhinge/once/tests/_fakes.py
@@ -150,9 +150,16 @@
         self.history.append(f"send {start.ticket} {relay}")
         sender = self.books[entry]._signer.incarnation
         receiver = self.guards[relay]._incarnation
-        budget_ms = start.deadline_ms - self.clock(entry)
+        relay_deadline_ms = start.deadline_ms - self.clock(entry) + self.clock(relay)
         message = RunRequest(
-            entry, sender, relay, receiver, start.ticket, start.action, start.body, budget_ms
+            entry,
+            sender,
+            relay,
+            receiver,
+            start.ticket,
+            start.action,
+            start.body,
+            relay_deadline_ms,
         )
         self.network.append((entry, relay, message))
 
--- a/rhubarbhinge/once/tests/test_book.py
+++ b/rhubarbhinge/once/tests/test_book.py
@@ -264,8 +264,8 @@
     def setUp(self):
         self.guard = RunGuard("a/relay", 5, window_ms=100, most=2)
 
-    def request(self, ticket: str, incarnation: int = 5) -> RunRequest:
-        return RunRequest("a/entry", 1, "a/relay", incarnation, ticket, "order", b"", 10)
+    def request(self, ticket: str, incarnation: int = 5, deadline_ms: int = 10) -> RunRequest:
+        return RunRequest("a/entry", 1, "a/relay", incarnation, ticket, "order", b"", deadline_ms)
 
     def codes(self, *replies) -> list[tuple[str, str] | None]:
         return [reply and (reply.kind, reply.code) for reply in replies]
@@ -282,13 +282,17 @@
         found = [self.guard.on_request(request, 0), self.guard.may_send(request, 10)]
         self.assertEqual([None, ("refused_not_run", "late-send")], self.codes(*found))
 
+    def test_a_message_that_was_held_up_is_not_run(self):
+        found = self.guard.on_request(self.request("t"), 10)
+        self.assertEqual([("refused_not_run", "late-send")], self.codes(found))
+
     def test_a_restarted_relay_refuses_what_was_meant_for_the_one_before(self):
         found = self.guard.on_request(self.request("t", incarnation=4), 0)
         self.assertEqual([("unknown", "ticket-other-incarnation")], self.codes(found))
 
     def test_the_guard_is_bounded(self):
         found = [self.guard.on_request(self.request(name), 0) for name in "abc"]
-        found.append(self.guard.on_request(self.request("c"), 100))
+        found.append(self.guard.on_request(self.request("c", deadline_ms=110), 100))
         self.assertEqual(
             [None, None, ("refused_not_run", "tickets-full"), None], self.codes(*found)
         )
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -390,6 +390,7 @@
             tuple(upstream.queue.count for upstream in owned),
             tuple(upstream.in_flight for upstream in owned),
             tuple(upstream.allowed for upstream in owned),
+            int(now_ms),
         )
 
     def holdings(self) -> tuple[HoldingReport, ...]:
--- a/rhubarbhinge/wire/_run_request.py
+++ b/rhubarbhinge/wire/_run_request.py
@@ -14,7 +14,8 @@
     :param ticket: the ticket's text.
     :param action: name of the action in the register.
     :param body: the caller's body.
-    :param budget_ms: time left to the run's deadline at the send, in ms.
+    :param relay_deadline_ms: end of the run on the receiving relay's clock, by the last reading of
+        that clock that the entry has: a message that was held up on the way is not run late.
     :param upstream_id: the upstream, by :func:`rhubarbhinge.wire.upstream_id`.
     """
 
@@ -25,5 +26,5 @@
     ticket: str
     action: str
     body: bytes
-    budget_ms: int
+    relay_deadline_ms: int
     upstream_id: int = 0
--- a/rhubarbhinge/wire/_upstreamreport.py
+++ b/rhubarbhinge/wire/_upstreamreport.py
@@ -12,6 +12,8 @@
     :param queued: sub-queries that wait at the relay.
     :param in_flight: sub-queries sent and not answered.
     :param slots: how many the relay sends at once.
+    :param relay_now_ms: the relay's clock when it sent the report; entries state the deadlines of
+        runs by it.
     """
 
     upstream_ids: tuple[int, ...]
@@ -19,3 +21,4 @@
     queued: tuple[int, ...]
     in_flight: tuple[int, ...]
     slots: tuple[int, ...]
+    relay_now_ms: int = 0
--- a/rhubarbhinge/wire/messages.capnp
+++ b/rhubarbhinge/wire/messages.capnp
@@ -55,6 +55,7 @@
   queued @2 :List(UInt32);
   inFlight @3 :List(UInt16);
   slots @4 :List(UInt16);
+  relayNowMs @5 :UInt64;
 }
 
 struct HoldingReport {
@@ -98,7 +99,7 @@
   ticket @4 :Text;
   action @5 :Text;
   body @6 :Data;
-  budgetMs @7 :UInt32;
+  relayDeadlineMs @7 :UInt64;
   upstreamId @8 :UInt64;
 }
 
--- a/standins/tests/test_live_runs.py
+++ b/standins/tests/test_live_runs.py
@@ -152,3 +152,18 @@
         domain = upstreams[searcher]["failure_domain"]
         (vm,) = [vm for vm in self.live.vms if vm.failure_domain == domain]
         return vm
+
+    def test_relays_frozen_before_the_run_arrives(self):
+        ticket = self.callers.mint(self.home)
+        relays = [vm.nodes["relay"] for vm in self.live.vms]
+        for relay in relays:
+            relay.freeze()
+            self.addCleanup(relay.thaw)
+        told = ticket.show(self.home)
+        for relay in relays:
+            relay.thaw()
+        self.live.wait_serving()
+        self.assertIn(told, {REFUSED, UNKNOWN})
+        self.assertEqual({ticket.show(vm) for vm in self.live.vms}, {told})
+        self.assertEqual(self.times_run(ticket), 0)
+        self.check()
--- a/standins/tests/test_live_searches.py
+++ b/standins/tests/test_live_searches.py
@@ -1,4 +1,4 @@
-"""Searches on real processes: nodes and searchers lost, versions and ranges changed, bad replies."""
+"""Searches on real processes: nodes and searchers lost, versions and ranges moved, bad replies."""
 
 import time
 
