--- a/tools/bench/_tenant.py
+++ b/tools/bench/_tenant.py
@@ -1,5 +1,7 @@
 """One tenant's deployment while it is measured."""
 
+import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -12,6 +14,7 @@
 SIGMA = 0.3
 """Standard deviation of the logarithm of the searchers' service time."""
 
+_LOG_END_CHARACTERS = 2_000
 _BOTH_ROLES = ("relay", "entry")
 
 
@@ -38,7 +41,7 @@
         """Start the entries and relays of a variant, and wait until they serve.
 
         :param variant: the variant; direct pools go without relays.
-        :raises TimeoutError: when they are not ready in time.
+        :raises OSError: when they are not ready in time, or end.
         """
         deployment = self.deployment
         roles = ("entry",) if variant.is_direct else _BOTH_ROLES
@@ -49,6 +52,19 @@
         for vm in deployment.vms:
             wait_for(lambda vm=vm: self._knows_all(vm), f"{vm.name} knows all searchers")
 
+    def dead_nodes(self) -> list[str]:
+        """Find the nodes that ended by themselves.
+
+        :returns: a line for each, with the end of what it logged.
+        """
+        return [
+            f"{process.name} ended with {process.popen.returncode}: "
+            f"{process.errors().strip()[-_LOG_END_CHARACTERS:]}"
+            for vm in self.deployment.vms
+            for process in vm.nodes.values()
+            if not process.is_running()
+        ]
+
     def stop_nodes(self) -> None:
         """End all entries and relays at once."""
         for vm in self.deployment.vms:
@@ -65,6 +81,22 @@
             self.change(self.searchers, {"median_ms": median_ms})
             self._median_ms = median_ms
 
+    def slots_carry_per_s(self, median_ms: float) -> float:
+        """Work out the queries a second at which the searched systems' slots are all busy.
+
+        :param median_ms: median of the searchers' service time.
+        :returns: the rate, each collection having an equal part of it.
+        """
+        mean_s = median_ms / 1000 * math.exp(SIGMA**2 / 2)
+        register = self.deployment.register
+        slots = {each["name"]: each["slots"] for each in register["systems"]}
+        total = Counter(each["system"] for each in register["upstreams"])
+        asked: Counter[str] = Counter()
+        for each in register["collections"]:
+            if each["name"] in self.traffic.collections:
+                asked[each["system"]] += len(each["shards"]) / len(self.traffic.collections)
+        return min(slots[name] * total[name] / (shards * mean_s) for name, shards in asked.items())
+
     def entry_ports(self) -> list[int]:
         """Give the HTTP ports of the entries.
 
