query: a searcher whose answers are always hedged away is not taken for a fast one

Ruled out: no cancelling of losers (keeps load on the straggler); tokens in the budget at the start (the tests of the budget rightly refuse them: extra load would pass the class's share).

--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -179,7 +179,7 @@
         """
         call_id = self._call_by_request.get(request_id)
         if call_id is not None:
-            self._end(self._calls[call_id])
+            self._end(self._calls[call_id], now_ms)
         return self._flush(now_ms)
 
     def tick(self, now_ms: float) -> list[Effect]:
@@ -305,7 +305,7 @@
         call.hits += hits
         call.covered_records += part.tile.records
         call.close_part(part)
-        self._cancel_rest(call, part)
+        self._cancel_rest(call, part, now_ms)
         return self._settle(call, now_ms)
 
     def _again(
@@ -390,7 +390,7 @@
 
     def _replan(self, call: Call, now_ms: float) -> list[Effect]:
         call.gone_versions |= {call.plan.version}
-        self._cancel_all(call)
+        self._cancel_all(call, now_ms)
         return self._begin(call, now_ms)
 
     def _lose_relay(self, call: Call, part: Part, relay: str, now_ms: float) -> list[Effect]:
@@ -457,7 +457,7 @@
                 elif not part.sent:
                     part.why = "not-asked"
                 call.lose(part)
-        self._end(call)
+        self._end(call, now_ms)
         answer = _answer(call, now_ms)
         least = call.request.traffic_class.least_coverage
         if answer.coverage < least:
@@ -467,17 +467,18 @@
     def _retry_after_ms(self, call: Call) -> float:
         return max(100.0, call.request.deadline_ms)
 
-    def _end(self, call: Call) -> None:
-        self._cancel_all(call)
+    def _end(self, call: Call, now_ms: float) -> None:
+        self._cancel_all(call, now_ms)
         del self._calls[call.call_id]
         del self._call_by_request[call.request.request_id]
 
-    def _cancel_all(self, call: Call) -> None:
+    def _cancel_all(self, call: Call, now_ms: float) -> None:
         for part in call.parts.values():
-            self._cancel_rest(call, part)
+            self._cancel_rest(call, part, now_ms)
 
-    def _cancel_rest(self, call: Call, part: Part) -> None:
+    def _cancel_rest(self, call: Call, part: Part, now_ms: float) -> None:
         for number, attempt in part.attempts.items():
+            self._scores.on_overdue(attempt.upstream_id, now_ms - attempt.sent_ms, now_ms)
             self._outbox.cancel(attempt.target.name, call.call_id, part.number, number)
             self._scores.on_ended(attempt.upstream_id)
         part.attempts.clear()
--- a/rhubarbhinge/query/_policy.py
+++ b/rhubarbhinge/query/_policy.py
@@ -23,7 +23,7 @@
     hop_margin_ms: float = 2.0
     first_hedge_ms: float = 40.0
     least_hedge_ms: float = 1.0
-    budget_tokens: float = 100.0
+    budget_tokens: float = 20.0
     least_wait_ms: float = 5.0
     most_attempts: int = 6
     hedging: bool = True
--- a/rhubarbhinge/query/_scores.py
+++ b/rhubarbhinge/query/_scores.py
@@ -19,8 +19,8 @@
 class _Seen:
     __slots__ = ("average_ms", "at_ms", "outstanding", "reported", "slots")
 
-    def __init__(self) -> None:
-        self.average_ms = _FIRST_GUESS_MS
+    def __init__(self, average_ms: float) -> None:
+        self.average_ms = average_ms
         self.at_ms = -DOUBT_AFTER_MS
         self.outstanding = 0
         self.reported = 0
@@ -65,7 +65,11 @@
         self._mean_ms += 0.01 * (latency_ms - self._mean_ms)
 
     def on_overdue(self, upstream_id: int, waited_ms: float, now_ms: float) -> None:
-        """Learn from an answer that has not come yet.
+        """Learn from an answer that has not come, or that was given up for another's.
+
+        The answer would have taken longer than the wait, so that the average is at least the wait:
+        a searcher whose sub-queries are always hedged and cancelled never answers, and would else
+        be taken for a fast one.
 
         :param upstream_id: the searcher.
         :param waited_ms: how long it has taken so far: a lower bound.
@@ -73,8 +77,7 @@
         """
         seen = self._of(upstream_id)
         seen.at_ms = now_ms
-        if waited_ms > seen.average_ms:
-            seen.average_ms += _NEW_SHARE * (waited_ms - seen.average_ms)
+        seen.average_ms = max(seen.average_ms, waited_ms)
 
     def on_failure(self, upstream_id: int, now_ms: float) -> None:
         """Learn from a refusal or a broken connection.
@@ -118,5 +121,5 @@
     def _of(self, upstream_id: int) -> _Seen:
         seen = self._seen.get(upstream_id)
         if seen is None:
-            seen = self._seen[upstream_id] = _Seen()
+            seen = self._seen[upstream_id] = _Seen(self._mean_ms)
         return seen
--- a/rhubarbhinge/query/tests/test_core.py
+++ b/rhubarbhinge/query/tests/test_core.py
@@ -90,6 +90,23 @@
         self.assertEqual((1, 1, 1.0), (answer.stats.base, answer.stats.hedges, answer.coverage))
         self.assertEqual([], bench.answer(first, 36.0))
 
+    def test_a_straggler_whose_answers_are_always_cancelled_is_avoided(self):
+        bench = Bench({n: [(1, 0, builders.KEYS)] for n in (1, 2)})
+        now_ms, asked = 0.0, []
+        for number in range(1, 21):
+            row = bench.sends(bench.start(now_ms, number))[0]
+            asked.append(row[2])
+            answered_ms = now_ms + 15.0
+            if row[2] == 1:
+                row = bench.sends(bench.core.tick(now_ms + 30.0))[0]
+                answered_ms = now_ms + 45.0
+            reply = builders.reply(
+                (number, row[0], row[1], SubCode.ANSWERED, 0, builders.found(1, row[3], row[4]))
+            )
+            self.assertEqual(1, len(all_answers(bench.core.on_reply("r2", reply, answered_ms))))
+            now_ms += 50.0
+        self.assertLessEqual(asked.count(1), 1)
+
     def test_a_primary_that_fails_leaves_its_hedge_running(self):
         bench = Bench({n: [(1, 0, builders.KEYS)] for n in (1, 2, 3)})
         first = bench.sends(bench.start())[0]
