control: smaller membership modules; nobody acts as a reader right after its start

Change: links, timers and probe order are modules of their own; a node acts as a reader only if it heard of no answer for acting_after_ms, counted from its start.

--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -14,13 +14,15 @@
 from dataclasses import replace
 
 from rhubarbhinge.control._candidates import Candidates
+from rhubarbhinge.control._down_timers import DownTimers
+from rhubarbhinge.control._links import Links
 from rhubarbhinge.control._member_changed import MemberChanged
 from rhubarbhinge.control._member_state import DEAD, LEAVING, SUSPECT, is_live
 from rhubarbhinge.control._member_table import MemberTable
 from rhubarbhinge.control._membership_timings import MembershipTimings
 from rhubarbhinge.control._message_bytes import message_bytes, struct_bytes
 from rhubarbhinge.control._pending_probe import PendingProbe
-from rhubarbhinge.control._rendezvous import rank
+from rhubarbhinge.control._probe_round import ProbeRound
 from rhubarbhinge.control._revisions_seen import RevisionsSeen
 from rhubarbhinge.control._send_datagram import SendDatagram
 from rhubarbhinge.control._superseded import Superseded
@@ -79,10 +81,10 @@
             self_member.name, self_member.failure_domain, self._timings.reserve_per_domain
         )
         self._pending: dict[int, PendingProbe] = {}
-        self._suspicions: dict[str, tuple[int, Member]] = {}
-        self._dead_since_ms: dict[str, int] = {}
-        self._round: list[str] = []
-        self._remote_round: list[str] = []
+        self._timers = DownTimers()
+        self._links = Links(self_member, self._table, self._timings.links_per_domain)
+        self._near_round = ProbeRound(self._table, rng, self._is_other_near)
+        self._far_round = ProbeRound(self._table, rng, self._is_far)
         self._sequence = 0
         self._last_tick_ms: int | None = None
         self._next_probe_ms = 0
@@ -160,9 +162,7 @@
         :returns: no effects; the next tick probes.
         """
         self._pending.clear()
-        expires_ms = now_ms + self._suspicion_ms()
-        for name, (_, suspected) in self._suspicions.items():
-            self._suspicions[name] = (expires_ms, suspected)
+        self._timers.restart(self._suspicion_ms(), now_ms)
         self._next_probe_ms = now_ms
         self._last_tick_ms = now_ms
         return []
@@ -339,9 +339,8 @@
         for claim in claims:
             if claim.name == self._self.name:
                 effects += self._claim_of_self(claim)
-            elif self._is_followed(claim) and self._table.adopt(claim):
-                effects += self._adopted(claim, now_ms)
-                self._spread(claim, spread)
+            elif self._links.admits(claim):
+                effects += self._adopt(claim, now_ms, spread)
         return effects
 
     def _claim_of_self(self, claim: Member) -> list[MembershipEffect]:
@@ -359,42 +358,25 @@
         self._updates.add(self._self)
         return [MemberChanged(self._self)]
 
-    def _adopted(self, member: Member, now_ms: int) -> list[MembershipEffect]:
-        self._suspicions.pop(member.name, None)
-        self._dead_since_ms.pop(member.name, None)
-        if member.state == SUSPECT:
-            self._suspicions[member.name] = (now_ms + self._suspicion_ms(), member)
-        if member.state == DEAD:
-            self._dead_since_ms[member.name] = now_ms
-        return [MemberChanged(member)]
+    def _adopt(self, claim: Member, now_ms: int, spread: bool) -> list[MembershipEffect]:
+        displaced = self._links.displaced(claim)
+        if not self._table.adopt(claim):
+            return []
+        if displaced is not None:
+            self._forget(displaced)
+        self._timers.changed(claim, self._suspicion_ms(), now_ms)
+        self._spread(claim, spread)
+        return [MemberChanged(claim)]
 
     def _spread(self, member: Member, wanted: bool) -> None:
         if not wanted:
             self._updates.discard(member.name)
-        elif self._is_near(member) or self._is_small():
+        elif self._links.is_near(member) or self._is_small():
             self._updates.add(member)
 
-    def _is_followed(self, claim: Member) -> bool:
-        if self._is_near(claim) or self._is_live(claim.name):
-            return True
-        if not is_live(claim):
-            return self._table.get(claim.name) is not None
-        if self._lacks(claim):
-            return True
-        links = self._table.live(None, claim.failure_domain)
-        worst = min(links, key=self._rank)
-        if self._rank(worst) >= self._rank(claim):
-            return False
-        self._forget(worst.name)
-        return True
-
-    def _rank(self, member: Member) -> int:
-        return rank(self._self.name, member.name)
-
     def _forget(self, name: str) -> None:
         self._table.remove(name)
-        self._suspicions.pop(name, None)
-        self._dead_since_ms.pop(name, None)
+        self._timers.forget(name)
 
     # Timeouts.
 
@@ -437,12 +419,8 @@
         return others or self._others()
 
     def _expire_suspicions(self, now_ms: int) -> list[MembershipEffect]:
-        expired = [
-            suspected for expires_ms, suspected in self._suspicions.values() if now_ms >= expires_ms
-        ]
         effects: list[MembershipEffect] = []
-        for suspected in expired:
-            self._suspicions.pop(suspected.name, None)
+        for suspected in self._timers.expired(now_ms):
             effects += self._claims((replace(suspected, state=DEAD),), now_ms)
         return effects
 
@@ -451,9 +429,7 @@
         return int(self._timings.suspicion_ms * max(1.0, math.log10(members + 1)))
 
     def _forget_dead(self, now_ms: int) -> None:
-        limit_ms = now_ms - self._timings.forget_dead_ms
-        old = [name for name, since_ms in self._dead_since_ms.items() if since_ms < limit_ms]
-        for name in old:
+        for name in self._timers.dead_before(now_ms - self._timings.forget_dead_ms):
             self._forget(name)
 
     # What is sent.
@@ -463,8 +439,9 @@
         self._forget_dead(now_ms)
         self._next_probe_ms = now_ms + self._jittered(self._timings.probe_interval_ms)
         effects: list[MembershipEffect] = []
-        for member in self._next_in_rounds():
-            effects += self._probe(member, now_ms)
+        for member in (self._near_round.next(), self._far_round.next()):
+            if member is not None:
+                effects += self._probe(member, now_ms)
         if self._intervals % self._timings.retry_dead_every == 0:
             effects += self._probe_gone(None, 1, now_ms)
         return effects
@@ -480,26 +457,11 @@
     def _jittered(self, period_ms: int) -> int:
         return int(period_ms * self._rng.uniform(0.9, 1.1))
 
-    def _next_in_rounds(self) -> list[Member]:
-        near = self._next_of(self._round, same_domain=True)
-        far = self._next_of(self._remote_round, same_domain=False)
-        return [member for member in (near, far) if member is not None]
-
-    def _next_of(self, order: list[str], same_domain: bool) -> Member | None:
-        while order:
-            member = self._table.get(order.pop())
-            if member is not None and member.state != DEAD:
-                return member
-        order += [m.name for m in self._probed() if self._is_near(m) == same_domain]
-        self._rng.shuffle(order)
-        return self._table.get(order.pop()) if order else None
+    def _is_other_near(self, member: Member) -> bool:
+        return self._links.is_near(member) and member.name != self._self.name
 
-    def _probed(self) -> list[Member]:
-        everyone = self._table.members()
-        return [m for m in everyone if m.state != DEAD and m.name != self._self.name]
-
-    def _is_near(self, member: Member) -> bool:
-        return member.failure_domain == self._self.failure_domain
+    def _is_far(self, member: Member) -> bool:
+        return not self._links.is_near(member)
 
     def _others(self) -> list[Member]:
         return [member for member in self.live() if member.name != self._self.name]
@@ -525,20 +487,15 @@
         return effects
 
     def _gone(self) -> list[Member]:
-        gone = [self._table.get(name) for name in self._dead_since_ms]
-        found = [member for member in gone if member is not None and self._lacks(member)]
+        gone = [self._table.get(name) for name in self._timers.dead()]
+        found = [member for member in gone if member is not None and self._links.lacks(member)]
         nodes = [node for node in self._candidates.nodes() if self._table.get(node.name) is None]
-        found += [member for member in map(_unconfirmed, nodes) if self._lacks(member)]
+        found += [member for member in map(_unconfirmed, nodes) if self._links.lacks(member)]
         if self._seeds:
             known = {(member.ip, member.peer_port) for member in self._table.members()}
             found += [_unnamed(*address) for address in self._seeds if address not in known]
         return found
 
-    def _lacks(self, member: Member) -> bool:
-        if self._is_near(member):
-            return True
-        return self._table.live_count(member.failure_domain) < self._timings.links_per_domain
-
     def _send_probe(self, member: Member, wait: PendingProbe) -> SendDatagram:
         self._sequence += 1
         self._pending[self._sequence] = wait
@@ -574,7 +531,7 @@
 
     def _pull_page(self, now_ms: int) -> list[MembershipEffect]:
         self._next_page_ms = now_ms + self._jittered(self._timings.page_interval_ms)
-        near = [member for member in self._others() if self._is_near(member)]
+        near = [member for member in self._others() if self._links.is_near(member)]
         if not near:
             return []
         start = self._rng.choice(self._table.members()).name
@@ -582,7 +539,7 @@
 
     def _request_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
         self._sequence += 1
-        domain = "" if self._is_near(member) else self._self.failure_domain
+        domain = "" if self._links.is_near(member) else self._self.failure_domain
         request = MembersRequest(
             self._sequence, self._self, self._announce(self._now_ms), domain, after_name
         )
--- a/rhubarbhinge/control/_platform_reader.py
+++ b/rhubarbhinge/control/_platform_reader.py
@@ -158,8 +158,7 @@
         poll.next_ms = now_ms + int(period_ms * self._rng.uniform(0.3, 1.0))
 
     def _on_answer(self, poll: _Poll, outcome: PlatformOutcome, fresh: bool, now_ms: int) -> None:
-        age_ms = self.platform_age_ms(now_ms)
-        if not self._ranked and (age_ms < 0 or age_ms > self._settings.acting_after_ms):
+        if not self._ranked and self._silence_ms(now_ms) > self._settings.acting_after_ms:
             self._acting = True
             self._call_soon()
         self._own_contact_ms = now_ms
@@ -174,6 +173,10 @@
         ):
             poll.next_ms = now_ms + int(self._settings.watch_ms * self._rng.uniform(0.1, 0.2))
 
+    def _silence_ms(self, now_ms: int) -> int:
+        age_ms = self.platform_age_ms(now_ms)
+        return age_ms if age_ms >= 0 else now_ms - self._started_ms
+
     def _on_failure(self, poll: _Poll, factor: int, now_ms: int) -> None:
         limit_ms = self._settings.backoff_limit_ms
         wait_ms = min(limit_ms, self._settings.backoff_ms * factor * 2 ** min(poll.failures, 10))
--- a/rhubarbhinge/control/_startup.py
+++ b/rhubarbhinge/control/_startup.py
@@ -30,6 +30,7 @@
         self._heard: set[str] = set()
         self._started_ms: int | None = None
         self._next_ask_ms = 0
+        self._seen_version = -1
         self.peer_answered = False
         self.ready = False
 
@@ -76,6 +77,9 @@
         return [name for name in self._asked if name not in self._heard]
 
     def _choose(self) -> list[str]:
+        if self._seen_version == self._membership.version:
+            return []
+        self._seen_version = self._membership.version
         counts: dict[str, int] = {}
         for domain in self._asked.values():
             counts[domain] = counts.get(domain, 0) + 1
--- a/tools/slopes_control.py
+++ b/tools/slopes_control.py
@@ -35,7 +35,7 @@
 from rhubarbhinge.wire._probe_ack import ProbeAck
 
 SIZES = ((2, 1), (8, 4), (16, 4), (50, 4), (100, 4), (200, 4))
-DOMAIN_SETTLE_MS = 2_000
+DOMAIN_SETTLE_MS = 4_000
 HEAL_LIMIT_NODES = 100
 CHANGE_MS = 3_756  # 23,000 changes a day
 CHANGES = 5
@@ -105,6 +105,7 @@
     schedule.platform.documents = {key: (1, data) for key, data in base.items()}
     for node in schedule.nodes.values():
         _teach(node, list(schedule.members.values()), 0)
+        node.dissemination._reader.on_contact(1, 0, 0)
         for key, data in base.items():
             node.on_platform(key, "changed", 1, data, 0)
     schedule.run(DOMAIN_SETTLE_MS)
