control: a starting node has probed every known address before it is ready

Cause: with links of 150 to 250 ms a node could be ready at revision 1 before it had found the one peer that held revision 2: the search drew addresses at random, some twice and some not at all.

Change: the search goes through all addresses first; readiness waits for it, within the start's limit. One chain of member pages at a time at the start. Datagrams are built in a module of their own.

--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -10,23 +10,22 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 
 from rhubarbhinge.control._candidates import Candidates
+from rhubarbhinge.control._datagrams import Announce, Datagrams
 from rhubarbhinge.control._down_timers import DownTimers
 from rhubarbhinge.control._links import Links
 from rhubarbhinge.control._member_changed import MemberChanged
 from rhubarbhinge.control._member_state import DEAD, LEAVING, SUSPECT, is_live
 from rhubarbhinge.control._member_table import MemberTable
 from rhubarbhinge.control._membership_timings import MembershipTimings
-from rhubarbhinge.control._message_bytes import message_bytes, struct_bytes
 from rhubarbhinge.control._pending_probe import PendingProbe
 from rhubarbhinge.control._probe_round import ProbeRound
 from rhubarbhinge.control._revisions_seen import RevisionsSeen
 from rhubarbhinge.control._send_datagram import SendDatagram
 from rhubarbhinge.control._superseded import Superseded
-from rhubarbhinge.control._update_queue import UpdateQueue
 from rhubarbhinge.control._vm_node import VmNode
 from rhubarbhinge.wire._config_digest import ConfigDigest
 from rhubarbhinge.wire._indirect_probe import IndirectProbe
@@ -37,16 +36,13 @@
 from rhubarbhinge.wire._probe_ack import ProbeAck
 from rhubarbhinge.wire._wrong_receiver import WrongReceiver
 
-DATAGRAM_LIMIT_BYTES = 1_400
-JOIN_PROBES = 6
+JOIN_PROBES = 8
 JOIN_INTERVAL_MS = 300
 JOIN_ROUNDS = 10
 LEAVE_PROBES = 6
 HEAL_PROBES = 4
 SMALL_DOMAIN = 32
-NO_CONFIG = ConfigDigest(0, 0, 0, 0, 0, 0)
-
-Announce = Callable[[int], ConfigDigest]
+JOIN_PAGE_WAIT_MS = 500
 
 MembershipEffect = SendDatagram | MemberChanged | RevisionsSeen | Superseded
 
@@ -76,7 +72,7 @@
         self._seeds = tuple(address for address in seeds if address != own)
         self._table = MemberTable()
         self._table.adopt(self_member)
-        self._updates = UpdateQueue()
+        self._datagrams = Datagrams(self_member, self._table)
         self._candidates = Candidates(
             self_member.name, self_member.failure_domain, self._timings.reserve_per_domain
         )
@@ -90,12 +86,13 @@
         self._next_probe_ms = 0
         self._next_page_ms = 0
         self._next_join_ms = 0
+        self._join_page_ms = 0
         self._join_rounds = 0
+        self._join_tried: set[tuple[str, int]] = set()
+        self._join_tried_ms = 0
         self._intervals = 0
         self._joined = False
-        self._now_ms = 0
-        self._announce: Announce = lambda now_ms: NO_CONFIG
-        self._updates.add(self_member)
+        self._datagrams.updates.add(self_member)
 
     @property
     def self_member(self) -> Member:
@@ -117,7 +114,18 @@
 
         :param announce: gives the accepted configuration at the time passed to it.
         """
-        self._announce = announce
+        self._datagrams.announce = announce
+
+    def has_searched(self, now_ms: int) -> bool:
+        """Tell whether all known addresses were probed since the start and had time to answer.
+
+        :param now_ms: the time.
+        :returns: true from then on, and at the latest after ``JOIN_ROUNDS`` rounds of probes.
+        """
+        if self._join_rounds > JOIN_ROUNDS:
+            return True
+        waited_ms = now_ms - self._join_tried_ms
+        return self._join_rounds > 0 and waited_ms >= 2 * self._timings.probe_timeout_ms
 
     def get(self, name: str) -> Member | None:
         """Look a member up.
@@ -173,14 +181,10 @@
         :param now_ms: the time.
         :returns: probes that carry the announcement, and the change.
         """
-        self._now_ms = now_ms
         if self._self.state == LEAVING:
             return []
         effects = self._set_self(LEAVING, self._self.counter + 1)
-        others = self._others()
-        for member in self._rng.sample(others, min(LEAVE_PROBES, len(others))):
-            effects += self._probe(member, now_ms)
-        return effects
+        return effects + self._probe_some(self._others(), LEAVE_PROBES, now_ms)
 
     def tick(self, now_ms: int) -> list[MembershipEffect]:
         """Let time pass: time out probes and suspicions, and send what is due.
@@ -188,7 +192,6 @@
         :param now_ms: the time; call this several times within a probe timeout.
         :returns: effects.
         """
-        self._now_ms = now_ms
         last_ms = self._last_tick_ms
         self._last_tick_ms = now_ms
         if last_ms is not None and now_ms - last_ms > self._timings.pause_ms:
@@ -214,7 +217,6 @@
         :param now_ms: the time.
         :returns: effects, answers among them.
         """
-        self._now_ms = now_ms
         handler = _HANDLERS.get(type(message))
         if handler is None:
             return []
@@ -229,7 +231,9 @@
                 probe.sequence, self._self, probe.receiver_name, probe.receiver_incarnation
             )
             return effects + self._superseded_by(probe) + [SendDatagram(ip, port, refusal)]
-        return effects + [self._ack(probe.sequence, self._self, probe.sender, ip, port)]
+        return effects + [
+            self._datagrams.ack(probe.sequence, self._self, probe.sender.name, (ip, port), now_ms)
+        ]
 
     def _on_ack(self, ack: ProbeAck, ip: str, port: int, now_ms: int) -> list[MembershipEffect]:
         pending = self._pending.pop(ack.sequence, None)
@@ -237,14 +241,13 @@
         effects = self._hear(ack.sender, ack.revisions, ack.updates, now_ms)
         effects += self._claims((ack.subject,), now_ms)
         if pending is not None and pending.relay_ip:
-            relayed = self._ack(
-                pending.relay_sequence, ack.subject, None, pending.relay_ip, pending.relay_port
-            )
+            asker = (pending.relay_ip, pending.relay_port)
+            relayed = self._datagrams.ack(pending.relay_sequence, ack.subject, "", asker, now_ms)
             effects.append(relayed)
         if not was_live and self._is_live(ack.subject.name):
             effects += self._probe_gone(ack.subject.failure_domain, HEAL_PROBES, now_ms)
-        if not self._joined:
-            effects += self._request_page(ack.sender, "", now_ms)
+        if not self._joined and now_ms >= self._join_page_ms:
+            effects += self._join_page(ack.sender, "", now_ms)
         return effects
 
     def _on_indirect(
@@ -260,7 +263,7 @@
             relay_port=port,
             relay_sequence=request.sequence,
         )
-        return effects + [self._send_probe(request.target, wait)]
+        return effects + [self._send_probe(request.target, wait, now_ms)]
 
     def _on_wrong_receiver(
         self, refusal: WrongReceiver, ip: str, port: int, now_ms: int
@@ -281,18 +284,7 @@
         self, request: MembersRequest, ip: str, port: int, now_ms: int
     ) -> list[MembershipEffect]:
         effects = self._hear(request.sender, request.revisions, (), now_ms)
-        page = MembersPage(request.sequence, self._self, self._announce(self._now_ms), (), "")
-        room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(page) - len(request.after_name) - 64
-        found: list[Member] = []
-        next_name = ""
-        for member in self._table.after(request.after_name, request.failure_domain):
-            room_bytes -= struct_bytes(member) + 8
-            if room_bytes < 0:
-                next_name = found[-1].name if found else ""
-                break
-            found.append(member)
-        page = replace(page, updates=tuple(found), next_name=next_name)
-        return effects + [SendDatagram(ip, port, page)]
+        return effects + [self._datagrams.page(request, (ip, port), now_ms)]
 
     def _on_page(
         self, page: MembersPage, ip: str, port: int, now_ms: int
@@ -304,7 +296,7 @@
         if not page.next_name:
             self._joined = True
             return effects
-        return effects + self._request_page(page.sender, page.next_name, now_ms)
+        return effects + self._join_page(page.sender, page.next_name, now_ms)
 
     # What is heard.
 
@@ -354,8 +346,9 @@
 
     def _set_self(self, state: str, counter: int) -> list[MembershipEffect]:
         self._self = replace(self._self, state=state, counter=counter)
+        self._datagrams.me = self._self
         self._table.adopt(self._self)
-        self._updates.add(self._self)
+        self._datagrams.updates.add(self._self)
         return [MemberChanged(self._self)]
 
     def _adopt(self, claim: Member, now_ms: int, spread: bool) -> list[MembershipEffect]:
@@ -370,9 +363,9 @@
 
     def _spread(self, member: Member, wanted: bool) -> None:
         if not wanted:
-            self._updates.discard(member.name)
+            self._datagrams.updates.discard(member.name)
         elif self._links.is_near(member) or self._is_small():
-            self._updates.add(member)
+            self._datagrams.updates.add(member)
 
     def _forget(self, name: str) -> None:
         self._table.remove(name)
@@ -411,7 +404,7 @@
         wait.expires_ms = now_ms + 2 * self._timings.probe_timeout_ms
         helpers = [m for m in self._helpers(member) if m.name != member.name]
         chosen = self._rng.sample(helpers, min(self._timings.indirect_probes, len(helpers)))
-        return [self._send_indirect(sequence, helper, member) for helper in chosen]
+        return [self._datagrams.indirect(sequence, one, member, now_ms) for one in chosen]
 
     def _helpers(self, member: Member) -> list[Member]:
         near = [m for m in self.live(None, member.failure_domain) if m.name != self._self.name]
@@ -452,7 +445,13 @@
         if self._join_rounds > JOIN_ROUNDS and self._others():
             self._next_join_ms = now_ms + self._jittered(self._timings.page_interval_ms)
             return []
-        return self._probe_gone(None, JOIN_PROBES, now_ms)
+        gone = self._gone()
+        untried = [m for m in gone if (m.ip, m.peer_port) not in self._join_tried]
+        if untried:
+            self._join_tried_ms = now_ms
+        chosen = self._probe_some(untried or gone, JOIN_PROBES, now_ms)
+        self._join_tried.update((effect.ip, effect.port) for effect in chosen)
+        return chosen
 
     def _jittered(self, period_ms: int) -> int:
         return int(period_ms * self._rng.uniform(0.9, 1.1))
@@ -473,16 +472,18 @@
     def _is_small(self) -> bool:
         return self._table.live_count(self._self.failure_domain) <= SMALL_DOMAIN
 
-    def _probe(self, member: Member, now_ms: int) -> list[MembershipEffect]:
+    def _probe(self, member: Member, now_ms: int) -> list[SendDatagram]:
         expires_ms = now_ms + self._timings.probe_timeout_ms
         wait = PendingProbe(member.name, member.incarnation, expires_ms)
-        return [self._send_probe(member, wait)]
+        return [self._send_probe(member, wait, now_ms)]
 
     def _probe_gone(self, domain: str | None, count: int, now_ms: int) -> list[MembershipEffect]:
         targets = [m for m in self._gone() if domain in (None, m.failure_domain)]
-        chosen = self._rng.sample(targets, min(count, len(targets)))
-        effects: list[MembershipEffect] = []
-        for member in chosen:
+        return self._probe_some(targets, count, now_ms)
+
+    def _probe_some(self, members: list[Member], count: int, now_ms: int) -> list[SendDatagram]:
+        effects: list[SendDatagram] = []
+        for member in self._rng.sample(members, min(count, len(members))):
             effects += self._probe(member, now_ms)
         return effects
 
@@ -496,38 +497,10 @@
             found += [_unnamed(*address) for address in self._seeds if address not in known]
         return found
 
-    def _send_probe(self, member: Member, wait: PendingProbe) -> SendDatagram:
+    def _send_probe(self, member: Member, wait: PendingProbe, now_ms: int) -> SendDatagram:
         self._sequence += 1
         self._pending[self._sequence] = wait
-        probe = Probe(
-            self._sequence,
-            self._self,
-            self._announce(self._now_ms),
-            member.name,
-            member.incarnation,
-            (),
-        )
-        return self._send(member.ip, member.peer_port, probe, member.name)
-
-    def _send_indirect(self, sequence: int, helper: Member, target: Member) -> SendDatagram:
-        request = IndirectProbe(sequence, self._self, self._announce(self._now_ms), target, ())
-        return self._send(helper.ip, helper.peer_port, request, helper.name)
-
-    def _ack(
-        self, sequence: int, subject: Member, asker: Member | None, ip: str, port: int
-    ) -> SendDatagram:
-        ack = ProbeAck(sequence, self._self, self._announce(self._now_ms), subject, ())
-        return self._send(ip, port, ack, asker.name if asker else "")
-
-    def _send(self, ip: str, port: int, message: object, name: str) -> SendDatagram:
-        room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(message)
-        updates: tuple[Member, ...] = ()
-        known = self._table.get(name) if name else None
-        if known is not None and known.state in (SUSPECT, DEAD):
-            updates = (known,)
-            room_bytes -= struct_bytes(known) + 8
-        updates += self._updates.take(room_bytes, len(self._table))
-        return SendDatagram(ip, port, replace(message, updates=updates))
+        return self._datagrams.probe(self._sequence, member, now_ms)
 
     def _pull_page(self, now_ms: int) -> list[MembershipEffect]:
         self._next_page_ms = now_ms + self._jittered(self._timings.page_interval_ms)
@@ -537,13 +510,14 @@
         start = self._rng.choice(self._table.members()).name
         return self._request_page(self._rng.choice(near), start, now_ms)
 
+    def _join_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
+        self._join_page_ms = now_ms + JOIN_PAGE_WAIT_MS
+        return self._request_page(member, after_name, now_ms)
+
     def _request_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
         self._sequence += 1
         domain = "" if self._links.is_near(member) else self._self.failure_domain
-        request = MembersRequest(
-            self._sequence, self._self, self._announce(self._now_ms), domain, after_name
-        )
-        return [SendDatagram(member.ip, member.peer_port, request)]
+        return [self._datagrams.page_request(self._sequence, member, domain, after_name, now_ms)]
 
 
 def _unnamed(ip: str, port: int) -> Member:
--- a/rhubarbhinge/control/_startup.py
+++ b/rhubarbhinge/control/_startup.py
@@ -58,15 +58,16 @@
             return []
         if self._started_ms is None:
             self._started_ms = now_ms
-        if may_be_ready and self._has_waited(platform_tried, now_ms - self._started_ms):
+        searched = platform_tried and self._membership.has_searched(now_ms)
+        if may_be_ready and self._has_waited(searched, now_ms - self._started_ms):
             self.ready = True
             return []
         return self._repeat(now_ms) + self._choose()
 
-    def _has_waited(self, platform_tried: bool, waited_ms: int) -> bool:
+    def _has_waited(self, searched: bool, waited_ms: int) -> bool:
         if waited_ms >= self._wait_ms:
             return True
-        if waited_ms < self._settle_ms or not platform_tried or not self._asked:
+        if waited_ms < self._settle_ms or not searched or not self._asked:
             return False
         return self._heard.issuperset(self._asked)
 
--- a/rhubarbhinge/control/tests/test_membership.py
+++ b/rhubarbhinge/control/tests/test_membership.py
@@ -17,8 +17,8 @@
     VmNode,
     message_bytes,
 )
+from rhubarbhinge.control._datagrams import NO_CONFIG
 from rhubarbhinge.control._member_state import supersedes
-from rhubarbhinge.control._membership import NO_CONFIG
 from rhubarbhinge.control.tests.schedule import fleet, member
 from rhubarbhinge.wire._members_page import MembersPage
 from rhubarbhinge.wire._members_request import MembersRequest
