--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -10,6 +10,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -39,6 +40,7 @@
 JOIN_PROBES = 8
 JOIN_INTERVAL_MS = 300
 JOIN_ROUNDS = 10
+JOIN_TRIES = 2
 LEAVE_PROBES = 6
 HEAL_PROBES = 4
 SMALL_DOMAIN = 32
@@ -88,7 +90,7 @@
         self._next_join_ms = 0
         self._join_page_ms = 0
         self._join_rounds = 0
-        self._join_tried: set[tuple[str, int]] = set()
+        self._join_tries: Counter[tuple[str, int]] = Counter()
         self._join_tried_ms = 0
         self._intervals = 0
         self._joined = False
@@ -117,7 +119,7 @@
         self._datagrams.announce = announce
 
     def has_searched(self, now_ms: int) -> bool:
-        """Tell whether all known addresses were probed since the start and had time to answer.
+        """Tell whether all silent addresses were probed twice and had time to answer.
 
         :param now_ms: the time.
         :returns: true from then on, and at the latest after ``JOIN_ROUNDS`` rounds of probes.
@@ -446,11 +448,11 @@
             self._next_join_ms = now_ms + self._jittered(self._timings.page_interval_ms)
             return []
         gone = self._gone()
-        untried = [m for m in gone if (m.ip, m.peer_port) not in self._join_tried]
+        untried = [m for m in gone if self._join_tries[m.ip, m.peer_port] < JOIN_TRIES]
         if untried:
             self._join_tried_ms = now_ms
         chosen = self._probe_some(untried or gone, JOIN_PROBES, now_ms)
-        self._join_tried.update((effect.ip, effect.port) for effect in chosen)
+        self._join_tries.update((effect.ip, effect.port) for effect in chosen)
         return chosen
 
     def _jittered(self, period_ms: int) -> int:
