--- a/tools/slopes_control.py
+++ b/tools/slopes_control.py
@@ -35,6 +35,7 @@
 from rhubarbhinge.wire._probe_ack import ProbeAck
 
 SIZES = ((2, 1), (8, 4), (16, 4), (50, 4), (100, 4), (200, 4))
+CALLS_NODES, CALLS_DOMAINS, CALLS_MS = 60, 4, 120_000
 DOMAIN_SETTLE_MS = 4_000
 HEAL_LIMIT_NODES = 100
 CHANGE_MS = 3_756  # 23,000 changes a day
@@ -79,6 +80,7 @@
         "target": measure_target_tables,
         "fleet": measure_fleets,
         "domain": measure_domain,
+        "calls": measure_calls,
     }
     for name in sys.argv[1:] or ("delta", "target", "fleet"):
         measures[name]()
@@ -114,6 +116,18 @@
     _print(line | {"in_force_p99_ms": lags[nodes * 99 // 100], "in_force_max_ms": lags[-1]})
 
 
+def measure_calls() -> None:
+    """Print the platform calls of a fleet at rest, once the calls of its start are over."""
+    schedule, _ = _start_fleet(CALLS_NODES, CALLS_DOMAINS)
+    schedule.run(CALLS_MS)
+    before = len(schedule.platform.calls_ms)
+    schedule.run(CALLS_MS)
+    calls = len(schedule.platform.calls_ms) - before
+    readers = sum(node.dissemination.is_reader for node in schedule.nodes.values())
+    line = {"measure": "calls", "nodes": CALLS_NODES, "readers": readers}
+    _print(line | {"platform_calls_per_s": round(1_000 * calls / CALLS_MS, 2)})
+
+
 def measure_deltas() -> None:
     """Print the length and cost of ways to send a changed register."""
     for upstreams in (REGISTER_UPSTREAMS, LARGE_REGISTER_UPSTREAMS):
