control: a replaced process is told when it probes

Cause: a process that slept while a newer one took its name went on unaware: acknowledgements told a receiver only that it was suspect or dead.

Change: what the receiver must know of itself (suspected, dead, replaced) comes first in each message to it. Tests besides: a failure domain cut off from the platform, a revision on a data message, a pause.

--- a/rhubarbhinge/control/_datagrams.py
+++ b/rhubarbhinge/control/_datagrams.py
@@ -26,7 +26,8 @@
 class Datagrams:
     """Makes the messages of one node.
 
-    A receiver that is held for suspect or dead is told so first, so that it can refute at once.
+    A receiver that is held for suspect, dead or replaced by a newer process is told so first, so
+    that it can refute or stop at once.
 
     :param me: this node; replaced by its owner when its state changes.
     :param table: the members.
@@ -48,7 +49,7 @@
         """
         name, incarnation = receiver.name, receiver.incarnation
         message = Probe(sequence, self.me, self.announce(now_ms), name, incarnation, ())
-        return self._filled(receiver.ip, receiver.peer_port, message, name)
+        return self._filled(receiver.ip, receiver.peer_port, message, receiver)
 
     def indirect(self, sequence: int, helper: Member, target: Member, now_ms: int) -> SendDatagram:
         """Ask a member to probe another.
@@ -60,16 +61,21 @@
         :returns: the datagram.
         """
         message = IndirectProbe(sequence, self.me, self.announce(now_ms), target, ())
-        return self._filled(helper.ip, helper.peer_port, message, helper.name)
+        return self._filled(helper.ip, helper.peer_port, message, helper)
 
     def ack(
-        self, sequence: int, subject: Member, asker: str, address: tuple[str, int], now_ms: int
+        self,
+        sequence: int,
+        subject: Member,
+        asker: Member | None,
+        address: tuple[str, int],
+        now_ms: int,
     ) -> SendDatagram:
         """Answer a probe.
 
         :param sequence: the probe's number.
         :param subject: the node that is shown to be alive.
-        :param asker: the asker's name; empty if not known.
+        :param asker: who asked; nothing if not known.
         :param address: where the answer goes.
         :param now_ms: the time.
         :returns: the datagram.
@@ -111,12 +117,16 @@
             found.append(member)
         return SendDatagram(*address, replace(page, updates=tuple(found)))
 
-    def _filled(self, ip: str, port: int, message: object, receiver: str) -> SendDatagram:
+    def _filled(self, ip: str, port: int, message: object, receiver: Member | None) -> SendDatagram:
         room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(message)
         first: tuple[Member, ...] = ()
-        known = self._table.get(receiver)
-        if known is not None and known.state in (SUSPECT, DEAD):
+        known = self._table.get(receiver.name) if receiver else None
+        if known is not None and _must_know(known, receiver):
             first = (known,)
             room_bytes -= WORD_BYTES + struct_bytes(known)
         updates = first + self.updates.take(room_bytes, len(self._table))
         return SendDatagram(ip, port, replace(message, updates=updates))
+
+
+def _must_know(known: Member, receiver: Member) -> bool:
+    return known.state in (SUSPECT, DEAD) or known.incarnation > receiver.incarnation
--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -234,7 +234,7 @@
             )
             return effects + self._superseded_by(probe) + [SendDatagram(ip, port, refusal)]
         return effects + [
-            self._datagrams.ack(probe.sequence, self._self, probe.sender.name, (ip, port), now_ms)
+            self._datagrams.ack(probe.sequence, self._self, probe.sender, (ip, port), now_ms)
         ]
 
     def _on_ack(self, ack: ProbeAck, ip: str, port: int, now_ms: int) -> list[MembershipEffect]:
@@ -244,7 +244,7 @@
         effects += self._claims((ack.subject,), now_ms)
         if pending is not None and pending.relay_ip:
             asker = (pending.relay_ip, pending.relay_port)
-            relayed = self._datagrams.ack(pending.relay_sequence, ack.subject, "", asker, now_ms)
+            relayed = self._datagrams.ack(pending.relay_sequence, ack.subject, None, asker, now_ms)
             effects.append(relayed)
         if not was_live and self._is_live(ack.subject.name):
             effects += self._probe_gone(ack.subject.failure_domain, HEAL_PROBES, now_ms)
--- a/rhubarbhinge/control/tests/test_fleet.py
+++ b/rhubarbhinge/control/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from rhubarbhinge.control.tests.schedule import Schedule, fleet, vms_document
 from rhubarbhinge.wire._config_busy import ConfigBusy
 from rhubarbhinge.wire._config_chunk import ConfigChunk
+from rhubarbhinge.wire._config_notice import ConfigNotice
 from rhubarbhinge.wire._config_request import ConfigRequest
 
 DOMAIN = "kgn-a"
@@ -111,6 +112,24 @@
         self.assertEqual(early, [])
         self.assertTrue(all(node.ready() for node in schedule.nodes.values()))
 
+    def test_a_domain_cut_off_from_the_platform_follows_by_the_others(self):
+        schedule = start()
+        cut_off = [n for n, m in schedule.members.items() if m.failure_domain == DOMAIN]
+        schedule.platform.unreachable = lambda name: name in cut_off
+        schedule.publish("register", 2, b"{2}")
+        schedule.run(5_000)
+        self.assertTrue(in_force(schedule, "register", 2))
+
+    def test_a_node_that_slept_learns_from_its_first_data_message(self):
+        schedule = start()
+        node = schedule.nodes["kgn-a-0/entry"]
+        (request,) = node.on_seen_revision("kgn-b-1/relay", "rules", 2, schedule.now_ms)
+        self.assertEqual(request.member_name, "kgn-b-1/relay")
+        self.assertEqual((request.message.key, request.message.base_revision), ("rules", 1))
+        questions = node.on_pause(60_000, schedule.now_ms + 60_000)
+        notices = [e.message for e in questions if isinstance(e.message, ConfigNotice)]
+        self.assertEqual([notice.answer for notice in notices], [True] * 3)
+
     def test_a_restarted_node_is_ready_once_those_asked_have_answered(self):
         schedule = start()
         name = next(iter(schedule.nodes))
--- a/rhubarbhinge/control/tests/test_membership.py
+++ b/rhubarbhinge/control/tests/test_membership.py
@@ -81,6 +81,14 @@
         effects = self.hear(probe(ME.name, 6))
         self.assertIn(Superseded(replace(ME, incarnation=6)), effects)
 
+    def test_a_replaced_process_is_told_when_it_probes(self):
+        newer = replace(OTHER, incarnation=9)
+        self.hear(probe(ME.name, 5, (newer,)))
+        (answer,) = answers(self.hear(probe(ME.name, 5)))
+        self.assertEqual(answer.updates[0], newer)
+        replaced = Membership(OTHER, random.Random(1))
+        self.assertIn(Superseded(newer), replaced.on_datagram(answer, ME.ip, ME.peer_port, 0))
+
     def test_an_address_taken_over_by_another_ends_the_former_holder(self):
         self.hear(probe("", 0))
         (sent,) = answers(self.membership.tick(1_000))[:1]
