control: the platform's age counts all keys

Cause: one answer for any key made the whole configuration look confirmed, so that a VM list that the platform had not confirmed for long could look fresh.

Ruled out: an age for each key (three times the bytes in each message for little more).

Change: a node's contact is the oldest of its last answers for the three keys; acting_after_ms is 30 s, above a watch's length.

--- a/rhubarbhinge/control/_config_age.py
+++ b/rhubarbhinge/control/_config_age.py
@@ -12,7 +12,7 @@
     :param key: the document's key.
     :param revision: accepted revision; 0 for none.
     :param in_force_ms: time since it was accepted.
-    :param platform_age_ms: time since a node in reach last had an answer of the platform;
+    :param platform_age_ms: age of the platform's answers for all keys to a node in reach;
         -1 for never.
     :param last_refused: the newest refusal, if any.
     """
--- a/rhubarbhinge/control/_dissemination_settings.py
+++ b/rhubarbhinge/control/_dissemination_settings.py
@@ -43,7 +43,7 @@
     watch_ms: int = 15_000
     answer_grace_ms: int = 3_000
     fallback_ms: int = 30_000
-    acting_after_ms: int = 20_000
+    acting_after_ms: int = 30_000
     backoff_ms: int = 500
     backoff_limit_ms: int = 15_000
     peers_first_ms: int = 500
--- a/rhubarbhinge/control/_platform_reader.py
+++ b/rhubarbhinge/control/_platform_reader.py
@@ -31,6 +31,7 @@
     expires_ms: int = 0
     failures: int = 0
     answered: bool = False
+    answered_ms: int = 0
 
 
 class PlatformReader:
@@ -56,7 +57,7 @@
         self._peak_domain = 1
         self._ranked = False
         self._acting = False
-        self._own_contact_ms = 0
+        self._own_contact_ms = -1
         self._contacts = Contacts()
 
     @property
@@ -79,10 +80,10 @@
         return all(poll.answered or poll.failures for poll in self._polls.values())
 
     def platform_age_ms(self, now_ms: int) -> int:
-        """Give the time since this node or one it heard of had an answer of the platform.
+        """Give the time since some node in reach had answers of the platform for all keys.
 
         :param now_ms: the time.
-        :returns: age, -1 for never.
+        :returns: age of the oldest of that node's last answers, -1 for never.
         """
         newest_ms = self._contacts.newest_ms
         return -1 if newest_ms is None else max(0, now_ms - newest_ms)
@@ -161,10 +162,10 @@
         if not self._ranked and self._silence_ms(now_ms) > self._settings.acting_after_ms:
             self._acting = True
             self._call_soon()
-        self._own_contact_ms = now_ms
-        self._contacts.hear(self._rng.randint(1, HASH_MASK), now_ms)
         poll.failures = 0
         poll.answered = True
+        poll.answered_ms = now_ms
+        self._note_contact()
         poll.next_ms = now_ms
         if not self.is_reader:
             self._defer(poll, now_ms)
@@ -173,6 +174,14 @@
         ):
             poll.next_ms = now_ms + int(self._settings.watch_ms * self._rng.uniform(0.1, 0.2))
 
+    def _note_contact(self) -> None:
+        if not self.answered():
+            return
+        contact_ms = min(poll.answered_ms for poll in self._polls.values())
+        if contact_ms > self._own_contact_ms:
+            self._own_contact_ms = contact_ms
+            self._contacts.hear(self._rng.randint(1, HASH_MASK), contact_ms)
+
     def _silence_ms(self, now_ms: int) -> int:
         age_ms = self.platform_age_ms(now_ms)
         return age_ms if age_ms >= 0 else now_ms - self._started_ms
--- a/rhubarbhinge/control/tests/test_startup.py
+++ b/rhubarbhinge/control/tests/test_startup.py
@@ -3,8 +3,9 @@
 import random
 import unittest
 
-from rhubarbhinge.control import DisseminationSettings, Membership
+from rhubarbhinge.control import DisseminationSettings, Membership, PlatformOutcome
 from rhubarbhinge.control._contacts import Contacts
+from rhubarbhinge.control._platform_reader import PlatformReader
 from rhubarbhinge.control._startup import Startup
 from rhubarbhinge.control.tests.schedule import fleet
 from rhubarbhinge.wire._config_digest import ConfigDigest
@@ -49,6 +50,23 @@
         self.assertTrue(self.is_ready(1_000))
 
 
+class PlatformAgeTest(unittest.TestCase):
+    def test_the_age_is_that_of_the_key_answered_longest_ago(self):
+        membership = Membership(fleet(1, 1)[0], random.Random(1))
+        reader = PlatformReader(membership, random.Random(1), DisseminationSettings())
+        for now_ms in range(0, 3_000, 100):
+            reader.due(False, now_ms)
+        reader.on_outcome("register", PlatformOutcome.CHANGED, True, 3_000)
+        reader.on_outcome("rules", PlatformOutcome.CHANGED, True, 4_000)
+        self.assertEqual(reader.platform_age_ms(5_000), -1)
+        reader.on_outcome("vms", PlatformOutcome.MISSING, False, 5_000)
+        self.assertEqual(reader.platform_age_ms(5_000), 2_000)
+        reader.on_outcome("rules", PlatformOutcome.UNCHANGED, False, 6_000)
+        reader.on_outcome("vms", PlatformOutcome.FAILED, False, 6_000)
+        reader.on_outcome("register", PlatformOutcome.UNCHANGED, False, 7_000)
+        self.assertEqual(reader.platform_age_ms(9_000), 4_000)
+
+
 class ContactsTest(unittest.TestCase):
     def test_an_answer_that_comes_back_does_not_look_younger(self):
         contacts = Contacts()
--- a/rhubarbhinge/wire/_config_digest.py
+++ b/rhubarbhinge/wire/_config_digest.py
@@ -13,9 +13,9 @@
     :param register_hash: 63-bit hash of the asset register's bytes.
     :param rules_hash: 63-bit hash of the rules' bytes.
     :param vms_hash: 63-bit hash of the VM list's bytes.
-    :param platform_contact: identifies the newest answer of the platform that the sender knows of;
-        0 for none.
-    :param platform_age_ms: time since that answer, at the time of sending.
+    :param platform_contact: identifies the newest answers of the platform for all keys that the
+        sender knows of; 0 for none.
+    :param platform_age_ms: time since the oldest of those answers, at the time of sending.
     """
 
     register_revision: int
