control: the estimate of a message's length counts the datagram's signature

Cause: encoded and signed messages were up to 16 bytes longer than estimated, so that a full datagram could pass 1,400 bytes.

Change: 16 more bytes a message in the estimate.

--- a/rhubarbhinge/control/_message_bytes.py
+++ b/rhubarbhinge/control/_message_bytes.py
@@ -11,7 +11,7 @@
 from rhubarbhinge.wire._member import Member
 
 WORD_BYTES = 8
-FRAME_BYTES = 32
+FRAME_BYTES = 48  # segment table and union of the message, signature of the datagram
 
 
 def message_bytes(message: object) -> int:
