--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -16,6 +16,7 @@
     Refused,
     SendDatagram,
     SendPeer,
+    Superseded,
     VmNode,
 )
 from rhubarbhinge.daemons._configview import ConfigView
@@ -67,6 +68,7 @@
     :ivar config: the configuration in force.
     :ivar on_config: called when it has changed.
     :ivar on_members: called when the members have changed.
+    :ivar on_superseded: called when a newer process holds this node's name.
     """
 
     channel = "control"
@@ -85,6 +87,7 @@
         self.config = ConfigView()
         self.on_config: Callable[[], None] = _nothing
         self.on_members: Callable[[], None] = _nothing
+        self.on_superseded: Callable[[], None] = _nothing
         self._settings = settings
         self._identity = identity
         self._timers = timers
@@ -107,14 +110,6 @@
         self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
             self
         )
-        self._actions: dict[type, Callable[[Any], None]] = {
-            SendDatagram: self._send_datagram,
-            SendPeer: self._send_peer,
-            PollPlatform: self._poll,
-            Adopted: self._adopted,
-            Refused: self._refused,
-            MemberChanged: self._member_changed,
-        }
         timers.every(_TICK_MS, self._tick)
 
     def ready(self) -> bool:
@@ -257,7 +252,7 @@
 
     def _carry_out(self, effects: Iterable[Any]) -> None:
         for effect in effects:
-            self._actions[type(effect)](effect)
+            ACTIONS[type(effect)](self, effect)
 
     def _send_datagram(self, effect: SendDatagram) -> None:
         signed = sign_datagram(self._settings.deployment_key, encode(effect.message))
@@ -317,6 +312,10 @@
         self._follow_members()
         self.on_members()
 
+    def _superseded(self, effect: Superseded) -> None:
+        log_event("superseded", incarnation=effect.member.incarnation)
+        self.on_superseded()
+
     def _follow_members(self) -> None:
         me = self._identity.name
         live = self._core.membership.live()
@@ -327,6 +326,18 @@
         )
 
 
+#: What is done about each effect of the control cores.
+ACTIONS: dict[type, Callable[[ControlShell, Any], None]] = {
+    SendDatagram: ControlShell._send_datagram,
+    SendPeer: ControlShell._send_peer,
+    PollPlatform: ControlShell._poll,
+    Adopted: ControlShell._adopted,
+    Refused: ControlShell._refused,
+    MemberChanged: ControlShell._member_changed,
+    Superseded: ControlShell._superseded,
+}
+
+
 def _nothing() -> None:
     pass
 
--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -69,6 +69,7 @@
         ).register(self)
         self.control.on_config = self.config_changed
         self.control.on_members = self.members_changed
+        self.control.on_superseded = self.stop_gracefully
         self._http = HttpServer(
             self.timers,
             self._request,
