--- a/rhubarbhinge/control/_membership.py
+++ b/rhubarbhinge/control/_membership.py
@@ -10,21 +10,23 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import replace
 
 from rhubarbhinge.control._candidates import Candidates
+from rhubarbhinge.control._datagrams import Announce, Datagrams
+from rhubarbhinge.control._down_timers import DownTimers
+from rhubarbhinge.control._links import Links
 from rhubarbhinge.control._member_changed import MemberChanged
 from rhubarbhinge.control._member_state import DEAD, LEAVING, SUSPECT, is_live
 from rhubarbhinge.control._member_table import MemberTable
 from rhubarbhinge.control._membership_timings import MembershipTimings
-from rhubarbhinge.control._message_bytes import message_bytes, struct_bytes
 from rhubarbhinge.control._pending_probe import PendingProbe
-from rhubarbhinge.control._rendezvous import rank
+from rhubarbhinge.control._probe_round import ProbeRound
 from rhubarbhinge.control._revisions_seen import RevisionsSeen
 from rhubarbhinge.control._send_datagram import SendDatagram
 from rhubarbhinge.control._superseded import Superseded
-from rhubarbhinge.control._update_queue import UpdateQueue
 from rhubarbhinge.control._vm_node import VmNode
 from rhubarbhinge.wire._config_digest import ConfigDigest
 from rhubarbhinge.wire._indirect_probe import IndirectProbe
@@ -35,16 +37,14 @@
 from rhubarbhinge.wire._probe_ack import ProbeAck
 from rhubarbhinge.wire._wrong_receiver import WrongReceiver
 
-DATAGRAM_LIMIT_BYTES = 1_400
-JOIN_PROBES = 6
+JOIN_PROBES = 8
 JOIN_INTERVAL_MS = 300
 JOIN_ROUNDS = 10
+JOIN_TRIES = 2
 LEAVE_PROBES = 6
 HEAL_PROBES = 4
 SMALL_DOMAIN = 32
-NO_CONFIG = ConfigDigest(0, 0, 0, 0, 0, 0)
-
-Announce = Callable[[int], ConfigDigest]
+JOIN_PAGE_WAIT_MS = 500
 
 MembershipEffect = SendDatagram | MemberChanged | RevisionsSeen | Superseded
 
@@ -74,26 +74,27 @@
         self._seeds = tuple(address for address in seeds if address != own)
         self._table = MemberTable()
         self._table.adopt(self_member)
-        self._updates = UpdateQueue()
+        self._datagrams = Datagrams(self_member, self._table)
         self._candidates = Candidates(
             self_member.name, self_member.failure_domain, self._timings.reserve_per_domain
         )
         self._pending: dict[int, PendingProbe] = {}
-        self._suspicions: dict[str, tuple[int, Member]] = {}
-        self._dead_since_ms: dict[str, int] = {}
-        self._round: list[str] = []
-        self._remote_round: list[str] = []
+        self._timers = DownTimers()
+        self._links = Links(self_member, self._table, self._timings.links_per_domain)
+        self._near_round = ProbeRound(self._table, rng, self._is_other_near)
+        self._far_round = ProbeRound(self._table, rng, self._is_far)
         self._sequence = 0
         self._last_tick_ms: int | None = None
         self._next_probe_ms = 0
         self._next_page_ms = 0
         self._next_join_ms = 0
+        self._join_page_ms = 0
         self._join_rounds = 0
+        self._join_tries: Counter[tuple[str, int]] = Counter()
+        self._join_tried_ms = 0
         self._intervals = 0
         self._joined = False
-        self._now_ms = 0
-        self._announce: Announce = lambda now_ms: NO_CONFIG
-        self._updates.add(self_member)
+        self._datagrams.updates.add(self_member)
 
     @property
     def self_member(self) -> Member:
@@ -115,7 +116,18 @@
 
         :param announce: gives the accepted configuration at the time passed to it.
         """
-        self._announce = announce
+        self._datagrams.announce = announce
+
+    def has_searched(self, now_ms: int) -> bool:
+        """Tell whether all silent addresses were probed twice and had time to answer.
+
+        :param now_ms: the time.
+        :returns: true from then on, and at the latest after ``JOIN_ROUNDS`` rounds of probes.
+        """
+        if self._join_rounds > JOIN_ROUNDS:
+            return True
+        waited_ms = now_ms - self._join_tried_ms
+        return self._join_rounds > 0 and waited_ms >= 2 * self._timings.probe_timeout_ms
 
     def get(self, name: str) -> Member | None:
         """Look a member up.
@@ -160,9 +172,7 @@
         :returns: no effects; the next tick probes.
         """
         self._pending.clear()
-        expires_ms = now_ms + self._suspicion_ms()
-        for name, (_, suspected) in self._suspicions.items():
-            self._suspicions[name] = (expires_ms, suspected)
+        self._timers.restart(self._suspicion_ms(), now_ms)
         self._next_probe_ms = now_ms
         self._last_tick_ms = now_ms
         return []
@@ -173,14 +183,10 @@
         :param now_ms: the time.
         :returns: probes that carry the announcement, and the change.
         """
-        self._now_ms = now_ms
         if self._self.state == LEAVING:
             return []
         effects = self._set_self(LEAVING, self._self.counter + 1)
-        others = self._others()
-        for member in self._rng.sample(others, min(LEAVE_PROBES, len(others))):
-            effects += self._probe(member, now_ms)
-        return effects
+        return effects + self._probe_some(self._others(), LEAVE_PROBES, now_ms)
 
     def tick(self, now_ms: int) -> list[MembershipEffect]:
         """Let time pass: time out probes and suspicions, and send what is due.
@@ -188,7 +194,6 @@
         :param now_ms: the time; call this several times within a probe timeout.
         :returns: effects.
         """
-        self._now_ms = now_ms
         last_ms = self._last_tick_ms
         self._last_tick_ms = now_ms
         if last_ms is not None and now_ms - last_ms > self._timings.pause_ms:
@@ -214,7 +219,6 @@
         :param now_ms: the time.
         :returns: effects, answers among them.
         """
-        self._now_ms = now_ms
         handler = _HANDLERS.get(type(message))
         if handler is None:
             return []
@@ -229,7 +233,9 @@
                 probe.sequence, self._self, probe.receiver_name, probe.receiver_incarnation
             )
             return effects + self._superseded_by(probe) + [SendDatagram(ip, port, refusal)]
-        return effects + [self._ack(probe.sequence, self._self, probe.sender, ip, port)]
+        return effects + [
+            self._datagrams.ack(probe.sequence, self._self, probe.sender, (ip, port), now_ms)
+        ]
 
     def _on_ack(self, ack: ProbeAck, ip: str, port: int, now_ms: int) -> list[MembershipEffect]:
         pending = self._pending.pop(ack.sequence, None)
@@ -237,14 +243,13 @@
         effects = self._hear(ack.sender, ack.revisions, ack.updates, now_ms)
         effects += self._claims((ack.subject,), now_ms)
         if pending is not None and pending.relay_ip:
-            relayed = self._ack(
-                pending.relay_sequence, ack.subject, None, pending.relay_ip, pending.relay_port
-            )
+            asker = (pending.relay_ip, pending.relay_port)
+            relayed = self._datagrams.ack(pending.relay_sequence, ack.subject, None, asker, now_ms)
             effects.append(relayed)
         if not was_live and self._is_live(ack.subject.name):
             effects += self._probe_gone(ack.subject.failure_domain, HEAL_PROBES, now_ms)
-        if not self._joined:
-            effects += self._request_page(ack.sender, "", now_ms)
+        if not self._joined and now_ms >= self._join_page_ms:
+            effects += self._join_page(ack.sender, "", now_ms)
         return effects
 
     def _on_indirect(
@@ -260,7 +265,7 @@
             relay_port=port,
             relay_sequence=request.sequence,
         )
-        return effects + [self._send_probe(request.target, wait)]
+        return effects + [self._send_probe(request.target, wait, now_ms)]
 
     def _on_wrong_receiver(
         self, refusal: WrongReceiver, ip: str, port: int, now_ms: int
@@ -281,18 +286,7 @@
         self, request: MembersRequest, ip: str, port: int, now_ms: int
     ) -> list[MembershipEffect]:
         effects = self._hear(request.sender, request.revisions, (), now_ms)
-        page = MembersPage(request.sequence, self._self, self._announce(self._now_ms), (), "")
-        room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(page) - len(request.after_name) - 64
-        found: list[Member] = []
-        next_name = ""
-        for member in self._table.after(request.after_name, request.failure_domain):
-            room_bytes -= struct_bytes(member) + 8
-            if room_bytes < 0:
-                next_name = found[-1].name if found else ""
-                break
-            found.append(member)
-        page = replace(page, updates=tuple(found), next_name=next_name)
-        return effects + [SendDatagram(ip, port, page)]
+        return effects + [self._datagrams.page(request, (ip, port), now_ms)]
 
     def _on_page(
         self, page: MembersPage, ip: str, port: int, now_ms: int
@@ -304,7 +298,7 @@
         if not page.next_name:
             self._joined = True
             return effects
-        return effects + self._request_page(page.sender, page.next_name, now_ms)
+        return effects + self._join_page(page.sender, page.next_name, now_ms)
 
     # What is heard.
 
@@ -339,9 +333,8 @@
         for claim in claims:
             if claim.name == self._self.name:
                 effects += self._claim_of_self(claim)
-            elif self._is_followed(claim) and self._table.adopt(claim):
-                effects += self._adopted(claim, now_ms)
-                self._spread(claim, spread)
+            elif self._links.admits(claim):
+                effects += self._adopt(claim, now_ms, spread)
         return effects
 
     def _claim_of_self(self, claim: Member) -> list[MembershipEffect]:
@@ -355,46 +348,30 @@
 
     def _set_self(self, state: str, counter: int) -> list[MembershipEffect]:
         self._self = replace(self._self, state=state, counter=counter)
+        self._datagrams.me = self._self
         self._table.adopt(self._self)
-        self._updates.add(self._self)
+        self._datagrams.updates.add(self._self)
         return [MemberChanged(self._self)]
 
-    def _adopted(self, member: Member, now_ms: int) -> list[MembershipEffect]:
-        self._suspicions.pop(member.name, None)
-        self._dead_since_ms.pop(member.name, None)
-        if member.state == SUSPECT:
-            self._suspicions[member.name] = (now_ms + self._suspicion_ms(), member)
-        if member.state == DEAD:
-            self._dead_since_ms[member.name] = now_ms
-        return [MemberChanged(member)]
+    def _adopt(self, claim: Member, now_ms: int, spread: bool) -> list[MembershipEffect]:
+        displaced = self._links.displaced(claim)
+        if not self._table.adopt(claim):
+            return []
+        if displaced is not None:
+            self._forget(displaced)
+        self._timers.changed(claim, self._suspicion_ms(), now_ms)
+        self._spread(claim, spread)
+        return [MemberChanged(claim)]
 
     def _spread(self, member: Member, wanted: bool) -> None:
         if not wanted:
-            self._updates.discard(member.name)
-        elif self._is_near(member) or self._is_small():
-            self._updates.add(member)
-
-    def _is_followed(self, claim: Member) -> bool:
-        if self._is_near(claim) or self._is_live(claim.name):
-            return True
-        if not is_live(claim):
-            return self._table.get(claim.name) is not None
-        if self._lacks(claim):
-            return True
-        links = self._table.live(None, claim.failure_domain)
-        worst = min(links, key=self._rank)
-        if self._rank(worst) >= self._rank(claim):
-            return False
-        self._forget(worst.name)
-        return True
-
-    def _rank(self, member: Member) -> int:
-        return rank(self._self.name, member.name)
+            self._datagrams.updates.discard(member.name)
+        elif self._links.is_near(member) or self._is_small():
+            self._datagrams.updates.add(member)
 
     def _forget(self, name: str) -> None:
         self._table.remove(name)
-        self._suspicions.pop(name, None)
-        self._dead_since_ms.pop(name, None)
+        self._timers.forget(name)
 
     # Timeouts.
 
@@ -429,7 +406,7 @@
         wait.expires_ms = now_ms + 2 * self._timings.probe_timeout_ms
         helpers = [m for m in self._helpers(member) if m.name != member.name]
         chosen = self._rng.sample(helpers, min(self._timings.indirect_probes, len(helpers)))
-        return [self._send_indirect(sequence, helper, member) for helper in chosen]
+        return [self._datagrams.indirect(sequence, one, member, now_ms) for one in chosen]
 
     def _helpers(self, member: Member) -> list[Member]:
         near = [m for m in self.live(None, member.failure_domain) if m.name != self._self.name]
@@ -437,12 +414,8 @@
         return others or self._others()
 
     def _expire_suspicions(self, now_ms: int) -> list[MembershipEffect]:
-        expired = [
-            suspected for expires_ms, suspected in self._suspicions.values() if now_ms >= expires_ms
-        ]
         effects: list[MembershipEffect] = []
-        for suspected in expired:
-            self._suspicions.pop(suspected.name, None)
+        for suspected in self._timers.expired(now_ms):
             effects += self._claims((replace(suspected, state=DEAD),), now_ms)
         return effects
 
@@ -451,9 +424,7 @@
         return int(self._timings.suspicion_ms * max(1.0, math.log10(members + 1)))
 
     def _forget_dead(self, now_ms: int) -> None:
-        limit_ms = now_ms - self._timings.forget_dead_ms
-        old = [name for name, since_ms in self._dead_since_ms.items() if since_ms < limit_ms]
-        for name in old:
+        for name in self._timers.dead_before(now_ms - self._timings.forget_dead_ms):
             self._forget(name)
 
     # What is sent.
@@ -463,8 +434,9 @@
         self._forget_dead(now_ms)
         self._next_probe_ms = now_ms + self._jittered(self._timings.probe_interval_ms)
         effects: list[MembershipEffect] = []
-        for member in self._next_in_rounds():
-            effects += self._probe(member, now_ms)
+        for member in (self._near_round.next(), self._far_round.next()):
+            if member is not None:
+                effects += self._probe(member, now_ms)
         if self._intervals % self._timings.retry_dead_every == 0:
             effects += self._probe_gone(None, 1, now_ms)
         return effects
@@ -475,31 +447,22 @@
         if self._join_rounds > JOIN_ROUNDS and self._others():
             self._next_join_ms = now_ms + self._jittered(self._timings.page_interval_ms)
             return []
-        return self._probe_gone(None, JOIN_PROBES, now_ms)
+        gone = self._gone()
+        untried = [m for m in gone if self._join_tries[m.ip, m.peer_port] < JOIN_TRIES]
+        if untried:
+            self._join_tried_ms = now_ms
+        chosen = self._probe_some(untried or gone, JOIN_PROBES, now_ms)
+        self._join_tries.update((effect.ip, effect.port) for effect in chosen)
+        return chosen
 
     def _jittered(self, period_ms: int) -> int:
         return int(period_ms * self._rng.uniform(0.9, 1.1))
 
-    def _next_in_rounds(self) -> list[Member]:
-        near = self._next_of(self._round, same_domain=True)
-        far = self._next_of(self._remote_round, same_domain=False)
-        return [member for member in (near, far) if member is not None]
-
-    def _next_of(self, order: list[str], same_domain: bool) -> Member | None:
-        while order:
-            member = self._table.get(order.pop())
-            if member is not None and member.state != DEAD:
-                return member
-        order += [m.name for m in self._probed() if self._is_near(m) == same_domain]
-        self._rng.shuffle(order)
-        return self._table.get(order.pop()) if order else None
-
-    def _probed(self) -> list[Member]:
-        everyone = self._table.members()
-        return [m for m in everyone if m.state != DEAD and m.name != self._self.name]
+    def _is_other_near(self, member: Member) -> bool:
+        return self._links.is_near(member) and member.name != self._self.name
 
-    def _is_near(self, member: Member) -> bool:
-        return member.failure_domain == self._self.failure_domain
+    def _is_far(self, member: Member) -> bool:
+        return not self._links.is_near(member)
 
     def _others(self) -> list[Member]:
         return [member for member in self.live() if member.name != self._self.name]
@@ -511,82 +474,52 @@
     def _is_small(self) -> bool:
         return self._table.live_count(self._self.failure_domain) <= SMALL_DOMAIN
 
-    def _probe(self, member: Member, now_ms: int) -> list[MembershipEffect]:
+    def _probe(self, member: Member, now_ms: int) -> list[SendDatagram]:
         expires_ms = now_ms + self._timings.probe_timeout_ms
         wait = PendingProbe(member.name, member.incarnation, expires_ms)
-        return [self._send_probe(member, wait)]
+        return [self._send_probe(member, wait, now_ms)]
 
     def _probe_gone(self, domain: str | None, count: int, now_ms: int) -> list[MembershipEffect]:
         targets = [m for m in self._gone() if domain in (None, m.failure_domain)]
-        chosen = self._rng.sample(targets, min(count, len(targets)))
-        effects: list[MembershipEffect] = []
-        for member in chosen:
+        return self._probe_some(targets, count, now_ms)
+
+    def _probe_some(self, members: list[Member], count: int, now_ms: int) -> list[SendDatagram]:
+        effects: list[SendDatagram] = []
+        for member in self._rng.sample(members, min(count, len(members))):
             effects += self._probe(member, now_ms)
         return effects
 
     def _gone(self) -> list[Member]:
-        gone = [self._table.get(name) for name in self._dead_since_ms]
-        found = [member for member in gone if member is not None and self._lacks(member)]
+        gone = [self._table.get(name) for name in self._timers.dead()]
+        found = [member for member in gone if member is not None and self._links.lacks(member)]
         nodes = [node for node in self._candidates.nodes() if self._table.get(node.name) is None]
-        found += [member for member in map(_unconfirmed, nodes) if self._lacks(member)]
+        found += [member for member in map(_unconfirmed, nodes) if self._links.lacks(member)]
         if self._seeds:
             known = {(member.ip, member.peer_port) for member in self._table.members()}
             found += [_unnamed(*address) for address in self._seeds if address not in known]
         return found
 
-    def _lacks(self, member: Member) -> bool:
-        if self._is_near(member):
-            return True
-        return self._table.live_count(member.failure_domain) < self._timings.links_per_domain
-
-    def _send_probe(self, member: Member, wait: PendingProbe) -> SendDatagram:
+    def _send_probe(self, member: Member, wait: PendingProbe, now_ms: int) -> SendDatagram:
         self._sequence += 1
         self._pending[self._sequence] = wait
-        probe = Probe(
-            self._sequence,
-            self._self,
-            self._announce(self._now_ms),
-            member.name,
-            member.incarnation,
-            (),
-        )
-        return self._send(member.ip, member.peer_port, probe, member.name)
-
-    def _send_indirect(self, sequence: int, helper: Member, target: Member) -> SendDatagram:
-        request = IndirectProbe(sequence, self._self, self._announce(self._now_ms), target, ())
-        return self._send(helper.ip, helper.peer_port, request, helper.name)
-
-    def _ack(
-        self, sequence: int, subject: Member, asker: Member | None, ip: str, port: int
-    ) -> SendDatagram:
-        ack = ProbeAck(sequence, self._self, self._announce(self._now_ms), subject, ())
-        return self._send(ip, port, ack, asker.name if asker else "")
-
-    def _send(self, ip: str, port: int, message: object, name: str) -> SendDatagram:
-        room_bytes = DATAGRAM_LIMIT_BYTES - message_bytes(message)
-        updates: tuple[Member, ...] = ()
-        known = self._table.get(name) if name else None
-        if known is not None and known.state in (SUSPECT, DEAD):
-            updates = (known,)
-            room_bytes -= struct_bytes(known) + 8
-        updates += self._updates.take(room_bytes, len(self._table))
-        return SendDatagram(ip, port, replace(message, updates=updates))
+        return self._datagrams.probe(self._sequence, member, now_ms)
 
     def _pull_page(self, now_ms: int) -> list[MembershipEffect]:
         self._next_page_ms = now_ms + self._jittered(self._timings.page_interval_ms)
-        near = [member for member in self._others() if self._is_near(member)]
+        near = [member for member in self._others() if self._links.is_near(member)]
         if not near:
             return []
         start = self._rng.choice(self._table.members()).name
         return self._request_page(self._rng.choice(near), start, now_ms)
 
+    def _join_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
+        self._join_page_ms = now_ms + JOIN_PAGE_WAIT_MS
+        return self._request_page(member, after_name, now_ms)
+
     def _request_page(self, member: Member, after_name: str, now_ms: int) -> list[MembershipEffect]:
         self._sequence += 1
-        domain = "" if self._is_near(member) else self._self.failure_domain
-        request = MembersRequest(
-            self._sequence, self._self, self._announce(self._now_ms), domain, after_name
-        )
-        return [SendDatagram(member.ip, member.peer_port, request)]
+        domain = "" if self._links.is_near(member) else self._self.failure_domain
+        return [self._datagrams.page_request(self._sequence, member, domain, after_name, now_ms)]
 
 
 def _unnamed(ip: str, port: int) -> Member:
