--- a/tools/bench/_scenario.py
+++ b/tools/bench/_scenario.py
@@ -7,6 +7,12 @@
 from tools.bench import _faults as faults
 from tools.bench._variant import FULL, NO_HEDGING, PLAIN
 
+WARM_MS = 500.0
+"""Load before the measured time, as long as the first connections and latencies take."""
+
+LEARNING_MS = 2_000.0
+"""The same where each entry has to find out first which searchers are slow."""
+
 
 class Load(Enum):
     """How much is asked."""
@@ -28,6 +34,7 @@
     :param load: how much is asked.
     :param before: fault brought about before the load begins.
     :param during: fault brought about a quarter into the measured time.
+    :param warm_ms: load before the measured time, the fault of ``before`` being there already.
     :param is_last: whether it is measured after the others, since searchers take time to come back.
     :param weight: how many times as long as others it is measured.
     """
@@ -37,6 +44,7 @@
     load: Load = Load.MODERATE
     before: faults.Fault = faults.no_fault
     during: faults.Fault = faults.no_fault
+    warm_ms: float = WARM_MS
     is_last: bool = False
     weight: int = 1
 
@@ -56,8 +64,10 @@
             "straggler",
             (FULL, NO_HEDGING, _NO_OWN, PLAIN, _DIRECT),
             before=faults.stragglers,
+            warm_ms=LEARNING_MS,
             weight=2,
         ),
+        Scenario("straggler-onset", (FULL, NO_HEDGING), during=faults.stragglers),
         Scenario(
             "lost-replicas",
             (FULL, PLAIN),
@@ -66,7 +76,12 @@
         ),
         Scenario("cold-starts", (FULL, _NO_AHEAD), during=faults.cold_starts),
         Scenario("shedding", (FULL, _NO_BUDGET), before=faults.shedding),
-        Scenario("misleading-health", (FULL, _NO_OWN), before=faults.misleading_health),
+        Scenario(
+            "misleading-health",
+            (FULL, _NO_OWN),
+            before=faults.misleading_health,
+            warm_ms=LEARNING_MS,
+        ),
         Scenario("platform-outage", (FULL,), before=faults.platform_outage),
         Scenario("uncontended", (FULL,), load=Load.UNCONTENDED),
         Scenario(
