--- a/tools/bench/_scenario.py
+++ b/tools/bench/_scenario.py
@@ -88,6 +88,7 @@
             "overload",
             (FULL, _NO_REFUSAL, _NO_QUEUE, _NO_BUDGET, _DIRECT),
             load=Load.OVERLOAD,
+            weight=2,
         ),
     )
 }
--- a/tools/bench/_variant.py
+++ b/tools/bench/_variant.py
@@ -47,6 +47,9 @@
 )
 """What can be switched off."""
 
+AIMED_AT = frozenset({FULL, NO_HEDGING, PLAIN, "direct"})
+"""Variants that the aims and the baselines are about."""
+
 VARIANTS: Mapping[str, Variant] = {
     variant.name: variant
     for variant in (
