--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -1,5 +1,6 @@
 """The relay's decisions: one queue in front of each searcher that it owns."""
 
+from dataclasses import replace
 from math import ceil
 from random import Random
 from typing import Any
@@ -68,6 +69,8 @@
         self._deadlines = Deadlines()
         self._sweep_at_ms = 0
         self._report_at_ms = 0
+        self._repeat_at_ms = 0
+        self._last_report: UpstreamReport | None = None
         self._sequence = 0
         self._tail_format = b',"lo":%%d,"hi":%%d,"call":"%d.%%d"}' % incarnation
         self._call_format = b"%d.%%d" % incarnation
@@ -140,6 +143,7 @@
         return self._take_batch(peer, batch, head, now_ms)
 
     def _take_batch(self, peer: str, batch: SubBatch, head: bytes, now_ms: int) -> list[Any]:
+        self._sweep_soon(now_ms)
         effects: list[Any] = []
         call_id = batch.call_id
         weight = batch.weight
@@ -209,6 +213,7 @@
         self._deadlines.bucket(due_ms).append(job)
         effects: list[Any] = []
         send_or_queue(upstream, job, now_ms, effects)
+        self._sweep_soon(now_ms)
         return effects
 
     def on_cancel(self, peer: str, batch: CancelBatch, now_ms: int) -> list[Any]:
@@ -360,14 +365,23 @@
             if type(item) is Connection or item.state != _DONE or item.connection is not None:
                 expire(self._requests, self._deadlines, item, now_ms, effects)
         if now_ms >= self._sweep_at_ms:
-            self._sweep_at_ms = now_ms + self._policy.sweep_period_ms
             self._sweep(now_ms, effects)
+            self._sweep_at_ms = now_ms + self._sweep_period_ms(now_ms)
         if now_ms >= self._report_at_ms:
             self._report_at_ms = now_ms + self._policy.report_period_ms
-            effects.append(PublishLoad(self.reports(now_ms)))
+            self._publish(now_ms, effects)
             self._requests.forget_old_tickets(now_ms)
         return effects
 
+    def _publish(self, now_ms: int, effects: list[Any]) -> None:
+        report = self.reports(now_ms)
+        unchanged = replace(report, relay_now_ms=0)
+        if unchanged == self._last_report and now_ms < self._repeat_at_ms:
+            return
+        self._last_report = unchanged
+        self._repeat_at_ms = now_ms + self._policy.report_repeat_ms
+        effects.append(PublishLoad(report))
+
     def next_wake_ms(self) -> int:
         """Give the time at which :meth:`tick` has something to do.
 
@@ -450,6 +464,15 @@
         left_ms = min(deadline_ms, self._policy.most_deadline_ms)
         return now_ms + left_ms - self._policy.reply_margin_ms
 
+    def _sweep_period_ms(self, now_ms: int) -> int:
+        settled = all(upstream.is_settled(now_ms) for upstream in self._owned())
+        if settled and self.is_idle():
+            return self._policy.idle_sweep_period_ms
+        return self._policy.sweep_period_ms
+
+    def _sweep_soon(self, now_ms: int) -> None:
+        self._sweep_at_ms = min(self._sweep_at_ms, now_ms + self._policy.sweep_period_ms)
+
     def _sweep(self, now_ms: int, effects: list[Any]) -> None:
         for upstream in self._owned():
             if now_ms >= upstream.health_at_ms:
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -30,9 +30,11 @@
     :param most_warming_ms: time for which a searcher is believed that it is warming.
     :param down_failures: failures in a row after which a searcher counts as down.
     :param health_period_ms: mean time between two health polls of a searcher.
+    :param idle_sweep_period_ms: the same, while nothing is queued, in flight, or ramping up.
     :param sweep_period_ms: time between two looks at all searchers, for ramps, pauses, connections
         and requests that have become hopeless.
-    :param report_period_ms: time between two load reports.
+    :param report_period_ms: time between two load reports, while the load changes.
+    :param report_repeat_ms: time after which a report is repeated though nothing changed.
     :param early_refusal: whether what cannot make its deadline is refused at once; a switch for
         measuring.
     :param ticket_memory_ms: time for which a sent run's ticket is refused; above a ticket's life.
@@ -58,8 +60,10 @@
     most_deadline_ms: int = 60_000
     most_warming_ms: int = 60_000
     down_failures: int = 3
-    health_period_ms: int = 500
+    health_period_ms: int = 1000
     sweep_period_ms: int = 20
+    idle_sweep_period_ms: int = 200
     report_period_ms: int = 100
+    report_repeat_ms: int = 1000
     ticket_memory_ms: int = 600_000
     early_refusal: bool = True
--- a/rhubarbhinge/routing/_upstream.py
+++ b/rhubarbhinge/routing/_upstream.py
@@ -96,6 +96,15 @@
             return UpstreamState.UNKNOWN
         return UpstreamState.WARMING if self.limit.is_cold(now_ms) else UpstreamState.READY
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Tell whether nothing here changes by time alone: no ramp, pause or missing connection.
+
+        :param now_ms: the time.
+        :returns: True when all its slots and spare connections are there.
+        """
+        spare = len(self.pool.idle) >= self.policy.spare_connections
+        return spare and self.allowed == self.slots and not self.limit.is_cold(now_ms)
+
     def wait_ms(self, weight: int, now_ms: int) -> float:
         """Estimate the time until a new request would be sent, or answered when it has to queue.
 
