--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -6,10 +6,16 @@
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, EPoll
 
 from rhubarbhinge.net._link import Link, LinkState
+from rhubarbhinge.net._listener import Listener
+from rhubarbhinge.net._poller import ReadyPoller
 from rhubarbhinge.net._reason import CloseReason
+from rhubarbhinge.net._sockets import (
+    connect_error,
+    connecting_socket,
+    is_self_connected,
+)
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
@@ -20,15 +26,6 @@
 RECEIVE_BYTES = 64 * 1024
 """Most bytes read from a link in one loop turn."""
 
-BACKLOG = 1024
-"""Connections that the kernel holds until they are accepted."""
-
-ACCEPTS_PER_TURN = 64
-"""Most connections accepted in one loop turn."""
-
-ACCEPT_PAUSE_MS = 100.0
-"""How long accepting rests when the process is out of descriptors, in milliseconds."""
-
 FLUSH_BOUND_MS = 30_000.0
 """Longest that a close waits for what is pending to be written, in milliseconds."""
 
@@ -39,9 +36,6 @@
 has not read yet (RFC 9112, 9.6).
 """
 
-BUFFERS_PER_SEND = 512
-"""Most buffers in one ``sendmsg``; Linux takes up to 1024 (``IOV_MAX``)."""
-
 NOTIFY_PRIORITY = 5
 """Closes are told after due timers have run."""
 
@@ -49,8 +43,7 @@
 """Writes happen after all callbacks of a turn and before the poll."""
 
 _AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
-_CONNECT_STARTED = (0, errno.EINPROGRESS, errno.EAGAIN)
-_ACCEPT_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_CONNECT_STARTED = (0, errno.EINPROGRESS)
 _CONNECT_FAULTS = {
     errno.ECONNREFUSED: CloseReason.REFUSED,
     errno.ETIMEDOUT: CloseReason.CONNECT_TIMEOUT,
@@ -62,7 +55,8 @@
     """Owns TCP connections, inbound and outbound, and hands their data to plain callbacks.
 
     Callbacks run in the loop's thread and never from inside a method of this class. A peer that
-    closes its sending side counts as gone. Addresses are IPv4.
+    closes its sending side counts as gone. Addresses are IPv4. The tree's poller and timer service
+    are used; a tree that has its own registers them first.
 
     :param on_open: called with the link and whether it is inbound.
     :param on_data: called with the link and the bytes read.
@@ -92,15 +86,14 @@
         self._by_sock: dict[socket.socket, Link] = {}
         self._dirty: list[Link] = []
         self._ended: list[tuple[int, CloseReason]] = []
-        self._poller: BasePoller | None = None
+        self._poller: ReadyPoller | None = None
         self._timers: TimerService | None = None
-        self._listener = None if bind is None else _listen(bind)
-        self._port = 0 if bind is None else self._listener.getsockname()[1]
+        self._listener = None if bind is None else Listener(bind)
 
     @property
     def bound_port(self) -> int:
         """The port listened at, 0 when made without one."""
-        return self._port
+        return 0 if self._listener is None else self._listener.port
 
     def open(self, ip: str, port: int, timeout_ms: float) -> int:
         """Start a connection; ``on_open`` or ``on_close`` is called later.
@@ -113,13 +106,11 @@
         self._attach()
         number = next(self._numbers)
         try:
-            socket.inet_pton(socket.AF_INET, ip)
-            sock = _tcp_socket()
+            sock, fault = connecting_socket(ip, port)
         except OSError:
             self._ended.append((number, CloseReason.UNREACHABLE))
             return number
         link = self._add(number, sock, LinkState.CONNECTING, ip)
-        fault = sock.connect_ex((ip, port))
         if fault not in _CONNECT_STARTED:
             self._end(link, _CONNECT_FAULTS.get(fault, CloseReason.UNREACHABLE))
             return number
@@ -134,7 +125,7 @@
         :param data: the bytes.
         """
         found = self._links.get(link)
-        if found is None or found.state.value > LinkState.OPEN.value:
+        if found is None or not found.takes_data:
             return
         found.pending.append(data)
         found.pending_bytes += len(data)
@@ -150,8 +141,9 @@
         :param link: the link.
         """
         found = self._links.get(link)
-        if found is None or found.state.value > LinkState.OPEN.value:
+        if found is None or not found.takes_data:
             return
+        found.takes_data = False
         if found.state is LinkState.CONNECTING:
             self._end(found, CloseReason.LOCAL)
             return
@@ -172,21 +164,28 @@
 
     def stop_listening(self) -> None:
         """Accept no more connections; those that are open stay."""
-        if self._listener is None:
-            return
-        if self._poller is not None:
-            self._poller.discard(self._listener)
-        self._listener.close()
-        self._listener = None
+        if self._listener is not None:
+            self._listener.close()
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes sent on all links that the kernel has not taken yet."""
+        return sum(link.pending_bytes for link in self._links.values())
 
-    def is_open(self, link: int) -> bool:
-        """Tell whether bytes sent on a link now would go out.
+    def is_quiet(self, link: int) -> bool:
+        """Tell whether a link is open and has neither data nor its end waiting to be read.
 
         :param link: the link.
-        :returns: whether it is open, as far as this side knows.
+        :returns: whether nothing has come in that ``on_data`` or ``on_close`` has not told.
         """
         found = self._links.get(link)
-        return found is not None and found.state is LinkState.OPEN
+        if found is None or found.state is not LinkState.OPEN:
+            return False
+        try:
+            found.sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in _AGAIN
+        return False
 
     def peer_ip(self, link: int) -> str:
         """Tell the IP address of a link's peer.
@@ -208,23 +207,31 @@
         for link in list(self._links.values()):
             self._forget(link)
 
-    @handler("_read")
-    def _on_read(self, sock) -> None:
+    def on_readable(self, sock) -> None:
+        """Read from a socket; called by the poller.
+
+        :param sock: the socket.
+        """
+        if not self.root.running:
+            return
         try:
             if self._timers.asleep:
                 self._timers.wake()
             link = self._by_sock.get(sock)
             if link is not None:
                 self._receive(link)
-            elif sock is self._listener:
-                self._accept_all()
+            elif self._listener is not None and sock is self._listener.sock:
+                self._accept()
         except Exception as error:
             fail_stop(error)
 
-    @handler("_write")
-    def _on_write(self, sock) -> None:
+    def on_writable(self, sock) -> None:
+        """Write to a socket; called by the poller.
+
+        :param sock: the socket.
+        """
         link = self._by_sock.get(sock)
-        if link is None:
+        if link is None or not self.root.running:
             return
         try:
             if self._timers.asleep:
@@ -240,7 +247,7 @@
     def _on_broken(self, sock, *_) -> None:
         link = self._by_sock.get(sock)
         if link is not None:
-            self._broken(link, sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+            self._broken(link, connect_error(sock))
 
     @handler("generate_events", priority=NOTIFY_PRIORITY)
     def _on_notify(self, event) -> None:
@@ -274,9 +281,9 @@
         if self._poller is not None:
             return
         self._timers = shared_component(self, TimerService)
-        self._poller = shared_component(self, BasePoller, EPoll)
+        self._poller = shared_component(self, ReadyPoller)
         if self._listener is not None:
-            self._poller.addReader(self, self._listener)
+            self._listener.attach(self, self._poller, self._timers)
 
     def _add(self, number: int, sock: socket.socket, state: LinkState, peer_ip: str) -> Link:
         link = Link(number, sock, state, peer_ip)
@@ -284,35 +291,16 @@
         self._by_sock[sock] = link
         return link
 
-    def _accept_all(self) -> None:
-        for _ in range(ACCEPTS_PER_TURN):
-            if self._listener is None:
-                return
-            try:
-                sock, address = self._listener.accept()
-            except OSError as error:
-                if error.errno in _ACCEPT_EXHAUSTED:
-                    self._rest_accepting()
-                return
-            self._accepted(sock, address[0])
-
-    def _accepted(self, sock: socket.socket, peer_ip: str) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
-        self._poller.addReader(self, sock)
-        self._on_open(link.number, True)
-
-    def _rest_accepting(self) -> None:
-        self._poller.discard(self._listener)
-        self._timers.after(ACCEPT_PAUSE_MS, self._accept_again)
-
-    def _accept_again(self) -> None:
-        if self._listener is not None:
-            self._poller.addReader(self, self._listener)
+    def _accept(self) -> None:
+        for sock, peer_ip in self._listener.accept_all():
+            link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
+            self._poller.addReader(self, sock)
+            self._on_open(link.number, True)
 
     def _connected(self, link: Link) -> None:
-        fault = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        fault = connect_error(link.sock)
+        if not fault and is_self_connected(link.sock):
+            fault = errno.ECONNREFUSED
         if fault:
             self._broken(link, fault)
             return
@@ -354,7 +342,7 @@
             return
         try:
             while link.pending:
-                if not self._write_some(link):
+                if not link.write_some():
                     self._poll_for_write(link)
                     return
         except OSError as error:
@@ -365,17 +353,6 @@
             return
         self._flushed(link)
 
-    def _write_some(self, link: Link) -> bool:
-        if len(link.pending) == 1:
-            offered_bytes = len(link.pending[0])
-            written_bytes = link.sock.send(link.pending[0])
-        else:
-            buffers = link.pending[:BUFFERS_PER_SEND]
-            offered_bytes = sum(map(len, buffers))
-            written_bytes = link.sock.sendmsg(buffers)
-        link.drop_written(written_bytes)
-        return written_bytes == offered_bytes
-
     def _flushed(self, link: Link) -> None:
         if link.polled_for_write:
             link.polled_for_write = False
@@ -419,23 +396,3 @@
         self._poller.discard(link.sock)
         link.sock.close()
         return True
-
-
-def _listen(bind: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(bind)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def _tcp_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
