--- a/rhubarbhinge/history/__init__.py
+++ b/rhubarbhinge/history/__init__.py
@@ -13,6 +13,7 @@
 ``bind``         a caller was shown ``ticket`` for its idempotency ``key``
 ``send``         an entry sent ``ticket`` to a relay
 ``run``          a searcher, ``searcher``, ran ``ticket``; ``arrived_ms``
+``refuse``       a searcher, ``searcher``, refused work, with a ``code``
 ``drain``        a searcher, ``searcher``, began to leave, by any signal
 ``drain-undone`` it takes work again
 ``ready``        a node's life, ``node`` and ``incarnation``, is ready
--- a/rhubarbhinge/history/tests/test_checkers.py
+++ b/rhubarbhinge/history/tests/test_checkers.py
@@ -135,11 +135,14 @@
 
         drain = event("drain", 10.0, searcher="s")
         undone = event("drain-undone", 3_000.0, searcher="s")
+        refuse = event("refuse", 1_500.0, searcher="s", code="draining")
         for events, rules in (
             ([arrival("search", 5.0), drain, arrival("search", 1_000.0)], []),
             ([drain, drain | {"at_ms": 900.0}, arrival("run", 1_500.0)], ["work-after-drain"]),
             ([drain, arrival("search", 1_500.0)], ["work-after-drain"]),
             ([drain, undone, arrival("search", 4_000.0)], []),
+            ([drain, refuse], ["work-after-drain"]),
+            ([drain, refuse | {"code": "deadline"}], []),
         ):
             with self.subTest(events):
                 self.assertRules(rules, drain_bound(events, 1_000.0))
