--- a/rhubarbhinge/query/tests/schedule.py
+++ b/rhubarbhinge/query/tests/schedule.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections import Counter
+from dataclasses import replace
 
 import orjson
 
@@ -24,6 +25,7 @@
 SHARD = builders.KEYS // 8
 RELAYS = ("r0", "r1", "r2")
 POLICY = QueryPolicy(first_hedge_ms=20.0)
+POLICIES = (POLICY, replace(POLICY, hedging=False), replace(POLICY, own_observation=False))
 CLASSES = (
     builders.traffic_class("unit-trip", 0.9, 0.2),
     builders.traffic_class("planning", 1.0, 0.5, "coverage"),
@@ -57,12 +59,12 @@
 class Schedule:
     """Runs a query core against searchers; time passes only here."""
 
-    def __init__(self, seed: int, trouble: float) -> None:
+    def __init__(self, seed: int, trouble: float, policy: QueryPolicy = POLICY) -> None:
         self.rng = random.Random(seed)
         self.trouble = trouble
         self.now_ms = 1_000.0
         self.catalog = Catalog()
-        self.core = QueryCore(POLICY, self.catalog, self.relay_of, random.Random(seed))
+        self.core = QueryCore(policy, self.catalog, self.relay_of, random.Random(seed))
         self.lost_relays: set[str] = set()
         self.searchers = [Searcher(number, set()) for number in range(12)]
         self.version = 1
--- a/rhubarbhinge/query/tests/test_schedules.py
+++ b/rhubarbhinge/query/tests/test_schedules.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from rhubarbhinge.history import covered_ranges, one_snapshot, own_answer, true_coverage
-from rhubarbhinge.query import Shortfall
+from rhubarbhinge.query import QueryPolicy, Shortfall
 from rhubarbhinge.query.tests.builders import best_hits
-from rhubarbhinge.query.tests.schedule import CLASSES, Schedule
+from rhubarbhinge.query.tests.schedule import CLASSES, POLICIES, Schedule
 from standins import records
 
 STEPS = ("start",) * 5 + ("wait",) * 5 + ("abandon", "publish", "drop", "split", "merge", "move")
@@ -24,8 +24,8 @@
 )
 
 
-def play(seed: int, trouble: float, steps: list) -> Schedule:
-    schedule = Schedule(seed, trouble)
+def play(seed: int, trouble: float, policy: QueryPolicy, steps: list) -> Schedule:
+    schedule = Schedule(seed, trouble, policy)
     for name, first, second in steps:
         getattr(schedule, name)(first, second)
     schedule.run(1_000)
@@ -42,10 +42,11 @@
     @given(
         st.integers(0, 2**32),
         st.sampled_from((0.0, 0.1, 0.4)),
+        st.sampled_from(POLICIES),
         st.lists(STEP, min_size=10, max_size=50),
     )
-    def test_every_answer_is_whole_true_and_in_time(self, seed, trouble, steps):
-        schedule = play(seed, trouble, steps)
+    def test_every_answer_is_whole_true_and_in_time(self, seed, trouble, policy, steps):
+        schedule = play(seed, trouble, policy, steps)
         self.assertEqual([], own_answer(schedule.events, self.is_own(schedule)))
         self.assertEqual([], one_snapshot(schedule.events, snapshot_of))
         self.assertEqual([], true_coverage(schedule.events, records.record_count))
