query: tests for an early wake-up and for a split of which a part is nowhere

Cause: two mutations (hedging on any wake-up; taking a split that does not add up) passed all tests.

--- a/rhubarbhinge/query/tests/test_core.py
+++ b/rhubarbhinge/query/tests/test_core.py
@@ -74,6 +74,12 @@
         for row, hedge in zip(first, hedges, strict=True):
             self.assertEqual({1, 2}, {row[2], hedge[2]})
 
+    def test_a_wake_up_for_another_part_hedges_nothing_early(self):
+        bench = Bench({1: [LOW], 2: [LOW], 3: [HIGH]})
+        rows = {row[3]: row for row in bench.sends(bench.start())}
+        bench.answer(rows[HALF], 5.0, SubCode.SHED, 15)
+        self.assertEqual([HALF], [row[3] for row in bench.sends(bench.core.tick(20.0))])
+
     def test_hedges_stop_where_the_budget_ends(self):
         bench = Bench({1: [LOW, HIGH], 2: [LOW, HIGH]}, builders.traffic_class(extra_load=0.5))
         bench.start()
@@ -260,6 +266,16 @@
         self.assertEqual((1.0, ()), (answer.coverage, answer.missing))
         self.assertEqual(builders.best_hits(1, [LOW[1:], HIGH[1:]]), list(answer.hits))
 
+    def test_a_range_of_which_a_part_is_nowhere_is_listed_as_missing(self):
+        bench = Bench({1: [(1, 0, builders.KEYS)]})
+        row = bench.sends(bench.start())[0]
+        bench.catalog.on_holdings(builders.holding(1, []))
+        bench.catalog.on_holdings(builders.holding(2, [LOW]))
+        bench.relays[2] = RelayTarget("r2", 1)
+        (short,) = all_answers(bench.answer(row, 5.0, SubCode.RANGE_MOVED))
+        missing = [(m.lo, m.hi, m.why) for m in short.answer.missing]
+        self.assertEqual([(0, builders.KEYS, "range-moved")], missing)
+
 
 class EndTest(unittest.TestCase):
     def test_a_hopeless_query_falls_short_at_once_and_asks_nobody(self):
