query: counts and totals are those that most searchers announce

Cause: one searcher that announced a count too low took its range out of every answer, and one that announced a total too high made every query fall short, as the lowest count and the highest total held. Health documents mislead. Change: what most searchers say holds; among equals still the lower count and the higher total, so that nothing is overstated. CatalogTest.test_one_false_announcement_among_three_changes_nothing failed for two of four cases before and passes.

--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -1,6 +1,6 @@
 """What the searchers announce: index versions, ranges, and whether they take work."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from rhubarbhinge.query._plan import Gap, Plan
@@ -13,6 +13,7 @@
 LAST_KEY = 65_536
 
 _Range = tuple[int, int]
+_Snapshot = tuple[str, int]
 _USABLE = frozenset({UpstreamState.READY, UpstreamState.WARMING, UpstreamState.UNKNOWN})
 
 
@@ -23,8 +24,8 @@
         self._report_by_upstream: dict[int, HoldingReport] = {}
         self._state_by_upstream: dict[int, UpstreamState] = {}
         self._holders: dict[str, dict[int, dict[_Range, set[int]]]] = {}
-        self._records: dict[tuple[str, int], dict[_Range, int]] = {}
-        self._totals: dict[tuple[str, int], int] = {}
+        self._records: dict[_Snapshot, dict[_Range, int]] = {}
+        self._totals: dict[_Snapshot, int] = {}
         self._plans: dict[tuple[str, frozenset[int]], Plan] = {}
         self._stale = False
 
@@ -167,25 +168,51 @@
 
     def _rebuild(self) -> None:
         self._plans.clear()
-        holders: dict[str, dict[int, dict[_Range, set[int]]]] = {}
-        records: dict[tuple[str, int], dict[_Range, int]] = defaultdict(dict)
-        totals: dict[tuple[str, int], int] = {}
+        self._holders = {}
+        counts: dict[_Snapshot, dict[_Range, Counter[int]]] = defaultdict(_new_counters)
+        totals: dict[_Snapshot, Counter[int]] = defaultdict(Counter)
         for report in self._report_by_upstream.values():
-            rows = zip(
-                report.collections,
-                report.versions,
-                report.total_records,
-                report.los,
-                report.his,
-                report.records,
-                strict=True,
-            )
-            for collection, version, total, lo, hi, count in rows:
-                by_range = holders.setdefault(collection, {}).setdefault(version, {})
-                by_range.setdefault((lo, hi), set()).add(report.upstream_id)
-                known = records[collection, version].get((lo, hi), count)
-                records[collection, version][lo, hi] = min(known, count)
-                totals[collection, version] = max(totals.get((collection, version), 0), total)
-        self._holders = holders
-        self._records = records
-        self._totals = totals
+            self._take_ranges(report, counts)
+            for snapshot, total in _totals_of(report).items():
+                totals[snapshot][total] += 1
+        self._records = {snapshot: _agreed_counts(spans) for snapshot, spans in counts.items()}
+        self._totals = {snapshot: _agreed_total(votes) for snapshot, votes in totals.items()}
+
+    def _take_ranges(
+        self, report: HoldingReport, counts: dict[_Snapshot, dict[_Range, Counter[int]]]
+    ) -> None:
+        rows = zip(
+            report.collections,
+            report.versions,
+            report.los,
+            report.his,
+            report.records,
+            strict=True,
+        )
+        for collection, version, lo, hi, count in rows:
+            by_range = self._holders.setdefault(collection, {}).setdefault(version, {})
+            by_range.setdefault((lo, hi), set()).add(report.upstream_id)
+            counts[collection, version][lo, hi][count] += 1
+
+
+def _new_counters() -> dict[_Range, Counter[int]]:
+    return defaultdict(Counter)
+
+
+def _totals_of(report: HoldingReport) -> dict[_Snapshot, int]:
+    snapshots = zip(report.collections, report.versions, strict=True)
+    return dict(zip(snapshots, report.total_records, strict=True))
+
+
+def _agreed_counts(spans: dict[_Range, Counter[int]]) -> dict[_Range, int]:
+    return {span: _agreed_count(votes) for span, votes in spans.items()}
+
+
+def _agreed_count(votes: Counter[int]) -> int:
+    """Choose what most searchers say; the lowest among equals, so as not to overstate."""
+    return max(votes, key=lambda count: (votes[count], -count))
+
+
+def _agreed_total(votes: Counter[int]) -> int:
+    """Choose what most searchers say; the highest among equals, so as not to overstate."""
+    return max(votes, key=lambda total: (votes[total], total))
--- a/rhubarbhinge/query/tests/test_catalog.py
+++ b/rhubarbhinge/query/tests/test_catalog.py
@@ -114,6 +114,16 @@
                 self.assertLessEqual(plan.reachable_records(), plan.total_records)
                 self.assertEqual((0, KEYS), (plan.tiles[0].lo, plan.tiles[-1].hi))
 
+    def test_one_false_announcement_among_three_changes_nothing(self):
+        true, total = builders.count(1, 0, KEYS // 2), builders.count(1, 0, KEYS)
+        for false_count, false_total in ((5, total), (true * 2, total), (true, 7), (true, 10**9)):
+            with self.subTest(count=false_count, total=false_total):
+                made = catalog({1: [(1, 0, KEYS // 2)], 2: [(1, 0, KEYS // 2)]})
+                row = (builders.COLLECTION, 1, false_total, 0, KEYS // 2, false_count)
+                made.on_holdings(HoldingReport(3, 1, *((field,) for field in row)))
+                plan = made.plan(builders.COLLECTION)
+                self.assertEqual((true, total), (plan.tiles[0].records, plan.total_records))
+
 
 if __name__ == "__main__":
     unittest.main()
