--- a/rhubarbhinge/query/tests/schedule.py
+++ b/rhubarbhinge/query/tests/schedule.py
@@ -251,15 +251,16 @@
             self._later(lambda: self._reply(relay, late, SubCode.ANSWERED, wrong))
 
     def _spoil(self, version: int, lo: int, hi: int, text: str) -> bytes:
-        other = builders.found(version + 1, lo, hi, text)
+        """Make an answer that is wrong in one thing only."""
+        records = builders.count(version, lo, hi)
         return self.rng.choice(
             (
-                other,
-                builders.found(version, lo, (lo + hi) // 2, text),
-                builders.found(version, lo, hi, text, records=builders.count(version, lo, hi) + 9),
+                builders.found(version + 1, lo, hi, text, records=records),
+                builders.found(version, lo, (lo + hi) // 2, text, records=records),
+                builders.found(version, lo, hi, text, records=records + 9),
                 builders.found(version, lo, hi, text, collection="others"),
                 builders.found(version, lo, hi, text, hits=[{"id": "x"}]),
-                other[:-3],
+                builders.found(version, lo, hi, text)[:-3],
             )
         )
 
