--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from rhubarbhinge.query._budget import ExtraLoadBudget
-from rhubarbhinge.query._call import Attempt, Call, Part
+from rhubarbhinge.query._call import NEVER_MS, Attempt, Call, Part
 from rhubarbhinge.query._catalog import Catalog
 from rhubarbhinge.query._effects import Answer, Effect, QueryStats, Shortfall
 from rhubarbhinge.query._latency import LatencyWindow
@@ -46,6 +46,8 @@
 _FAILURES = frozenset(
     {SubCode.SHED, SubCode.BROKEN, SubCode.QUEUE_FULL, SubCode.DEADLINE, SubCode.LOST}
 )
+#: Endings after which the same replicas may answer a little later.
+_WORTH_WAITING = _FAILURES | {SubCode.WRONG_RECEIVER}
 
 _STATES = {int(state): state for state in UpstreamState}
 
@@ -103,7 +105,6 @@
         self._calls[call.call_id] = call
         self._call_by_request[request.request_id] = call.call_id
         effects = self._begin(call, now_ms)
-        call.base = len(call.plan.tiles)
         if call.call_id in self._calls:
             self._schedule(call, now_ms)
         return effects + self._flush(now_ms)
@@ -130,7 +131,7 @@
             call = self._calls.get(call_id)
             part = call.parts.get(number) if call else None
             attempt = part.attempts.get(attempt_number) if part else None
-            if attempt is None or attempt.relay != relay:
+            if attempt is None or attempt.target.name != relay:
                 continue
             del part.attempts[attempt_number]
             self._scores.on_ended(attempt.upstream_id)
@@ -189,10 +190,11 @@
         """
         effects: list[Effect] = []
         while self._due and self._due[0][0] <= now_ms:
-            _, call_id = heapq.heappop(self._due)
+            at_ms, call_id = heapq.heappop(self._due)
             call = self._calls.get(call_id)
-            if call is None:
+            if call is None or call.wake_ms != at_ms:
                 continue
+            call.wake_ms = NEVER_MS
             if now_ms >= call.deadline_ms - self._policy.answer_margin_ms:
                 effects.append(self._finish(call, now_ms))
                 continue
@@ -206,14 +208,27 @@
     def _begin(self, call: Call, now_ms: float) -> list[Effect]:
         plan = self._catalog.plan(call.request.collection, call.gone_versions)
         call.begin(plan)
-        budget = self._budget(call)
-        budget.earn(len(plan.tiles), call.request.traffic_class.extra_load)
         for tile in plan.tiles:
-            part = call.add_part(tile)
-            if not self._send(call, part, now_ms, extra=False):
+            call.add_part(tile)
+        return self._settle(call, now_ms) or self._send_all(call, now_ms)
+
+    def _send_all(self, call: Call, now_ms: float) -> list[Effect]:
+        sent = 0
+        for part in call.parts.values():
+            if self._send(call, part, now_ms, extra=False):
+                sent += 1
+            else:
                 call.lose(part)
+        self._count_sent(call, sent)
         return self._settle(call, now_ms)
 
+    def _count_sent(self, call: Call, sent: int) -> None:
+        if call.base:
+            call.retries += sent
+            return
+        call.base = sent
+        self._budget(call).earn(sent, call.request.traffic_class.extra_load)
+
     def _send(self, call: Call, part: Part, now_ms: float, extra: bool) -> bool:
         chosen = self._choose(part, now_ms)
         if chosen is None:
@@ -222,7 +237,7 @@
         attempt = part.sent
         part.sent += 1
         part.tried.add(upstream_id)
-        part.attempts[attempt] = Attempt(upstream_id, target.name, now_ms, extra)
+        part.attempts[attempt] = Attempt(upstream_id, target, now_ms, extra)
         self._scores.on_sent(upstream_id)
         self._outbox.send(target, call, part, attempt, upstream_id)
         return True
@@ -266,12 +281,20 @@
             outcome = SubCode.BROKEN
         if outcome in _FAILURES:
             self._scores.on_failure(attempt.upstream_id, now_ms)
-        if attempt.extra and outcome in _NOT_LOAD:
-            self._budget(call).give_back()
+        if outcome == SubCode.WRONG_RECEIVER:
+            self._forget_owner(part, attempt)
         part.why = _WHY.get(outcome, "broken")
-        if part.attempts:
-            return []
-        return self._again(call, part, outcome, now_ms)
+        unspent = attempt.extra and outcome in _NOT_LOAD
+        if not part.attempts:
+            return self._again(call, part, outcome, unspent, now_ms)
+        if unspent:
+            self._budget(call).give_back()
+        return []
+
+    def _forget_owner(self, part: Part, attempt: Attempt) -> None:
+        target = self._relay_of(attempt.upstream_id)
+        if target is not None and target != attempt.target:
+            part.tried.discard(attempt.upstream_id)
 
     def _take(
         self, call: Call, part: Part, attempt: Attempt, hits: list[dict], now_ms: float
@@ -285,43 +308,59 @@
         self._cancel_rest(call, part)
         return self._settle(call, now_ms)
 
-    def _again(self, call: Call, part: Part, outcome: int, now_ms: float) -> list[Effect]:
+    def _again(
+        self, call: Call, part: Part, outcome: int, unspent: bool, now_ms: float
+    ) -> list[Effect]:
         free = outcome in _NOT_LOAD
-        budget = self._budget(call)
-        if free or not self._policy.budgeted or budget.spend():
-            if self._send(call, part, now_ms, extra=not free):
-                call.redirects += free
-                call.retries += not free
-                return []
-            if not free:
-                budget.give_back()
+        resend = self._redirect if free else self._retry
+        if resend(call, part, unspent, now_ms):
+            return []
         if outcome == SubCode.RANGE_MOVED and self._split(call, part, now_ms):
             return self._settle(call, now_ms)
-        if outcome == SubCode.VERSION_GONE and self._other_version(call):
+        if unspent:
+            self._budget(call).give_back()
+        if outcome == SubCode.VERSION_GONE and self._better_version(call, part, now_ms):
             return self._replan(call, now_ms)
-        if outcome in _FAILURES and self._wait_for(call, part, now_ms):
+        if outcome in _WORTH_WAITING and self._wait_for(call, part, now_ms):
             return []
         call.lose(part)
         return self._settle(call, now_ms)
 
+    def _redirect(self, call: Call, part: Part, unspent: bool, now_ms: float) -> bool:
+        sent = self._send(call, part, now_ms, extra=unspent)
+        call.redirects += sent
+        return sent
+
+    def _retry(self, call: Call, part: Part, _unspent: bool, now_ms: float) -> bool:
+        sent = self._send_extra(call, part, now_ms)
+        call.retries += sent
+        return sent
+
+    def _send_extra(self, call: Call, part: Part, now_ms: float) -> bool:
+        budgeted = self._policy.budgeted
+        if budgeted and not self._budget(call).spend():
+            return False
+        sent = self._send(call, part, now_ms, extra=budgeted)
+        if budgeted and not sent:
+            self._budget(call).give_back()
+        return sent
+
     def _wait_for(self, call: Call, part: Part, now_ms: float) -> bool:
         at_ms = now_ms + max(self._policy.least_wait_ms, part.wait_ms)
         in_time = at_ms < call.deadline_ms - 2 * self._policy.answer_margin_ms
         if not in_time or part.sent >= self._policy.most_attempts:
             return False
         part.retry_at_ms = at_ms
-        heapq.heappush(self._due, (at_ms, call.call_id))
+        self._wake(call, at_ms)
         return True
 
     def _retry_waiting(self, call: Call, now_ms: float) -> None:
         for part in call.parts.values():
-            if part.done or part.attempts or not 0.0 < part.retry_at_ms <= now_ms:
+            if not part.waits() or part.retry_at_ms > now_ms:
                 continue
-            if self._policy.budgeted and not self._budget(call).spend():
-                continue
-            part.retry_at_ms = 0.0
             part.tried.clear()
-            if self._send(call, part, now_ms, extra=True):
+            if self._send_extra(call, part, now_ms):
+                part.retry_at_ms = 0.0
                 call.retries += 1
             else:
                 part.retry_at_ms = now_ms + self._policy.least_wait_ms
@@ -339,25 +378,29 @@
                 call.lose(inner_part)
         return True
 
-    def _other_version(self, call: Call) -> bool:
+    def _better_version(self, call: Call, part: Part, now_ms: float) -> bool:
+        spent_ms = now_ms - call.started_ms
+        left_ms = call.deadline_ms - self._policy.answer_margin_ms - now_ms
+        rest = call.coverage_without(part)
+        if spent_ms > left_ms and rest >= call.request.traffic_class.least_coverage:
+            return False
         gone = call.gone_versions | {call.plan.version}
-        return bool(self._catalog.plan(call.request.collection, gone).tiles)
+        plan = self._catalog.plan(call.request.collection, gone)
+        return bool(plan.tiles) and plan.reachable_share() > rest
 
     def _replan(self, call: Call, now_ms: float) -> list[Effect]:
         call.gone_versions |= {call.plan.version}
         self._cancel_all(call)
-        effects = self._begin(call, now_ms)
-        call.retries += len(call.plan.tiles)
-        return effects
+        return self._begin(call, now_ms)
 
     def _lose_relay(self, call: Call, part: Part, relay: str, now_ms: float) -> list[Effect]:
-        lost = [number for number, attempt in part.attempts.items() if attempt.relay == relay]
+        lost = [number for number, attempt in part.attempts.items() if attempt.target.name == relay]
         for number in lost:
             self._scores.on_ended(part.attempts.pop(number).upstream_id)
         if not lost or part.done or part.attempts or call.call_id not in self._calls:
             return []
         part.why = "lost"
-        return self._again(call, part, SubCode.LOST, now_ms)
+        return self._again(call, part, SubCode.LOST, False, now_ms)
 
     # Hedges.
 
@@ -365,7 +408,6 @@
         if not self._policy.hedging:
             return
         delay_ms = self._hedge_delay_ms(call)
-        budget = self._budget(call)
         for part in call.parts.values():
             if part.done or len(part.attempts) != 1:
                 continue
@@ -376,15 +418,7 @@
             if not attempt.overdue:
                 attempt.overdue = True
                 self._scores.on_overdue(attempt.upstream_id, waited_ms, now_ms)
-            self._hedge_part(call, part, budget, now_ms)
-
-    def _hedge_part(self, call: Call, part: Part, budget: ExtraLoadBudget, now_ms: float) -> None:
-        if self._policy.budgeted and not budget.spend():
-            return
-        if self._send(call, part, now_ms, extra=True):
-            call.hedges += 1
-        elif self._policy.budgeted:
-            budget.give_back()
+            call.hedges += self._send_extra(call, part, now_ms)
 
     def _hedge_delay_ms(self, call: Call) -> float:
         share = call.request.traffic_class.hedge_quantile
@@ -392,14 +426,18 @@
         return max(self._policy.least_hedge_ms, delay_ms)
 
     def _schedule(self, call: Call, now_ms: float) -> None:
-        end_ms = call.deadline_ms - self._policy.answer_margin_ms
-        if not self._policy.hedging:
-            heapq.heappush(self._due, (end_ms, call.call_id))
-            return
-        delay_ms = self._hedge_delay_ms(call)
-        if now_ms > call.started_ms:
-            delay_ms = max(self._policy.least_hedge_ms, delay_ms / 4)
-        heapq.heappush(self._due, (min(end_ms, now_ms + delay_ms), call.call_id))
+        at_ms = min(call.deadline_ms - self._policy.answer_margin_ms, call.next_retry_ms())
+        if self._policy.hedging:
+            delay_ms = self._hedge_delay_ms(call)
+            if now_ms > call.started_ms:
+                delay_ms = max(self._policy.least_hedge_ms, delay_ms / 4)
+            at_ms = min(at_ms, now_ms + delay_ms)
+        self._wake(call, at_ms)
+
+    def _wake(self, call: Call, at_ms: float) -> None:
+        if at_ms < call.wake_ms:
+            call.wake_ms = at_ms
+            heapq.heappush(self._due, (at_ms, call.call_id))
 
     # Ending.
 
@@ -416,6 +454,8 @@
             if not part.done:
                 if part.attempts:
                     part.why = "deadline"
+                elif not part.sent:
+                    part.why = "not-asked"
                 call.lose(part)
         self._end(call)
         answer = _answer(call, now_ms)
@@ -438,7 +478,7 @@
 
     def _cancel_rest(self, call: Call, part: Part) -> None:
         for number, attempt in part.attempts.items():
-            self._outbox.cancel(attempt.relay, call.call_id, part.number, number)
+            self._outbox.cancel(attempt.target.name, call.call_id, part.number, number)
             self._scores.on_ended(attempt.upstream_id)
         part.attempts.clear()
 
@@ -462,7 +502,7 @@
 
 def _answer(call: Call, now_ms: float) -> Answer:
     limit = call.request.limit
-    hits = heapq.nlargest(limit, call.hits, key=lambda hit: hit["score"])
+    hits = heapq.nsmallest(limit, call.hits, key=_rank)
     return Answer(
         call.request.request_id,
         call.request.collection,
@@ -475,6 +515,10 @@
     )
 
 
+def _rank(hit: dict) -> tuple[float, str]:
+    return -hit["score"], str(hit["id"])
+
+
 def _first_key(missing: Missing) -> int:
     return missing.lo
 
