--- a/rhubarbhinge/wire/messages.capnp
+++ b/rhubarbhinge/wire/messages.capnp
@@ -55,6 +55,7 @@
   queued @2 :List(UInt32);
   inFlight @3 :List(UInt16);
   slots @4 :List(UInt16);
+  relayNowMs @5 :UInt64;
 }
 
 struct HoldingReport {
@@ -76,6 +77,7 @@
   key @4 :Text;
   digest @5 :Data;
   ticket @6 :Text;
+  step @7 :UInt8;
 }
 
 struct KeyClaimReply {
@@ -97,7 +99,7 @@
   ticket @4 :Text;
   action @5 :Text;
   body @6 :Data;
-  budgetMs @7 :UInt32;
+  relayDeadlineMs @7 :UInt64;
   upstreamId @8 :UInt64;
 }
 
@@ -151,7 +153,8 @@
   registerHash @3 :UInt64;
   rulesHash @4 :UInt64;
   vmsHash @5 :UInt64;
-  platformAgeMs @6 :Int64;
+  platformContact @6 :UInt64;
+  platformAgeMs @7 :UInt64;
 }
 
 struct ConfigNotice {
