--- a/tools/tests/_pages.py
+++ b/tools/tests/_pages.py
@@ -3,9 +3,10 @@
 import re
 from dataclasses import dataclass
 from pathlib import Path
+from textwrap import dedent
 
 ROOT = Path(__file__).resolve().parents[2]
-_FENCE = re.compile(r"^```(?P<info>[^\n`]*)\n(?P<text>.*?)^```$", re.MULTILINE | re.DOTALL)
+_FENCE = re.compile(r"^ *```(?P<info>[^\n`]*)\n(?P<text>.*?)^ *```$", re.MULTILINE | re.DOTALL)
 _LINK = re.compile(r"\]\((?P<target>[^)\s]+)\)")
 _CODE = re.compile(r"`[^`\n]*`")
 _HEADING = re.compile(r"^#+ +(?P<text>.+)$", re.MULTILINE)
@@ -38,7 +39,7 @@
     found = []
     for match in _FENCE.finditer(page.read_text()):
         language, *marks = match["info"].split() or [""]
-        found.append(Block(page, language, frozenset(marks), match["text"]))
+        found.append(Block(page, language, frozenset(marks), dedent(match["text"])))
     return found
 
 
