--- a/tools/tests/test_docs.py
+++ b/tools/tests/test_docs.py
@@ -1,6 +1,8 @@
 """The documentation: links resolve, examples parse and run, tables name what the code has."""
 
+import importlib
 import os
+import re
 import shutil
 import subprocess
 import sys
@@ -115,6 +117,39 @@
         unnamed = [code.value for code in Code if f"`{code.value}`" not in page]
         self.assertEqual([], unnamed)
 
+    def test_the_operators_page_tells_what_to_do_about_every_event(self):
+        page = (ROOT / "docs/operators.md").read_text()
+        calls = re.compile(r"log_event\(\s*(?P<names>[^,)]+)")
+        sources = [path.read_text() for path in (ROOT / "rhubarbhinge/daemons").glob("*.py")]
+        names = {
+            name
+            for source in sources
+            for match in calls.finditer(source)
+            for name in re.findall(r'"([a-z-]+)"', match["names"])
+        }
+        self.assertIn("ready", names)
+        self.assertEqual([], sorted(name for name in names if f"`{name}`" not in page))
+
+    def test_the_glossary_names_what_exists(self):
+        names = [
+            name
+            for line in (ROOT / "docs/GLOSSARY.md").read_text().splitlines()
+            if line.startswith("| ")
+            for name in re.findall(r"`([a-z_]+(?:\.[A-Za-z_]+)+)`", line.split("|")[-2])
+        ]
+        self.assertTrue(names)
+        self.assertEqual([], [name for name in names if not _exists(name)])
+
+
+def _exists(name: str) -> bool:
+    module_path, _, rest = name.partition(".")
+    found = importlib.import_module(f"rhubarbhinge.{module_path}")
+    for part in rest.split("."):
+        if not hasattr(found, part):
+            return False
+        found = getattr(found, part)
+    return True
+
 
 if __name__ == "__main__":
     unittest.main()
