--- a/rhubarbhinge/control/tests/test_fleet.py
+++ b/rhubarbhinge/control/tests/test_fleet.py
@@ -1,11 +1,17 @@
 """A small fleet starts, follows changes, restarts, and meets single faults."""
 
+import random
 import unittest
 from collections import Counter
 from dataclasses import replace
 
 from rhubarbhinge.control import DEAD, LEAVING, DisseminationSettings, MemberChanged
+from rhubarbhinge.control._neighbours import Neighbours
 from rhubarbhinge.control.tests.schedule import Schedule, fleet, vms_document
+from rhubarbhinge.wire._config_busy import ConfigBusy
+from rhubarbhinge.wire._config_chunk import ConfigChunk
+from rhubarbhinge.wire._config_notice import ConfigNotice
+from rhubarbhinge.wire._config_request import ConfigRequest
 
 DOMAIN = "kgn-a"
 
@@ -86,6 +92,7 @@
         schedule.publish("register", 2, b"{2}")
         schedule.run(5_000)
         schedule.platform.stale = {"register": (1, b"{}"), "rules": (1, b"{}")}
+        schedule.delay_ms = (150, 250)
         keep = next(n for n, m in schedule.members.items() if m.failure_domain != DOMAIN)
         for name in [name for name in schedule.nodes if name != keep]:
             if schedule.members[name].failure_domain == DOMAIN:
@@ -105,6 +112,49 @@
         self.assertEqual(early, [])
         self.assertTrue(all(node.ready() for node in schedule.nodes.values()))
 
+    def test_a_domain_cut_off_from_the_platform_follows_by_the_others(self):
+        schedule = start()
+        cut_off = [n for n, m in schedule.members.items() if m.failure_domain == DOMAIN]
+        schedule.platform.unreachable = lambda name: name in cut_off
+        schedule.publish("register", 2, b"{2}")
+        schedule.run(5_000)
+        self.assertTrue(in_force(schedule, "register", 2))
+
+    def test_a_node_that_slept_learns_from_its_first_data_message(self):
+        schedule = start()
+        node = schedule.nodes["kgn-a-0/entry"]
+        (request,) = node.on_seen_revision("kgn-b-1/relay", "rules", 2, schedule.now_ms)
+        self.assertEqual(request.member_name, "kgn-b-1/relay")
+        self.assertEqual((request.message.key, request.message.base_revision), ("rules", 1))
+        questions = node.on_pause(60_000, schedule.now_ms + 60_000)
+        notices = [e.message for e in questions if isinstance(e.message, ConfigNotice)]
+        self.assertEqual([notice.answer for notice in notices], [True] * 3)
+
+    def test_a_restarted_node_is_ready_once_those_asked_have_answered(self):
+        schedule = start()
+        name = next(iter(schedule.nodes))
+        restart(schedule, name)
+        self.assertLessEqual(schedule.run_until(schedule.nodes[name].ready, 10_000), 2_500)
+
+    def test_the_ring_alone_reaches_the_whole_domain(self):
+        schedule = start()
+        settings = DisseminationSettings(neighbours=0, remote_neighbours=0)
+        nodes = {n: Neighbours(x.membership, settings) for n, x in schedule.nodes.items()}
+        name, reached = "kgn-a-0/entry", set()
+        while name not in reached:
+            reached.add(name)
+            (name,) = nodes[name].near()
+        self.assertEqual(len(reached), 4)
+
+    def test_uploads_are_paced(self):
+        node = start().nodes["kgn-a-0/entry"]
+        node.on_platform("rules", "changed", 2, random.Random(1).randbytes(100_000), 0)
+        request = ConfigRequest("rules", 0, 0, 0, 0, 0)
+        answers = [node.on_peer("kgn-b-1/entry", request, 60_000)[0].message for _ in range(60)]
+        chunks = [answer for answer in answers if isinstance(answer, ConfigChunk)]
+        self.assertLess(len(chunks) * 16_384, 600_000)
+        self.assertIsInstance(answers[-1], ConfigBusy)
+
     def test_nobody_is_ready_before_the_platform_or_a_peer_answers(self):
         schedule = Schedule(3)
         schedule.platform.unreachable = lambda name: True
@@ -145,6 +195,7 @@
     def test_the_age_of_the_configuration_grows_while_the_platform_is_down(self):
         schedule = start()
         schedule.platform.unreachable = lambda name: True
+        schedule.delay_ms = (50, 100)
         schedule.run(60_000)
         nodes = schedule.nodes.values()
         ages = [node.dissemination.ages(schedule.now_ms)[0].platform_age_ms for node in nodes]
--- a/tools/slopes_control.py
+++ b/tools/slopes_control.py
@@ -35,6 +35,8 @@
 from rhubarbhinge.wire._probe_ack import ProbeAck
 
 SIZES = ((2, 1), (8, 4), (16, 4), (50, 4), (100, 4), (200, 4))
+CALLS_NODES, CALLS_DOMAINS, CALLS_MS = 60, 4, 120_000
+DOMAIN_SETTLE_MS = 4_000
 HEAL_LIMIT_NODES = 100
 CHANGE_MS = 3_756  # 23,000 changes a day
 CHANGES = 5
@@ -78,6 +80,7 @@
         "target": measure_target_tables,
         "fleet": measure_fleets,
         "domain": measure_domain,
+        "calls": measure_calls,
     }
     for name in sys.argv[1:] or ("delta", "target", "fleet"):
         measures[name]()
@@ -91,8 +94,38 @@
 
 
 def measure_domain() -> None:
-    """Print one line for a failure domain of the target's size; takes about a minute."""
-    _print(_measure_fleet(TARGET_NODES // TARGET_DOMAINS, 1))
+    """Print how fast a change reaches a failure domain of the target's size.
+
+    The nodes know each other and hold the first revision from the start; takes a minute or two.
+    """
+    nodes = TARGET_NODES // TARGET_DOMAINS
+    schedule = Schedule(1)
+    schedule.node_type = TimedNode
+    for one in fleet(nodes, 1):
+        schedule.add(one)
+    base = {"register": register(REGISTER_UPSTREAMS, 1), "rules": b"{}"}
+    schedule.platform.documents = {key: (1, data) for key, data in base.items()}
+    for node in schedule.nodes.values():
+        _teach(node, list(schedule.members.values()), 0)
+        node.dissemination._reader.on_contact(1, 0, 0)
+        for key, data in base.items():
+            node.on_platform(key, "changed", 1, data, 0)
+    schedule.run(DOMAIN_SETTLE_MS)
+    lags = sorted(_change(schedule, 2))
+    line = {"measure": "domain", "nodes": nodes, "in_force_p50_ms": lags[nodes // 2]}
+    _print(line | {"in_force_p99_ms": lags[nodes * 99 // 100], "in_force_max_ms": lags[-1]})
+
+
+def measure_calls() -> None:
+    """Print the platform calls of a fleet at rest, once the calls of its start are over."""
+    schedule, _ = _start_fleet(CALLS_NODES, CALLS_DOMAINS)
+    schedule.run(CALLS_MS)
+    before = len(schedule.platform.calls_ms)
+    schedule.run(CALLS_MS)
+    calls = len(schedule.platform.calls_ms) - before
+    readers = sum(node.dissemination.is_reader for node in schedule.nodes.values())
+    line = {"measure": "calls", "nodes": CALLS_NODES, "readers": readers}
+    _print(line | {"platform_calls_per_s": round(1_000 * calls / CALLS_MS, 2)})
 
 
 def measure_deltas() -> None:
@@ -276,7 +309,7 @@
 def _teach(node: ControlNode, members: list[Member], now_ms: int) -> None:
     me = node.membership.self_member.name
     node.membership._claims([m for m in members if m.name != me], now_ms, spread=False)
-    node.membership._updates = UpdateQueue()
+    node.membership._datagrams.updates = UpdateQueue()
 
 
 def _change(schedule: Schedule, revision: int) -> list[int]:
