--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -184,10 +184,14 @@
         self.publish("register", register)
         return register["revision"]
 
-    def publish_vms(self) -> None:
-        """Publish the VM list, with each VM's state."""
+    def publish_vms(self, leaving_instances: Iterable[str] = ()) -> None:
+        """Publish the VM list, with each VM's state.
+
+        :param leaving_instances: upstream VMs to list as leaving.
+        """
         self._vms_revision += 1
         vms = [_vm_document(vm) for vm in self.vms]
+        vms += [self._leaving_document(instance) for instance in leaving_instances]
         self.publish("vms", {"revision": self._vms_revision, "vms": vms})
 
     # Calls.
@@ -254,6 +258,12 @@
         (found,) = [each for each in self.register["collections"] if each["name"] == collection]
         return {(shard["lo"], shard["hi"]): shard["upstreams"] for shard in found["shards"]}
 
+    def _leaving_document(self, instance: str) -> dict[str, Any]:
+        upstream = next(each for each in self.register["upstreams"] if each["instance"] == instance)
+        domain = upstream["failure_domain"]
+        document = {"name": instance, "failure_domain": domain, "ip": LOOPBACK}
+        return {**document, "state": "leaving", "nodes": []}
+
     def _serves(self, vm: Vm, relays: set[str], searchers: int) -> bool:
         try:
             status = self.status(vm)
--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -42,17 +42,20 @@
         :param path: the path.
         :param document: the body.
         :param headers: more headers.
-        :returns: the ``answered`` event; ``whole`` is False when the answer was cut or lost.
+        :returns: the ``answered`` event; ``whole`` is False when the answer was cut or lost, and
+            ``why`` then names the error.
         """
         request = next(self._numbers)
         node = f"{vm.name}/entry"
-        asked = {"path": path, "document": document, "node": node}
-        self._note("asked", request, **asked)
+        asked = {"path": path, "document": document}
+        self._note("asked", request, node=node, **asked)
         try:
             status, body = post(vm.entry_http, path, document, headers)
         except _LOST as error:
-            return self._note("answered", request, whole=False, status=0, body={}, why=str(error))
-        return self._note("answered", request, whole=True, status=status, body=body)
+            why = getattr(error, "reason", error)
+            lost = {"status": 0, "body": {}, "why": type(why).__name__}
+            return self._note("answered", request, node=node, whole=False, **lost)
+        return self._note("answered", request, node=node, whole=True, status=status, body=body)
 
     def mint(self, vm: Vm, number: int = 1) -> "Ticket":
         """Ask for a ticket without running it.
