--- a/rhubarbhinge/net/_datagrams.py
+++ b/rhubarbhinge/net/_datagrams.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller, EPoll
 
+from rhubarbhinge.net._poller import ReadyPoller
+from rhubarbhinge.net._sockets import datagram_socket
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
@@ -37,9 +38,9 @@
     ):
         super().__init__(channel=channel or f"datagrams-{next(_channels)}")
         self._on_datagram = on_datagram
-        self._sock: socket.socket | None = _bound(bind)
+        self._sock: socket.socket | None = datagram_socket(bind)
         self._port = self._sock.getsockname()[1]
-        self._poller: BasePoller | None = None
+        self._poller: ReadyPoller | None = None
         self._timers: TimerService | None = None
 
     @property
@@ -65,7 +66,7 @@
     def _on_registered(self, component, manager) -> None:
         if component is self:
             self._timers = shared_component(self, TimerService)
-            self._poller = shared_component(self, BasePoller, EPoll)
+            self._poller = shared_component(self, ReadyPoller)
             self._poller.addReader(self, self._sock)
 
     @handler("stopped", channel="*")
@@ -77,11 +78,16 @@
         self._sock.close()
         self._sock = None
 
-    @handler("_read")
-    def _on_read(self, sock) -> None:
-        if self._timers.asleep:
-            self._timers.wake()
+    def on_readable(self, sock) -> None:
+        """Read from a socket; called by the poller.
+
+        :param sock: the socket.
+        """
+        if not self.root.running:
+            return
         try:
+            if self._timers.asleep:
+                self._timers.wake()
             self._receive_all()
         except Exception as error:
             fail_stop(error)
@@ -104,14 +110,3 @@
             except OSError:
                 continue
             self._on_datagram(address[0], address[1], data)
-
-
-def _bound(bind: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        sock.bind(bind)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/standins/searcher/_daemon.py
+++ b/standins/searcher/_daemon.py
@@ -3,11 +3,10 @@
 import random
 from collections.abc import Mapping
 
-from standins import records
 from standins._knobs import BadKnobs, changed
 from standins.history import History
 from standins.searcher._control import ControlPort
-from standins.searcher._holdings import Holdings, holdings_from
+from standins.searcher._holdings import holdings_from
 from standins.searcher._knobs import SearcherKnobs
 from standins.searcher._port import SearcherPort
 
@@ -28,10 +27,8 @@
     for document in config["searchers"]:
         name = document["name"]
         searchers[name] = _searcher_port(document, defaults, history)
-        ports[name] = await searchers[name].listen(
-            document.get("ip", _LOOPBACK), document.get("port", 0)
-        )
-    control_port = await ControlPort(searchers).listen(_LOOPBACK)
+        ports[name] = searchers[name].listen(document.get("ip", _LOOPBACK), document.get("port", 0))
+    control_port = ControlPort(searchers).listen(_LOOPBACK)
     return {"ports": ports, "control_port": control_port}
 
 
@@ -43,7 +40,7 @@
     if isinstance(knobs, BadKnobs):
         raise SystemExit(f"{name}: {knobs}")
     holdings = holdings_from(document.get("holdings", {}))
-    _count_records(holdings)
+    holdings.count_records()
     return SearcherPort(
         name=name,
         incarnation=document.get("incarnation", 1),
@@ -52,10 +49,3 @@
         rng=random.Random(document.get("seed", name)),
         history=history,
     )
-
-
-def _count_records(holdings: Holdings) -> None:
-    """Fill the cache of record counts, so that no request waits for it."""
-    for collection, versions in holdings.ranges.items():
-        for version in versions:
-            records.total_records(collection, version)
