--- a/rhubarbhinge/wire/messages.capnp
+++ b/rhubarbhinge/wire/messages.capnp
@@ -152,6 +152,7 @@
   rulesHash @4 :UInt64;
   vmsHash @5 :UInt64;
   platformAgeMs @6 :Int64;
+  platformContact @7 :UInt64;
 }
 
 struct ConfigNotice {
