routing: two tests that fail: open work that was handed over, the header on a health poll

On real processes a stopped relay ended while a run that it had handed over was in flight (the run was answered unknown), and a searcher whose answers carry Draining while its health says ready got new work 4.1 s later, with its first search; its polls had carried the header before.

--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -81,6 +81,14 @@
         self.assertEqual(shell.codes()[1:], [SubCode.ANSWERED] * 2)
         self.assertEqual(set(shell.conns), set(shell.closing))
 
+    def test_open_work_counts_what_was_handed_over(self):
+        shell = warm()
+        shell.batch(0)
+        shell.register()
+        self.assertEqual(shell.core.open_work(), 1)
+        shell.answer()
+        self.assertEqual(shell.core.open_work(), 0)
+
     def test_lists_of_unequal_length_cost_the_link(self):
         shell = warm()
         self.assertEqual(shell.batch(0, los=()), [DropPeer("entry", "malformed")])
@@ -244,6 +252,16 @@
     def test_by_the_header_of_any_answer(self):
         self.drained(lambda shell: shell.answer(draining=True))
 
+    def test_by_the_header_of_an_answer_to_a_health_poll(self):
+        def poll(shell):
+            number = spec(0).upstream_id
+            shell.leaving.add(number)
+            shell.apply(shell.core.on_health(number, health(0), shell.now_ms, True))
+
+        shell = self.drained(poll)
+        shell.health(0, health(0, 2))
+        self.assertEqual(shell.report()["states"], UpstreamState.WARMING)
+
     def test_by_a_refusal_that_says_so(self):
         self.drained(lambda shell: shell.answer(status=503, code="draining"))
 
