routing: a relay that stops waits for what it handed over; health polls tell of drains by header too

Cause: open_work counted only owned searchers, and a stopping relay owns none; the answer to a health poll was read without its headers. Now all queued and in-flight requests count, and any answer's Draining header is a signal, as architecture.md says, if it is not of an older life.

--- a/rhubarbhinge/daemons/_poolshell.py
+++ b/rhubarbhinge/daemons/_poolshell.py
@@ -148,7 +148,9 @@
 
     def _polled(self, upstream_id: int, result: HttpReply | Failure) -> None:
         document = _health(result)
-        self.carry_out(self._core.on_health(upstream_id, document, self._timers.now_ms()))
+        draining = not isinstance(result, Failure) and _says_draining(result)
+        now_ms = self._timers.now_ms()
+        self.carry_out(self._core.on_health(upstream_id, document, now_ms, draining))
 
     def _opened(self, http: int) -> None:
         conn = self._core_by_http[http]
@@ -156,7 +158,7 @@
 
     def _replied(self, http: int, reply: HttpReply) -> None:
         conn = self._core_by_http[http]
-        draining = reply.headers.get("draining") == "1"
+        draining = _says_draining(reply)
         now_ms = self._timers.now_ms()
         self.carry_out(self._core.on_reply(conn, reply.status, draining, reply.body, now_ms))
 
@@ -166,6 +168,10 @@
         self.carry_out(self._core.on_connection_closed(conn, self._timers.now_ms()))
 
 
+def _says_draining(reply: HttpReply) -> bool:
+    return reply.headers.get("draining") == "1"
+
+
 def _health(result: HttpReply | Failure) -> dict[str, Any] | None:
     if isinstance(result, Failure) or result.status != 200:
         return None
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -123,8 +123,7 @@
 
         :returns: queued and in-flight requests.
         """
-        report = self.core.reports(self._timers.now_ms())
-        return sum(report.queued) + sum(report.in_flight)
+        return self.core.open_work()
 
     def status(self) -> dict[str, Any]:
         """Describe the work for operators.
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -328,12 +328,19 @@
             self._send_queued(upstream, now_ms, effects)
         return effects
 
-    def on_health(self, upstream_id: int, doc: dict[str, Any] | None, now_ms: int) -> list[Any]:
+    def on_health(
+        self,
+        upstream_id: int,
+        doc: dict[str, Any] | None,
+        now_ms: int,
+        draining_header: bool = False,
+    ) -> list[Any]:
         """Take the answer to a health poll; one of an older incarnation is ignored.
 
         :param upstream_id: the searcher.
         :param doc: the parsed document, or None when there was none.
         :param now_ms: the time.
+        :param draining_header: whether the answer carried ``Draining: 1``.
         :returns: effects.
         """
         effects: list[Any] = []
@@ -346,6 +353,8 @@
         elif upstream.incarnation is None or health.incarnation >= upstream.incarnation:
             if upstream.take_health(health, now_ms):
                 effects.append(PublishHolding(health.holding))
+            if draining_header:
+                upstream.drain.on_signal()
         self._after_event(upstream, now_ms, effects)
         return effects
 
@@ -391,6 +400,15 @@
             tuple(upstream.allowed for upstream in owned),
         )
 
+    def open_work(self) -> int:
+        """Count queued and in-flight requests, at searchers that were handed over too.
+
+        :returns: their number.
+        """
+        return sum(
+            upstream.queue.count + upstream.in_flight for upstream in self._upstreams.values()
+        )
+
     def holdings(self) -> tuple[HoldingReport, ...]:
         """Give what all owned searchers hold, for an entry that has just linked.
 
