--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -225,7 +225,7 @@
         :param name: its name.
         :param changes: knobs and holdings, see docs/standins.md.
         """
-        call(self.searcher_ports[name], "/standin", changes)
+        self._control(name, changes)
 
     def shown(self, name: str) -> dict[str, Any]:
         """Read a searcher's knobs, holdings and figures.
@@ -233,7 +233,7 @@
         :param name: its name.
         :returns: what it shows.
         """
-        return call(self.searcher_ports[name], "/standin")
+        return self._control(name)[name]
 
     def restart_searchers(self, process: Process) -> Process:
         """Start a process of searchers that has ended anew, with its ports and its history.
@@ -258,6 +258,9 @@
         (found,) = [each for each in self.register["collections"] if each["name"] == collection]
         return {(shard["lo"], shard["hi"]): shard["upstreams"] for shard in found["shards"]}
 
+    def _control(self, name: str, changes: Mapping[str, Any] | None = None) -> dict[str, Any]:
+        return call(self.searchers[name].control_port, f"/standin?searcher={name}", changes)
+
     def _leaving_document(self, instance: str) -> dict[str, Any]:
         upstream = next(each for each in self.register["upstreams"] if each["instance"] == instance)
         domain = upstream["failure_domain"]
--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -246,8 +246,30 @@
         """
         process = self.live.start_node(vm, role)
         self.live.wait_serving()
+        domain = vm.failure_domain
+        wait_for(lambda: self.owned(domain) == self.searchers_in(domain), f"owners in {domain}")
         return process
 
+    def owned(self, failure_domain: str) -> set[str]:
+        """Give the searchers that a failure domain's running relays own.
+
+        :param failure_domain: the failure domain.
+        :returns: their names.
+        """
+        vms = [vm for vm in self.live.vms if vm.failure_domain == failure_domain]
+        running = [vm for vm in vms if vm.nodes["relay"].is_running()]
+        statuses = [self.live.status(vm, "relay") for vm in running]
+        return {name for status in statuses for name in status["owned"]}
+
+    def searchers_in(self, failure_domain: str) -> set[str]:
+        """Give the searchers of a failure domain.
+
+        :param failure_domain: the failure domain.
+        :returns: their names.
+        """
+        upstreams = self.live.register["upstreams"]
+        return {each["name"] for each in upstreams if each["failure_domain"] == failure_domain}
+
 
 def in_background(function: Callable[..., Any], *arguments: Any) -> Future:
     """Call a function on a thread of its own.
