--- a/rhubarbhinge/net/tests/test_links.py
+++ b/rhubarbhinge/net/tests/test_links.py
@@ -61,6 +61,17 @@
         self.until(lambda: self.near.data.get(near) == b"ef")
         self.assertEqual(LOOPBACK, self.far.links.peer_ip(far))
 
+    def test_connections_that_wait_when_listening_stops_are_still_served(self):
+        run_until(self.root, lambda: False, 0.05)
+        peers = [socket.create_connection((LOOPBACK, self.port)) for _ in range(3)]
+        for peer in peers:
+            self.addCleanup(peer.close)
+            peer.sendall(b"asked")
+        self.far.links.stop_listening()
+        self.until(lambda: list(self.far.data.values()) == [b"asked"] * 3)
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((LOOPBACK, self.port))
+
     def test_what_is_sent_in_one_turn_goes_out_in_one_write(self):
         near, far = self.connect()
         with mock.patch.object(Link, "write_some", autospec=True) as write:
