net: listening stops without resetting connections; a stop looks twice

Cause: closing a listener resets what the kernel holds for it; a stopping node decided once, 20 ms before its end, that nothing was open. Now waiting connections are taken first, and nothing may be open at two looks in a row.

--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -248,18 +248,18 @@
         self.refusing = True
         self._http.stop_listening()
         self.on_refusing()
-        self._stop_when_done()
+        self._stop_when_done(was_done=False)
 
-    def _stop_when_done(self) -> None:
+    def _stop_when_done(self, was_done: bool) -> None:
         now_ms = self.timers.now_ms()
         late = now_ms >= self._stop_by_ms
         answered = self._http.open_requests == 0 and self._http.unsent_bytes == 0
         done = answered and self.open_work() == 0 and self.open_work_left_ms() <= 0
-        if done or late:
+        if late or (done and was_done):
             log_event("stopped", open_work=self.open_work(), late=late)
-            self.timers.after(_STOP_POLL_MS, self.stop)
+            self.stop()
             return
-        self.timers.after(_STOP_POLL_MS, self._stop_when_done)
+        self.timers.after(_STOP_POLL_MS, lambda: self._stop_when_done(done))
 
 
 _PAGES = {
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -3,7 +3,7 @@
 import errno
 import itertools
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from circuits import BaseComponent, handler
 
@@ -163,9 +163,17 @@
             self._end(found, CloseReason.LOCAL)
 
     def stop_listening(self) -> None:
-        """Accept no more connections; those that are open stay."""
-        if self._listener is not None:
-            self._listener.close()
+        """Accept no more connections but those that wait for it; those that are open stay.
+
+        Closing would reset what the kernel holds for the listener, and with it requests that were
+        sent before the stop.
+        """
+        if self._listener is None:
+            return
+        if self._timers is not None and self.root.running:
+            last = list(self._listener.accept_all())
+            self._timers.after(0, lambda: self._take(last))
+        self._listener.close()
 
     @property
     def pending_bytes(self) -> int:
@@ -221,7 +229,7 @@
             if link is not None:
                 self._receive(link)
             elif self._listener is not None and sock is self._listener.sock:
-                self._accept()
+                self._take(self._listener.accept_all())
         except Exception as error:
             fail_stop(error)
 
@@ -291,8 +299,8 @@
         self._by_sock[sock] = link
         return link
 
-    def _accept(self) -> None:
-        for sock, peer_ip in self._listener.accept_all():
+    def _take(self, accepted: Iterable[tuple[socket.socket, str]]) -> None:
+        for sock, peer_ip in accepted:
             link = self._add(next(self._numbers), sock, LinkState.OPEN, peer_ip)
             self._poller.addReader(self, sock)
             self._on_open(link.number, True)
