--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -89,6 +89,7 @@
         self.tenant = tenant
         self.size = size or Size()
         self._node_settings = dict(node_settings or {})
+        self._lives = itertools.count(1)
         ports = iter(free_ports(_port_count(tenant, self.size)))
         made = make_deployment(tenant, ports.__next__, self.size.scale)
         self.register = made.register
@@ -141,7 +142,8 @@
             **self._node_settings,
             **(settings or {}),
         }
-        process = self.fleet.node(f"{vm.name}-{role}", role, variables)
+        life = next(self._lives)
+        process = self.fleet.node(f"{vm.name}-{role}-{life}", role, variables)
         vm.nodes[role] = process
         return process
 
