--- a/rhubarbhinge/routing/tests/fakeshell.py
+++ b/rhubarbhinge/routing/tests/fakeshell.py
@@ -53,6 +53,8 @@
         self.revision = 0
         self.conns: dict[int, int] = {}
         self.opening: list[int] = []
+        #: Connections opened since the searcher's newest life was heard of.
+        self.current: set[int] = set()
         self.closing: list[int] = []
         self.busy: dict[int, dict] = {}
         self.leaving: set[int] = set()
@@ -87,7 +89,14 @@
         self.flagged |= {each.upstream_id for each in specs if each.leaving}
         return self.apply(self.core.set_upstreams(self.revision, specs, self.now_ms))
 
-    def batch(self, *places: int, deadline_ms: int = 200, weight: int = 8, **changes) -> list:
+    def batch(
+        self,
+        *places: int,
+        deadline_ms: int = 200,
+        weight: int = 8,
+        peer: str = "entry",
+        **changes: object,
+    ) -> list:
         self.next_call += 1
         count = len(places)
         fields = {
@@ -107,8 +116,8 @@
             "his": (8192,) * count,
         } | changes
         for part in range(count):
-            self.asked["entry", self.next_call, part, 0] = self.now_ms + deadline_ms
-        return self.apply(self.core.on_batch("entry", SubBatch(**fields), self.now_ms))
+            self.asked[peer, fields["call_id"], part, 0] = self.now_ms + deadline_ms
+        return self.apply(self.core.on_batch(peer, SubBatch(**fields), self.now_ms))
 
     def run(self, ticket: str, place: int = 0, deadline_ms: int = 200) -> list:
         effects = self.core.on_run(
@@ -122,7 +131,7 @@
         return self.apply(self.core.on_cancel("entry", batch, self.now_ms))
 
     def peer_gone(self) -> list:
-        self.given_up |= self.asked.keys()
+        self.given_up |= {key for key in self.asked if key[0] == "entry"}
         return self.apply(self.core.on_peer_gone("entry", self.now_ms))
 
     def connect(self, count: int = 99) -> None:
@@ -151,7 +160,7 @@
         body = (own if status == 200 else {}) | changes
         if changes.get("not_run") and "ticket" in request:
             self.not_run_answers.add(request["ticket"])
-        if draining or changes.get("code") == "draining":
+        if conn in self.current and (draining or changes.get("code") == "draining"):
             self.leaving.add(self.conns[conn])
         data = orjson.dumps(body)
         return self.apply(self.core.on_reply(conn, status, draining, data, self.now_ms))
@@ -169,6 +178,7 @@
 
     def restarted(self, place: int) -> None:
         self.leaving.discard(IDS[place])
+        self.current -= {conn for conn, name in self.conns.items() if name == IDS[place]}
         self.health(place, health(place, self.lives[place]))
 
     def wait(self, ms: int, step_ms: int = 10) -> None:
@@ -202,6 +212,7 @@
         assert effect.conn not in self.conns
         self.conns[effect.conn] = effect.upstream_id
         self.opening.append(effect.conn)
+        self.current.add(effect.conn)
         opened = list(self.conns.values()).count(effect.upstream_id)
         cap = self.specs[effect.upstream_id]
         assert opened <= max(1, int(cap.connections * cap.share) - 1), "above the connection cap"
--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -251,6 +251,7 @@
         self.live.wait_serving()
         domain = vm.failure_domain
         wait_for(lambda: self.owned(domain) == self.searchers_in(domain), f"owners in {domain}")
+        self.assertTrue(process.is_running(), process.errors())
         return process
 
     def owned(self, failure_domain: str) -> set[str]:
