--- a/standins/tests/test_live_runs.py
+++ b/standins/tests/test_live_runs.py
@@ -9,6 +9,8 @@
 RAN = OutcomeKind.RAN.value
 REFUSED = OutcomeKind.REFUSED_NOT_RUN.value
 UNKNOWN = OutcomeKind.UNKNOWN.value
+#: What a caller with a key is told while those who could know it can't say.
+_KEY_REFUSALS = {"key-owner-young", "key-owner-gone", "key-list-old"}
 LONG_RUN_MS = 1_500
 #: On top of a run's longest time.
 _LATER_S = 1.0
@@ -147,6 +149,19 @@
         self.assertEqual(self.times_run(ticket), 0)
         self.check()
 
+    def test_key_while_its_owners_are_young(self):
+        """What a key's owners knew before their start is lost, so that nothing may run yet."""
+        body = {"action": ACTION, "body": {"order": 1}}
+        headers = {"Idempotency-Key": "order-1"}
+        asked = [
+            in_background(self.callers.ask, vm, "/v1/run", body, headers)
+            for vm in self.live.vms * 2
+        ]
+        answers = [each.result()["body"] for each in asked]
+        self.assertEqual({each["outcome"] for each in answers}, {UNKNOWN})
+        self.assertLessEqual({each["code"] for each in answers}, _KEY_REFUSALS)
+        self.assertEqual([each for each in self.history() if each["event"] == "run"], [])
+
     def _carrier(self, searcher):
         upstreams = {each["name"]: each for each in self.live.register["upstreams"]}
         domain = upstreams[searcher]["failure_domain"]
