--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -407,6 +407,15 @@
             int(now_ms),
         )
 
+    def open_work(self) -> int:
+        """Count queued and in-flight requests, at searchers that were handed over too.
+
+        :returns: their number.
+        """
+        return sum(
+            upstream.queue.count + upstream.in_flight for upstream in self._upstreams.values()
+        )
+
     def holdings(self) -> tuple[HoldingReport, ...]:
         """Give what all owned searchers hold, for an entry that has just linked.
 
--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -81,6 +81,14 @@
         self.assertEqual(shell.codes()[1:], [SubCode.ANSWERED] * 2)
         self.assertEqual(set(shell.conns), set(shell.closing))
 
+    def test_open_work_counts_what_was_handed_over(self):
+        shell = warm()
+        shell.batch(0)
+        shell.register()
+        self.assertEqual(shell.core.open_work(), 1)
+        shell.answer()
+        self.assertEqual(shell.core.open_work(), 0)
+
     def test_lists_of_unequal_length_cost_the_link(self):
         shell = warm()
         self.assertEqual(shell.batch(0, los=()), [DropPeer("entry", "malformed")])
