--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -89,6 +89,7 @@
         self.tenant = tenant
         self.size = size or Size()
         self._node_settings = dict(node_settings or {})
+        self._lives = itertools.count(1)
         ports = iter(free_ports(_port_count(tenant, self.size)))
         made = make_deployment(tenant, ports.__next__, self.size.scale)
         self.register = made.register
@@ -141,7 +142,8 @@
             **self._node_settings,
             **(settings or {}),
         }
-        process = self.fleet.node(f"{vm.name}-{role}", role, variables)
+        life = next(self._lives)
+        process = self.fleet.node(f"{vm.name}-{role}-{life}", role, variables)
         vm.nodes[role] = process
         return process
 
@@ -184,10 +186,14 @@
         self.publish("register", register)
         return register["revision"]
 
-    def publish_vms(self) -> None:
-        """Publish the VM list, with each VM's state."""
+    def publish_vms(self, leaving_instances: Iterable[str] = ()) -> None:
+        """Publish the VM list, with each VM's state.
+
+        :param leaving_instances: upstream VMs to list as leaving.
+        """
         self._vms_revision += 1
         vms = [_vm_document(vm) for vm in self.vms]
+        vms += [self._leaving_document(instance) for instance in leaving_instances]
         self.publish("vms", {"revision": self._vms_revision, "vms": vms})
 
     # Calls.
@@ -221,7 +227,7 @@
         :param name: its name.
         :param changes: knobs and holdings, see docs/standins.md.
         """
-        call(self.searcher_ports[name], "/standin", changes)
+        self._control(name, changes)
 
     def shown(self, name: str) -> dict[str, Any]:
         """Read a searcher's knobs, holdings and figures.
@@ -229,7 +235,7 @@
         :param name: its name.
         :returns: what it shows.
         """
-        return call(self.searcher_ports[name], "/standin")
+        return self._control(name)[name]
 
     def restart_searchers(self, process: Process) -> Process:
         """Start a process of searchers that has ended anew, with its ports and its history.
@@ -254,6 +260,15 @@
         (found,) = [each for each in self.register["collections"] if each["name"] == collection]
         return {(shard["lo"], shard["hi"]): shard["upstreams"] for shard in found["shards"]}
 
+    def _control(self, name: str, changes: Mapping[str, Any] | None = None) -> dict[str, Any]:
+        return call(self.searchers[name].control_port, f"/standin?searcher={name}", changes)
+
+    def _leaving_document(self, instance: str) -> dict[str, Any]:
+        upstream = next(each for each in self.register["upstreams"] if each["instance"] == instance)
+        domain = upstream["failure_domain"]
+        document = {"name": instance, "failure_domain": domain, "ip": LOOPBACK}
+        return {**document, "state": "leaving", "nodes": []}
+
     def _serves(self, vm: Vm, relays: set[str], searchers: int) -> bool:
         try:
             status = self.status(vm)
