query: a class that prefers latency is answered from half its deadline on with what is enough

Change: from half of the deadline on, latency-first classes are answered as soon as least_coverage is met; coverage-first classes wait as before.

--- a/rhubarbhinge/query/_call.py
+++ b/rhubarbhinge/query/_call.py
@@ -176,6 +176,16 @@
             return 0.0 if self.lost else 1.0
         return (self.covered_records + self._open_records()) / total
 
+    def coverage(self) -> float:
+        """Give the coverage so far.
+
+        :returns: between 0 and 1.
+        """
+        total = self.plan.total_records
+        if total == 0:
+            return 0.0 if self.lost or self.open_parts else 1.0
+        return self.covered_records / total
+
     def coverage_without(self, part: Part) -> float:
         """Give the coverage if all open parts but one are answered.
 
--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -198,6 +198,10 @@
             if now_ms >= call.deadline_ms - self._policy.answer_margin_ms:
                 effects.append(self._finish(call, now_ms))
                 continue
+            answered = self._settle(call, now_ms)
+            if answered:
+                effects += answered
+                continue
             self._retry_waiting(call, now_ms)
             self._hedge(call, now_ms)
             self._schedule(call, now_ms)
@@ -427,6 +431,8 @@
 
     def _schedule(self, call: Call, now_ms: float) -> None:
         at_ms = min(call.deadline_ms - self._policy.answer_margin_ms, call.next_retry_ms())
+        if now_ms < self._patience_end_ms(call):
+            at_ms = min(at_ms, self._patience_end_ms(call))
         if self._policy.hedging:
             delay_ms = self._hedge_delay_ms(call)
             if now_ms > call.started_ms:
@@ -445,10 +451,20 @@
         if call.call_id not in self._calls:
             return []
         hopeless = call.lost and call.best_coverage() < call.request.traffic_class.least_coverage
-        if call.open_parts == 0 or hopeless:
+        if call.open_parts == 0 or hopeless or self._is_enough(call, now_ms):
             return [self._finish(call, now_ms)]
         return []
 
+    def _is_enough(self, call: Call, now_ms: float) -> bool:
+        traffic_class = call.request.traffic_class
+        waited = now_ms >= self._patience_end_ms(call)
+        return waited and call.coverage() >= traffic_class.least_coverage
+
+    def _patience_end_ms(self, call: Call) -> float:
+        if call.request.traffic_class.prefers == "coverage":
+            return call.deadline_ms
+        return call.started_ms + self._policy.patience_share * call.request.deadline_ms
+
     def _finish(self, call: Call, now_ms: float) -> Answer | Shortfall:
         for part in call.parts.values():
             if not part.done:
--- a/rhubarbhinge/query/_policy.py
+++ b/rhubarbhinge/query/_policy.py
@@ -8,6 +8,8 @@
     """Constants and switches of the query core; the switches exist for measuring.
 
     :param answer_margin_ms: kept back from the deadline for merging and answering.
+    :param patience_share: share of the deadline after which a class that prefers latency is
+        answered with what is covered, if that is enough for the class.
     :param hop_margin_ms: kept back from the deadline on the way to the relay and back.
     :param first_hedge_ms: hedge delay before there are latencies to go by.
     :param least_hedge_ms: no hedge is sent sooner.
@@ -20,6 +22,7 @@
     """
 
     answer_margin_ms: float = 4.0
+    patience_share: float = 0.5
     hop_margin_ms: float = 2.0
     first_hedge_ms: float = 40.0
     least_hedge_ms: float = 1.0
