--- a/tools/tests/test_docs.py
+++ b/tools/tests/test_docs.py
@@ -97,7 +97,15 @@
             relay = f"{LOOPBACK}:{deployment.vms[0].relay_http}"
             variables = {"ENTRY": entry, "OTHER": other, "RELAY": relay}
             for page in pages():
-                self._run_page(page, variables)
+                with self.subTest(page=page.name):
+                    self._run_page(page, variables)
+            dead = [
+                f"{process.name}: {(Path(folder) / f'{process.name}.err').read_text()[-500:]}"
+                for vm in deployment.vms
+                for process in vm.nodes.values()
+                if not process.is_running()
+            ]
+            self.assertEqual([], dead)
 
     def _run_page(self, page, variables):
         live = [block for block in blocks(page) if "live" in block.marks]
