--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -42,17 +42,20 @@
         :param path: the path.
         :param document: the body.
         :param headers: more headers.
-        :returns: the ``answered`` event; ``whole`` is False when the answer was cut or lost.
+        :returns: the ``answered`` event; ``whole`` is False when the answer was cut or lost, and
+            ``why`` then names the error.
         """
         request = next(self._numbers)
         node = f"{vm.name}/entry"
-        asked = {"path": path, "document": document, "node": node}
-        self._note("asked", request, **asked)
+        asked = {"path": path, "document": document}
+        self._note("asked", request, node=node, **asked)
         try:
             status, body = post(vm.entry_http, path, document, headers)
         except _LOST as error:
-            return self._note("answered", request, whole=False, status=0, body={}, why=str(error))
-        return self._note("answered", request, whole=True, status=status, body=body)
+            why = getattr(error, "reason", error)
+            lost = {"status": 0, "body": {}, "why": type(why).__name__}
+            return self._note("answered", request, node=node, whole=False, **lost)
+        return self._note("answered", request, node=node, whole=True, status=status, body=body)
 
     def mint(self, vm: Vm, number: int = 1) -> "Ticket":
         """Ask for a ticket without running it.
@@ -174,12 +177,15 @@
         cls.live = LiveDeployment(
             cls.fleet, "kingston", cls.size, cls.knobs, cls.node_settings, cls.change
         )
-        cls.start()
+        cls.addClassCleanup(cls._kill_nodes)
+        cls.live.start_nodes()
 
     @classmethod
-    def start(cls) -> None:
-        """Start the nodes."""
-        cls.live.start_nodes()
+    def _kill_nodes(cls) -> None:
+        """End the nodes at once; a graceful stop would wait for tickets that nobody shows."""
+        for vm in cls.live.vms:
+            for process in vm.nodes.values():
+                process.kill()
 
     @staticmethod
     def change(register: dict, rules: dict) -> None:
@@ -243,8 +249,31 @@
         """
         process = self.live.start_node(vm, role)
         self.live.wait_serving()
+        domain = vm.failure_domain
+        wait_for(lambda: self.owned(domain) == self.searchers_in(domain), f"owners in {domain}")
+        self.assertTrue(process.is_running(), process.errors())
         return process
 
+    def owned(self, failure_domain: str) -> set[str]:
+        """Give the searchers that a failure domain's running relays own.
+
+        :param failure_domain: the failure domain.
+        :returns: their names.
+        """
+        vms = [vm for vm in self.live.vms if vm.failure_domain == failure_domain]
+        running = [vm for vm in vms if vm.nodes["relay"].is_running()]
+        statuses = [self.live.status(vm, "relay") for vm in running]
+        return {name for status in statuses for name in status["owned"]}
+
+    def searchers_in(self, failure_domain: str) -> set[str]:
+        """Give the searchers of a failure domain.
+
+        :param failure_domain: the failure domain.
+        :returns: their names.
+        """
+        upstreams = self.live.register["upstreams"]
+        return {each["name"] for each in upstreams if each["failure_domain"] == failure_domain}
+
 
 def in_background(function: Callable[..., Any], *arguments: Any) -> Future:
     """Call a function on a thread of its own.
