--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -14,6 +14,7 @@
 
 from tools.slopes._admissioncost import admission_costs
 from tools.slopes._capacity import capacity_lines
+from tools.slopes._catalogcost import catalog_costs
 from tools.slopes._codeccost import codec_costs
 from tools.slopes._controlcost import control_costs
 from tools.slopes._livecost import live_costs
@@ -30,6 +31,7 @@
 _MEASURES: dict[str, Callable[[], Iterator[Series]]] = {
     "query": query_costs,
     "codec": codec_costs,
+    "catalog": catalog_costs,
     "relay": relay_costs,
     "web": web_costs,
     "admission": admission_costs,
--- a/tools/slopes/_capacity.py
+++ b/tools/slopes/_capacity.py
@@ -104,6 +104,18 @@
     node_us = found["entry at rest by nodes, CPU"].line().slope
     at_rest = node_us * TARGET.nodes / 1e6
     yield CapacityLine("entry at rest, all nodes' reports and links", at_rest, "cores")
+    yield from _holdings(found)
+
+
+def _holdings(found: Mapping[str, Series]) -> Iterator[CapacityLine]:
+    length = found["HoldingReport, length"].line().at(1) + _FRAME_BYTES
+    yield CapacityLine("announcements at an entry's start", length * TARGET.searchers / _MB, "MB")
+    decode_us = found["HoldingReport, decode"].line().at(1)
+    yield CapacityLine("the same, decoded", decode_us * TARGET.searchers / 1e6, "s")
+    rebuilt_us = found["catalog, rebuilt"].line().slope * TARGET.searchers
+    yield CapacityLine("catalog rebuilt", rebuilt_us / 1e3, "ms an announcement")
+    plan_us = found["plan, made anew"].median(TARGET.parts)
+    yield CapacityLine("plan made anew", plan_us / 1e3, "ms a plan")
 
 
 def _documents(found: Mapping[str, Series]) -> Iterator[CapacityLine]:
--- a/tools/slopes/_codeccost.py
+++ b/tools/slopes/_codeccost.py
@@ -20,6 +20,7 @@
         "SubBatch": sample.sub_batch,
         "ReplyBatch": lambda size: sample.replies(sample.sub_batch(size)),
         "UpstreamReport": report,
+        "HoldingReport": lambda size: sample.holding(2**60, [(0, 400)] * size, size),
     }
     for name, make in shapes.items():
         for step, cost_us in (("encode", _encode_us), ("decode", _decode_us)):
--- a/tools/slopes/_controlcost.py
+++ b/tools/slopes/_controlcost.py
@@ -31,6 +31,10 @@
     for field, unit in _UNITS.items():
         points = {line["nodes"]: [line[field]] for line in fleets if line[field] is not None}
         yield Series(f"control, {field}", "nodes", unit, points)
+    (calls,) = _lines("calls")
+    name = "control at rest, platform_calls_per_s"
+    points = {calls["nodes"]: [calls["platform_calls_per_s"]]}
+    yield Series(name, "nodes", _UNITS["platform_calls_per_s"], points)
     (target,) = _lines("target")
     for field in ("memory_bytes", "datagram_bytes_per_s", "datagrams_per_s", "cpu_us_per_s"):
         points = {target["nodes"]: [target[field]]}
--- a/tools/slopes/_querycost.py
+++ b/tools/slopes/_querycost.py
@@ -21,7 +21,8 @@
 PARTS = 150
 PARTS_A_RELAY = 6
 _QUERIES = 12_000
-_KEYS = 65_536
+#: The key space of every collection (docs/architecture.md).
+KEYS = 65_536
 
 
 def query_costs() -> Iterator[Series]:
@@ -60,9 +61,9 @@
     :returns: the catalog.
     """
     found = Catalog()
-    width = _KEYS // parts
+    width = KEYS // parts
     for part in range(parts):
-        hi = _KEYS if part == parts - 1 else (part + 1) * width
+        hi = KEYS if part == parts - 1 else (part + 1) * width
         for replica in range(replicas):
             held = sample.holding(2**60 + part * replicas + replica, [(part * width, hi)], parts)
             found.on_holdings(held)
