--- a/tools/slopes/_controlcost.py
+++ b/tools/slopes/_controlcost.py
@@ -19,7 +19,16 @@
     "in_force_max_ms": "ms",
     "heal_ms": "ms",
     "memory_bytes": "bytes a node",
+    "members_followed": "members",
 }
+_AT_TARGET = (
+    "members_followed",
+    "memory_bytes",
+    "datagram_bytes_per_s",
+    "datagrams_per_s",
+    "cpu_us_per_s",
+)
+_BY_CHANGES = ("peer_bytes_per_s", "cpu_us_per_s", "in_force_max_ms")
 
 
 def control_costs() -> Iterator[Series]:
@@ -29,14 +38,21 @@
     """
     fleets = _lines("fleet")
     for field, unit in _UNITS.items():
-        points = {line["nodes"]: [line[field]] for line in fleets if line[field] is not None}
-        yield Series(f"control, {field}", "nodes", unit, points)
+        points = {line["nodes"]: [line[field]] for line in fleets if line.get(field) is not None}
+        if points:
+            yield Series(f"control, {field}", "nodes", unit, points)
+    changes = _lines("changes")
+    for field in _BY_CHANGES:
+        points = {line["changes_per_s"]: [line[field]] for line in changes}
+        yield Series(f"control by changes, {field}", "changes a second", _UNITS[field], points)
+    points = {line["lost"]: [line["dropped_ms"]] for line in _lines("lost")}
+    yield Series("control, dropped_ms", "members lost at once of 50", "ms", points)
     (calls,) = _lines("calls")
     name = "control at rest, platform_calls_per_s"
     points = {calls["nodes"]: [calls["platform_calls_per_s"]]}
     yield Series(name, "nodes", _UNITS["platform_calls_per_s"], points)
     (target,) = _lines("target")
-    for field in ("memory_bytes", "datagram_bytes_per_s", "datagrams_per_s", "cpu_us_per_s"):
+    for field in _AT_TARGET:
         points = {target["nodes"]: [target[field]]}
         yield Series(f"control with the target's tables, {field}", "nodes", _UNITS[field], points)
 
--- a/tools/slopes_control.py
+++ b/tools/slopes_control.py
@@ -45,6 +45,10 @@
 TARGET_NODES = 7_900
 TARGET_DOMAINS = 7
 TARGET_SECONDS = 60
+EVENT_NODES, EVENT_DOMAINS = 50, 4
+CHANGE_PERIODS_MS = (CHANGE_MS, 1_000, 250)
+LOST_NODES = (1, 5, 12)
+LOST_LIMIT_MS = 60_000
 CHURN_MS = 24_000  # three claims (dead, new life, alive) for each of 8,200 restarts a day
 
 
@@ -81,6 +85,8 @@
         "fleet": measure_fleets,
         "domain": measure_domain,
         "calls": measure_calls,
+        "changes": measure_changes,
+        "lost": measure_lost,
     }
     for name in sys.argv[1:] or ("delta", "target", "fleet"):
         measures[name]()
@@ -128,6 +134,27 @@
     _print(line | {"platform_calls_per_s": round(1_000 * calls / CALLS_MS, 2)})
 
 
+def measure_changes() -> None:
+    """Print one line for each rate of changes, at one size of the fleet."""
+    for change_ms in CHANGE_PERIODS_MS:
+        line = _measure_fleet(EVENT_NODES, EVENT_DOMAINS, change_ms, heals=False)
+        _print(line | {"measure": "changes", "changes_per_s": round(1_000 / change_ms, 3)})
+
+
+def measure_lost() -> None:
+    """Print how long all others take to drop members that are lost at once."""
+    for count in LOST_NODES:
+        schedule, _ = _start_fleet(EVENT_NODES, EVENT_DOMAINS)
+        schedule.run_until(lambda s=schedule: _all(s, lambda n: n.ready()), 20_000)
+        _acquaint(schedule)
+        schedule.run(2_000)
+        gone = set(schedule.rng.sample(sorted(schedule.nodes), count))
+        for name in gone:
+            schedule.remove(name)
+        took_ms = schedule.run_until(lambda s=schedule, g=gone: _dropped(s, g), LOST_LIMIT_MS)
+        _print({"measure": "lost", "nodes": EVENT_NODES, "lost": count, "dropped_ms": took_ms})
+
+
 def measure_deltas() -> None:
     """Print the length and cost of ways to send a changed register."""
     for upstreams in (REGISTER_UPSTREAMS, LARGE_REGISTER_UPSTREAMS):
@@ -244,7 +271,16 @@
     return zlib.compress(target[head : len(target) - tail], 6)
 
 
-def _measure_fleet(nodes: int, domains: int) -> dict:
+def _dropped(schedule: Schedule, gone: set[str]) -> bool:
+    return all(
+        gone.isdisjoint(member.name for member in node.membership.live())
+        for node in schedule.nodes.values()
+    )
+
+
+def _measure_fleet(
+    nodes: int, domains: int, change_ms: int = CHANGE_MS, heals: bool = True
+) -> dict:
     schedule, sent = _start_fleet(nodes, domains)
     ready_ms = schedule.run_until(lambda: _all(schedule, lambda n: n.ready()), 20_000)
     _acquaint(schedule)
@@ -255,11 +291,12 @@
     TimedNode.cpu_s = 0.0
     lags = []
     for change in range(CHANGES):
-        lags += _change(schedule, change + 2)
+        lags += _change(schedule, change + 2, change_ms)
     node_s = nodes * (schedule.now_ms - start_ms) / 1_000
     calls = len(schedule.platform.calls_ms) - calls
     cpu_s = TimedNode.cpu_s
     lags.sort()
+    heals = heals and 1 < domains and nodes <= HEAL_LIMIT_NODES
     return {
         "measure": "fleet",
         "nodes": nodes,
@@ -272,7 +309,7 @@
         "platform_calls_per_s": round(1_000 * calls / (schedule.now_ms - start_ms), 2),
         "in_force_p50_ms": lags[len(lags) // 2],
         "in_force_max_ms": lags[-1],
-        "heal_ms": _heal(schedule) if 1 < domains and nodes <= HEAL_LIMIT_NODES else None,
+        "heal_ms": _heal(schedule) if heals else None,
         "memory_bytes": _memory(nodes, domains),
     }
 
@@ -312,11 +349,11 @@
     node.membership._datagrams.updates = UpdateQueue()
 
 
-def _change(schedule: Schedule, revision: int) -> list[int]:
+def _change(schedule: Schedule, revision: int, change_ms: int = CHANGE_MS) -> list[int]:
     published_ms = schedule.now_ms
     data = register(REGISTER_UPSTREAMS, revision, leaving={revision})
     schedule.publish("register", revision, data)
-    schedule.run(CHANGE_MS)
+    schedule.run(change_ms)
     held = [node.store.accepted("register") for node in schedule.nodes.values()]
     late_ms = [schedule.now_ms if d.revision < revision else d.adopted_ms for d in held]
     return [adopted_ms - published_ms for adopted_ms in late_ms]
