--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -144,6 +144,9 @@
         """
         return 0.0
 
+    def fill_metrics(self) -> None:
+        """Fill the role's own gauges, just before the metrics are rendered."""
+
     def status(self) -> dict[str, Any]:
         """Describe the node for operators.
 
@@ -184,6 +187,7 @@
         :returns: the text exposition.
         """
         self.control.fill(self.metrics)
+        self.fill_metrics()
         return Response(200, self.metrics.render(), content_type=CONTENT_TYPE)
 
     def status_page(self) -> Response:
--- a/rhubarbhinge/daemons/_relaydaemon.py
+++ b/rhubarbhinge/daemons/_relaydaemon.py
@@ -11,6 +11,7 @@
 from rhubarbhinge.settings import NodeSettings
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.web import HttpConnections
+from rhubarbhinge.wire import upstream_id
 
 _OWNERSHIP_CHECK_MS = 1_000.0
 
@@ -100,6 +101,13 @@
         """
         return {**self._work.status(), "owned": self._owned_names}
 
+    def fill_metrics(self) -> None:
+        """Fill the gauges of drains, slots and queues."""
+        register = self.control.config.register
+        upstreams = register.upstreams if register is not None else ()
+        systems = {upstream_id(upstream.name): upstream.system for upstream in upstreams}
+        self._work.fill(self.metrics, systems)
+
     def _publish(self, report: Any) -> None:
         for peer in self.links.peers():
             if peer.role == "entry":
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -1,7 +1,8 @@
 """What a relay does for entries: takes their work, carries it out, answers."""
 
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from rhubarbhinge.daemons._identity import Identity
@@ -18,9 +19,10 @@
     RunResult,
     UpstreamSpec,
 )
+from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import HttpClient, HttpConnections
-from rhubarbhinge.wire import CancelBatch, RunReply, RunRequest, SubBatch
+from rhubarbhinge.wire import CancelBatch, RunReply, RunRequest, SubBatch, UpstreamState
 
 
 class RelayWork:
@@ -136,9 +138,31 @@
             "queued": sum(report.queued),
             "in_flight": sum(report.in_flight),
             "slots": sum(report.slots),
-            "states": {str(state): report.states.count(state) for state in set(report.states)},
+            "states": {
+                UpstreamState(state).name.lower(): report.states.count(state)
+                for state in sorted(set(report.states))
+            },
         }
 
+    def fill(self, metrics: Metrics, system_of: Mapping[int, str]) -> None:
+        """Fill the gauges of drains, slots and queues.
+
+        :param metrics: the node's metrics.
+        :param system_of: names of the searchers' systems.
+        """
+        report = self.core.reports(self._timers.now_ms())
+        in_use: Counter[str] = Counter()
+        total: Counter[str] = Counter()
+        rows = zip(report.upstream_ids, report.in_flight, report.slots, strict=True)
+        for upstream_id, in_flight, slots in rows:
+            system = system_of.get(upstream_id, "")
+            in_use[system] += in_flight
+            total[system] += slots
+        for system, slots in total.items():
+            metrics.set_slots(system, in_use[system], slots)
+        metrics.set_drains(report.states.count(UpstreamState.DRAINING))
+        metrics.set_queue_length("all", sum(report.queued))
+
     # Messages.
 
     def _batch(self, entry: str, batch: SubBatch) -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback: platform, searchers, relays and entries as processes."""
 
 import itertools
+import secrets
 import time
 import urllib.error
 import urllib.request
@@ -15,7 +16,6 @@
 from tools.make_examples import make_deployment
 
 LOOPBACK = "127.0.0.1"
-DEPLOYMENT_KEY = "a-key-for-tests-on-loopback-only-0123456789"
 FIRST_VERSION = 1
 #: Bound of every wait for a state of the whole deployment, on a busy machine.
 WAIT_S = 30.0
@@ -86,6 +86,8 @@
         change: Callable[[dict, dict], None] | None = None,
     ) -> None:
         self.fleet = fleet
+        #: A key of its own: deployments on one machine never take each other's nodes for theirs.
+        self.key = secrets.token_hex(32)
         self.tenant = tenant
         self.size = size or Size()
         self._node_settings = dict(node_settings or {})
@@ -136,7 +138,7 @@
             "RHUBARBHINGE_HTTP_PORT": str(http_port),
             "RHUBARBHINGE_PLATFORM": f"{LOOPBACK}:{self.platform.port()}",
             "RHUBARBHINGE_PEERS": ",".join(seeds),
-            "RHUBARBHINGE_DEPLOYMENT_KEY": DEPLOYMENT_KEY,
+            "RHUBARBHINGE_DEPLOYMENT_KEY": self.key,
             "RHUBARBHINGE_DRAIN_WAIT_MS": "200",
             "RHUBARBHINGE_STOP_GRACE_MS": "10000",
             **self._node_settings,
@@ -276,7 +278,8 @@
             return False
         links = set(status["links"])
         known = status["searchers_announced"] >= searchers
-        return status["ready"] and relays <= links and known
+        mine = vm.nodes["entry"].is_running()
+        return mine and status["ready"] and relays <= links and known
 
     def _start_searchers(self, knobs: Mapping[str, Any]) -> None:
         holdings = _holdings(self.register)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,8 +16,7 @@
     suite = _suite(sys.argv[1:])
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     known = _known_red()
-    bad = [test.id() for test, _ in result.failures + result.errors]
-    bad += [test.id() for test in result.unexpectedSuccesses]
+    bad = _failed(result)
     new = [name for name in bad if name not in known]
     for name in bad:
         if name in known:
@@ -28,6 +27,12 @@
     return 1 if new or result.testsRun == 0 else 0
 
 
+def _failed(result: unittest.TestResult) -> list[str]:
+    tests = [test for test, _ in result.failures + result.errors] + result.unexpectedSuccesses
+    # A subtest counts as its test, once, however many of its kind failed.
+    return sorted({getattr(test, "test_case", test).id() for test in tests})
+
+
 def _suite(names: list[str]) -> unittest.TestSuite:
     loader = unittest.defaultTestLoader
     if names:
