--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -11,6 +11,7 @@
     ControlNode,
     Member,
     MemberChanged,
+    MembershipTimings,
     PlatformOutcome,
     PollPlatform,
     Refused,
@@ -106,7 +107,14 @@
             "alive",
         )
         seeds = [_address(text) for text in settings.peers]
-        self._core = ControlNode(me, rng, self.config.validate, _vm_nodes, seeds)
+        self._core = ControlNode(
+            me,
+            rng,
+            self.config.validate,
+            _vm_nodes,
+            seeds,
+            MembershipTimings(links_per_domain=settings.links_per_domain),
+        )
         self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
             self
         )
--- a/rhubarbhinge/settings/_node_settings.py
+++ b/rhubarbhinge/settings/_node_settings.py
@@ -21,6 +21,7 @@
     :param peers: Addresses of nodes to join by, each ``ip:port`` of a peer port.
     :param pools: Who holds connections to upstreams: relays, or each entry.
     :param switched_off: Mechanisms to do without; for measuring.
+    :param links_per_domain: Nodes of each other failure domain that this node follows and links to.
     :param stop_grace_ms: Longest time of a graceful stop, in milliseconds.
     :param drain_wait_ms: Time of a stop that balancers get to notice it, in milliseconds.
     :param log_level: Least severe level that is logged.
@@ -42,6 +43,7 @@
     peers: tuple[str, ...] = ()
     pools: Literal["relay", "direct"] = "relay"
     switched_off: tuple[str, ...] = ()
+    links_per_domain: int = 8
     stop_grace_ms: int = 30_000
     drain_wait_ms: int = 5_000
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/rhubarbhinge/settings/_setting.py
+++ b/rhubarbhinge/settings/_setting.py
@@ -10,6 +10,7 @@
 
 MOST_WAIT_MS = 3_600_000
 MOST_TIMEOUT_MS = 600_000
+MOST_LINKS = 1_000
 MOST_CONNECTIONS = 100_000
 LEAST_HEADER_BYTES = 1_024
 MOST_HEADER_BYTES = 1_048_576
@@ -98,6 +99,11 @@
         texts.options(*SWITCHES),
         "mechanisms to do without, for measuring what each one gives",
     ),
+    Setting(
+        "links_per_domain",
+        texts.whole(1, MOST_LINKS),
+        "nodes of each other failure domain to follow; at least those of the largest",
+    ),
     Setting(
         "stop_grace_ms",
         texts.whole(0, MOST_WAIT_MS),
