standins: after each live test every node has to run, else its log is shown

test_relay_stopped_with_a_run_in_flight is flaky: 'connection refused' by a relay's status page in 4 of the runs on a machine with a load above 20, in others not; the cause isn't known. A node that ended by itself will now show its log.

--- a/standins/tests/_live.py
+++ b/standins/tests/_live.py
@@ -200,6 +200,12 @@
     def setUp(self) -> None:
         self.callers = Callers()
         self.since_ms = monotonic_ms()
+        self.addCleanup(self._check_nodes_run)
+
+    def _check_nodes_run(self) -> None:
+        for vm in self.live.vms:
+            for process in vm.nodes.values():
+                self.assertTrue(process.is_running(), f"{process.name}: {process.errors()[-4000:]}")
 
     def history(self) -> list[Event]:
         """Put the events of this test together.
