routing: a test that fails: the ramp of a cold searcher on a clock with fractions

On real processes relays ended by themselves now and then (fail_stop, TypeError: 'float' object cannot be interpreted as an integer, in keep_ready) while searchers were cold. This is what made live tests flaky.

--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -164,6 +164,17 @@
 
 
 class TestConcurrency(unittest.TestCase):
+    def test_a_ramp_on_a_clock_with_fractions_opens_connections(self):
+        shell = FakeShell(spec(0, slots=4, connections=20))
+        shell.connect()
+        shell.health(0, health(0))
+        shell.now_ms += 1000.5
+        shell.apply(shell.core.tick(shell.now_ms))
+        shell.batch(*[0] * 8, deadline_ms=5000)
+        shell.connect()
+        shell.answer()
+        self.assertIsInstance(shell.report()["slots"], int)
+
     def test_a_cold_searcher_gets_one_request_then_more(self):
         shell = FakeShell(spec(0, slots=4))
         shell.connect()
