routing: the ramp's limit is a whole number whatever the clock gives

Cause: the shell's clock has fractions, so that the limit of a cold searcher was a float, which ended the relay in range().

--- a/rhubarbhinge/routing/_concurrency.py
+++ b/rhubarbhinge/routing/_concurrency.py
@@ -126,4 +126,4 @@
         elapsed_ms = now_ms - self._ramp_start_ms
         if elapsed_ms >= self._policy.ramp_ms:
             return self._slots
-        return 1 + self._slots * elapsed_ms // self._policy.ramp_ms
+        return 1 + int(self._slots * elapsed_ms // self._policy.ramp_ms)
