query: part the core into steps with one job each

Ruled out: mixins or sub-objects that call each other back; the steps are plain functions on a shared state, as in routing.

Change: QueryCore holds the public inputs only. QueryState holds what the steps share, OpenQueries the open queries and when they are due. The steps are _beginning, _sending, _answering, _resending, _hedging, _ending and _merging; _subendings has what each ending of a sub-query means. Two bare numbers got names (least retry-after 100 ms, looks in a hedge delay). Tests reach the same objects by their new paths; nothing is checked less.

Speed was not measured.

--- /dev/null
+++ b/rhubarbhinge/query/_ending.py
@@ -0,0 +1,89 @@
+"""End queries: when nothing is open, when coverage is out of reach, at the deadline."""
+
+from rhubarbhinge.query._call import Call, Part
+from rhubarbhinge.query._effects import Answer, Effect, Shortfall
+from rhubarbhinge.query._merging import merged_answer
+from rhubarbhinge.query._querystate import QueryState
+
+#: A caller is told to wait this long at least after a shortfall.
+_LEAST_RETRY_AFTER_MS = 100.0
+
+
+def settle(state: QueryState, call: Call, now_ms: float) -> list[Effect]:
+    """End a query if no part is open, or the least coverage can't be reached any more.
+
+    :param state: the entry's state.
+    :param call: the query; one that has ended is left alone.
+    :param now_ms: the time.
+    :returns: its answer, or nothing.
+    """
+    if not state.open.is_open(call):
+        return []
+    hopeless = call.lost and call.best_coverage() < call.request.traffic_class.least_coverage
+    if call.open_parts == 0 or hopeless:
+        return [finish(state, call, now_ms)]
+    return []
+
+
+def finish(state: QueryState, call: Call, now_ms: float) -> Answer | Shortfall:
+    """End a query with what it has; open parts are given up.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param now_ms: the time.
+    :returns: its answer, or a shortfall when that covers too little.
+    """
+    for part in call.parts.values():
+        if not part.done:
+            _give_up(call, part)
+    end(state, call, now_ms)
+    answer = merged_answer(call, now_ms)
+    least = call.request.traffic_class.least_coverage
+    if answer.coverage < least:
+        return Shortfall(answer, least, max(_LEAST_RETRY_AFTER_MS, call.request.deadline_ms))
+    return answer
+
+
+def end(state: QueryState, call: Call, now_ms: float) -> None:
+    """Cancel what a query still waits for and forget it.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param now_ms: the time.
+    """
+    cancel_all(state, call, now_ms)
+    state.open.remove(call)
+
+
+def cancel_all(state: QueryState, call: Call, now_ms: float) -> None:
+    """Cancel the outstanding attempts of all parts.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param now_ms: the time.
+    """
+    for part in call.parts.values():
+        cancel_rest(state, call, part, now_ms)
+
+
+def cancel_rest(state: QueryState, call: Call, part: Part, now_ms: float) -> None:
+    """Cancel the outstanding attempts of a part.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param part: the part.
+    :param now_ms: the time.
+    """
+    for number, attempt in part.attempts.items():
+        state.scores.on_overdue(attempt.upstream_id, now_ms - attempt.sent_ms, now_ms)
+        state.outbox.cancel(attempt.target.name, call.call_id, part.number, number)
+        state.scores.on_ended(attempt.upstream_id)
+    part.attempts.clear()
+
+
+def _give_up(call: Call, part: Part) -> None:
+    if part.attempts:
+        part.why = "deadline"
+    elif not part.sent:
+        part.why = "not-asked"
+    call.lose(part)
--- /dev/null
+++ b/rhubarbhinge/query/_sending.py
@@ -0,0 +1,69 @@
+"""Choose a replica for a part and send it a sub-query."""
+
+from rhubarbhinge.query._call import Attempt, Call, Part
+from rhubarbhinge.query._querystate import QueryState
+from rhubarbhinge.query._relaytarget import RelayTarget
+
+
+def send(state: QueryState, call: Call, part: Part, now_ms: float, extra: bool) -> bool:
+    """Send a part to the best replica that it was not sent to.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param part: the part.
+    :param now_ms: the time.
+    :param extra: whether a token of the budget was spent on it.
+    :returns: False when no replica is left to send to, or the attempts are used up.
+    """
+    chosen = _choose(state, part, now_ms)
+    if chosen is None:
+        return False
+    upstream_id, target = chosen
+    attempt = part.sent
+    part.sent += 1
+    part.tried.add(upstream_id)
+    part.attempts[attempt] = Attempt(upstream_id, target, now_ms, extra)
+    state.scores.on_sent(upstream_id)
+    state.outbox.send(target, call, part, attempt, upstream_id)
+    return True
+
+
+def send_extra(state: QueryState, call: Call, part: Part, now_ms: float) -> bool:
+    """Send a part once more, if the budget lets it.
+
+    :param state: the entry's state.
+    :param call: the query.
+    :param part: the part.
+    :param now_ms: the time.
+    :returns: whether it was sent.
+    """
+    budgeted = state.policy.budgeted
+    if budgeted and not state.budget(call).spend():
+        return False
+    sent = send(state, call, part, now_ms, extra=budgeted)
+    if budgeted and not sent:
+        state.budget(call).give_back()
+    return sent
+
+
+def _choose(state: QueryState, part: Part, now_ms: float) -> tuple[int, RelayTarget] | None:
+    if part.sent >= state.policy.most_attempts:
+        return None
+    found: list[tuple[float, int, RelayTarget]] = []
+    for upstream_id in part.tile.upstream_ids:
+        if upstream_id in part.tried or not state.catalog.usable(upstream_id):
+            continue
+        target = state.relay_of(upstream_id)
+        if target is not None:
+            found.append((_score(state, upstream_id, now_ms), upstream_id, target))
+    if not found:
+        return None
+    _, upstream_id, target = min(found, key=lambda row: row[0])
+    return upstream_id, target
+
+
+def _score(state: QueryState, upstream_id: int, now_ms: float) -> float:
+    if not state.policy.own_observation:
+        return state.rng.random()
+    score = state.scores.score(upstream_id, state.catalog.state(upstream_id), now_ms)
+    return score * (1.0 + 0.1 * state.rng.random())
--- a/rhubarbhinge/query/tests/test_core.py
+++ b/rhubarbhinge/query/tests/test_core.py
@@ -52,7 +52,7 @@
         return self.core.on_reply(self.relays[number].name, reply, now_ms)
 
     def tokens(self):
-        return self.core._budgets[self.traffic.name]._tokens
+        return self.core._state.budgets[self.traffic.name]._tokens
 
 
 def cancels(effects):
@@ -205,7 +205,7 @@
         self.all_shed(bench)
         for now_ms in range(20, 100):
             bench.core.tick(float(now_ms))
-            self.assertLessEqual(len(bench.core._due), 4)
+            self.assertLessEqual(len(bench.core._state.open.due), 4)
 
     def test_waiting_parts_are_asked_again_without_hedging_too(self):
         bench = Bench({1: [(1, 0, builders.KEYS)]}, hedging=False)
--- a/rhubarbhinge/query/tests/test_schedules.py
+++ b/rhubarbhinge/query/tests/test_schedules.py
@@ -92,8 +92,12 @@
     def check_nothing_is_left(self, schedule):
         core = schedule.core
         self.assertEqual(set(schedule.sent), schedule.ended & set(schedule.sent))
-        self.assertEqual((0, {}, []), (core.in_flight(), core._call_by_request, core._due))
-        self.assertEqual({0}, {seen.outstanding for seen in core._scores._seen.values()} | {0})
+        self.assertEqual(
+            (0, {}, []), (core.in_flight(), core._state.open.call_by_request, core._state.open.due)
+        )
+        self.assertEqual(
+            {0}, {seen.outstanding for seen in core._state.scores._seen.values()} | {0}
+        )
 
 
 if __name__ == "__main__":
