daemons: take the platform's HTTP side and the status out of the control shell

Ruled out: a core for the platform's address; it is one counter.

Change: PlatformCalls asks one address after another, platform_answer reads what came (a frozen PlatformAnswer in place of a bare tuple), control_status and fill_control are plain functions, vm_nodes and entry_names read the VM list, endpoint splits an address. The shell's unused metrics argument is gone.

Live tests were not run.

Conclusion: behaviour is as it was.

--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -1,4 +1,4 @@
-"""Carries out what the control cores decide: datagrams, peer messages, calls to the platform."""
+"""Carries out what the control cores decide: datagrams, peer messages, documents, members."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -11,25 +11,27 @@
     ControlNode,
     Member,
     MemberChanged,
-    PlatformOutcome,
     PollPlatform,
     Refused,
     SendDatagram,
     SendPeer,
     Superseded,
-    VmNode,
 )
 from rhubarbhinge.daemons._configview import ConfigView
+from rhubarbhinge.daemons._controlstatus import control_status, fill_control
+from rhubarbhinge.daemons._endpoint import endpoint
 from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._peeraddress import PeerAddress
 from rhubarbhinge.daemons._peerlinks import PeerLinks
+from rhubarbhinge.daemons._platformanswer import PlatformAnswer
+from rhubarbhinge.daemons._platformcalls import PlatformCalls
+from rhubarbhinge.daemons._vmnodes import entry_names, vm_nodes
 from rhubarbhinge.net import Datagrams
-from rhubarbhinge.register import parse_vms
 from rhubarbhinge.settings import NodeSettings
 from rhubarbhinge.telemetry import Metrics, log_event
 from rhubarbhinge.timing import TimerService
-from rhubarbhinge.web import Failure, HttpClient, Reply
+from rhubarbhinge.web import HttpClient
 from rhubarbhinge.wire import (
     ConfigBusy,
     ConfigChunk,
@@ -44,15 +46,7 @@
 )
 
 _TICK_MS = 50.0
-#: Kept on top of the time that a watch may wait at the platform.
-_CALL_MARGIN_MS = 2_000.0
 _CONFIG_MESSAGES = (ConfigNotice, ConfigRequest, ConfigChunk, ConfigBusy)
-_OUTCOME_BY_STATUS = {
-    200: PlatformOutcome.CHANGED,
-    204: PlatformOutcome.UNCHANGED,
-    404: PlatformOutcome.MISSING,
-    503: PlatformOutcome.OVERLOADED,
-}
 
 
 class ControlShell(Component):
@@ -64,7 +58,6 @@
     :param links: links to other nodes.
     :param client: calls the platform.
     :param rng: source of random choices.
-    :param metrics: gauges.
     :ivar config: the configuration in force.
     :ivar on_config: called when it has changed.
     :ivar on_members: called when the members have changed.
@@ -81,7 +74,6 @@
         links: PeerLinks,
         client: HttpClient,
         rng: random.Random,
-        metrics: Metrics,
     ) -> None:
         super().__init__()
         self.config = ConfigView()
@@ -92,9 +84,9 @@
         self._identity = identity
         self._timers = timers
         self._links = links
-        self._client = client
-        self._metrics = metrics
-        self._platform_turn = 0
+        self._platform = PlatformCalls(
+            client, identity.name, settings.platform, self._platform_answered
+        )
         self._was_ready = False
         me = Member(
             identity.name,
@@ -105,8 +97,8 @@
             identity.incarnation,
             "alive",
         )
-        seeds = [_address(text) for text in settings.peers]
-        self._core = ControlNode(me, rng, self.config.validate, _vm_nodes, seeds)
+        seeds = [endpoint(text) for text in settings.peers]
+        self._core = ControlNode(me, rng, self.config.validate, vm_nodes, seeds)
         self._datagrams = Datagrams(self._datagram, (identity.ip, identity.peer_port)).register(
             self
         )
@@ -159,13 +151,7 @@
         age_ms = ages["vms"].platform_age_ms
         if self.config.vms is None or age_ms < 0:
             return frozenset(), None
-        names = [
-            vm.node_name(node)
-            for vm in self.config.vms.vms
-            for node in vm.nodes
-            if node.role == "entry"
-        ]
-        return frozenset(names), now_ms - age_ms
+        return entry_names(self.config.vms), now_ms - age_ms
 
     def peer_up(self, peer: Peer) -> None:
         """Follow a new link.
@@ -210,23 +196,15 @@
         :returns: plain data.
         """
         ages = self._core.dissemination.ages(self._now_ms())
-        return {
-            "config": {age.key: _age_document(age) for age in ages},
-            "cross_faults": self.config.cross_faults(),
-            "members": {member.name: member.state for member in self._core.membership.members()},
-        }
+        return control_status(ages, self.config.cross_faults(), self._core.membership.members())
 
     def fill(self, metrics: Metrics) -> None:
         """Fill the gauges.
 
         :param metrics: the node's metrics.
         """
-        for age in self._core.dissemination.ages(self._now_ms()):
-            metrics.set_config(age.key, age.revision, age.platform_age_ms)
-        counts: dict[str, int] = {}
-        for member in self._core.membership.members():
-            counts[member.state] = counts.get(member.state, 0) + 1
-        metrics.set_members(counts)
+        ages = self._core.dissemination.ages(self._now_ms())
+        fill_control(metrics, ages, self._core.membership.members())
 
     def _reachable(self, name: str) -> bool:
         return name == self._identity.name or self._links.peer(name) is not None
@@ -262,26 +240,12 @@
         self._links.send(effect.member_name, effect.message)
 
     def _poll(self, effect: PollPlatform) -> None:
-        if not self._settings.platform:
-            return
-        place = self._platform_turn % len(self._settings.platform)
-        ip, port = _address(self._settings.platform[place])
-        path = f"/v1/config/{effect.key}?after={effect.after_revision}&wait_ms={effect.wait_ms}"
-        self._client.call(
-            ip,
-            port,
-            "GET",
-            path,
-            headers=(("Reader", self._identity.name),),
-            timeout_ms=effect.wait_ms + _CALL_MARGIN_MS,
-            on_done=lambda result: self._polled(effect.key, result),
-        )
+        self._platform.poll(effect)
 
-    def _polled(self, key: str, result: Reply | Failure) -> None:
-        outcome, revision, data = _platform_answer(result)
-        if outcome in (PlatformOutcome.FAILED, PlatformOutcome.OVERLOADED):
-            self._platform_turn += 1
-        effects = self._core.on_platform(key, outcome, revision, data, self._now_ms())
+    def _platform_answered(self, key: str, answer: PlatformAnswer) -> None:
+        effects = self._core.on_platform(
+            key, answer.outcome, answer.revision, answer.data, self._now_ms()
+        )
         self._carry_out(effects)
 
     def _adopted(self, effect: Adopted) -> None:
@@ -340,56 +304,3 @@
 
 def _nothing() -> None:
     pass
-
-
-def _address(text: str) -> tuple[str, int]:
-    ip, _, port = text.rpartition(":")
-    return ip, int(port)
-
-
-def _vm_nodes(data: bytes) -> list[VmNode]:
-    checked = parse_vms(data)
-    if checked.value is None:
-        return []
-    return [
-        VmNode(
-            vm.node_name(node),
-            node.role,
-            vm.failure_domain,
-            vm.ip,
-            node.peer_port,
-            node.http_port,
-            vm.state,
-        )
-        for vm in checked.value.vms
-        for node in vm.nodes
-    ]
-
-
-def _platform_answer(result: Reply | Failure) -> tuple[PlatformOutcome, int, bytes]:
-    if isinstance(result, Failure):
-        return PlatformOutcome.FAILED, 0, b""
-    outcome = _OUTCOME_BY_STATUS.get(result.status, PlatformOutcome.FAILED)
-    if outcome is not PlatformOutcome.CHANGED:
-        return outcome, 0, b""
-    revision = result.headers.get("revision", "")
-    if not revision.isascii() or not revision.isdigit():
-        return PlatformOutcome.FAILED, 0, b""
-    return outcome, int(revision), result.body
-
-
-def _age_document(age: Any) -> dict[str, Any]:
-    refused = age.last_refused
-    return {
-        "revision": age.revision,
-        "in_force_ms": age.in_force_ms,
-        "platform_age_ms": age.platform_age_ms,
-        "last_refused": (
-            None
-            if refused is None
-            else {
-                "revision": refused.revision,
-                "faults": refused.faults,
-            }
-        ),
-    }
--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -65,7 +65,7 @@
             self._peer_down,
         ).register(self)
         self.control = ControlShell(
-            settings, self.identity, self.timers, self.links, self.client, self.rng, self.metrics
+            settings, self.identity, self.timers, self.links, self.client, self.rng
         ).register(self)
         self.control.on_config = self.config_changed
         self.control.on_members = self.members_changed
