--- a/rhubarbhinge/control/tests/test_startup.py
+++ b/rhubarbhinge/control/tests/test_startup.py
@@ -17,7 +17,7 @@
     def setUp(self):
         me, *others = fleet(4, 2)
         membership = Membership(me, random.Random(1))
-        membership._claims(others, 0)
+        membership._claims.take(others, 0)
         membership.tick(0)
         self.names = [member.name for member in others]
         self.startup = Startup(membership, random.Random(1), DisseminationSettings())
--- a/tools/slopes_control.py
+++ b/tools/slopes_control.py
@@ -308,7 +308,7 @@
 
 def _teach(node: ControlNode, members: list[Member], now_ms: int) -> None:
     me = node.membership.self_member.name
-    node.membership._claims([m for m in members if m.name != me], now_ms, spread=False)
+    node.membership._claims.take([m for m in members if m.name != me], now_ms, spread=False)
     node.membership._datagrams.updates = UpdateQueue()
 
 
