--- a/rhubarbhinge/routing/tests/test_relaycore.py
+++ b/rhubarbhinge/routing/tests/test_relaycore.py
@@ -61,7 +61,7 @@
     def test_a_searcher_that_slows_down_has_its_hopeless_requests_refused_early(self):
         shell = warm()
         shell.batch(0, 0, 0, 0, 0, 0, deadline_ms=100)
-        shell.core._upstreams[spec(0).upstream_id].service_ms = 70.0
+        shell.core._upstreams.by_id[spec(0).upstream_id].service_ms = 70.0
         shell.wait(20)
         self.assertEqual(set(shell.codes()), {SubCode.QUEUE_FULL})
 
