--- a/rhubarbhinge/routing/_intake.py
+++ b/rhubarbhinge/routing/_intake.py
@@ -8,7 +8,6 @@
 from rhubarbhinge.routing._refusals import refusal
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
 from rhubarbhinge.routing._reply import Reply
-from rhubarbhinge.routing._requestbodies import run_parts
 from rhubarbhinge.routing._requesttable import RequestTable
 from rhubarbhinge.routing._runkind import RunKind
 from rhubarbhinge.routing._runresult import RunResult
@@ -95,28 +94,21 @@
         peer: str,
         ticket: str,
         upstream_id: int,
-        action: str,
-        body: bytes,
+        parts: tuple[bytes, bytes],
         deadline_ms: int,
         now_ms: int,
     ) -> list[Any]:
-        """Take a request that must not repeat; it is sent once at most.
+        """Take a run whose ticket is new.
 
         :param peer: the entry's link.
-        :param ticket: its ticket; one that may have been sent before is not sent again.
+        :param ticket: its ticket.
         :param upstream_id: the searcher.
-        :param action: what to run.
-        :param body: the caller's JSON object.
+        :param parts: what goes before and after the deadline in its body.
         :param deadline_ms: time left when the message was made.
         :param now_ms: the time.
         :returns: effects.
         """
-        if self._requests.knows_ticket(ticket):
-            return [RunResult(peer, ticket, RunKind.UNKNOWN, b"", 0)]
         upstream = self._upstreams.by_id.get(upstream_id)
-        parts = run_parts(ticket, action, body)
-        if parts is None:
-            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", 0)]
         due_ms = self._due_ms(deadline_ms, now_ms)
         refused = refusal(upstream, RUN_WEIGHT, due_ms, now_ms)
         if refused is not None:
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -16,9 +16,11 @@
 from rhubarbhinge.routing._loadreports import LoadReports, load_report
 from rhubarbhinge.routing._publishholding import PublishHolding
 from rhubarbhinge.routing._relaypolicy import RelayPolicy
-from rhubarbhinge.routing._requestbodies import search_head
+from rhubarbhinge.routing._requestbodies import run_parts, search_head
 from rhubarbhinge.routing._requestends import abandon, fail, fail_queue
 from rhubarbhinge.routing._requesttable import RequestTable
+from rhubarbhinge.routing._runkind import RunKind
+from rhubarbhinge.routing._runresult import RunResult
 from rhubarbhinge.routing._sending import after_event, send_queued
 from rhubarbhinge.routing._sweeps import Sweeps
 from rhubarbhinge.routing._upstream import Upstream
@@ -138,7 +140,12 @@
         :param now_ms: the time.
         :returns: effects.
         """
-        return self._intake.run(peer, ticket, upstream_id, action, body, deadline_ms, now_ms)
+        if self._requests.knows_ticket(ticket):
+            return [RunResult(peer, ticket, RunKind.UNKNOWN, b"", 0)]
+        parts = run_parts(ticket, action, body)
+        if parts is None:
+            return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", 0)]
+        return self._intake.run(peer, ticket, upstream_id, parts, deadline_ms, now_ms)
 
     def on_cancel(self, peer: str, batch: CancelBatch, now_ms: int) -> list[Any]:
         """Give up sub-queries; those in flight keep their slot until they end.
