daemons: bundle what work on searchers is built from

Cause: RelayWork, DirectPool and both daemons wrote the same six arguments.

Ruled out: passing the node itself; RelayWork would then reach all of it.

--- a/rhubarbhinge/daemons/_directpool.py
+++ b/rhubarbhinge/daemons/_directpool.py
@@ -4,52 +4,30 @@
 keeps to an equal share of each searcher's slots.
 """
 
-import random
 from collections.abc import Callable
 from typing import Any
 
-from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._ownership import leaving_upstreams, upstream_spec
+from rhubarbhinge.daemons._relayparts import RelayParts
 from rhubarbhinge.daemons._relaywork import RelayWork
 from rhubarbhinge.query import RelayTarget
 from rhubarbhinge.register import Register
-from rhubarbhinge.routing import RelayPolicy
-from rhubarbhinge.timing import TimerService
-from rhubarbhinge.web import HttpClient, HttpConnections
 from rhubarbhinge.wire import upstream_id
 
 
 class DirectPool:
     """An entry's own connections to all searchers.
 
-    :param timers: the timer service.
-    :param identity: this entry.
-    :param rng: source of random choices.
-    :param policy: settings of the core.
-    :param connections: takes three callbacks and gives the component that owns the sockets.
-    :param client: for health polls and cancels.
+    :param parts: parts of this entry.
     :param on_message: called with each message that a relay would have sent here.
     """
 
-    def __init__(
-        self,
-        timers: TimerService,
-        identity: Identity,
-        rng: random.Random,
-        policy: RelayPolicy,
-        connections: Callable[..., HttpConnections],
-        client: HttpClient,
-        on_message: Callable[[Any], None],
-    ) -> None:
+    def __init__(self, parts: RelayParts, on_message: Callable[[Any], None]) -> None:
+        identity = parts.identity
         self._me = RelayTarget(identity.name, identity.incarnation)
         self._numbers: frozenset[int] = frozenset()
         self._work = RelayWork(
-            timers,
-            identity,
-            rng,
-            policy,
-            connections,
-            client,
+            parts,
             lambda entry, message: on_message(message),
             on_message,
             lambda entry, code: None,
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -8,11 +8,12 @@
 from rhubarbhinge.daemons._node import Node, no_such_path
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._relaydirectory import RelayDirectory
+from rhubarbhinge.daemons._relayparts import relay_parts
 from rhubarbhinge.daemons._runs import Runs
 from rhubarbhinge.daemons._searches import Searches
-from rhubarbhinge.daemons._switches import query_policy, relay_policy
+from rhubarbhinge.daemons._switches import query_policy
 from rhubarbhinge.settings import NodeSettings
-from rhubarbhinge.web import HttpConnections, Request, Responder, Response
+from rhubarbhinge.web import Request, Responder, Response
 from rhubarbhinge.wire import HoldingReport, ReplyBatch, UpstreamReport
 
 #: Queries in flight before the rules are known; the rules' own limit replaces it.
@@ -164,15 +165,7 @@
     def _direct_pool(self) -> DirectPool:
         me = self.identity
         myself = Peer(me.name, me.role, me.failure_domain, me.incarnation)
-        pool = DirectPool(
-            self.timers,
-            me,
-            self.rng,
-            relay_policy(self.settings),
-            lambda *callbacks: HttpConnections(self.timers, *callbacks).register(self),
-            self.client,
-            lambda message: self.on_message(myself, message),
-        )
+        pool = DirectPool(relay_parts(self), lambda message: self.on_message(myself, message))
         self.links.on_turn_end(pool.flush)
         return pool
 
--- a/rhubarbhinge/daemons/_relaydaemon.py
+++ b/rhubarbhinge/daemons/_relaydaemon.py
@@ -5,12 +5,11 @@
 from rhubarbhinge.daemons._node import Node
 from rhubarbhinge.daemons._ownership import Ownership, leaving_upstreams
 from rhubarbhinge.daemons._peer import Peer
+from rhubarbhinge.daemons._relayparts import relay_parts
 from rhubarbhinge.daemons._relaywork import RelayWork
-from rhubarbhinge.daemons._switches import relay_policy
 from rhubarbhinge.daemons._waker import Waker
 from rhubarbhinge.settings import NodeSettings
 from rhubarbhinge.telemetry import log_event
-from rhubarbhinge.web import HttpConnections
 
 _OWNERSHIP_CHECK_MS = 1_000.0
 
@@ -27,17 +26,7 @@
         slots_apply = "owner-queue" not in settings.switched_off
         self._ownership = Ownership(me.name, me.failure_domain, slots_apply)
         self._owned_names: tuple[str, ...] = ()
-        self._work = RelayWork(
-            self.timers,
-            me,
-            self.rng,
-            relay_policy(settings),
-            lambda *callbacks: HttpConnections(self.timers, *callbacks).register(self),
-            self.client,
-            self.links.send,
-            self._publish,
-            self.links.drop,
-        )
+        self._work = RelayWork(relay_parts(self), self.links.send, self._publish, self.links.drop)
         self._ownership_waker = Waker(self.timers, self._follow_ownership, _OWNERSHIP_CHECK_MS)
         self.links.on_turn_end(self._work.flush)
 
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -1,11 +1,10 @@
 """What a relay does for entries: takes their work, carries it out, answers."""
 
-import random
 from collections.abc import Callable
 from typing import Any
 
-from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._poolshell import PoolOutput, PoolShell
+from rhubarbhinge.daemons._relayparts import RelayParts
 from rhubarbhinge.daemons._replyoutbox import ReplyOutbox
 from rhubarbhinge.once import OnceSettings, RunGuard
 from rhubarbhinge.routing import (
@@ -13,13 +12,10 @@
     PublishHolding,
     PublishLoad,
     RelayCore,
-    RelayPolicy,
     Reply,
     RunResult,
     UpstreamSpec,
 )
-from rhubarbhinge.timing import TimerService
-from rhubarbhinge.web import HttpClient, HttpConnections
 from rhubarbhinge.wire import CancelBatch, RunReply, RunRequest, SubBatch
 
 
@@ -28,12 +24,7 @@
 
     It runs in the relay, and in each entry where entries hold the connections themselves.
 
-    :param timers: the timer service.
-    :param identity: this node.
-    :param rng: source of random choices.
-    :param policy: settings of the core.
-    :param connections: takes three callbacks and gives the component that owns the sockets.
-    :param client: for health polls and cancels.
+    :param parts: parts of the node.
     :param send: sends a message to an entry.
     :param publish: sends a report to every entry.
     :param drop: closes the link to an entry that broke the protocol.
@@ -41,17 +32,13 @@
 
     def __init__(
         self,
-        timers: TimerService,
-        identity: Identity,
-        rng: random.Random,
-        policy: RelayPolicy,
-        connections: Callable[..., HttpConnections],
-        client: HttpClient,
+        parts: RelayParts,
         send: Callable[[str, Any], Any],
         publish: Callable[[Any], None],
         drop: Callable[[str, str], None],
     ) -> None:
-        self._timers = timers
+        self._timers = parts.timers
+        identity = parts.identity
         self._send = send
         self._publish = publish
         self._drop = drop
@@ -64,8 +51,8 @@
         )
         self._entry_incarnations: dict[str, int] = {}
         self._outbox = ReplyOutbox()
-        core = RelayCore(identity.incarnation, policy, rng)
-        self._pool = PoolShell(timers, core, connections, client, self._output)
+        core = RelayCore(identity.incarnation, parts.policy, parts.rng)
+        self._pool = PoolShell(parts.timers, core, parts.connections, parts.client, self._output)
         self._takers = {SubBatch: self._batch, CancelBatch: self._cancel, RunRequest: self._run}
 
     @property
