net: act on ready sockets in one way

Cause: three methods of Links and Datagrams set the turn's clock, acted, and stopped the process on a fault of ours, in the same lines.

Ruled out: a context manager, which costs more for each ready socket; reading the link's state before the clock is set, as a noticed pause may close links.

Change: act_on_ready; what is done stands in _read and _write.

Unit tests of net, timing and web: 59 passed, 0 failed, 0 skipped. Speed was not measured; each ready socket costs one more call.

Conclusion: behaviour is as it was.

--- a/rhubarbhinge/net/_datagrams.py
+++ b/rhubarbhinge/net/_datagrams.py
@@ -7,9 +7,9 @@
 from circuits import BaseComponent, handler
 
 from rhubarbhinge.net._poller import ReadyPoller
+from rhubarbhinge.net._ready import act_on_ready
 from rhubarbhinge.net._sockets import datagram_socket
 from rhubarbhinge.timing import TimerService
-from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
 
 DATAGRAM_BYTES = 64 * 1024
@@ -83,14 +83,8 @@
 
         :param sock: the socket.
         """
-        if not self.root.running:
-            return
-        try:
-            if self._timers.asleep:
-                self._timers.wake()
-            self._receive_all()
-        except Exception as error:
-            fail_stop(error)
+        if self.root.running:
+            act_on_ready(self._timers, self._receive_all)
 
     @handler("_disconnect", "_error")
     def _on_fault(self, sock, *_) -> None:
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -10,6 +10,7 @@
 from rhubarbhinge.net._link import Link, LinkState
 from rhubarbhinge.net._listener import Listener
 from rhubarbhinge.net._poller import ReadyPoller
+from rhubarbhinge.net._ready import act_on_ready
 from rhubarbhinge.net._reason import CloseReason
 from rhubarbhinge.net._sockets import (
     connect_error,
@@ -220,18 +221,8 @@
 
         :param sock: the socket.
         """
-        if not self.root.running:
-            return
-        try:
-            if self._timers.asleep:
-                self._timers.wake()
-            link = self._by_sock.get(sock)
-            if link is not None:
-                self._receive(link)
-            elif self._listener is not None and sock is self._listener.sock:
-                self._take(self._listener.accept_all())
-        except Exception as error:
-            fail_stop(error)
+        if self.root.running:
+            act_on_ready(self._timers, self._read, sock)
 
     def on_writable(self, sock) -> None:
         """Write to a socket; called by the poller.
@@ -239,17 +230,8 @@
         :param sock: the socket.
         """
         link = self._by_sock.get(sock)
-        if link is None or not self.root.running:
-            return
-        try:
-            if self._timers.asleep:
-                self._timers.wake()
-            if link.state is LinkState.CONNECTING:
-                self._connected(link)
-            else:
-                self._flush(link)
-        except Exception as error:
-            fail_stop(error)
+        if link is not None and self.root.running:
+            act_on_ready(self._timers, self._write, link)
 
     @handler("_disconnect", "_error")
     def _on_broken(self, sock, *_) -> None:
@@ -279,6 +261,19 @@
         if self._ended:
             event.reduce_time_left(0)
 
+    def _read(self, sock) -> None:
+        link = self._by_sock.get(sock)
+        if link is not None:
+            self._receive(link)
+        elif self._listener is not None and sock is self._listener.sock:
+            self._take(self._listener.accept_all())
+
+    def _write(self, link: Link) -> None:
+        if link.state is LinkState.CONNECTING:
+            self._connected(link)
+        else:
+            self._flush(link)
+
     def _flush_all(self, links: list[Link]) -> None:
         for link in links:
             link.dirty = False
