docs in code: say incarnation and lifetime in place of life

Cause: "life" stood for the incarnation of a process, for a ticket's lifetime, and in figures of speech; wire._hello called the incarnation a random 64-bit number, though it begins with the start time.

Ruled out: the history package, whose events name a node's life as a term of their own.

Change: documentation only.

Conclusion: one term each.

--- a/rhubarbhinge/api/_render.py
+++ b/rhubarbhinge/api/_render.py
@@ -98,7 +98,7 @@
     """Render a fresh ticket: nothing has run yet.
 
     :param ticket: the ticket's text.
-    :param expires_in_ms: its life; 0 when it is another entry's.
+    :param expires_in_ms: rest of its lifetime; 0 when it is another entry's.
     :returns: a 307, which stock clients follow with their body.
     """
     document = {"ticket": ticket, "outcome": "not_started", "expires_in_ms": expires_in_ms}
--- a/rhubarbhinge/control/_candidates.py
+++ b/rhubarbhinge/control/_candidates.py
@@ -13,7 +13,7 @@
 class Candidates:
     """Addresses worth a probe: all of the own failure domain, the best ranked of each other one.
 
-    The list is a seed and never proof of life, so nothing here is a member.
+    The list is a seed and proves of no node that it runs, so nothing here is a member.
 
     :param name: this node's name; also seeds the ranks, which spreads links evenly.
     :param failure_domain: this node's failure domain.
--- a/rhubarbhinge/daemons/_identity.py
+++ b/rhubarbhinge/daemons/_identity.py
@@ -17,7 +17,7 @@
     :param failure_domain: its failure domain.
     :param ip: its address by number.
     :param peer_port: its TCP and UDP port for other nodes.
-    :param incarnation: number of this life: start time, then random bits; later lives are larger.
+    :param incarnation: number of this process: start time, then random bits; later ones are larger.
     """
 
     name: str
@@ -29,7 +29,7 @@
 
 
 def draw_incarnation(rng: random.Random) -> int:
-    """Number a life of a process.
+    """Number a process.
 
     :param rng: the system's random source.
     :returns: milliseconds since 1970 above 20 random bits; fits 63 bits until the year 2248.
--- a/rhubarbhinge/daemons/_peer.py
+++ b/rhubarbhinge/daemons/_peer.py
@@ -10,7 +10,7 @@
     :param name: node name.
     :param role: ``entry`` or ``relay``.
     :param failure_domain: its failure domain.
-    :param incarnation: its life number.
+    :param incarnation: its incarnation; later ones are larger.
     """
 
     name: str
--- a/rhubarbhinge/once/_book.py
+++ b/rhubarbhinge/once/_book.py
@@ -29,7 +29,7 @@
 
 
 class TicketBook:
-    """The book of one entry's tickets: the right to run lives and dies with it.
+    """The book of one entry's tickets; without it none of them can be run.
 
     :param signer: mints and checks tickets under this entry's name and incarnation.
     :param keys: the book of idempotency keys.
@@ -143,7 +143,7 @@
 
         :param text: the ticket's text.
         :param now_ms: time on this entry's clock, read after everything that can block.
-        :returns: whether to send; True once in a ticket's life.
+        :returns: whether to send; True at most once for a ticket.
         """
         return self._ledger.on_send(text, now_ms)
 
--- a/rhubarbhinge/once/_drain_report.py
+++ b/rhubarbhinge/once/_drain_report.py
@@ -7,7 +7,7 @@
 class DrainReport:
     """What a book still holds open when it stops minting.
 
-    :param unused: tickets that are alive and not used yet.
+    :param unused: tickets that have neither expired nor been used.
     :param running: tickets that are consumed and have no outcome yet.
     :param forwards: calls to other entries without a reply.
     :param open_ms: time until the last of them is over at the latest, in ms from now.
--- a/rhubarbhinge/once/_effects.py
+++ b/rhubarbhinge/once/_effects.py
@@ -14,7 +14,7 @@
 
     :param request: number of the request.
     :param ticket: the ticket's text.
-    :param expires_in_ms: rest of the ticket's life; 0 if another entry's clock decides.
+    :param expires_in_ms: rest of the ticket's lifetime; 0 if another entry's clock decides.
     """
 
     request: int
--- a/rhubarbhinge/once/_guard.py
+++ b/rhubarbhinge/once/_guard.py
@@ -23,7 +23,7 @@
 
     :param relay: name of this relay.
     :param incarnation: its incarnation.
-    :param window_ms: how long a ticket is remembered; at least the life of a ticket and a run.
+    :param window_ms: how long a ticket is remembered; at least the lifetime of a ticket and a run.
     :param most: tickets remembered at once; one more is refused as not run.
     """
 
--- a/rhubarbhinge/once/_ledger.py
+++ b/rhubarbhinge/once/_ledger.py
@@ -44,7 +44,7 @@
         return len(self._running)
 
     def unused(self, now_ms: int) -> int:
-        """Tell how many tickets are alive and not used yet.
+        """Tell how many tickets have neither expired nor been used.
 
         :param now_ms: time on this entry's clock.
         :returns: the number.
@@ -90,7 +90,7 @@
         return text
 
     def left_ms(self, text: str, now_ms: int) -> int:
-        """Tell the rest of a ticket's life.
+        """Tell the rest of a ticket's lifetime.
 
         :param text: the ticket's text.
         :param now_ms: time on this entry's clock.
@@ -156,7 +156,7 @@
 
         :param text: the ticket's text.
         :param now_ms: time on this entry's clock, read after everything that can block.
-        :returns: whether to send; True once in a ticket's life.
+        :returns: whether to send; True at most once for a ticket.
         """
         record = self._own_record(text)
         if record is None or record.state is not TicketState.CONSUMED:
--- a/rhubarbhinge/once/_permit.py
+++ b/rhubarbhinge/once/_permit.py
@@ -9,7 +9,7 @@
 class SendPermit:
     """Whether a run may leave now.
 
-    :param send: True at most once in a ticket's life.
+    :param send: True at most once for a ticket.
     :param effects: what else has to be done.
     """
 
--- a/rhubarbhinge/once/_record.py
+++ b/rhubarbhinge/once/_record.py
@@ -9,7 +9,7 @@
 
 
 class TicketState(StrEnum):
-    """Steps of a ticket's life; it never goes back."""
+    """States of a ticket, in their order; it never goes back."""
 
     MINTED = "minted"
     CONSUMED = "consumed"
--- a/rhubarbhinge/once/_settings.py
+++ b/rhubarbhinge/once/_settings.py
@@ -7,7 +7,7 @@
 class OnceSettings:
     """Bounds of the books of tickets and keys.
 
-    :param lifetime_ms: life of a ticket from its minting.
+    :param lifetime_ms: how long a ticket can be used, from its minting.
     :param keep_ms: how long a ticket's outcome is kept after its expiry.
     :param run_ms: longest time of a run, from its start to its outcome.
     :param forward_ms: how long another entry is waited for; longer than ``run_ms``.
--- a/rhubarbhinge/once/_signer.py
+++ b/rhubarbhinge/once/_signer.py
@@ -44,7 +44,7 @@
         :param sequence: number of the ticket; the caller never uses one twice.
         :param action: name of the action.
         :param digest: digest of the action and the body.
-        :param expires_ms: end of its life on this entry's clock.
+        :param expires_ms: end of its lifetime on this entry's clock.
         :returns: the ticket's text, safe in a URL.
         """
         ticket = Ticket(self.entry, self.incarnation, sequence, action, expires_ms, digest)
@@ -52,7 +52,7 @@
         return base64.urlsafe_b64encode(packed + self._mac(packed)).rstrip(b"=").decode()
 
     def verify(self, text: str) -> Ticket | TicketFault:
-        """Check form and signature; this says nothing of the ticket's owner or life.
+        """Check form and signature; this says nothing of the ticket's owner or lifetime.
 
         :param text: what a caller showed.
         :returns: the ticket, or ``ticket-malformed`` or ``ticket-forged``.
@@ -67,7 +67,7 @@
         return TicketFault(Code.MALFORMED) if ticket is None else ticket
 
     def verify_own(self, text: str, now_ms: int) -> Ticket | TicketFault:
-        """Check that a ticket is this incarnation's and still alive.
+        """Check that a ticket is this incarnation's and has not expired.
 
         Only here is the expiry compared with a clock, as only this process reads the clock that
         the expiry was taken from.
--- a/rhubarbhinge/once/_ticket.py
+++ b/rhubarbhinge/once/_ticket.py
@@ -11,7 +11,7 @@
     :param incarnation: incarnation of that entry; no other may run the ticket.
     :param sequence: number of the ticket within the incarnation.
     :param action: name of the action in the register.
-    :param expires_ms: end of its life on the monotonic clock of its own entry; no other process
+    :param expires_ms: end of its lifetime on the monotonic clock of its own entry; no other process
         can compare it with its clock.
     :param digest: digest of the action and the body.
     """
--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -30,7 +30,7 @@
         self._stale = False
 
     def on_holdings(self, report: HoldingReport) -> None:
-        """Take a searcher's announcement; one of an older life is ignored.
+        """Take a searcher's announcement; one of an older incarnation is ignored.
 
         :param report: all that the searcher holds.
         """
--- a/rhubarbhinge/query/_relaytarget.py
+++ b/rhubarbhinge/query/_relaytarget.py
@@ -8,7 +8,7 @@
     """A relay that can be sent to.
 
     :param name: its node name.
-    :param incarnation: its life number.
+    :param incarnation: its incarnation; later ones are larger.
     """
 
     name: str
--- a/rhubarbhinge/routing/_healthdoc.py
+++ b/rhubarbhinge/routing/_healthdoc.py
@@ -13,7 +13,7 @@
 class HealthDoc:
     """What a searcher says of itself.
 
-    :param incarnation: its life number.
+    :param incarnation: its incarnation; later ones are larger.
     :param state: one of :data:`STATES`.
     :param holding: what it holds.
     """
--- a/rhubarbhinge/routing/_intake.py
+++ b/rhubarbhinge/routing/_intake.py
@@ -23,7 +23,7 @@
 class Intake:
     """Makes requests of what entries send, and numbers the searches.
 
-    :param incarnation: the relay's random life number, which calls at searchers begin with.
+    :param incarnation: the relay's incarnation, which the names of its calls begin with.
     :param policy: settings.
     :param requests: all requests of the relay.
     :param deadlines: what becomes due at the relay.
@@ -130,7 +130,7 @@
 
 
 def wrong_receiver(peer: str, batch: SubBatch) -> list[Any]:
-    """Refuse sub-queries that are meant for another relay, or for another life of this one.
+    """Refuse sub-queries that are meant for another relay, or for another incarnation of this one.
 
     :param peer: the entry's link.
     :param batch: the message.
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -39,7 +39,7 @@
     against its searcher's cap, and a request against its slots, until the shell calls
     :meth:`on_connection_closed` (it does so once for each connection, also after its own close).
 
-    :param incarnation: this relay's random life number.
+    :param incarnation: this relay's incarnation.
     :param settings: settings.
     :param rng: random source, for jitter.
     """
--- a/rhubarbhinge/routing/_relaypolicy.py
+++ b/rhubarbhinge/routing/_relaypolicy.py
@@ -37,7 +37,7 @@
     :param report_repeat_ms: time after which a report is repeated though nothing changed.
     :param early_refusal: whether what cannot make its deadline is refused at once; a switch for
         measuring.
-    :param ticket_memory_ms: time for which a sent run's ticket is refused; above a ticket's life.
+    :param ticket_memory_ms: a sent run's ticket is refused for so long; above a ticket's lifetime.
     """
 
     reply_margin_ms: int = 4
--- a/rhubarbhinge/wire/_hello.py
+++ b/rhubarbhinge/wire/_hello.py
@@ -10,7 +10,7 @@
     :param name: the sender's node name, ``<vm>/<role>``.
     :param role: ``entry`` or ``relay``.
     :param failure_domain: the sender's failure domain.
-    :param incarnation: the sender's random 64-bit life number.
+    :param incarnation: the sender's incarnation.
     :param nonce: random bytes that the other side's hello has to answer.
     :param answers_nonce: the other side's nonce, or empty in the opener's first hello.
     :param mac: HMAC-SHA256 over all fields before it.
--- a/rhubarbhinge/wire/_holdingreport.py
+++ b/rhubarbhinge/wire/_holdingreport.py
@@ -10,7 +10,7 @@
     The tuples stand side by side, one place a range.
 
     :param upstream_id: the searcher.
-    :param incarnation: the searcher's life number; a lower one is stale.
+    :param incarnation: the searcher's incarnation; a lower one is stale.
     :param collections: collection of each range.
     :param versions: index version of each range.
     :param total_records: records in the whole collection at that version.
--- a/rhubarbhinge/wire/_member.py
+++ b/rhubarbhinge/wire/_member.py
@@ -12,7 +12,7 @@
     :param failure_domain: the failure domain the node runs in.
     :param ip: address by number.
     :param peer_port: TCP port for peers and UDP port for probes.
-    :param incarnation: number of the process's life; larger is newer.
+    :param incarnation: number of the process; larger is newer.
     :param state: ``alive``, ``suspect``, ``leaving`` or ``dead``.
     :param counter: grows each time that the node refutes a suspicion or changes its state.
     """
--- a/rhubarbhinge/wire/_probe.py
+++ b/rhubarbhinge/wire/_probe.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask the named receiver for a sign of life.
+    """Ask the named receiver whether it runs.
 
     :param sequence: number by which the sender matches the answer.
     :param sender: the sender's own identity and state.
--- a/rhubarbhinge/wire/_probe_ack.py
+++ b/rhubarbhinge/wire/_probe_ack.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeAck:
-    """Sign of life; for an indirect probe, relayed by the node that was asked.
+    """Says that a node runs; for an indirect probe, relayed by the node that was asked.
 
     :param sequence: number by which the sender matches the answer.
     :param sender: the sender's own identity and state.
--- a/rhubarbhinge/wire/_subbatch.py
+++ b/rhubarbhinge/wire/_subbatch.py
@@ -11,7 +11,7 @@
     for another (Beckmann, Distributed Naming in a Factored Operating System, 2010, section 4.2.4).
 
     :param call_id: the entry's sequence number of the call.
-    :param receiver_incarnation: the life of the relay that the entry believes in.
+    :param receiver_incarnation: incarnation of the relay that the entry knows of.
     :param register_revision: the register that the plan was made from.
     :param collection: the collection searched.
     :param version: the pinned index version.
--- a/rhubarbhinge/wire/_subcode.py
+++ b/rhubarbhinge/wire/_subcode.py
@@ -22,7 +22,7 @@
     BROKEN = 6
     #: The relay's queue cannot serve it in time; not run.
     QUEUE_FULL = 7
-    #: The message was meant for another life of the relay, or another owner; not run.
+    #: The message was meant for another incarnation of the relay, or another owner; not run.
     WRONG_RECEIVER = 8
     #: The call was cancelled.
     CANCELLED = 9
