--- a/tools/bench/_cell.py
+++ b/tools/bench/_cell.py
@@ -127,7 +127,7 @@
     for vm in tenant.deployment.vms:
         if "relay" in vm.nodes:
             states = tenant.deployment.status(vm, "relay")["states"]
-            if set(states) != {str(int(UpstreamState.READY))}:
+            if set(states) != {UpstreamState.READY.name.lower()}:
                 return False
     return True
 
