--- a/rhubarbhinge/query/_policy.py
+++ b/rhubarbhinge/query/_policy.py
@@ -14,6 +14,7 @@
     :param first_hedge_ms: hedge delay before there are latencies to go by.
     :param least_hedge_ms: no hedge is sent sooner.
     :param budget_tokens: most extra sub-queries saved up.
+    :param floor_period_ms: least time between two extra sub-queries of a class without a token.
     :param least_wait_ms: least time before replicas that all refused are asked again.
     :param most_attempts: attempts a part may take.
     :param hedging: whether slow parts are sent to a second replica.
@@ -27,6 +28,7 @@
     first_hedge_ms: float = 40.0
     least_hedge_ms: float = 1.0
     budget_tokens: float = 20.0
+    floor_period_ms: float = 2_000.0
     least_wait_ms: float = 5.0
     most_attempts: int = 6
     hedging: bool = True
