daemons: a stopping entry listens until its tickets are done

Cause: it stopped listening as soon as it refused new work, so that a caller who had just been given a ticket found the port closed, though the entry still waits for unexpired tickets. Ruled out: handing tickets to another entry: the right to run dies with its process. Change: listening stops once nothing is open; new work is refused as not run until then.

--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -251,7 +251,6 @@
 
     def _refuse_new(self) -> None:
         self.refusing = True
-        self._http.stop_listening()
         self.on_refusing()
         self._stop_when_done(was_done=False)
 
@@ -264,6 +263,8 @@
             log_event("stopped", open_work=self.open_work(), late=late)
             self.stop()
             return
+        if done:
+            self._http.stop_listening()
         self.timers.after(_STOP_POLL_MS, lambda: self._stop_when_done(done))
 
 
