--- a/rhubarbhinge/query/_hedging.py
+++ b/rhubarbhinge/query/_hedging.py
@@ -10,7 +10,7 @@
 
 
 def hedge(state: QueryState, call: Call, now_ms: float) -> None:
-    """Send the parts whose newest attempt is late to another replica too.
+    """Send the parts whose only attempt is late to another replica too.
 
     :param state: the entry's state.
     :param call: the query.
@@ -20,9 +20,9 @@
         return
     delay_ms = _delay_ms(state, call)
     for part in call.parts.values():
-        if part.done or not 0 < len(part.attempts) <= state.policy.most_hedges:
+        if part.done or len(part.attempts) != 1:
             continue
-        attempt = next(reversed(part.attempts.values()))
+        attempt = next(iter(part.attempts.values()))
         waited_ms = now_ms - attempt.sent_ms
         if waited_ms < delay_ms:
             continue
@@ -50,10 +50,8 @@
 
 def _delay_ms(state: QueryState, call: Call) -> float:
     share = call.request.traffic_class.hedge_quantile
-    window = state.window(call)
-    delay_ms = window.quantile(share, state.policy.first_hedge_ms)
-    usual_ms = state.policy.hedge_median_factor * window.quantile(0.5, 0.0)
-    return max(state.policy.least_hedge_ms, delay_ms, usual_ms)
+    delay_ms = state.window(call).quantile(share, state.policy.first_hedge_ms)
+    return max(state.policy.least_hedge_ms, delay_ms)
 
 
 def _note_overdue(state: QueryState, attempt: Attempt, waited_ms: float, now_ms: float) -> None:
--- a/rhubarbhinge/query/_policy.py
+++ b/rhubarbhinge/query/_policy.py
@@ -13,9 +13,6 @@
     :param hop_margin_ms: kept back from the deadline on the way to the relay and back.
     :param first_hedge_ms: hedge delay before there are latencies to go by.
     :param least_hedge_ms: no hedge is sent sooner.
-    :param hedge_median_factor: no hedge is sent before this many times the median latency, so that
-        the budget is there when a searcher straggles.
-    :param most_hedges: hedges of one part at a time; the first may meet another straggler.
     :param budget_tokens: most extra sub-queries saved up.
     :param floor_period_ms: least time between two extra sub-queries of a class without a token.
     :param least_wait_ms: least time before replicas that all refused are asked again.
@@ -30,8 +27,6 @@
     hop_margin_ms: float = 2.0
     first_hedge_ms: float = 40.0
     least_hedge_ms: float = 1.0
-    hedge_median_factor: float = 1.5
-    most_hedges: int = 2
     budget_tokens: float = 20.0
     floor_period_ms: float = 2_000.0
     least_wait_ms: float = 5.0
