--- a/rhubarbhinge/daemons/_identity.py
+++ b/rhubarbhinge/daemons/_identity.py
@@ -28,7 +28,7 @@
     incarnation: int
 
 
-def draw_incarnation(rng: random.Random) -> int:
+def new_incarnation(rng: random.Random) -> int:
     """Number a process.
 
     :param rng: the system's random source.
--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -8,7 +8,7 @@
 from circuits import Component, handler
 
 from rhubarbhinge.daemons._controlshell import ControlShell
-from rhubarbhinge.daemons._identity import Identity, draw_incarnation
+from rhubarbhinge.daemons._identity import Identity, new_incarnation
 from rhubarbhinge.daemons._peer import Peer
 from rhubarbhinge.daemons._peerlinks import PeerLinks
 from rhubarbhinge.settings import NodeSettings
@@ -47,7 +47,7 @@
             settings.failure_domain,
             settings.ip,
             settings.peer_port,
-            draw_incarnation(random.SystemRandom()),
+            new_incarnation(random.SystemRandom()),
         )
         self.metrics = Metrics()
         self.stopping = False
