daemons: the loss of a link is followed once, not twice

Cause: on the loss of a link an entry worked out all owners itself, because it needs them before it asks elsewhere, and the node did so again right after; at the target that is half a second each time. ControlShell.peer_up did nothing. Ruled out: a guard in the entry; the node's order was what was wrong. Change: members_changed runs before on_peer_down, for both roles; the empty method is gone. Figures: 30 tests pass (daemons, live searches, leaving, runs; 100 s), the demo passes. No timing taken. Conclusion: behaviour as before.

--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -161,12 +161,6 @@
             return frozenset(), None
         return entry_names(self.config.vms), now_ms - age_ms
 
-    def peer_up(self, peer: Peer) -> None:
-        """Follow a new link.
-
-        :param peer: the other node.
-        """
-
     def peer_message(self, peer: Peer, message: Any) -> bool:
         """Take a message, if it is about configuration.
 
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -80,7 +80,6 @@
 
         :param peer: the node.
         """
-        self.members_changed()
         self._runs.on_peer_gone(peer)
         if peer.role == "relay":
             self._searches.on_relay_gone(peer.name)
--- a/rhubarbhinge/daemons/_node.py
+++ b/rhubarbhinge/daemons/_node.py
@@ -101,7 +101,7 @@
         """
 
     def on_peer_down(self, peer: Peer) -> None:
-        """Follow the loss of a link.
+        """Follow the loss of a link; :meth:`members_changed` has run by then.
 
         :param peer: the other node.
         """
@@ -213,14 +213,13 @@
 
     def _peer_up(self, peer: Peer) -> None:
         log_event("link-up", peer=peer.name, incarnation=peer.incarnation)
-        self.control.peer_up(peer)
         self.on_peer_up(peer)
         self.members_changed()
 
     def _peer_down(self, peer: Peer) -> None:
         log_event("link-down", peer=peer.name, incarnation=peer.incarnation)
-        self.on_peer_down(peer)
         self.members_changed()
+        self.on_peer_down(peer)
 
     def _peer_message(self, peer: Peer, message: Any) -> None:
         if not self.control.peer_message(peer, message):
