--- /dev/null
+++ b/rhubarbhinge/fleet/__init__.py
@@ -0,0 +1,17 @@
+"""Searchers as they are published and as they are observed."""
+
+from rhubarbhinge.fleet._choice import Preference, best_searcher, expected_cost
+from rhubarbhinge.fleet._delays import Delays
+from rhubarbhinge.fleet._fleet import Fleet
+from rhubarbhinge.fleet._observed import ObservedSearcher
+from rhubarbhinge.fleet._searcher import Searcher
+
+__all__ = [
+    "Delays",
+    "Fleet",
+    "ObservedSearcher",
+    "Preference",
+    "Searcher",
+    "best_searcher",
+    "expected_cost",
+]
--- /dev/null
+++ b/rhubarbhinge/fleet/_choice.py
@@ -0,0 +1,74 @@
+"""Which searcher of a service gets a request."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+
+from rhubarbhinge.fleet._observed import ObservedSearcher
+
+FAR_HANDICAP_MS = 8.0
+"""Cost of another failure domain: two crossings of about 1 ms, and the bytes that are paid for."""
+COLD_FACTOR = 1.6
+"""How much slower a searcher is just after its start, where its entry does not tell."""
+JITTER = 0.1
+"""Random share of the cost, so that processes that know the same don't choose the same."""
+SUSPECT_HANDICAP_MS = 10_000.0
+"""Puts a searcher that was silent or refused behind all others, as a last resort."""
+
+Preference = Callable[[ObservedSearcher, float, float], float]
+"""Gives the cost of a searcher from the usual delay and the time; the least is chosen."""
+
+
+def expected_cost(
+    domain: str, rng: random.Random, far_handicap_ms: float = FAR_HANDICAP_MS
+) -> Preference:
+    """Make the preference for the searcher that is expected to answer first.
+
+    :param domain: failure domain of this process.
+    :param rng: spreads the choice.
+    :param far_handicap_ms: cost of another failure domain.
+    :returns: the preference.
+    """
+
+    def cost(observed: ObservedSearcher, typical_ms: float, now_ms: float) -> float:
+        searcher = observed.searcher
+        own_ms = typical_ms * observed.slowness(now_ms)
+        if now_ms < observed.warm_at_ms:
+            own_ms *= COLD_FACTOR
+        open_requests = len(observed.started_ms)
+        cost_ms = own_ms * (1.0 + open_requests / max(1, searcher.capacity))
+        overdue_ms = observed.oldest_ms(now_ms) - 2.0 * own_ms
+        if overdue_ms > 0:
+            cost_ms += overdue_ms + own_ms
+        if searcher.failure_domain != domain:
+            cost_ms += far_handicap_ms
+        if observed.is_avoided(now_ms):
+            cost_ms += SUSPECT_HANDICAP_MS
+        return cost_ms * (1.0 + JITTER * rng.random())
+
+    return cost
+
+
+def best_searcher(
+    candidates: Iterable[ObservedSearcher],
+    preference: Preference,
+    typical_ms: float,
+    now_ms: float,
+    tried: Collection[str] = (),
+) -> ObservedSearcher | None:
+    """Choose the searcher with the least cost.
+
+    :param candidates: the searchers of a service.
+    :param preference: gives the cost of each.
+    :param typical_ms: the usual delay of such requests.
+    :param now_ms: the time.
+    :param tried: incarnations that are left out.
+    :returns: the searcher, or None when there is none.
+    """
+    best, least = None, float("inf")
+    for observed in candidates:
+        if not observed.usable or observed.searcher.incarnation in tried:
+            continue
+        cost = preference(observed, typical_ms, now_ms)
+        if cost < least:
+            best, least = observed, cost
+    return best
--- /dev/null
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -0,0 +1,83 @@
+"""All searchers that this process knows."""
+
+from collections.abc import Callable, Iterable
+
+from rhubarbhinge.fleet._observed import ObservedSearcher
+from rhubarbhinge.fleet._searcher import Searcher
+
+
+class Fleet:
+    """All searchers that this process knows, by service.
+
+    Leaving is final for an incarnation: what was published as draining, or was found to have left,
+    gets no new request whatever is published later.
+
+    :param now_ms: gives the time.
+    :param on_left: told each searcher that may get no new request any more.
+    """
+
+    def __init__(self, now_ms: Callable[[], float], on_left: Callable[[ObservedSearcher], None]):
+        self._now_ms = now_ms
+        self._on_left = on_left
+        self._by_incarnation: dict[str, ObservedSearcher] = {}
+        self._by_service: dict[str, dict[str, ObservedSearcher]] = {}
+
+    def of(self, service: str) -> Iterable[ObservedSearcher]:
+        """Give the searchers of a service.
+
+        :param service: the service's name.
+        :returns: all that are known, those that leave included.
+        """
+        return self._by_service.get(service, {}).values()
+
+    def all(self) -> Iterable[ObservedSearcher]:
+        """Give all searchers.
+
+        :returns: all that are known.
+        """
+        return self._by_incarnation.values()
+
+    def put(self, searcher: Searcher) -> None:
+        """Take what is published about a searcher.
+
+        :param searcher: what is published.
+        """
+        known = self._by_incarnation.get(searcher.incarnation)
+        if known is None:
+            known = ObservedSearcher(searcher, self._now_ms())
+            self._by_incarnation[searcher.incarnation] = known
+            self._by_service.setdefault(searcher.service, {})[searcher.incarnation] = known
+            return
+        was_usable = known.usable
+        if known.searcher.draining and not searcher.draining:
+            return
+        if searcher.warmup_ms:
+            known.warm_at_ms = self._now_ms() + searcher.warmup_ms
+        known.searcher = searcher
+        if was_usable and not known.usable:
+            self._on_left(known)
+
+    def remove(self, incarnation: str) -> None:
+        """Forget a searcher whose entry is gone.
+
+        :param incarnation: the searcher.
+        """
+        known = self._by_incarnation.pop(incarnation, None)
+        if known is None:
+            return
+        of_service = self._by_service[known.searcher.service]
+        del of_service[incarnation]
+        if not of_service:
+            del self._by_service[known.searcher.service]
+        if not known.gone:
+            known.gone = True
+            self._on_left(known)
+
+    def mark_gone(self, observed: ObservedSearcher) -> None:
+        """Note that another searcher answered at this one's address.
+
+        :param observed: the searcher that has gone.
+        """
+        if not observed.gone:
+            observed.gone = True
+            self._on_left(observed)
--- /dev/null
+++ b/rhubarbhinge/fleet/_observed.py
@@ -0,0 +1,170 @@
+"""A searcher as this process observes it."""
+
+from rhubarbhinge.fleet._searcher import Searcher
+
+SMOOTHING = 0.3
+"""Weight of a new observation; three slow replies in a row make most of the estimate."""
+SLOWNESS_HALF_LIFE_MS = 4_000.0
+"""Without news an estimate above 1 falls by half in this time, so that the searcher is tried."""
+MOST_SLOWNESS = 20.0
+"""Cap of the estimate, so that a searcher that hung comes back within a few half-lives."""
+SHED_PAUSE_MS = 60.0
+"""How long a searcher that refused is avoided; about one execution, after which a slot is free."""
+LEAST_DOWN_MS = 250.0
+"""First pause after a connection that could not be made; doubles up to the most."""
+MOST_DOWN_MS = 1_000.0
+"""Longest pause; a searcher that is back is tried within a second."""
+LOSSES_TO_SUSPECT = 2
+"""Requests without any reply in a row after which a searcher counts as silent."""
+
+
+class ObservedSearcher:
+    """A searcher as this process observes it.
+
+    :param searcher: what is published about it.
+    :param now_ms: the time.
+    """
+
+    __slots__ = (
+        "searcher",
+        "warm_at_ms",
+        "started_ms",
+        "gone",
+        "_slowness",
+        "_slowness_ms",
+        "_avoid_until_ms",
+        "_down_ms",
+        "_losses",
+    )
+
+    def __init__(self, searcher: Searcher, now_ms: float):
+        self.searcher = searcher
+        self.warm_at_ms = now_ms + searcher.warmup_ms
+        self.started_ms: dict[int, float] = {}
+        self.gone = False
+        self._slowness = 1.0
+        self._slowness_ms = now_ms
+        self._avoid_until_ms = 0.0
+        self._down_ms = 0.0
+        self._losses = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether new requests may be sent to it."""
+        return not self.gone and not self.searcher.draining
+
+    @property
+    def suspect(self) -> bool:
+        """Whether it has been silent or unreachable lately."""
+        return self._losses >= LOSSES_TO_SUSPECT or self._down_ms > 0
+
+    def is_avoided(self, now_ms: float) -> bool:
+        """Tell whether it refused or could not be reached just now.
+
+        :param now_ms: the time.
+        :returns: whether another searcher is to be preferred whatever its delays.
+        """
+        return now_ms < self._avoid_until_ms
+
+    def slowness(self, now_ms: float) -> float:
+        """Estimate how much slower it is than usual.
+
+        :param now_ms: the time.
+        :returns: a factor; 1 for the usual.
+        """
+        if self._slowness <= 1.0:
+            return self._slowness
+        age = (now_ms - self._slowness_ms) / SLOWNESS_HALF_LIFE_MS
+        return 1.0 + (self._slowness - 1.0) * 0.5**age
+
+    def oldest_ms(self, now_ms: float) -> float:
+        """Tell how long the oldest open request has been waiting.
+
+        :param now_ms: the time.
+        :returns: its age; 0 when none is open.
+        """
+        if not self.started_ms:
+            return 0.0
+        return now_ms - next(iter(self.started_ms.values()))
+
+    def on_sent(self, attempt: int, now_ms: float) -> None:
+        """Note a request sent to it.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self.started_ms[attempt] = now_ms
+
+    def on_reply(self, attempt: int, delay_ms: float, typical_ms: float, now_ms: float) -> None:
+        """Note a reply.
+
+        :param attempt: identifies the request.
+        :param delay_ms: time since it was sent.
+        :param typical_ms: the usual delay of such requests.
+        :param now_ms: the time.
+        """
+        self.started_ms.pop(attempt, None)
+        self._losses = 0
+        self._down_ms = 0.0
+        self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
+
+    def on_failure(self, attempt: int, now_ms: float) -> None:
+        """Note a reply that says that it failed, which costs it some standing.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self.started_ms.pop(attempt, None)
+        self._losses = 0
+        self._observe(MOST_SLOWNESS / 4, now_ms)
+
+    def on_refused(self, attempt: int, now_ms: float) -> None:
+        """Note that it refused a request for want of room.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self.started_ms.pop(attempt, None)
+        self._avoid_until_ms = now_ms + SHED_PAUSE_MS
+
+    def on_unreachable(self, attempt: int, now_ms: float) -> None:
+        """Note that no connection could be made.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self.started_ms.pop(attempt, None)
+        self._down_ms = min(MOST_DOWN_MS, max(LEAST_DOWN_MS, 2 * self._down_ms))
+        self._avoid_until_ms = now_ms + self._down_ms
+
+    def on_lost(self, attempt: int, now_ms: float) -> None:
+        """Note a connection that ended before the reply.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self.started_ms.pop(attempt, None)
+        self._losses += 1
+        if self._losses >= LOSSES_TO_SUSPECT:
+            self._avoid_until_ms = now_ms + LEAST_DOWN_MS
+
+    def on_cancelled(
+        self, attempt: int, waited_ms: float, typical_ms: float, now_ms: float
+    ) -> None:
+        """Note a request that was cancelled; its delay would have been longer than the wait.
+
+        :param attempt: identifies the request.
+        :param waited_ms: time since it was sent.
+        :param typical_ms: the usual delay of such requests.
+        :param now_ms: the time.
+        """
+        if self.started_ms.pop(attempt, None) is None:
+            return
+        ratio = waited_ms / max(typical_ms, 1.0)
+        if ratio > self.slowness(now_ms):
+            self._observe(ratio, now_ms)
+
+    def _observe(self, ratio: float, now_ms: float) -> None:
+        old = self.slowness(now_ms)
+        self._slowness = old + SMOOTHING * (min(ratio, MOST_SLOWNESS) - old)
+        self._slowness_ms = now_ms
--- /dev/null
+++ b/rhubarbhinge/forward/__init__.py
@@ -0,0 +1,36 @@
+"""Requests to single searchers: connections, replies, retries and hedges."""
+
+from rhubarbhinge.forward._caller_request import CallerRequest
+from rhubarbhinge.forward._dialect import Dialect
+from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
+from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
+from rhubarbhinge.forward._pool import ConnectionPool
+from rhubarbhinge.forward._reply_reader import RawReply, ReplyReader
+from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
+from rhubarbhinge.forward._searcher_reply import SearcherReply
+from rhubarbhinge.forward._service_call import CallTerms, ServiceCall
+from rhubarbhinge.forward._surroundings import Surroundings
+
+__all__ = [
+    "Attempt",
+    "CallTerms",
+    "CallerRequest",
+    "ConnectionPool",
+    "Dialect",
+    "Exchange",
+    "Failed",
+    "Lost",
+    "NotRun",
+    "Outcome",
+    "Passed",
+    "RawReply",
+    "Refused",
+    "Replied",
+    "ReplyReader",
+    "Result",
+    "SearcherReply",
+    "SendAttempt",
+    "ServiceCall",
+    "Surroundings",
+    "Why",
+]
--- /dev/null
+++ b/rhubarbhinge/forward/_outcome.py
@@ -0,0 +1,56 @@
+"""How one attempt at one searcher came out."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from rhubarbhinge.forward._searcher_reply import SearcherReply
+
+
+class Why(Enum):
+    """Why an attempt brought no reply."""
+
+    NO_ROOM = "no-room"
+    """The searcher, or its connections, had no room."""
+    UNREACHABLE = "unreachable"
+    """No connection could be made."""
+    WRONG_SEARCHER = "wrong-searcher"
+    """Another searcher has the address."""
+    BROKEN = "broken"
+    """The connection ended before the whole reply."""
+    MALFORMED = "malformed"
+    """What came was no reply to this request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Replied:
+    """The searcher executed the request and replied, with a success or a failure.
+
+    :param reply: its whole reply.
+    :param delay_ms: time since the request was sent.
+    """
+
+    reply: SearcherReply
+    delay_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was certainly not executed.
+
+    :param why: the cause.
+    """
+
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent, and it is not known whether it was executed.
+
+    :param why: the cause.
+    """
+
+    why: Why
+
+
+Outcome = Replied | NotRun | Lost
--- /dev/null
+++ b/rhubarbhinge/forward/_pool.py
@@ -0,0 +1,339 @@
+"""Connections to searchers."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from circuits import BaseComponent
+
+from rhubarbhinge.fleet import ObservedSearcher
+from rhubarbhinge.forward._dialect import Dialect
+from rhubarbhinge.forward._exchange import Attempt, Exchange
+from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
+from rhubarbhinge.forward._reply_reader import RawReply, ReplyError, ReplyReader
+from rhubarbhinge.net import CloseReason, Links
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import TimerService
+
+CONNECT_TIMEOUT_MS = 1_000.0
+"""Longest wait for a connection; an opening packet that was dropped comes again after a second."""
+IDLE_MS = 4_000.0
+"""How long an idle connection is kept where the searcher does not say how long it keeps it."""
+IDLE_MARGIN_MS = 500.0
+"""An idle connection is given up this much before the searcher closes it, so as not to race it."""
+SKIPPED_REPLIES = 4
+"""Most replies to earlier requests that are skipped on one connection before it is given up."""
+
+
+class _Exchanging:
+    """State of one exchange.
+
+    :param number: identifies it.
+    :param exchange: what is asked of whom.
+    :param tell: told the outcome.
+    :param cancel: gives it up.
+    """
+
+    __slots__ = ("number", "exchange", "tell", "conn", "sent_ms", "over", "_cancel")
+
+    def __init__(
+        self,
+        number: int,
+        exchange: Exchange,
+        tell: Callable[[Outcome], None],
+        cancel: Callable[["_Exchanging"], None],
+    ):
+        self.number = number
+        self.exchange = exchange
+        self.tell = tell
+        self.conn: _Conn | None = None
+        self.sent_ms: float | None = None
+        self.over = False
+        self._cancel = cancel
+
+    def cancel(self) -> None:
+        """Give the exchange up."""
+        if not self.over:
+            self._cancel(self)
+
+
+@dataclass(slots=True, eq=False)
+class _Conn:
+    """State of one connection."""
+
+    link: int
+    searcher: ObservedSearcher
+    is_open: bool = False
+    reader: ReplyReader = field(default_factory=ReplyReader)
+    exchanging: _Exchanging | None = None
+    idle_until_ms: float = 0.0
+    skipped: int = 0
+
+
+@dataclass(slots=True)
+class _Conns:
+    """Connections to one searcher; the idle one used last is used next."""
+
+    idle: list[_Conn] = field(default_factory=list)
+    count: int = 0
+
+
+class ConnectionPool(BaseComponent):
+    """Sends requests to searchers on connections that are kept, one request at a time on each.
+
+    :param timers: the timer service.
+    :param dialect: encodes requests and decodes replies.
+    :param most_connections: gives the most connections that may be open to a searcher.
+    :param on_wrong_searcher: told when another searcher answered at a searcher's address.
+    """
+
+    channel = "connection-pool"
+
+    def __init__(
+        self,
+        timers: TimerService,
+        dialect: Dialect,
+        most_connections: Callable[[ObservedSearcher], int],
+        on_wrong_searcher: Callable[[ObservedSearcher], None],
+    ):
+        super().__init__()
+        self._timers = timers
+        self._dialect = dialect
+        self._most_connections = most_connections
+        self._on_wrong_searcher = on_wrong_searcher
+        self._numbers = itertools.count(1)
+        self._conns: dict[int, _Conn] = {}
+        self._by_searcher: dict[str, _Conns] = {}
+        self.opened = 0
+        self._links = Links(self._opened, self._received, self._closed).register(self)
+
+    @property
+    def open_connections(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self._conns)
+
+    def send(self, exchange: Exchange, tell: Callable[[Outcome], None]) -> Attempt:
+        """Start an exchange.
+
+        :param exchange: what is asked of whom.
+        :param tell: told the outcome, once and later.
+        :returns: the handle to cancel it by.
+        """
+        exchanging = _Exchanging(next(self._numbers), exchange, tell, self._cancelled)
+        observed = exchange.searcher
+        now_ms = self._timers.now_ms()
+        observed.on_sent(exchanging.number, now_ms)
+        conn = self._take_idle(observed, now_ms)
+        if conn is not None:
+            self._write(conn, exchanging, now_ms)
+            return exchanging
+        conns = self._of(observed)
+        if conns.count >= self._most_connections(observed):
+            observed.on_refused(exchanging.number, now_ms)
+            self._timers.after(0, lambda: self._tell(exchanging, NotRun(Why.NO_ROOM)))
+            return exchanging
+        self._open(observed, conns, exchanging)
+        return exchanging
+
+    def forget(self, observed: ObservedSearcher) -> None:
+        """Close the idle connections to a searcher that gets no more requests.
+
+        :param observed: the searcher.
+        """
+        conns = self._by_searcher.get(observed.searcher.incarnation)
+        if conns is None:
+            return
+        for conn in list(conns.idle):
+            self._drop(conn)
+
+    def close_idle(self) -> None:
+        """Close idle connections whose time is over."""
+        now_ms = self._timers.now_ms()
+        for conns in list(self._by_searcher.values()):
+            for conn in [conn for conn in conns.idle if conn.idle_until_ms <= now_ms]:
+                self._drop(conn)
+
+    def _of(self, observed: ObservedSearcher) -> _Conns:
+        return self._by_searcher.setdefault(observed.searcher.incarnation, _Conns())
+
+    def _take_idle(self, observed: ObservedSearcher, now_ms: float) -> _Conn | None:
+        conns = self._by_searcher.get(observed.searcher.incarnation)
+        while conns and conns.idle:
+            conn = conns.idle.pop()
+            if conn.idle_until_ms > now_ms and self._links.is_quiet(conn.link):
+                return conn
+            self._drop(conn)
+        return None
+
+    def _open(self, observed: ObservedSearcher, conns: _Conns, exchanging: _Exchanging) -> None:
+        searcher = observed.searcher
+        conns.count += 1
+        self.opened += 1
+        link = self._links.open(searcher.ip, searcher.port, CONNECT_TIMEOUT_MS)
+        conn = _Conn(link, observed, exchanging=exchanging)
+        exchanging.conn = conn
+        self._conns[link] = conn
+
+    def _write(self, conn: _Conn, exchanging: _Exchanging, now_ms: float) -> None:
+        exchange = exchanging.exchange
+        conn.exchanging = exchanging
+        exchanging.conn = conn
+        exchanging.sent_ms = now_ms
+        left_ms = exchange.deadline_ms - now_ms
+        data = self._dialect.searcher_request(
+            exchange.request, exchange.searcher.searcher, max(1.0, left_ms)
+        )
+        self._links.send(conn.link, data)
+
+    def _opened(self, link: int, inbound: bool) -> None:
+        conn = self._conns.get(link)
+        if conn is None:
+            return
+        conn.is_open = True
+        if conn.exchanging is not None:
+            self._write(conn, conn.exchanging, self._timers.now_ms())
+        else:
+            self._keep(conn, IDLE_MS)
+
+    def _received(self, link: int, data: bytes) -> None:
+        conn = self._conns.get(link)
+        if conn is None:
+            return
+        if conn.exchanging is None:
+            self._drop(conn)
+            return
+        try:
+            raw = conn.reader.feed(data)
+        except ReplyError as error:
+            self._fail(conn, Lost(Why.MALFORMED), error.code)
+            return
+        if raw is not None:
+            self._replied(conn, raw)
+
+    def _replied(self, conn: _Conn, raw: RawReply) -> None:
+        exchanging = conn.exchanging
+        reply = self._dialect.searcher_reply(raw)
+        wanted_id = exchanging.exchange.request.id
+        if reply.request_id != wanted_id and not reply.not_run and not reply.wrong_searcher:
+            self._skip(conn, raw, reply.request_id)
+            return
+        now_ms = self._timers.now_ms()
+        conn.exchanging = None
+        if raw.reusable and exchanging.exchange.searcher.usable and not conn.skipped:
+            self._keep(conn, reply.keep_alive_ms)
+        else:
+            self._drop(conn)
+        delay_ms = now_ms - exchanging.sent_ms
+        self._observe(exchanging, reply, delay_ms, now_ms)
+        if reply.wrong_searcher:
+            self._on_wrong_searcher(conn.searcher)
+            self._tell(exchanging, NotRun(Why.WRONG_SEARCHER))
+        elif reply.not_run:
+            self._tell(exchanging, NotRun(Why.NO_ROOM))
+        elif reply.encoded:
+            self._tell(exchanging, Lost(Why.MALFORMED))
+        else:
+            self._tell(exchanging, Replied(reply, delay_ms))
+
+    def _skip(self, conn: _Conn, raw: RawReply, request_id: str) -> None:
+        """Pass over a late reply to an earlier request; the one that is waited for may follow."""
+        conn.skipped += 1
+        log_event(
+            "reply-skipped",
+            level="warning",
+            request=conn.exchanging.exchange.request.id,
+            of_request=request_id,
+            searcher=conn.searcher.searcher.incarnation,
+        )
+        if not raw.reusable or conn.skipped > SKIPPED_REPLIES:
+            self._fail(conn, Lost(Why.MALFORMED), "other-request")
+
+    def _observe(self, exchanging: _Exchanging, reply, delay_ms: float, now_ms: float) -> None:
+        observed, number = exchanging.exchange.searcher, exchanging.number
+        if reply.not_run or reply.wrong_searcher:
+            observed.on_refused(number, now_ms)
+        elif not reply.succeeded:
+            observed.on_failure(number, now_ms)
+        else:
+            delays = exchanging.exchange.delays
+            observed.on_reply(number, delay_ms, delays.quantile(0.5), now_ms)
+            delays.add(delay_ms)
+
+    def _keep(self, conn: _Conn, keep_alive_ms: float | None) -> None:
+        idle_ms = IDLE_MS if keep_alive_ms is None else keep_alive_ms - IDLE_MARGIN_MS
+        if idle_ms <= 0:
+            self._drop(conn)
+            return
+        conn.idle_until_ms = self._timers.now_ms() + idle_ms
+        self._of(conn.searcher).idle.append(conn)
+
+    def _cancelled(self, exchanging: _Exchanging) -> None:
+        exchanging.over = True
+        conn = exchanging.conn
+        exchange = exchanging.exchange
+        now_ms = self._timers.now_ms()
+        if exchanging.sent_ms is None:
+            exchange.searcher.started_ms.pop(exchanging.number, None)
+        else:
+            waited_ms = now_ms - exchanging.sent_ms
+            typical_ms = exchange.delays.quantile(0.5)
+            exchange.searcher.on_cancelled(exchanging.number, waited_ms, typical_ms, now_ms)
+        if conn is None or conn.exchanging is not exchanging:
+            return
+        conn.exchanging = None
+        if conn.is_open:
+            self._drop(conn)
+
+    def _closed(self, link: int, reason: CloseReason) -> None:
+        conn = self._conns.get(link)
+        if conn is None:
+            return
+        if conn.exchanging is not None and reason is CloseReason.PEER:
+            raw = conn.reader.finish()
+            if raw is not None:
+                self._replied(conn, raw)
+        if conn.exchanging is None:
+            if not conn.is_open:
+                conn.searcher.on_unreachable(0, self._timers.now_ms())
+            self._drop(conn)
+        elif conn.is_open:
+            self._fail(conn, Lost(Why.BROKEN), reason.value)
+        else:
+            self._fail(conn, NotRun(Why.UNREACHABLE), reason.value)
+
+    def _fail(self, conn: _Conn, outcome: Outcome, code: str) -> None:
+        exchanging, conn.exchanging = conn.exchanging, None
+        observed = conn.searcher
+        now_ms = self._timers.now_ms()
+        if isinstance(outcome, NotRun):
+            observed.on_unreachable(exchanging.number, now_ms)
+        else:
+            observed.on_lost(exchanging.number, now_ms)
+        log_event(
+            "attempt-failed",
+            level="warning",
+            request=exchanging.exchange.request.id,
+            searcher=observed.searcher.incarnation,
+            why=outcome.why.value,
+            code=code,
+            may_have_run=isinstance(outcome, Lost),
+        )
+        self._drop(conn)
+        self._tell(exchanging, outcome)
+
+    def _tell(self, exchanging: _Exchanging, outcome: Outcome) -> None:
+        if not exchanging.over:
+            exchanging.over = True
+            exchanging.tell(outcome)
+
+    def _drop(self, conn: _Conn) -> None:
+        if self._conns.pop(conn.link, None) is None:
+            return
+        incarnation = conn.searcher.searcher.incarnation
+        conns = self._by_searcher[incarnation]
+        conns.count -= 1
+        if conn in conns.idle:
+            conns.idle.remove(conn)
+        if not conns.count:
+            del self._by_searcher[incarnation]
+        self._links.abort(conn.link)
--- /dev/null
+++ b/rhubarbhinge/forward/_searcher_reply.py
@@ -0,0 +1,34 @@
+"""A searcher's whole reply."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SearcherReply:
+    """A searcher's whole reply, decoded.
+
+    :param status: the status code.
+    :param headers: the headers that are passed on to the caller.
+    :param body: the whole body.
+    :param request_id: id of the request that it replies to; empty when it names none.
+    :param signature: the searcher's signature of this reply; empty when there is none.
+    :param not_run: whether the searcher says that it did not execute the request.
+    :param wrong_searcher: whether another searcher than the intended one has replied.
+    :param keep_alive_ms: how long the searcher keeps the idle connection; None if it didn't say.
+    :param encoded: whether the body is compressed, so that it is not the searcher's own body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str
+    signature: str
+    not_run: bool
+    wrong_searcher: bool
+    keep_alive_ms: float | None
+    encoded: bool = False
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the searcher did what was asked."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/rhubarbhinge/forward/_service_call.py
@@ -0,0 +1,230 @@
+"""One request to one service: whichever of its searchers answers first."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rhubarbhinge.fleet import Delays, ObservedSearcher, best_searcher
+from rhubarbhinge.forward._caller_request import CallerRequest
+from rhubarbhinge.forward._exchange import Attempt, Exchange
+from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
+from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
+from rhubarbhinge.forward._searcher_reply import SearcherReply
+from rhubarbhinge.forward._surroundings import Surroundings
+from rhubarbhinge.timing import Subscription
+
+MOST_REFUSED_SENDS = 4
+"""Searchers that refuse cost arrivals but run nothing; so many are asked for one call at most."""
+RETRY_PAUSE_MS = 25.0
+"""Pause once all searchers have refused; about half an execution, after which a slot is free."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallTerms:
+    """What is granted to one call.
+
+    :param idempotent: whether it may be executed more than once.
+    :param max_attempts: most searchers that may execute it.
+    :param hedge_ms: wait before a second searcher is asked too; None to ask none.
+    :param retry_until_ms: up to this time refusals are followed by further tries.
+    :param deadline_ms: when the caller stops waiting.
+    """
+
+    idempotent: bool
+    max_attempts: int
+    hedge_ms: float | None
+    retry_until_ms: float
+    deadline_ms: float
+
+
+class ServiceCall:
+    """One request to one service, with its retries and its hedge.
+
+    :param surroundings: what calls share.
+    :param request: the caller's request.
+    :param service: name of the service.
+    :param terms: what is granted.
+    :param delays: the usual delays of such requests.
+    :param on_result: told the result, once and later than the start.
+    """
+
+    __slots__ = (
+        "_around",
+        "_request",
+        "service",
+        "_terms",
+        "_delays",
+        "_on_result",
+        "_open",
+        "_tried",
+        "_ran",
+        "_refusals",
+        "_failure",
+        "_why",
+        "_may_have_run",
+        "_timer",
+        "over",
+        "sends",
+    )
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        request: CallerRequest,
+        service: str,
+        terms: CallTerms,
+        delays: Delays,
+        on_result: Callable[["ServiceCall", Result], None],
+    ):
+        self._around = surroundings
+        self._request = request
+        self.service = service
+        self._terms = terms
+        self._delays = delays
+        self._on_result = on_result
+        self._open: dict[str, Attempt] = {}
+        self._tried: set[str] = set()
+        self._ran = 0
+        self._refusals = 0
+        self._failure: SearcherReply | None = None
+        self._why: Why | None = None
+        self._may_have_run = False
+        self._timer: Subscription | None = None
+        self.over = False
+        self.sends = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher has executed the request, or may yet."""
+        return self._may_have_run or bool(self._open)
+
+    def start(self) -> None:
+        """Send to the searcher that is expected to answer first."""
+        chosen = self._choose()
+        if chosen is None:
+            self._around.timers.after(0, self._end)
+            return
+        self._send(chosen)
+        if self._terms.idempotent and self._terms.hedge_ms is not None:
+            self._wait(self._terms.hedge_ms, self._hedge)
+
+    def cancel(self) -> None:
+        """Give the call up; its result is not told."""
+        self.over = True
+        self._stop_waiting()
+        attempts, self._open = self._open, {}
+        for attempt in attempts.values():
+            attempt.cancel()
+
+    def _choose(self) -> ObservedSearcher | None:
+        around = self._around
+        return best_searcher(
+            around.fleet.of(self.service),
+            around.preference,
+            self._delays.quantile(0.5),
+            around.timers.now_ms(),
+            self._tried,
+        )
+
+    def _send(self, observed: ObservedSearcher) -> None:
+        incarnation = observed.searcher.incarnation
+        self._tried.add(incarnation)
+        self._ran += 1
+        self.sends += 1
+        exchange = Exchange(observed, self._request, self._terms.deadline_ms, self._delays)
+        self._open[incarnation] = self._around.send(
+            exchange, lambda outcome: self._ended(incarnation, outcome)
+        )
+
+    def _hedge(self) -> None:
+        if self.over or self._ran >= self._terms.max_attempts:
+            return
+        chosen = self._choose()
+        if chosen is None or chosen.is_avoided(self._around.timers.now_ms()):
+            return
+        if self._around.budget.take(self.service):
+            self._send(chosen)
+
+    def _ended(self, incarnation: str, outcome: Outcome) -> None:
+        if self.over:
+            return
+        self._open.pop(incarnation, None)
+        if isinstance(outcome, Replied):
+            self._replied(outcome.reply)
+        elif isinstance(outcome, NotRun):
+            self._not_run(outcome.why)
+        else:
+            self._lost(outcome)
+
+    def _replied(self, reply: SearcherReply) -> None:
+        self._may_have_run = True
+        if reply.status < 500 or not self._terms.idempotent:
+            self._finish(Passed(reply))
+            return
+        self._failure = reply
+        self._retry()
+
+    def _lost(self, outcome: Lost) -> None:
+        self._may_have_run = True
+        self._why = outcome.why
+        if self._terms.idempotent:
+            self._retry()
+        else:
+            self._end()
+
+    def _not_run(self, why: Why) -> None:
+        self._why = why
+        self._ran -= 1
+        self._refusals += 1
+        self._retry()
+
+    def _retry(self) -> None:
+        if self._refusals >= MOST_REFUSED_SENDS or self._ran >= self._terms.max_attempts:
+            self._end()
+            return
+        now_ms = self._around.timers.now_ms()
+        if self._refusals and now_ms > self._terms.retry_until_ms:
+            self._end()
+            return
+        chosen = self._choose()
+        if chosen is None and self._refusals and self._tried:
+            # All have been asked; one that refused may have room again after a while.
+            self._tried.clear()
+            self._tried.update(self._open)
+            self._wait(RETRY_PAUSE_MS, self._retry_paused)
+        elif chosen is None or not self._around.budget.take(self.service):
+            self._end()
+        else:
+            self._send(chosen)
+
+    def _retry_paused(self) -> None:
+        if self.over or self._open:
+            return
+        chosen = self._choose()
+        if chosen is None or not self._around.budget.take(self.service):
+            self._end()
+        else:
+            self._send(chosen)
+
+    def _end(self) -> None:
+        """Finish without a success, unless a searcher is still at work."""
+        if self.over or self._open:
+            return
+        if self._failure is not None:
+            self._finish(Passed(self._failure))
+        elif self._may_have_run:
+            self._finish(Failed(self._why))
+        else:
+            self._finish(Refused(self._why))
+
+    def _finish(self, result: Result) -> None:
+        self.cancel()
+        self._on_result(self, result)
+
+    def _wait(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        self._stop_waiting()
+        self._timer = self._around.timers.after(delay_ms, callback)
+
+    def _stop_waiting(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/rhubarbhinge/forward/_surroundings.py
@@ -0,0 +1,26 @@
+"""What requests under way share."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.fleet import Fleet, Preference
+from rhubarbhinge.forward._exchange import SendAttempt
+from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.timing import TimerService
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What requests under way share.
+
+    :param timers: the timer service.
+    :param fleet: the searchers.
+    :param preference: chooses among them.
+    :param budget: what may be sent beyond the first time.
+    :param send: starts an exchange.
+    """
+
+    timers: TimerService
+    fleet: Fleet
+    preference: Preference
+    budget: RetryBudget
+    send: SendAttempt
--- /dev/null
+++ b/rhubarbhinge/gateway/__init__.py
@@ -0,0 +1,9 @@
+"""The program that answers callers from published plans."""
+
+from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.gateway._entry import Entry, run_entry
+from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._gateway import Gateway
+from rhubarbhinge.gateway._split import Splitter
+
+__all__ = ["Address", "Entry", "EntrySettings", "Gateway", "Splitter", "run_entry"]
--- /dev/null
+++ b/rhubarbhinge/gateway/_entry.py
@@ -0,0 +1,196 @@
+"""The process of an entry."""
+
+import gc
+import random
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from circuits import Component, handler
+
+from rhubarbhinge.fleet import Fleet, ObservedSearcher, expected_cost
+from rhubarbhinge.forward import ConnectionPool, Dialect, Surroundings
+from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._gateway import Gateway
+from rhubarbhinge.plans import CallerLimits, ServingPlan
+from rhubarbhinge.published import Follower, Source
+from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.telemetry import CONTENT_TYPE, Metrics, log_event, setup_logging
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.web import (
+    HttpClient,
+    HttpLimits,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    error_response,
+)
+
+UNREADY_MS = 3_200.0
+"""A stopping entry goes on this long: the balancer needs two misses, a second apart, to notice."""
+STOP_MARGIN_MS = 500.0
+"""A stopping entry ends this much before it would be killed."""
+STOP_POLL_MS = 20.0
+"""How often a stopping entry looks whether all is answered."""
+IDLE_SWEEP_MS = 500.0
+"""How often idle connections to searchers are looked through."""
+MOST_CALLER_CONNECTIONS = 2_500
+"""Callers' connections; the descriptors of a VM less those for searchers and files."""
+NEVER_GZIP_BYTES = 1 << 62
+"""Searchers' bodies are passed on as they are."""
+USUAL_CONNECTIONS = 2
+"""Connections to a searcher whose service the plan does not name."""
+ASSUMED_PROCESSES = 8
+"""Entries that share limits, where no other number is known; the largest deployment of today."""
+
+MakeSource = Callable[[HttpClient], Source]
+
+
+class Entry(Component):
+    """An entry that answers callers by what the platform publishes.
+
+    :param settings: its settings.
+    :param dialect: translates messages of callers and searchers.
+    :param make_source: makes the reader of published state.
+    """
+
+    channel = "entry"
+
+    def __init__(self, settings: EntrySettings, dialect: Dialect, make_source: MakeSource):
+        super().__init__()
+        self._settings = settings
+        self._stopping = False
+        self._stop_by_ms = 0.0
+        self._quiet_at_ms = 0.0
+        self._rng = random.Random(random.SystemRandom().getrandbits(64))
+        self._metrics = Metrics()
+        self.timers = TimerService().register(self)
+        client = HttpClient(self.timers).register(self)
+        self._fleet = Fleet(self.timers.now_ms, self._searcher_left)
+        self._pool = ConnectionPool(
+            self.timers, dialect, self._most_connections, self._fleet.mark_gone
+        ).register(self)
+        budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
+        preference = expected_cost(settings.failure_domain, self._rng)
+        around = Surroundings(self.timers, self._fleet, preference, budget, self._pool.send)
+        self._follower = Follower(
+            self.timers, make_source(client), self._fleet, self._rng, self._plan_changed
+        )
+        self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng)
+        self._callers = HttpServer(
+            self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
+        ).register(self)
+        HttpServer(self.timers, self._readiness, settings.readiness).register(self)
+        HttpServer(self.timers, self._operators, (settings.ip, settings.metrics_port)).register(
+            self
+        )
+        self.timers.every(IDLE_SWEEP_MS, self._pool.close_idle)
+        self._follower.start()
+        log_event(
+            "entry-started",
+            ip=settings.ip,
+            failure_domain=settings.failure_domain,
+            callers_port=settings.callers.port,
+            store=f"{settings.store.ip}:{settings.store.port}",
+            stop_grace_ms=settings.stop_grace_ms,
+            retry_ratio=settings.retry_budget.ratio,
+            retry_slack=settings.retry_budget.slack,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._follower.plan is not None and not self._stopping
+
+    def _processes(self) -> int:
+        return ASSUMED_PROCESSES
+
+    def _most_connections(self, observed: ObservedSearcher) -> int:
+        plan = self._follower.plan
+        service = plan.services.get(observed.searcher.service) if plan else None
+        if service is None:
+            return USUAL_CONNECTIONS
+        return max(1, service.max_connections // self._processes())
+
+    def _searcher_left(self, observed: ObservedSearcher) -> None:
+        self._pool.forget(observed)
+
+    def _plan_changed(self, plan: ServingPlan) -> None:
+        self._gateway.on_plan(plan)
+        self._callers.limit(_limits(plan.limits))
+
+    # What operators and the balancer ask.
+
+    def _readiness(self, request: Request, responder: Responder) -> None:
+        if request.path != self._settings.readiness_path:
+            responder.answer(_no_such_page(request))
+        else:
+            responder.answer(Response(200 if self.ready else 503))
+
+    def _operators(self, request: Request, responder: Responder) -> None:
+        if request.path == "/metrics":
+            responder.answer(Response(200, self._metrics.render(), content_type=CONTENT_TYPE))
+        else:
+            responder.answer(_no_such_page(request))
+
+    # Stopping.
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event: Any, number: int, stack: Any) -> None:
+        event.stop()
+        if number in (signal.SIGTERM, signal.SIGINT):
+            self.stop_gracefully()
+
+    def stop_gracefully(self) -> None:
+        """Stop: not ready, close idle connections, answer what comes, then end."""
+        if self._stopping:
+            return
+        self._stopping = True
+        now_ms = self.timers.now_ms()
+        grace_ms = self._settings.stop_grace_ms - STOP_MARGIN_MS
+        self._stop_by_ms = now_ms + grace_ms
+        self._quiet_at_ms = now_ms + min(UNREADY_MS, grace_ms)
+        log_event("stop-started", open_requests=self._callers.open_requests)
+        self._callers.begin_closing()
+        self.timers.every(STOP_POLL_MS, self._stop_when_done)
+
+    def _stop_when_done(self) -> None:
+        now_ms = self.timers.now_ms()
+        late = now_ms >= self._stop_by_ms
+        answered = self._callers.open_requests == 0 and self._callers.unsent_bytes == 0
+        if late or (answered and now_ms >= self._quiet_at_ms):
+            log_event("stopped", open_requests=self._callers.open_requests, late=late)
+            self.stop()
+
+
+def run_entry(settings: EntrySettings, dialect: Dialect, make_source: MakeSource) -> None:
+    """Run an entry until it is stopped.
+
+    :param settings: its settings.
+    :param dialect: translates messages of callers and searchers.
+    :param make_source: makes the reader of published state.
+    :raises OSError: when a port can not be bound.
+    """
+    setup_logging("info", settings.name)
+    entry = Entry(settings, dialect, make_source)
+    gc.collect()
+    gc.freeze()
+    entry.run()
+
+
+def _limits(limits: CallerLimits) -> HttpLimits:
+    return HttpLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        connections=MOST_CALLER_CONNECTIONS,
+        header_timeout_ms=limits.header_timeout_ms,
+        idle_timeout_ms=limits.idle_timeout_ms,
+        gzip_least_bytes=NEVER_GZIP_BYTES,
+    )
+
+
+def _no_such_page(request: Request) -> Response:
+    return error_response(
+        404, "no-such-path", f"There is no {request.path[:80]} here.", "See docs/OPERATIONS.md."
+    )
--- /dev/null
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -0,0 +1,38 @@
+"""Settings of the gateway's entry."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.retries import BudgetRule
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one entry that serves published plans.
+
+    :param name: name of the VM.
+    :param ip: its IP address.
+    :param failure_domain: its failure domain.
+    :param callers: where callers connect.
+    :param readiness: where the balancer asks whether the entry is ready.
+    :param readiness_path: the path it asks for.
+    :param peer_port: port for other entries, TCP and UDP, the same on all VMs.
+    :param metrics_port: port for operators.
+    :param seed_ips: IP addresses of some other VMs; they may be stale.
+    :param store: address of the platform's store.
+    :param stop_grace_ms: time between the signal to stop and being killed.
+    :param retry_budget: what all entries together may send beyond the first time.
+    """
+
+    name: str
+    ip: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    readiness_path: str
+    peer_port: int
+    metrics_port: int
+    seed_ips: tuple[str, ...]
+    store: Address
+    stop_grace_ms: float
+    retry_budget: BudgetRule
--- /dev/null
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -0,0 +1,277 @@
+"""From a caller's request to its answer."""
+
+import random
+from collections.abc import Callable
+
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import (
+    CallerRequest,
+    CallTerms,
+    Dialect,
+    Failed,
+    Passed,
+    Refused,
+    Result,
+    ServiceCall,
+    Surroundings,
+)
+from rhubarbhinge.gateway._answers import failed, refused, timed_out, unknown_route
+from rhubarbhinge.gateway._split import Splitter
+from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
+from rhubarbhinge.plans import Route, ServingPlan
+from rhubarbhinge.published import Follower
+from rhubarbhinge.telemetry import Metrics, log_event
+from rhubarbhinge.timing import Subscription
+from rhubarbhinge.web import Request, Responder, Response
+
+ANSWER_SHARE = 0.92
+"""Part of the latency objective after which a search is answered with what there is."""
+ANSWER_MARGIN_MS = 3.0
+"""Taken off besides: a round trip to the caller of 2 ms, and the writing of the answer."""
+HEDGE_QUANTILE = 0.92
+"""A request that takes longer than so many others is sent to a second searcher."""
+LEAST_HEDGE_SHARE = 0.12
+"""Hedges wait at least this part of the latency objective."""
+MOST_HEDGE_SHARE = 0.45
+"""Hedges wait at most this part of the latency objective, so that they still can be in time."""
+TYPICAL_SHARE = 0.2
+"""Part of the latency objective that a shard is assumed to take before any was seen."""
+CALLER_MARGIN_MS = 5.0
+"""A caller's time is taken to be over this much sooner, so that it gets the answer."""
+RETRY_AFTER_SHARE = 0.25
+"""Callers come back after this part of the latency objective."""
+LEAST_RETRY_AFTER_MS = 50.0
+"""Shorter pauses bring the caller back into the same shortage."""
+NO_PLAN_RETRY_AFTER_MS = 300.0
+"""A starting entry has read its configuration within some tenths of a second."""
+
+
+class Gateway:
+    """Answers callers by the newest plan; each request keeps to the plan it was read under.
+
+    :param surroundings: what requests share.
+    :param dialect: translates messages.
+    :param follower: knows the plan.
+    :param metrics: counts.
+    :param rng: spreads what is said to callers.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        dialect: Dialect,
+        follower: Follower,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self._around = surroundings
+        self._dialect = dialect
+        self._follower = follower
+        self._metrics = metrics
+        self._rng = rng
+        self._splitter = Splitter()
+        self._delays: dict[str, Delays] = {}
+
+    def on_plan(self, plan: ServingPlan) -> None:
+        """Follow a new plan.
+
+        :param plan: the plan.
+        """
+        names = {route.name for route in plan.routes}
+        self._splitter.keep(names)
+        for name in self._delays.keys() - names:
+            del self._delays[name]
+
+    def handle(self, request: Request, responder: Responder) -> None:
+        """Take a caller's request.
+
+        :param request: the request.
+        :param responder: answers it.
+        """
+        asked = self._dialect.caller_request(request)
+        plan = self._follower.plan
+        if plan is None:
+            message = "This entry has no configuration yet."
+            responder.answer(refused("no-plan", message, NO_PLAN_RETRY_AFTER_MS))
+            return
+        route = plan.find(asked.host, asked.target.partition("?")[0])
+        if route is None:
+            responder.answer(self._no_route(asked, plan))
+            return
+        handling = _Handling(self, asked, plan, route, responder)
+        if route.shards is not None:
+            handling.gather(self._delays_of(route))
+        else:
+            handling.forward(self._splitter.next(route), self._delays_of(route))
+
+    def _no_route(self, asked: CallerRequest, plan: ServingPlan) -> Response:
+        current = self._follower.is_current()
+        log_event(
+            "no-route",
+            request=asked.id,
+            plan=plan.version,
+            age_ms=round(self._follower.age_ms()),
+            current=current,
+        )
+        if current:
+            return unknown_route()
+        message = "This entry's configuration may be out of date."
+        return refused("stale-plan", message, NO_PLAN_RETRY_AFTER_MS)
+
+    def _delays_of(self, route: Route) -> Delays:
+        delays = self._delays.get(route.name)
+        if delays is None:
+            delays = Delays(TYPICAL_SHARE * route.target_latency_ms)
+            self._delays[route.name] = delays
+        return delays
+
+
+class _Handling:
+    """One request under way.
+
+    :param gateway: what requests share.
+    :param asked: the request.
+    :param plan: the plan it was read under.
+    :param route: its route.
+    :param responder: answers it.
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        asked: CallerRequest,
+        plan: ServingPlan,
+        route: Route,
+        responder: Responder,
+    ):
+        self._gateway = gateway
+        self._around = gateway._around
+        self._asked = asked
+        self._plan = plan
+        self._route = route
+        self._responder = responder
+        self._started_ms = self._around.timers.now_ms()
+        wait_ms = route.timeout_ms
+        if asked.wait_ms is not None:
+            wait_ms = min(wait_ms, asked.wait_ms - CALLER_MARGIN_MS)
+        self._deadline_ms = self._started_ms + max(1.0, wait_ms)
+        self._timer: Subscription | None = None
+        self._cancel: Callable[[], None] | None = None
+
+    def forward(self, service: str, delays: Delays) -> None:
+        """Have one searcher of a service answer.
+
+        :param service: the service.
+        :param delays: the usual delays of such requests.
+        """
+        around = self._around
+        around.budget.on_request((service,))
+        call = ServiceCall(around, self._asked, service, self._terms(delays), delays, self._called)
+        self._begin(call.cancel, lambda: self._expired(call))
+        call.start()
+
+    def gather(self, delays: Delays) -> None:
+        """Have all shards answer.
+
+        :param delays: the usual delays of such requests at one shard.
+        """
+        route = self._route
+        answer_by_ms = self._started_ms + ANSWER_SHARE * route.target_latency_ms - ANSWER_MARGIN_MS
+        terms = GatherTerms(route.shards, answer_by_ms, self._terms(delays))
+        gathering = Gathering(self._around, self._asked, terms, delays, self._gathered)
+        self._begin(gathering.cancel, gathering.time_out)
+        gathering.start()
+
+    def _terms(self, delays: Delays) -> CallTerms:
+        route = self._route
+        target_ms = route.target_latency_ms
+        hedge_ms = min(
+            MOST_HEDGE_SHARE * target_ms,
+            max(LEAST_HEDGE_SHARE * target_ms, delays.quantile(HEDGE_QUANTILE)),
+        )
+        return CallTerms(
+            route.idempotent,
+            route.max_attempts,
+            hedge_ms if route.idempotent else None,
+            self._started_ms + 0.5 * target_ms,
+            self._deadline_ms,
+        )
+
+    def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
+        self._cancel = cancel
+        self._responder.on_abandoned(self._abandoned)
+        wait_ms = self._deadline_ms - self._started_ms
+        self._timer = self._around.timers.after(wait_ms, on_timeout)
+
+    def _abandoned(self) -> None:
+        self._timer.cancel()
+        self._cancel()
+        self._log("caller-gone", 0)
+
+    def _expired(self, call: ServiceCall) -> None:
+        may_have_run = call.may_have_run
+        call.cancel()
+        if may_have_run:
+            self._answer(timed_out(), "timeout")
+        else:
+            self._answer(self._refusal("timeout", "No searcher had room in time."), "timeout")
+
+    def _called(self, call: ServiceCall, result: Result) -> None:
+        if isinstance(result, Passed):
+            self._pass_on(result)
+        elif isinstance(result, Refused):
+            why = result.why.value if result.why else "no-searcher"
+            self._answer(self._refusal(why, "No searcher took the request."), why)
+        elif isinstance(result, Failed):
+            why = result.why.value if result.why else "failed"
+            self._answer(failed(why, "The searcher's reply did not come."), why)
+
+    def _pass_on(self, result: Passed) -> None:
+        reply = result.reply
+        if reply.status in NOT_RUN_STATUSES:
+            # To callers these say "not run", which this searcher did not say.
+            self._answer(failed("searcher-failed", "The searcher failed."), "searcher-failed")
+        else:
+            self._answer(self._gateway._dialect.passed_on(reply), "passed")
+
+    def _gathered(self, result: Gathered | NotEnough) -> None:
+        missing = len(result.missing)
+        if isinstance(result, Gathered):
+            answer = self._gateway._dialect.merged(result.signatures, missing, result.body)
+            self._answer(answer, "gathered", missing)
+        elif result.timed_out:
+            self._answer(timed_out(), "timeout", missing)
+        elif result.may_have_run:
+            answer = failed("too-few-shards", "Too few shards answered.")
+            self._answer(answer, "too-few-shards", missing)
+        else:
+            answer = self._refusal("too-few-shards", "Too few shards can answer.")
+            self._answer(answer, "no-shards", missing)
+
+    def _refusal(self, code: str, message: str) -> Response:
+        pause_ms = max(LEAST_RETRY_AFTER_MS, RETRY_AFTER_SHARE * self._route.target_latency_ms)
+        return refused(code, message, pause_ms * self._gateway._rng.uniform(0.8, 1.2))
+
+    def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
+        self._timer.cancel()
+        self._responder.answer(answer)
+        took_ms = self._around.timers.now_ms() - self._started_ms
+        self._gateway._metrics.observe_latency(self._route.host, self._route.name, took_ms)
+        if why not in ("passed", "gathered") or missing or took_ms > self._route.target_latency_ms:
+            self._log(why, answer.status, missing)
+
+    def _log(self, why: str, status: int, missing: int = 0) -> None:
+        log_event(
+            "request-ended",
+            request=self._asked.id,
+            route=self._route.name,
+            plan=self._plan.version,
+            why=why,
+            status=status,
+            missing=missing,
+            took_ms=round(self._around.timers.now_ms() - self._started_ms, 1),
+        )
+
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that callers take to mean that the request was not executed."""
--- /dev/null
+++ b/rhubarbhinge/plans/_caller_limits.py
@@ -0,0 +1,19 @@
+"""Limits on what callers may send."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits on what callers may send, and on how long they may take.
+
+    :param header_bytes: most bytes of a request's line and headers.
+    :param body_bytes: most bytes of a request's body.
+    :param header_timeout_ms: longest that a request's headers may take.
+    :param idle_timeout_ms: longest that a connection is kept between two requests.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    header_timeout_ms: float = 5_000.0
+    idle_timeout_ms: float = 60_000.0
--- /dev/null
+++ b/rhubarbhinge/plans/_route.py
@@ -0,0 +1,34 @@
+"""Where requests of one kind go."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.plans._shard_set import ShardSet
+from rhubarbhinge.plans._weighted_service import WeightedService
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one kind go, and what is promised for them.
+
+    :param name: the route's name.
+    :param host: host name that callers ask for, in lower case.
+    :param path_prefix: start of the path; begins and ends with a slash.
+    :param idempotent: whether a request may be executed more than once.
+    :param timeout_ms: longest that a caller is kept waiting.
+    :param target_latency_ms: time within which an answer has its full value.
+    :param priority: rank among routes; 0 is the most urgent.
+    :param max_attempts: most searchers that may execute one request, for each shard.
+    :param services: where a request goes, one of these by weight; empty for a search.
+    :param shards: the shards of a search, to all of which it is sent; None otherwise.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    idempotent: bool
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    max_attempts: int
+    services: tuple[WeightedService, ...] = ()
+    shards: ShardSet | None = None
--- /dev/null
+++ b/rhubarbhinge/plans/_service.py
@@ -0,0 +1,17 @@
+"""A group of searchers that answer alike."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of searchers that answer alike: all replicas of one shard, or of one record store.
+
+    :param name: the service's name.
+    :param health_path: path of the health endpoint of its searchers.
+    :param max_connections: most connections that one searcher takes from all callers together.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
--- /dev/null
+++ b/rhubarbhinge/plans/_serving_plan.py
@@ -0,0 +1,44 @@
+"""One version of the configuration, as the deciding parts know it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from rhubarbhinge.plans._caller_limits import CallerLimits
+from rhubarbhinge.plans._route import Route
+from rhubarbhinge.plans._service import Service
+
+
+@dataclass(frozen=True, slots=True)
+class ServingPlan:
+    """One version of the configuration; a request keeps to the plan it was read under.
+
+    :param version: grows with each change.
+    :param routes: all routes.
+    :param services: services by name.
+    :param limits: what callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    limits: CallerLimits
+    _by_prefix: dict[tuple[str, str], Route] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        index = {(route.host, route.path_prefix): route for route in self.routes}
+        object.__setattr__(self, "_by_prefix", index)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Find the route of a request: that of its host with the longest matching prefix.
+
+        :param host: the ``Host`` header, with or without a port.
+        :param path: the path without its query.
+        :returns: the route, or None.
+        """
+        name = host.partition(":")[0].lower()
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_prefix.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/rhubarbhinge/plans/_shard_set.py
@@ -0,0 +1,25 @@
+"""The shards that a search is sent to."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ShardSet:
+    """The shards that a search is sent to, each a service, and how its answer is put together.
+
+    :param services: names of the shards.
+    :param top_k: how many of the greatest records the answer holds.
+    :param least_share: smallest share of shards, 0 to 1, that makes an answer a success.
+    """
+
+    services: tuple[str, ...]
+    top_k: int
+    least_share: float
+
+    def is_enough(self, parts: int) -> bool:
+        """Tell whether so many parts make an answer.
+
+        :param parts: number of shards that have answered.
+        :returns: whether their share reaches ``least_share``.
+        """
+        return parts > 0 and parts >= self.least_share * len(self.services)
--- /dev/null
+++ b/rhubarbhinge/published/__init__.py
@@ -0,0 +1,9 @@
+"""What the platform publishes, followed by lists, watches and peers."""
+
+from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._follower import Follower
+from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._snapshot import Snapshot
+from rhubarbhinge.published._source import Source
+
+__all__ = ["Changes", "Follower", "ReadFault", "Snapshot", "Source"]
--- /dev/null
+++ b/rhubarbhinge/published/_changes.py
@@ -0,0 +1,22 @@
+"""What changed since a revision."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.fleet import Searcher
+from rhubarbhinge.plans import ServingPlan
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed since a revision, the newest of each thing.
+
+    :param revision: up to which it is told.
+    :param plan: the configuration, if it changed.
+    :param searchers: searchers that came or changed.
+    :param removed: incarnations whose entries were removed.
+    """
+
+    revision: int
+    plan: ServingPlan | None = None
+    searchers: tuple[Searcher, ...] = ()
+    removed: tuple[str, ...] = ()
--- /dev/null
+++ b/rhubarbhinge/published/_follower.py
@@ -0,0 +1,214 @@
+"""Follows what is published, and never goes back."""
+
+import random
+from collections.abc import Callable
+
+from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._snapshot import Snapshot
+from rhubarbhinge.published._source import Source
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import TimerService
+
+LEAST_BACKOFF_MS = 100.0
+"""First pause after a failed read; short, as a lost answer is the most frequent cause."""
+MOST_BACKOFF_MS = 1_000.0
+"""Longest pause; the platform promises to have lapsed entries back two seconds after its return."""
+OVERLOAD_BACKOFF_MS = 500.0
+"""Least pause after the platform asked for fewer calls."""
+WATCH_PAUSE_MS = 150.0
+"""Pause between two watches, so that changes that come in series cost one call together."""
+LAPSE_GRACE_MS = 2_000.0
+"""Entries that lapsed while the platform was away are back within this time, or gone."""
+CURRENT_MS = 7_000.0
+"""Without an answer for so long, a change may have been missed: one watch and its timeout."""
+
+
+class Follower:
+    """Follows what is published.
+
+    The configuration's version only grows. A failed read changes nothing. Entries that are missing
+    after the platform was away are kept for ``LAPSE_GRACE_MS``, then they count as gone.
+
+    :param timers: the timer service.
+    :param source: reads the platform.
+    :param fleet: gets the searchers.
+    :param rng: spreads the pauses.
+    :param on_plan: told each new configuration.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        source: Source,
+        fleet: Fleet,
+        rng: random.Random,
+        on_plan: Callable[[ServingPlan], None],
+    ):
+        self._timers = timers
+        self._source = source
+        self._fleet = fleet
+        self._rng = rng
+        self._on_plan = on_plan
+        self.plan: ServingPlan | None = None
+        self.revision = 0
+        self._searchers: dict[str, Searcher] = {}
+        self._confirmed_ms: float | None = None
+        self._failures = 0
+        self._back_ms = float("-inf")
+        self._missing: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Read everything, then follow the changes."""
+        self._source.read_all(self._listed)
+
+    def is_current(self) -> bool:
+        """Tell whether the platform or a peer has confirmed the state lately.
+
+        :returns: whether a change that is older than some seconds would be known here.
+        """
+        if self._confirmed_ms is None:
+            return False
+        return self._timers.now_ms() - self._confirmed_ms <= CURRENT_MS
+
+    def age_ms(self) -> float:
+        """Tell how old the state may be.
+
+        :returns: time since it was confirmed, -1 if it never was.
+        """
+        if self._confirmed_ms is None:
+            return -1.0
+        return self._timers.now_ms() - self._confirmed_ms
+
+    def snapshot(self) -> Snapshot:
+        """Give what is known, to hand it on.
+
+        :returns: the state.
+        """
+        return Snapshot(self.revision, self.plan, tuple(self._searchers.values()))
+
+    def offer(self, snapshot: Snapshot, age_ms: float) -> None:
+        """Take what a peer knows, if it is newer.
+
+        :param snapshot: the peer's state.
+        :param age_ms: time since the peer had it confirmed.
+        """
+        if snapshot.revision < self.revision:
+            return
+        self._take_plan(snapshot.plan)
+        if snapshot.revision > self.revision:
+            self._replace(snapshot)
+        confirmed_ms = self._timers.now_ms() - age_ms
+        if self._confirmed_ms is None or confirmed_ms > self._confirmed_ms:
+            self._confirmed_ms = confirmed_ms
+
+    # Reading.
+
+    def _listed(self, outcome: Snapshot | ReadFault) -> None:
+        if isinstance(outcome, ReadFault):
+            self._failed(outcome, self.start)
+            return
+        self._answered()
+        if outcome.revision >= self.revision:
+            self._take_plan(outcome.plan)
+            self._replace(outcome)
+        self._watch()
+
+    def _watch(self) -> None:
+        self._source.wait_for_changes(self.revision, self._told)
+
+    def _told(self, outcome: Changes | ReadFault) -> None:
+        if isinstance(outcome, ReadFault):
+            if outcome.history_lost:
+                log_event("history-lost", level="warning", revision=self.revision)
+                self.start()
+            else:
+                self._failed(outcome, self._watch)
+            return
+        self._answered()
+        self._apply(outcome)
+        self._timers.after(WATCH_PAUSE_MS, self._watch)
+
+    def _failed(self, fault: ReadFault, again: Callable[[], None]) -> None:
+        if not self._failures:
+            log_event("platform-lost", level="warning", code=fault.code, revision=self.revision)
+        self._failures += 1
+        pause_ms = min(MOST_BACKOFF_MS, LEAST_BACKOFF_MS * 2 ** min(self._failures - 1, 10))
+        if fault.overloaded:
+            pause_ms = max(pause_ms, OVERLOAD_BACKOFF_MS)
+        self._timers.after(pause_ms * self._rng.uniform(0.7, 1.3), again)
+
+    def _answered(self) -> None:
+        now_ms = self._timers.now_ms()
+        self._confirmed_ms = now_ms
+        if self._failures:
+            log_event("platform-regained", failures=self._failures, revision=self.revision)
+            self._failures = 0
+            self._back_ms = now_ms
+
+    # Taking over.
+
+    def _take_plan(self, plan: ServingPlan | None) -> None:
+        if plan is None or (self.plan is not None and plan.version <= self.plan.version):
+            return
+        before = None if self.plan is None else self.plan.version
+        self.plan = plan
+        log_event("plan-adopted", version=plan.version, before=before, routes=len(plan.routes))
+        self._on_plan(plan)
+
+    def _replace(self, snapshot: Snapshot) -> None:
+        listed = {searcher.incarnation for searcher in snapshot.searchers}
+        for searcher in snapshot.searchers:
+            self._put(searcher)
+        for incarnation in [name for name in self._searchers if name not in listed]:
+            self._vanished(incarnation)
+        self.revision = snapshot.revision
+
+    def _apply(self, changes: Changes) -> None:
+        if changes.revision < self.revision:
+            return
+        self._take_plan(changes.plan)
+        for searcher in changes.searchers:
+            self._put(searcher)
+        for incarnation in changes.removed:
+            self._vanished(incarnation)
+        self.revision = changes.revision
+
+    def _put(self, searcher: Searcher) -> None:
+        self._missing.pop(searcher.incarnation, None)
+        if self._searchers.get(searcher.incarnation) == searcher:
+            return
+        known = self._searchers.get(searcher.incarnation)
+        self._searchers[searcher.incarnation] = searcher
+        self._fleet.put(searcher)
+        if known is None or known.draining != searcher.draining:
+            log_event(
+                "searcher-published",
+                searcher=searcher.incarnation,
+                service=searcher.service,
+                address=f"{searcher.ip}:{searcher.port}",
+                draining=searcher.draining,
+            )
+
+    def _vanished(self, incarnation: str) -> None:
+        if incarnation not in self._searchers or incarnation in self._missing:
+            return
+        now_ms = self._timers.now_ms()
+        left_ms = self._back_ms + LAPSE_GRACE_MS - now_ms
+        if left_ms <= 0:
+            self._remove(incarnation)
+            return
+        self._missing[incarnation] = now_ms
+        self._timers.after(left_ms, lambda: self._remove_missing(incarnation, now_ms))
+
+    def _remove_missing(self, incarnation: str, since_ms: float) -> None:
+        if self._missing.get(incarnation) == since_ms:
+            self._remove(incarnation)
+
+    def _remove(self, incarnation: str) -> None:
+        self._missing.pop(incarnation, None)
+        self._searchers.pop(incarnation, None)
+        log_event("searcher-gone", searcher=incarnation, revision=self.revision)
+        self._fleet.remove(incarnation)
--- /dev/null
+++ b/rhubarbhinge/published/_read_fault.py
@@ -0,0 +1,18 @@
+"""Why a read brought nothing."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFault:
+    """Why a read brought nothing.
+
+    :param code: the cause, for logs.
+    :param history_lost: whether changes are no longer told from the revision that was asked for,
+        so that all has to be listed again.
+    :param overloaded: whether the platform asks for fewer calls.
+    """
+
+    code: str
+    history_lost: bool = False
+    overloaded: bool = False
--- /dev/null
+++ b/rhubarbhinge/published/_source.py
@@ -0,0 +1,27 @@
+"""Where published state is read from."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._snapshot import Snapshot
+
+
+class Source(Protocol):
+    """Reads what the platform publishes; one read at a time."""
+
+    def read_all(self, on_done: Callable[[Snapshot | ReadFault], None]) -> None:
+        """Read everything.
+
+        :param on_done: told the outcome, once and later.
+        """
+
+    def wait_for_changes(
+        self, after_revision: int, on_done: Callable[[Changes | ReadFault], None]
+    ) -> None:
+        """Wait until something changes, within a bound.
+
+        :param after_revision: changes after it are told.
+        :param on_done: told the outcome, once and later; no changes when the bound is over.
+        """
--- a/rhubarbhinge/web/_parser.py
+++ b/rhubarbhinge/web/_parser.py
@@ -1,6 +1,6 @@
 """Requests out of the bytes of one connection."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import h11
@@ -186,9 +186,7 @@
         self._unread = self._full.trailing_data[0]
         head = self._head
         reusable = self._full.their_state is h11.DONE
-        return self._request(
-            RequestHead(head.method, head.path, head.query, head.headers, reusable, False)
-        )
+        return self._request(replace(head, reusable=reusable, awaits_continue=False))
 
     def _request(self, head: RequestHead) -> Request:
         self._head = head
@@ -197,4 +195,13 @@
         headers = dict(head.headers)
         if self._length:
             headers["content-length"] = str(self._length)
-        return Request(head.method, head.path, dict(head.query), headers, body, self._peer_ip)
+        return Request(
+            head.method,
+            head.path,
+            dict(head.query),
+            headers,
+            body,
+            self._peer_ip,
+            head.target,
+            head.raw_headers,
+        )
--- a/rhubarbhinge/web/_request.py
+++ b/rhubarbhinge/web/_request.py
@@ -13,6 +13,8 @@
     :param headers: the headers, names in lower case.
     :param body: the whole body.
     :param peer_ip: the caller's IP address.
+    :param target: path and query as they were sent.
+    :param raw_headers: names and values as they were sent, without that of the body's length.
     """
 
     method: str
@@ -21,3 +23,5 @@
     headers: dict[str, str]
     body: bytes
     peer_ip: str
+    target: str = ""
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
--- a/rhubarbhinge/web/_request_reading.py
+++ b/rhubarbhinge/web/_request_reading.py
@@ -14,6 +14,8 @@
     split_form,
 )
 
+LENGTH_NAME = b"content-length"
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
@@ -25,6 +27,8 @@
     :param headers: the headers, names in lower case.
     :param reusable: whether the caller keeps the connection open after the answer.
     :param awaits_continue: whether the caller waits for an interim answer before its body.
+    :param target: path and query as they were sent.
+    :param raw_headers: names and values as they were sent, without that of the body's length.
     """
 
     method: str
@@ -33,6 +37,8 @@
     headers: dict[str, str]
     reusable: bool
     awaits_continue: bool
+    target: str
+    raw_headers: tuple[tuple[bytes, bytes], ...]
 
 
 def read_plain_request_head(head: bytes) -> tuple[RequestHead, int] | None:
@@ -77,13 +83,20 @@
     :returns: the head, or None when its path or query is not well-formed.
     """
     try:
-        raw_path, raw_query = _split_target(event.target.decode("ascii"))
+        target = event.target.decode("ascii")
+        raw_path, raw_query = _split_target(target)
         path = unquote(raw_path, errors="strict")
         query = dict(parse_qsl(raw_query, keep_blank_values=True, errors="strict"))
     except ValueError:
         return None
     method = event.method.decode("ascii")
-    return RequestHead(method, path, query, header_dict(event.headers), reusable, awaits_continue)
+    raw_headers = tuple(
+        (bytes(name), bytes(value))
+        for name, value in event.headers.raw_items()
+        if name.lower() != LENGTH_NAME
+    )
+    headers = header_dict(event.headers)
+    return RequestHead(method, path, query, headers, reusable, awaits_continue, target, raw_headers)
 
 
 def _split_target(target: str) -> tuple[str, str]:
--- a/rhubarbhinge/web/_response.py
+++ b/rhubarbhinge/web/_response.py
@@ -12,7 +12,7 @@
     :param status: the status code.
     :param body: the whole body.
     :param headers: more headers, besides those of length, type and connection.
-    :param content_type: the body's media type.
+    :param content_type: the body's media type; empty when it is among the headers, or not known.
     """
 
     status: int
--- a/rhubarbhinge/web/_response_writing.py
+++ b/rhubarbhinge/web/_response_writing.py
@@ -50,7 +50,7 @@
     status: int, content_type: str, headers: tuple[tuple[str, str], ...], closes: bool
 ) -> bytes:
     fields = [("Connection", "close")] if closes else []
-    if status not in WITHOUT_BODY:
+    if status not in WITHOUT_BODY and content_type:
         fields.append(("Content-Type", content_type))
     fields += [*headers, ("Content-Length", "0")]
     try:
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -76,6 +76,20 @@
         """Bytes of answers not written yet; a graceful stop waits until there are none."""
         return self._links.pending_bytes
 
+    def limit(self, limits: HttpLimits) -> None:
+        """Grant other limits, to connections that are opened from now on and to waits.
+
+        :param limits: the limits.
+        """
+        self._limits = limits
+
+    def begin_closing(self) -> None:
+        """Close idle connections, and each other one after its next answer; go on listening."""
+        self._stopping = True
+        for caller in list(self._callers.values()):
+            if caller.timing == "idle":
+                self._close(caller)
+
     def stop_listening(self) -> None:
         """Accept no more connections; each open one is closed after its next answer."""
         self._stopping = True
