forward: connections to searchers are reused

Cause: the parser forgets whether the connection stays open once the message is over, so that each reply closed its connection. Ruled out: the searchers' Keep-Alive, stale idle connections.

--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -55,6 +55,8 @@
         "_head_done",
         "_done",
         "_excess",
+        "_status",
+        "_keeps_alive",
     )
 
     def __init__(self) -> None:
@@ -103,12 +105,12 @@
         self._head_done = False
         self._done = False
         self._excess = False
+        self._status = 0
+        self._keeps_alive = False
 
     def _take(self) -> RawReply:
-        reusable = self._parser.should_keep_alive() and not self._excess and not self._until_close
-        reply = RawReply(
-            self._parser.get_status_code(), tuple(self._headers), b"".join(self._body), reusable
-        )
+        reusable = self._keeps_alive and not self._excess
+        reply = RawReply(self._status, tuple(self._headers), b"".join(self._body), reusable)
         self._reset()
         return reply
 
@@ -136,6 +138,7 @@
         if status < 200:
             return
         self._head_done = True
+        self._status = status
         names = {name for name, _ in self._headers}
         stated = b"content-length" in names or b"transfer-encoding" in names
         self._until_close = not stated and status not in NO_BODY
@@ -155,5 +158,7 @@
             return
         if self._head_done:
             self._done = True
+            # The parser forgets this once the message is over.
+            self._keeps_alive = self._parser.should_keep_alive()
         else:
             self._headers.clear()
