--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -55,7 +55,7 @@
     now_ms: float,
     tried: Collection[str] = (),
 ) -> ObservedSearcher | None:
-    """Choose the searcher with the least cost.
+    """Choose the searcher with the least cost among those that can be reached.
 
     :param candidates: the searchers of a service.
     :param preference: gives the cost of each.
@@ -66,7 +66,7 @@
     """
     best, least = None, float("inf")
     for observed in candidates:
-        if not observed.usable or observed.searcher.incarnation in tried:
+        if not observed.usable or observed.is_down or observed.searcher.incarnation in tried:
             continue
         cost = preference(observed, typical_ms, now_ms)
         if cost < least:
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -10,12 +10,10 @@
 """Cap of the estimate, so that a searcher that hung comes back within a few half-lives."""
 SHED_PAUSE_MS = 60.0
 """How long a searcher that refused is avoided; about one execution, after which a slot is free."""
-LEAST_DOWN_MS = 250.0
-"""First pause after a connection that could not be made; doubles up to the most."""
-MOST_DOWN_MS = 1_000.0
-"""Longest pause; a searcher that is back is tried within a second."""
 LOSSES_TO_SUSPECT = 2
-"""Requests without any reply in a row after which a searcher counts as silent."""
+"""Connections that broke in a row before a reply, after which a searcher is avoided."""
+LOSS_PAUSE_MS = 250.0
+"""How long it is then avoided; about as long as searchers pause."""
 
 
 class ObservedSearcher:
@@ -30,10 +28,10 @@
         "warm_at_ms",
         "started_ms",
         "gone",
+        "is_down",
         "_slowness",
         "_slowness_ms",
         "_avoid_until_ms",
-        "_down_ms",
         "_losses",
     )
 
@@ -42,10 +40,10 @@
         self.warm_at_ms = now_ms + searcher.warmup_ms
         self.started_ms: dict[int, float] = {}
         self.gone = False
+        self.is_down = False
         self._slowness = 1.0
         self._slowness_ms = now_ms
         self._avoid_until_ms = 0.0
-        self._down_ms = 0.0
         self._losses = 0
 
     @property
@@ -53,18 +51,13 @@
         """Whether new requests may be sent to it."""
         return not self.gone and not self.searcher.draining
 
-    @property
-    def suspect(self) -> bool:
-        """Whether it has been silent or unreachable lately."""
-        return self._losses >= LOSSES_TO_SUSPECT or self._down_ms > 0
-
     def is_avoided(self, now_ms: float) -> bool:
-        """Tell whether it refused or could not be reached just now.
+        """Tell whether it refused or broke off just now, or can't be reached.
 
         :param now_ms: the time.
         :returns: whether another searcher is to be preferred whatever its delays.
         """
-        return now_ms < self._avoid_until_ms
+        return self.is_down or now_ms < self._avoid_until_ms
 
     def slowness(self, now_ms: float) -> float:
         """Estimate how much slower it is than usual.
@@ -105,7 +98,6 @@
         """
         self.started_ms.pop(attempt, None)
         self._losses = 0
-        self._down_ms = 0.0
         self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
 
     def on_failure(self, attempt: int, now_ms: float) -> None:
@@ -127,15 +119,16 @@
         self.started_ms.pop(attempt, None)
         self._avoid_until_ms = now_ms + SHED_PAUSE_MS
 
-    def on_unreachable(self, attempt: int, now_ms: float) -> None:
-        """Note that no connection could be made.
+    def on_unreachable(self, now_ms: float) -> None:
+        """Note that no connection could be made; it is down until one can.
 
-        :param attempt: identifies the request.
         :param now_ms: the time.
         """
-        self.started_ms.pop(attempt, None)
-        self._down_ms = min(MOST_DOWN_MS, max(LEAST_DOWN_MS, 2 * self._down_ms))
-        self._avoid_until_ms = now_ms + self._down_ms
+        self.is_down = True
+
+    def on_connected(self) -> None:
+        """Note that a connection was made."""
+        self.is_down = False
 
     def on_lost(self, attempt: int, now_ms: float) -> None:
         """Note a connection that ended before the reply.
@@ -146,7 +139,7 @@
         self.started_ms.pop(attempt, None)
         self._losses += 1
         if self._losses >= LOSSES_TO_SUSPECT:
-            self._avoid_until_ms = now_ms + LEAST_DOWN_MS
+            self._avoid_until_ms = now_ms + LOSS_PAUSE_MS
 
     def on_cancelled(
         self, attempt: int, waited_ms: float, typical_ms: float, now_ms: float
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -17,17 +17,23 @@
     :param request: what to send.
     :param deadline_ms: when the caller stops waiting, on the steady clock.
     :param delays: the usual delays of such requests, which the outcome adds to.
+    :param priority: rank among what waits for the same searcher; 0 goes first.
     """
 
     searcher: ObservedSearcher
     request: CallerRequest
     deadline_ms: float
     delays: Delays
+    priority: int = 0
 
 
 class Attempt(Protocol):
     """Handle of an exchange under way."""
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request has been handed to a connection, so that it may arrive."""
+
     def cancel(self) -> None:
         """Give the exchange up; its outcome is not told, and the searcher stops working on it."""
 
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -13,6 +13,8 @@
     """The searcher, or its connections, had no room."""
     UNREACHABLE = "unreachable"
     """No connection could be made."""
+    LEAVING = "leaving"
+    """The searcher left before the request was sent."""
     WRONG_SEARCHER = "wrong-searcher"
     """Another searcher has the address."""
     BROKEN = "broken"
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -1,5 +1,6 @@
 """Connections to searchers."""
 
+import heapq
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,8 +16,8 @@
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 
-CONNECT_TIMEOUT_MS = 1_000.0
-"""Longest wait for a connection; an opening packet that was dropped comes again after a second."""
+CONNECT_TIMEOUT_MS = 350.0
+"""Longest wait for a connection; takes 6 ms usually, and a pause of a searcher lasts 250 ms."""
 IDLE_MS = 4_000.0
 """How long an idle connection is kept where the searcher does not say how long it keeps it."""
 IDLE_MARGIN_MS = 500.0
@@ -51,6 +52,15 @@
         self.over = False
         self._cancel = cancel
 
+    def __lt__(self, other: "_Exchanging") -> bool:
+        """Order what waits: the more urgent first, then the earlier."""
+        return (self.exchange.priority, self.number) < (other.exchange.priority, other.number)
+
+    @property
+    def sent(self) -> bool:
+        """Whether the request was handed to a connection."""
+        return self.sent_ms is not None
+
     def cancel(self) -> None:
         """Give the exchange up."""
         if not self.over:
@@ -71,11 +81,24 @@
 
 
 @dataclass(slots=True)
-class _Conns:
-    """Connections to one searcher; the idle one used last is used next."""
+class _Lane:
+    """Connections to one searcher, and what waits for one; the idle one used last is next."""
 
     idle: list[_Conn] = field(default_factory=list)
     count: int = 0
+    opening: int = 0
+    waiting: list[_Exchanging] = field(default_factory=list)
+
+    def next_waiting(self) -> _Exchanging | None:
+        """Take what waits first.
+
+        :returns: the exchange, or None.
+        """
+        while self.waiting:
+            exchanging = heapq.heappop(self.waiting)
+            if not exchanging.over:
+                return exchanging
+        return None
 
 
 class ConnectionPool(BaseComponent):
@@ -103,7 +126,7 @@
         self._on_wrong_searcher = on_wrong_searcher
         self._numbers = itertools.count(1)
         self._conns: dict[int, _Conn] = {}
-        self._by_searcher: dict[str, _Conns] = {}
+        self._lanes: dict[str, _Lane] = {}
         self.opened = 0
         self._links = Links(self._opened, self._received, self._closed).register(self)
 
@@ -123,55 +146,68 @@
         observed = exchange.searcher
         now_ms = self._timers.now_ms()
         observed.on_sent(exchanging.number, now_ms)
-        conn = self._take_idle(observed, now_ms)
+        lane = self._lane(observed)
+        conn = self._take_idle(lane, now_ms)
         if conn is not None:
             self._write(conn, exchanging, now_ms)
-            return exchanging
-        conns = self._of(observed)
-        if conns.count >= self._most_connections(observed):
-            observed.on_refused(exchanging.number, now_ms)
-            self._timers.after(0, lambda: self._tell(exchanging, NotRun(Why.NO_ROOM)))
-            return exchanging
-        self._open(observed, conns, exchanging)
+        elif lane.count < self._most_connections(observed):
+            self._open(observed, lane, exchanging)
+        else:
+            heapq.heappush(lane.waiting, exchanging)
         return exchanging
 
+    def open_ahead(self, observed: ObservedSearcher) -> None:
+        """Open a connection without a request, to find out whether a searcher can be reached.
+
+        :param observed: the searcher.
+        """
+        lane = self._lane(observed)
+        if not lane.opening and lane.count < self._most_connections(observed):
+            self._open(observed, lane, None)
+
     def forget(self, observed: ObservedSearcher) -> None:
         """Close the idle connections to a searcher that gets no more requests.
 
         :param observed: the searcher.
         """
-        conns = self._by_searcher.get(observed.searcher.incarnation)
-        if conns is None:
+        lane = self._lanes.get(observed.searcher.incarnation)
+        if lane is None:
             return
-        for conn in list(conns.idle):
+        for conn in list(lane.idle):
             self._drop(conn)
+        while (exchanging := lane.next_waiting()) is not None:
+            observed.started_ms.pop(exchanging.number, None)
+            self._tell_later(exchanging, NotRun(Why.LEAVING))
 
     def close_idle(self) -> None:
         """Close idle connections whose time is over."""
         now_ms = self._timers.now_ms()
-        for conns in list(self._by_searcher.values()):
-            for conn in [conn for conn in conns.idle if conn.idle_until_ms <= now_ms]:
+        for lane in list(self._lanes.values()):
+            for conn in [conn for conn in lane.idle if conn.idle_until_ms <= now_ms]:
                 self._drop(conn)
 
-    def _of(self, observed: ObservedSearcher) -> _Conns:
-        return self._by_searcher.setdefault(observed.searcher.incarnation, _Conns())
+    def _lane(self, observed: ObservedSearcher) -> _Lane:
+        return self._lanes.setdefault(observed.searcher.incarnation, _Lane())
 
-    def _take_idle(self, observed: ObservedSearcher, now_ms: float) -> _Conn | None:
-        conns = self._by_searcher.get(observed.searcher.incarnation)
-        while conns and conns.idle:
-            conn = conns.idle.pop()
+    def _take_idle(self, lane: _Lane, now_ms: float) -> _Conn | None:
+        while lane.idle:
+            conn = lane.idle.pop()
             if conn.idle_until_ms > now_ms and self._links.is_quiet(conn.link):
                 return conn
             self._drop(conn)
         return None
 
-    def _open(self, observed: ObservedSearcher, conns: _Conns, exchanging: _Exchanging) -> None:
+    def _open(
+        self, observed: ObservedSearcher, lane: _Lane, exchanging: _Exchanging | None
+    ) -> None:
         searcher = observed.searcher
-        conns.count += 1
+        lane.count += 1
+        lane.opening += 1
         self.opened += 1
         link = self._links.open(searcher.ip, searcher.port, CONNECT_TIMEOUT_MS)
         conn = _Conn(link, observed, exchanging=exchanging)
-        exchanging.conn = conn
+        if exchanging is not None:
+            exchanging.conn = conn
         self._conns[link] = conn
 
     def _write(self, conn: _Conn, exchanging: _Exchanging, now_ms: float) -> None:
@@ -190,6 +226,8 @@
         if conn is None:
             return
         conn.is_open = True
+        self._lane(conn.searcher).opening -= 1
+        conn.searcher.on_connected()
         if conn.exchanging is not None:
             self._write(conn, conn.exchanging, self._timers.now_ms())
         else:
@@ -260,12 +298,18 @@
             delays.add(delay_ms)
 
     def _keep(self, conn: _Conn, keep_alive_ms: float | None) -> None:
+        lane = self._lane(conn.searcher)
+        waiting = lane.next_waiting()
+        now_ms = self._timers.now_ms()
+        if waiting is not None:
+            self._write(conn, waiting, now_ms)
+            return
         idle_ms = IDLE_MS if keep_alive_ms is None else keep_alive_ms - IDLE_MARGIN_MS
         if idle_ms <= 0:
             self._drop(conn)
             return
-        conn.idle_until_ms = self._timers.now_ms() + idle_ms
-        self._of(conn.searcher).idle.append(conn)
+        conn.idle_until_ms = now_ms + idle_ms
+        lane.idle.append(conn)
 
     def _cancelled(self, exchanging: _Exchanging) -> None:
         exchanging.over = True
@@ -294,7 +338,7 @@
                 self._replied(conn, raw)
         if conn.exchanging is None:
             if not conn.is_open:
-                conn.searcher.on_unreachable(0, self._timers.now_ms())
+                self._unreachable(conn, reason.value)
             self._drop(conn)
         elif conn.is_open:
             self._fail(conn, Lost(Why.BROKEN), reason.value)
@@ -306,7 +350,8 @@
         observed = conn.searcher
         now_ms = self._timers.now_ms()
         if isinstance(outcome, NotRun):
-            observed.on_unreachable(exchanging.number, now_ms)
+            observed.started_ms.pop(exchanging.number, None)
+            self._unreachable(conn, code)
         else:
             observed.on_lost(exchanging.number, now_ms)
         log_event(
@@ -321,6 +366,21 @@
         self._drop(conn)
         self._tell(exchanging, outcome)
 
+    def _unreachable(self, conn: _Conn, code: str) -> None:
+        """Note that a searcher can't be reached; what waits for it is told to go elsewhere."""
+        observed = conn.searcher
+        if not observed.is_down:
+            incarnation = observed.searcher.incarnation
+            log_event("searcher-unreachable", level="warning", searcher=incarnation, code=code)
+        observed.on_unreachable(self._timers.now_ms())
+        lane = self._lane(observed)
+        while (exchanging := lane.next_waiting()) is not None:
+            observed.started_ms.pop(exchanging.number, None)
+            self._tell_later(exchanging, NotRun(Why.UNREACHABLE))
+
+    def _tell_later(self, exchanging: _Exchanging, outcome: Outcome) -> None:
+        self._timers.after(0, lambda: self._tell(exchanging, outcome))
+
     def _tell(self, exchanging: _Exchanging, outcome: Outcome) -> None:
         if not exchanging.over:
             exchanging.over = True
@@ -329,11 +389,16 @@
     def _drop(self, conn: _Conn) -> None:
         if self._conns.pop(conn.link, None) is None:
             return
-        incarnation = conn.searcher.searcher.incarnation
-        conns = self._by_searcher[incarnation]
-        conns.count -= 1
-        if conn in conns.idle:
-            conns.idle.remove(conn)
-        if not conns.count:
-            del self._by_searcher[incarnation]
+        observed = conn.searcher
+        lane = self._lane(observed)
+        lane.count -= 1
+        if not conn.is_open:
+            lane.opening -= 1
+        if conn in lane.idle:
+            lane.idle.remove(conn)
         self._links.abort(conn.link)
+        waiting = lane.next_waiting()
+        if waiting is not None:
+            self._open(observed, lane, waiting)
+        elif not lane.count:
+            del self._lanes[observed.searcher.incarnation]
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -14,6 +14,8 @@
 
 MOST_REFUSED_SENDS = 4
 """Searchers that refuse cost arrivals but run nothing; so many are asked for one call at most."""
+NEVER_SENT = (Why.UNREACHABLE, Why.LEAVING)
+"""Causes for which nothing arrived at a searcher."""
 RETRY_PAUSE_MS = 25.0
 """Pause once all searchers have refused; about half an execution, after which a slot is free."""
 
@@ -27,6 +29,7 @@
     :param hedge_ms: wait before a second searcher is asked too; None to ask none.
     :param retry_until_ms: up to this time refusals are followed by further tries.
     :param deadline_ms: when the caller stops waiting.
+    :param priority: rank among what waits for the same searcher; 0 goes first.
     """
 
     idempotent: bool
@@ -34,6 +37,7 @@
     hedge_ms: float | None
     retry_until_ms: float
     deadline_ms: float
+    priority: int = 0
 
 
 class ServiceCall:
@@ -58,6 +62,7 @@
         "_tried",
         "_ran",
         "_refusals",
+        "_arrived",
         "_failure",
         "_why",
         "_may_have_run",
@@ -85,6 +90,7 @@
         self._tried: set[str] = set()
         self._ran = 0
         self._refusals = 0
+        self._arrived = False
         self._failure: SearcherReply | None = None
         self._why: Why | None = None
         self._may_have_run = False
@@ -95,7 +101,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a searcher has executed the request, or may yet."""
-        return self._may_have_run or bool(self._open)
+        return self._may_have_run or any(attempt.sent for attempt in self._open.values())
 
     def start(self) -> None:
         """Send to the searcher that is expected to answer first."""
@@ -130,20 +136,35 @@
         self._tried.add(incarnation)
         self._ran += 1
         self.sends += 1
-        exchange = Exchange(observed, self._request, self._terms.deadline_ms, self._delays)
+        terms = self._terms
+        exchange = Exchange(
+            observed, self._request, terms.deadline_ms, self._delays, terms.priority
+        )
         self._open[incarnation] = self._around.send(
             exchange, lambda outcome: self._ended(incarnation, outcome)
         )
 
     def _hedge(self) -> None:
-        if self.over or self._ran >= self._terms.max_attempts:
+        if self.over:
             return
         chosen = self._choose()
         if chosen is None or chosen.is_avoided(self._around.timers.now_ms()):
             return
-        if self._around.budget.take(self.service):
+        unsent = [name for name, attempt in self._open.items() if not attempt.sent]
+        if unsent:
+            # What still waits for a connection moves, which costs no searcher anything.
+            for name in unsent:
+                self._open.pop(name).cancel()
+                self._ran -= 1
+            self._wait(self._terms.hedge_ms, self._hedge)
+        if self._ran < self._terms.max_attempts and self._may_send():
             self._send(chosen)
 
+    def _may_send(self) -> bool:
+        """Ask the budget, which counts what arrives at a service beyond the first time."""
+        arrived = self._arrived or any(attempt.sent for attempt in self._open.values())
+        return not arrived or self._around.budget.take(self.service)
+
     def _ended(self, incarnation: str, outcome: Outcome) -> None:
         if self.over:
             return
@@ -156,6 +177,7 @@
             self._lost(outcome)
 
     def _replied(self, reply: SearcherReply) -> None:
+        self._arrived = True
         self._may_have_run = True
         if reply.status < 500 or not self._terms.idempotent:
             self._finish(Passed(reply))
@@ -164,6 +186,7 @@
         self._retry()
 
     def _lost(self, outcome: Lost) -> None:
+        self._arrived = True
         self._may_have_run = True
         self._why = outcome.why
         if self._terms.idempotent:
@@ -174,7 +197,9 @@
     def _not_run(self, why: Why) -> None:
         self._why = why
         self._ran -= 1
-        self._refusals += 1
+        if why not in NEVER_SENT:
+            self._arrived = True
+            self._refusals += 1
         self._retry()
 
     def _retry(self) -> None:
@@ -182,16 +207,13 @@
             self._end()
             return
         now_ms = self._around.timers.now_ms()
-        if self._refusals and now_ms > self._terms.retry_until_ms:
-            self._end()
-            return
         chosen = self._choose()
-        if chosen is None and self._refusals and self._tried:
+        if chosen is None and self._tried and now_ms < self._terms.retry_until_ms:
             # All have been asked; one that refused may have room again after a while.
             self._tried.clear()
             self._tried.update(self._open)
             self._wait(RETRY_PAUSE_MS, self._retry_paused)
-        elif chosen is None or not self._around.budget.take(self.service):
+        elif chosen is None or not self._may_send():
             self._end()
         else:
             self._send(chosen)
@@ -200,7 +222,7 @@
         if self.over or self._open:
             return
         chosen = self._choose()
-        if chosen is None or not self._around.budget.take(self.service):
+        if chosen is None or not self._may_send():
             self._end()
         else:
             self._send(chosen)
--- a/rhubarbhinge/gateway/__init__.py
+++ b/rhubarbhinge/gateway/__init__.py
@@ -2,8 +2,8 @@
 
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._entry import Entry, run_entry
-from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._split import Splitter
 
-__all__ = ["Address", "Entry", "EntrySettings", "Gateway", "Splitter", "run_entry"]
+__all__ = ["Address", "Entry", "EntrySettings", "Gateway", "SettingsError", "Splitter", "run_entry"]
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -10,7 +10,8 @@
 
 from rhubarbhinge.fleet import Fleet, ObservedSearcher, expected_cost
 from rhubarbhinge.forward import ConnectionPool, Dialect, Surroundings
-from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
@@ -35,6 +36,8 @@
 """How often a stopping entry looks whether all is answered."""
 IDLE_SWEEP_MS = 500.0
 """How often idle connections to searchers are looked through."""
+REACH_AGAIN_MS = 250.0
+"""How often a connection is tried to searchers that could not be reached; no request waits."""
 MOST_CALLER_CONNECTIONS = 2_500
 """Callers' connections; the descriptors of a VM less those for searchers and files."""
 NEVER_GZIP_BYTES = 1 << 62
@@ -44,22 +47,30 @@
 ASSUMED_PROCESSES = 8
 """Entries that share limits, where no other number is known; the largest deployment of today."""
 
-MakeSource = Callable[[HttpClient], Source]
+RELOAD_MS = 2_000.0
+"""How often the settings are read again, as they may change without a signal."""
+
+ReadSettings = Callable[[], EntrySettings]
+MakeSource = Callable[[HttpClient, Callable[[], Address]], Source]
+"""Makes a source from the client that it calls by and what gives the store's address."""
 
 
 class Entry(Component):
     """An entry that answers callers by what the platform publishes.
 
-    :param settings: its settings.
+    :param read_settings: reads its settings.
     :param dialect: translates messages of callers and searchers.
     :param make_source: makes the reader of published state.
+    :raises SettingsError: when the settings can not be used.
+    :raises OSError: when a port can not be bound.
     """
 
     channel = "entry"
 
-    def __init__(self, settings: EntrySettings, dialect: Dialect, make_source: MakeSource):
+    def __init__(self, read_settings: ReadSettings, dialect: Dialect, make_source: MakeSource):
         super().__init__()
-        self._settings = settings
+        self._read_settings = read_settings
+        self._settings = settings = read_settings()
         self._stopping = False
         self._stop_by_ms = 0.0
         self._quiet_at_ms = 0.0
@@ -71,11 +82,16 @@
         self._pool = ConnectionPool(
             self.timers, dialect, self._most_connections, self._fleet.mark_gone
         ).register(self)
-        budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
+        self._settings_fault = ""
+        self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         preference = expected_cost(settings.failure_domain, self._rng)
-        around = Surroundings(self.timers, self._fleet, preference, budget, self._pool.send)
+        around = Surroundings(self.timers, self._fleet, preference, self._budget, self._pool.send)
         self._follower = Follower(
-            self.timers, make_source(client), self._fleet, self._rng, self._plan_changed
+            self.timers,
+            make_source(client, self._store_address),
+            self._fleet,
+            self._rng,
+            self._plan_changed,
         )
         self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng)
         self._callers = HttpServer(
@@ -86,6 +102,9 @@
             self
         )
         self.timers.every(IDLE_SWEEP_MS, self._pool.close_idle)
+        self.timers.every(REACH_AGAIN_MS, self._reach_again)
+        self.timers.every(RELOAD_MS, self.reload)
+        signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, self.reload))
         self._follower.start()
         log_event(
             "entry-started",
@@ -103,6 +122,26 @@
         """Whether the balancer may send callers here."""
         return self._follower.plan is not None and not self._stopping
 
+    def reload(self) -> None:
+        """Read the settings again; faulty ones leave those in force."""
+        try:
+            settings = self._read_settings()
+        except SettingsError as error:
+            if str(error) != self._settings_fault:
+                log_event("settings-refused", level="error", code=error.code, detail=str(error))
+            self._settings_fault = str(error)
+            return
+        self._settings_fault = ""
+        if settings == self._settings:
+            return
+        changed = changed_fields(self._settings, settings)
+        log_event("settings-reloaded", changed=",".join(changed))
+        self._settings = settings
+        self._budget.rule = settings.retry_budget
+
+    def _store_address(self) -> Address:
+        return self._settings.store
+
     def _processes(self) -> int:
         return ASSUMED_PROCESSES
 
@@ -116,6 +155,11 @@
     def _searcher_left(self, observed: ObservedSearcher) -> None:
         self._pool.forget(observed)
 
+    def _reach_again(self) -> None:
+        for observed in self._fleet.all():
+            if observed.is_down and observed.usable:
+                self._pool.open_ahead(observed)
+
     def _plan_changed(self, plan: ServingPlan) -> None:
         self._gateway.on_plan(plan)
         self._callers.limit(_limits(plan.limits))
@@ -164,16 +208,17 @@
             self.stop()
 
 
-def run_entry(settings: EntrySettings, dialect: Dialect, make_source: MakeSource) -> None:
+def run_entry(read_settings: ReadSettings, dialect: Dialect, make_source: MakeSource) -> None:
     """Run an entry until it is stopped.
 
-    :param settings: its settings.
+    :param read_settings: reads its settings.
     :param dialect: translates messages of callers and searchers.
     :param make_source: makes the reader of published state.
+    :raises SettingsError: when the settings can not be used.
     :raises OSError: when a port can not be bound.
     """
-    setup_logging("info", settings.name)
-    entry = Entry(settings, dialect, make_source)
+    setup_logging("info", read_settings().name)
+    entry = Entry(read_settings, dialect, make_source)
     gc.collect()
     gc.freeze()
     entry.run()
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -1,11 +1,20 @@
 """Settings of the gateway's entry."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.retries import BudgetRule
 
 
+class SettingsError(ValueError):
+    """Settings that can't be used.
+
+    :ivar code: for programs.
+    """
+
+    code = "bad-settings"
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of one entry that serves published plans.
@@ -36,3 +45,13 @@
     store: Address
     stop_grace_ms: float
     retry_budget: BudgetRule
+
+
+def changed_fields(old: EntrySettings, new: EntrySettings) -> list[str]:
+    """Compare settings.
+
+    :param old: those in force.
+    :param new: those to come.
+    :returns: names of the fields that differ.
+    """
+    return [f.name for f in fields(old) if getattr(old, f.name) != getattr(new, f.name)]
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -195,6 +195,7 @@
             hedge_ms if route.idempotent else None,
             self._started_ms + 0.5 * target_ms,
             self._deadline_ms,
+            route.priority,
         )
 
     def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
--- a/rhubarbhinge/retries/_budget.py
+++ b/rhubarbhinge/retries/_budget.py
@@ -28,13 +28,13 @@
     Each process spends by its own requests, and its even part of the slack. So the sum keeps to the
     rule without any exchange, as long as no more processes send than are counted.
 
-    :param rule: the shared rule.
+    :param rule: the shared rule; may be replaced, but for its window.
     :param now_ms: gives the time.
     :param processes: gives how many processes may be sending.
     """
 
     def __init__(self, rule: BudgetRule, now_ms: Callable[[], float], processes: Callable[[], int]):
-        self._rule = rule
+        self.rule = rule
         self._now_ms = now_ms
         self._processes = processes
         self._requests = _WindowCounts(rule.window_ms)
@@ -54,8 +54,8 @@
         :returns: number of extra sends; below 1 for none.
         """
         now_ms = self._now_ms()
-        slack = self._rule.slack / max(1, self._processes())
-        allowed = self._rule.ratio * self._requests.count(service, now_ms) + slack
+        slack = self.rule.slack / max(1, self._processes())
+        allowed = self.rule.ratio * self._requests.count(service, now_ms) + slack
         return allowed - self._extras.count(service, now_ms)
 
     def take(self, service: str) -> bool:
--- a/rhubarbhinge/telemetry/__init__.py
+++ b/rhubarbhinge/telemetry/__init__.py
@@ -1,7 +1,7 @@
 """Metrics and event log lines."""
 
 from rhubarbhinge.telemetry._events import format_event, log_event
-from rhubarbhinge.telemetry._exposition import CONTENT_TYPE
+from rhubarbhinge.telemetry._labels import CONTENT_TYPE
 from rhubarbhinge.telemetry._loghistogram import RELATIVE_ERROR, LogHistogram
 from rhubarbhinge.telemetry._metrics import Metrics
 from rhubarbhinge.telemetry._parse import parse_event
--- a/rhubarbhinge/telemetry/_exposition.py
+++ b/rhubarbhinge/telemetry/_exposition.py
@@ -4,10 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-"""Content type of the Prometheus text format."""
-
-Labels = dict[str, str]
+from rhubarbhinge.telemetry._labels import Labels
 
 
 class _Filled(Histogram):
--- a/rhubarbhinge/telemetry/_metrics.py
+++ b/rhubarbhinge/telemetry/_metrics.py
@@ -2,13 +2,16 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from rhubarbhinge.telemetry._boundhistogram import BoundHistogram
-from rhubarbhinge.telemetry._exposition import Exposition, Labels
+from rhubarbhinge.telemetry._labels import Labels
 from rhubarbhinge.telemetry._loghistogram import BOUNDS, LogHistogram
 from rhubarbhinge.telemetry._subquerykind import SubQueryKind
 
+if TYPE_CHECKING:
+    from rhubarbhinge.telemetry._exposition import Exposition
+
 PREFIX = "rhubarbhinge_"
 """Start of every metric's name."""
 COVERAGE_BOUNDS = (0.0, 0.25, 0.5, 0.75, 0.8, 0.9, 0.95, 0.99, 0.999, 0.999999, 1.0)
@@ -138,6 +141,9 @@
 
         :returns: the document for ``/metrics``, of type ``CONTENT_TYPE``.
         """
+        # Imported here: the library takes 35 ms, which a starting process spends better.
+        from rhubarbhinge.telemetry._exposition import Exposition
+
         page = Exposition()
         self._add_histograms(page)
         self._add_counters(page)
@@ -166,7 +172,7 @@
         base = by_kind[SubQueryKind.BASE]
         return (by_kind.total() - base) / base if base else None
 
-    def _add_histograms(self, page: Exposition) -> None:
+    def _add_histograms(self, page: "Exposition") -> None:
         page.histogram(
             PREFIX + "query_latency_ms",
             "Latency of answers in ms",
@@ -180,7 +186,7 @@
             [(_pair(key), h.counts, h.total) for key, h in self._coverage.items()],
         )
 
-    def _add_counters(self, page: Exposition) -> None:
+    def _add_counters(self, page: "Exposition") -> None:
         page.counter(
             PREFIX + "sub_queries_total",
             "Sub-queries sent to upstreams; hedge and retry are extra load",
@@ -193,7 +199,7 @@
             _rows("outcome", self._runs),
         )
 
-    def _add_gauges(self, page: Exposition) -> None:
+    def _add_gauges(self, page: "Exposition") -> None:
         revisions = {key: revision for key, (revision, _) in self._config.items()}
         ages_ms = {key: age_ms for key, (_, age_ms) in self._config.items()}
         in_use = {name: used for name, (used, _) in self._slots.items()}
