--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -30,6 +30,14 @@
         """
         return self._by_service.get(service, {}).values()
 
+    def is_reachable(self, service: str) -> bool:
+        """Tell whether a service has a searcher that may get requests.
+
+        :param service: the service's name.
+        :returns: whether one is neither leaving nor down.
+        """
+        return any(one.usable and not one.is_down for one in self.of(service))
+
     def all(self) -> Iterable[ObservedSearcher]:
         """Give all searchers.
 
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -128,7 +128,9 @@
         self._conns: dict[int, _Conn] = {}
         self._lanes: dict[str, _Lane] = {}
         self.opened = 0
-        self._links = Links(self._opened, self._received, self._closed).register(self)
+        self._links = Links(
+            self._opened, self._received, self._closed, notice_silence=True
+        ).register(self)
 
     @property
     def open_connections(self) -> int:
@@ -336,9 +338,9 @@
             raw = conn.reader.finish()
             if raw is not None:
                 self._replied(conn, raw)
+        if reason is CloseReason.SILENT or not conn.is_open:
+            self._unreachable(conn, reason.value)
         if conn.exchanging is None:
-            if not conn.is_open:
-                self._unreachable(conn, reason.value)
             self._drop(conn)
         elif conn.is_open:
             self._fail(conn, Lost(Why.BROKEN), reason.value)
@@ -351,7 +353,6 @@
         now_ms = self._timers.now_ms()
         if isinstance(outcome, NotRun):
             observed.started_ms.pop(exchanging.number, None)
-            self._unreachable(conn, code)
         else:
             observed.on_lost(exchanging.number, now_ms)
         log_event(
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -36,6 +36,8 @@
 """How often a stopping entry looks whether all is answered."""
 IDLE_SWEEP_MS = 500.0
 """How often idle connections to searchers are looked through."""
+SERVING_CHECK_MS = 100.0
+"""How often the entry looks whether it can serve; the balancer asks once a second."""
 REACH_AGAIN_MS = 250.0
 """How often a connection is tried to searchers that could not be reached; no request waits."""
 MOST_CALLER_CONNECTIONS = 2_500
@@ -72,6 +74,7 @@
         self._read_settings = read_settings
         self._settings = settings = read_settings()
         self._stopping = False
+        self._serving = False
         self._stop_by_ms = 0.0
         self._quiet_at_ms = 0.0
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
@@ -102,6 +105,7 @@
             self
         )
         self.timers.every(IDLE_SWEEP_MS, self._pool.close_idle)
+        self.timers.every(SERVING_CHECK_MS, self._check_serving)
         self.timers.every(REACH_AGAIN_MS, self._reach_again)
         self.timers.every(RELOAD_MS, self.reload)
         signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, self.reload))
@@ -120,7 +124,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self._follower.plan is not None and not self._stopping
+        return not self._stopping and self._serving
 
     def reload(self) -> None:
         """Read the settings again; faulty ones leave those in force."""
@@ -160,9 +164,19 @@
             if observed.is_down and observed.usable:
                 self._pool.open_ahead(observed)
 
+    def _check_serving(self) -> None:
+        serving = self._gateway.can_serve()
+        if serving == self._serving:
+            return
+        self._serving = serving
+        self._callers.close_after_answers(not serving)
+        unreachable = sum(observed.is_down for observed in self._fleet.all())
+        log_event("serving-changed", serving=serving, searchers_unreachable=unreachable)
+
     def _plan_changed(self, plan: ServingPlan) -> None:
         self._gateway.on_plan(plan)
         self._callers.limit(_limits(plan.limits))
+        self._check_serving()
 
     # What operators and the balancer ask.
 
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -16,6 +16,7 @@
     Surroundings,
 )
 from rhubarbhinge.gateway._answers import failed, refused, timed_out, unknown_route
+from rhubarbhinge.gateway._recent_routes import RecentRoutes
 from rhubarbhinge.gateway._split import Splitter
 from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import Route, ServingPlan
@@ -71,6 +72,7 @@
         self._rng = rng
         self._splitter = Splitter()
         self._delays: dict[str, Delays] = {}
+        self._recent = RecentRoutes(surroundings.timers.now_ms)
 
     def on_plan(self, plan: ServingPlan) -> None:
         """Follow a new plan.
@@ -82,6 +84,27 @@
         for name in self._delays.keys() - names:
             del self._delays[name]
 
+    def can_serve(self) -> bool:
+        """Tell whether most of what callers ask for can be served.
+
+        :returns: whether the routes that most of the recent requests took have searchers that
+            can be reached.
+        """
+        plan = self._follower.plan
+        if plan is None:
+            return False
+        by_name = {route.name: route for route in plan.routes}
+        asked = [(by_name[name], n) for name, n in self._recent.counts() if name in by_name]
+        served = sum(n for route, n in asked if self._is_served(route))
+        return 2 * served >= sum(n for _, n in asked)
+
+    def _is_served(self, route: Route) -> bool:
+        fleet = self._around.fleet
+        if route.shards is None:
+            return any(fleet.is_reachable(part.name) for part in route.services)
+        reachable = sum(fleet.is_reachable(name) for name in route.shards.services)
+        return route.shards.is_enough(reachable)
+
     def handle(self, request: Request, responder: Responder) -> None:
         """Take a caller's request.
 
@@ -98,6 +121,7 @@
         if route is None:
             responder.answer(self._no_route(asked, plan))
             return
+        self._recent.add(route.name)
         handling = _Handling(self, asked, plan, route, responder)
         if route.shards is not None:
             handling.gather(self._delays_of(route))
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -97,7 +97,7 @@
     def start(self) -> None:
         """Send to every shard, unless too few have a searcher."""
         around, shards = self._around, self._terms.shards
-        served = [name for name in shards.services if _has_searcher(around, name)]
+        served = [name for name in shards.services if around.fleet.is_reachable(name)]
         if not shards.is_enough(len(served)):
             around.timers.after(0, self._fail)
             return
@@ -169,9 +169,5 @@
         self._on_end(result)
 
 
-def _has_searcher(around: Surroundings, service: str) -> bool:
-    return any(observed.usable for observed in around.fleet.of(service))
-
-
 def _is_part(reply: SearcherReply) -> bool:
     return reply.succeeded and bool(reply.signature)
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -64,6 +64,7 @@
     :param on_close: called once for each link, with the link and a :class:`CloseReason`.
     :param bind: IP address and port to listen at, None to only make connections.
     :param max_pending_bytes: bytes pending to a peer above which its link is closed.
+    :param notice_silence: whether links that it opens end when the peer's host is silent.
     :param channel: the circuits channel, unique by default.
     :raises OSError: when the port can not be bound.
     """
@@ -75,6 +76,7 @@
         on_close: Callable[[int, CloseReason], None],
         bind: tuple[str, int] | None = None,
         max_pending_bytes: int = DEFAULT_MAX_PENDING_BYTES,
+        notice_silence: bool = False,
         channel: str | None = None,
     ):
         super().__init__(channel=channel or f"links-{next(_channels)}")
@@ -82,6 +84,7 @@
         self._on_data = on_data
         self._on_close = on_close
         self._max_pending_bytes = max_pending_bytes
+        self._notice_silence = notice_silence
         self._numbers = itertools.count(1)
         self._links: dict[int, Link] = {}
         self._by_sock: dict[socket.socket, Link] = {}
@@ -107,7 +110,7 @@
         self._attach()
         number = next(self._numbers)
         try:
-            sock, fault = connecting_socket(ip, port)
+            sock, fault = connecting_socket(ip, port, self._notice_silence)
         except OSError:
             self._ended.append((number, CloseReason.UNREACHABLE))
             return number
@@ -321,7 +324,8 @@
         if link.state is LinkState.CONNECTING:
             self._end(link, _CONNECT_FAULTS.get(fault, CloseReason.UNREACHABLE))
         elif link.state is LinkState.OPEN:
-            self._end(link, CloseReason.RESET)
+            silent = fault == errno.ETIMEDOUT
+            self._end(link, CloseReason.SILENT if silent else CloseReason.RESET)
         else:
             self._end(link, CloseReason.LOCAL)
 
--- a/rhubarbhinge/net/_reason.py
+++ b/rhubarbhinge/net/_reason.py
@@ -15,6 +15,9 @@
     RESET = "reset"
     """The peer or the network broke it."""
 
+    SILENT = "silent"
+    """The peer's host acknowledged nothing for too long."""
+
     REFUSED = "refused"
     """Nothing listens at the peer's port."""
 
--- a/rhubarbhinge/net/_sockets.py
+++ b/rhubarbhinge/net/_sockets.py
@@ -2,6 +2,10 @@
 
 import socket
 
+SILENCE_MS = 400
+"""A peer that acknowledges nothing for so long is cut off; round trips take a few milliseconds."""
+KEEPALIVE_S = 1
+"""A quiet peer is asked for a sign of life after so long; the kernel takes whole seconds."""
 BACKLOG = 1024
 """Connections that the kernel holds until they are accepted."""
 
@@ -25,11 +29,14 @@
     return sock
 
 
-def connecting_socket(ip: str, port: int) -> tuple[socket.socket, int]:
+def connecting_socket(
+    ip: str, port: int, notice_silence: bool = False
+) -> tuple[socket.socket, int]:
     """Make a TCP socket and start its connection.
 
     :param ip: the peer's IP address.
     :param port: the peer's port.
+    :param notice_silence: whether the connection ends when the peer's host is silent.
     :returns: the socket, which does not block, and the error number of its start.
     :raises OSError: when there is no room for a socket or the address is none.
     """
@@ -37,6 +44,11 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if notice_silence:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
     return sock, sock.connect_ex((ip, port))
 
 
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -59,6 +59,7 @@
         self._callers: dict[int, _Caller] = {}
         self._open_requests = 0
         self._stopping = False
+        self._closes = False
         self._links = Links(self._opened, self._received, self._closed, bind).register(self)
 
     @property
@@ -83,6 +84,13 @@
         """
         self._limits = limits
 
+    def close_after_answers(self, closes: bool) -> None:
+        """Say whether each connection is closed after its next answer.
+
+        :param closes: whether it is.
+        """
+        self._closes = closes
+
     def begin_closing(self) -> None:
         """Close idle connections, and each other one after its next answer; go on listening."""
         self._stopping = True
@@ -144,7 +152,7 @@
     def _answer(self, caller: _Caller, response: Response) -> None:
         self._open_requests -= 1
         parser = caller.parser
-        reusable = parser.reusable and not self._stopping
+        reusable = parser.reusable and not self._stopping and not self._closes
         sent = encode_response(
             response, caller.request, not reusable, self._limits.gzip_least_bytes
         )
