peers: heartbeats, handing on of published state, the number of entries

Cause: an entry that the store turns away kept its old plan and searchers for as long as that took, and every entry assumed eight of them for the shared retry budget and the searchers' connections.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -13,6 +13,7 @@
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
 from rhubarbhinge.gateway._gateway import Gateway
+from rhubarbhinge.peers import Peers
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
 from rhubarbhinge.retries import RetryBudget
@@ -47,7 +48,9 @@
 USUAL_CONNECTIONS = 2
 """Connections to a searcher whose service the plan does not name."""
 ASSUMED_PROCESSES = 8
-"""Entries that share limits, where no other number is known; the largest deployment of today."""
+"""Entries that share limits while the others have not been heard of; the most of today's sites."""
+SETTLE_MS = 3_000.0
+"""Within so long after its start an entry has heard of the others: several heartbeats."""
 
 RELOAD_MS = 2_000.0
 """How often the settings are read again, as they may change without a signal."""
@@ -80,6 +83,7 @@
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
         self._metrics = Metrics()
         self.timers = TimerService().register(self)
+        self._settled_at_ms = self.timers.now_ms() + SETTLE_MS
         client = HttpClient(self.timers).register(self)
         self._fleet = Fleet(self.timers.now_ms, self._searcher_left)
         self._pool = ConnectionPool(
@@ -96,6 +100,17 @@
             self._rng,
             self._plan_changed,
         )
+        self._peers = Peers(
+            self.timers,
+            client,
+            self._follower,
+            settings.name,
+            settings.ip,
+            settings.peer_port,
+            settings.failure_domain,
+            settings.seed_ips,
+            self._rng,
+        ).register(self)
         self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng)
         self._callers = HttpServer(
             self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
@@ -142,12 +157,16 @@
         log_event("settings-reloaded", changed=",".join(changed))
         self._settings = settings
         self._budget.rule = settings.retry_budget
+        self._peers.table.follow_seeds(settings.seed_ips)
 
     def _store_address(self) -> Address:
         return self._settings.store
 
     def _processes(self) -> int:
-        return ASSUMED_PROCESSES
+        now_ms = self.timers.now_ms()
+        if now_ms < self._settled_at_ms:
+            return max(ASSUMED_PROCESSES, self._peers.processes())
+        return self._peers.processes()
 
     def _most_connections(self, observed: ObservedSearcher) -> int:
         plan = self._follower.plan
@@ -211,6 +230,7 @@
         self._quiet_at_ms = now_ms + min(UNREADY_MS, grace_ms)
         log_event("stop-started", open_requests=self._callers.open_requests)
         self._callers.begin_closing()
+        self._peers.leave()
         self.timers.every(STOP_POLL_MS, self._stop_when_done)
 
     def _stop_when_done(self) -> None:
--- /dev/null
+++ b/rhubarbhinge/peers/_peers.py
@@ -0,0 +1,207 @@
+"""Heartbeats between entries, and handing on of published state."""
+
+import random
+
+from circuits import Component
+
+from rhubarbhinge.net import Datagrams
+from rhubarbhinge.peers._heartbeat import (
+    Heartbeat,
+    HeartbeatError,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from rhubarbhinge.peers._peer_table import PeerTable
+from rhubarbhinge.peers._state_codec import StateError, decode_state, encode_state
+from rhubarbhinge.published import Follower
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.web import (
+    Failure,
+    HttpClient,
+    HttpServer,
+    Reply,
+    Request,
+    Responder,
+    Response,
+    error_response,
+)
+
+HEARTBEAT_MS = 1_000.0
+"""Period of heartbeats; at 58 VMs, 57 datagrams a second each way cost about half % of a core."""
+FULL_EVERY = 5
+"""One in so many heartbeats lists the known addresses, which cost bytes between domains."""
+STATE_PATH = "/v1/published-state"
+"""Path at which an entry hands on what it knows."""
+PULL_TIMEOUT_MS = 500.0
+"""Longest that a peer may take to hand on its state; usually some milliseconds."""
+
+
+class Peers(Component):
+    """Keeps in touch with the other entries.
+
+    State is taken from a peer only while the platform does not answer this entry; a peer in the
+    same failure domain is asked first.
+
+    :param timers: the timer service.
+    :param client: calls peers.
+    :param follower: knows the published state.
+    :param name: name of this VM.
+    :param ip: its IP address.
+    :param port: UDP and TCP port of all entries.
+    :param failure_domain: its failure domain.
+    :param seed_ips: addresses of some other VMs.
+    :param rng: spreads heartbeats and choices.
+    :raises OSError: when the port can not be bound.
+    """
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        timers: TimerService,
+        client: HttpClient,
+        follower: Follower,
+        name: str,
+        ip: str,
+        port: int,
+        failure_domain: str,
+        seed_ips: tuple[str, ...],
+        rng: random.Random,
+    ):
+        super().__init__()
+        self._timers = timers
+        self._client = client
+        self._follower = follower
+        self._name = name
+        self._ip = ip
+        self._port = port
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._leaving = False
+        self._pulling = False
+        self._beats = 0
+        self._live: set[str] = set()
+        self.table = PeerTable(ip, seed_ips)
+        self._datagrams = Datagrams(self._datagram, (ip, port)).register(self)
+        HttpServer(timers, self._request, (ip, port)).register(self)
+        self._tell(asks=True)
+        self._next()
+
+    def processes(self) -> int:
+        """Count the entries that may be sending requests, this one included.
+
+        :returns: their number.
+        """
+        return self.table.processes(self._timers.now_ms())
+
+    def leave(self) -> None:
+        """Tell the others that this entry is stopping."""
+        self._leaving = True
+        self._tell()
+
+    def _next(self) -> None:
+        self._timers.after(HEARTBEAT_MS * self._rng.uniform(0.9, 1.1), self._beat)
+
+    def _beat(self) -> None:
+        self._next()
+        self._note_live()
+        self._tell()
+        self._pull_if_behind()
+
+    def _tell(self, asks: bool = False) -> None:
+        now_ms = self._timers.now_ms()
+        self._beats += 1
+        data = self._heartbeat(asks, self._beats % FULL_EVERY == 0)
+        for ip in self.table.targets(now_ms):
+            self._datagrams.send(ip, self._port, data)
+
+    def _heartbeat(self, asks: bool, lists_known: bool) -> bytes:
+        known: tuple[str, ...] = ()
+        if lists_known:
+            known = tuple(beat.ip for beat in self.table.live(self._timers.now_ms()))
+        return encode_heartbeat(
+            Heartbeat(
+                self._name,
+                self._ip,
+                self._failure_domain,
+                self._follower.revision,
+                self._follower.age_ms(),
+                self._leaving,
+                asks,
+                known,
+            )
+        )
+
+    def _datagram(self, ip: str, port: int, data: bytes) -> None:
+        try:
+            heartbeat = decode_heartbeat(data)
+        except HeartbeatError as error:
+            log_event("bad-heartbeat", level="warning", ip=ip, code=error.code)
+            return
+        self.table.on_heartbeat(heartbeat, self._timers.now_ms())
+        if heartbeat.asks:
+            self._datagrams.send(ip, self._port, self._heartbeat(asks=False, lists_known=True))
+        self._follower.on_peer_revision(heartbeat.revision, heartbeat.age_ms)
+        self._pull_if_behind()
+
+    def _note_live(self) -> None:
+        live = {beat.name for beat in self.table.live(self._timers.now_ms())}
+        for name in sorted(live - self._live):
+            log_event("peer-regained", peer=name, peers=len(live))
+        for name in sorted(self._live - live):
+            log_event("peer-lost", level="warning", peer=name, peers=len(live))
+        self._live = live
+
+    # Handing on.
+
+    def _pull_if_behind(self) -> None:
+        if self._pulling or not self._follower.needs_peers:
+            return
+        ahead = [
+            beat
+            for beat in self.table.live(self._timers.now_ms())
+            if beat.revision > self._follower.revision
+        ]
+        if not ahead:
+            return
+        near = [beat for beat in ahead if beat.failure_domain == self._failure_domain]
+        chosen = self._rng.choice(near or ahead)
+        self._pulling = True
+        self._client.call(
+            chosen.ip,
+            self._port,
+            "GET",
+            STATE_PATH,
+            timeout_ms=PULL_TIMEOUT_MS,
+            on_done=lambda outcome: self._pulled(chosen.name, outcome),
+        )
+
+    def _pulled(self, peer: str, outcome: Reply | Failure) -> None:
+        self._pulling = False
+        if isinstance(outcome, Failure) or outcome.status != 200:
+            code = outcome.code if isinstance(outcome, Failure) else f"status-{outcome.status}"
+            log_event("peer-pull-failed", level="warning", peer=peer, code=code)
+            return
+        try:
+            snapshot, age_ms = decode_state(outcome.body)
+        except StateError as error:
+            log_event("peer-pull-failed", level="error", peer=peer, code=error.code)
+            return
+        log_event(
+            "peer-pulled",
+            peer=peer,
+            revision=snapshot.revision,
+            before=self._follower.revision,
+            age_ms=round(age_ms),
+        )
+        self._follower.offer(snapshot, age_ms)
+
+    def _request(self, request: Request, responder: Responder) -> None:
+        if request.path != STATE_PATH:
+            responder.answer(
+                error_response(404, "no-such-path", "Only entries call here.", "Use another port.")
+            )
+            return
+        state = encode_state(self._follower.snapshot(), self._follower.age_ms())
+        responder.answer(Response(200, state))
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -64,6 +64,20 @@
         """Read everything, then follow the changes."""
         self._source.read_all(self._listed)
 
+    @property
+    def needs_peers(self) -> bool:
+        """Whether the platform does not answer, so that peers have to be asked."""
+        return self._failures > 0
+
+    def on_peer_revision(self, revision: int, age_ms: float) -> None:
+        """Hear how far a peer is; one that is no further confirms what is known here.
+
+        :param revision: revision of the peer's state.
+        :param age_ms: time since it was confirmed; -1 if it never was.
+        """
+        if revision == self.revision and age_ms >= 0:
+            self._confirm(age_ms)
+
     def is_current(self) -> bool:
         """Tell whether the platform or a peer has confirmed the state lately.
 
@@ -100,6 +114,10 @@
         self._take_plan(snapshot.plan)
         if snapshot.revision > self.revision:
             self._replace(snapshot)
+        if age_ms >= 0:
+            self._confirm(age_ms)
+
+    def _confirm(self, age_ms: float) -> None:
         confirmed_ms = self._timers.now_ms() - age_ms
         if self._confirmed_ms is None or confirmed_ms > self._confirmed_ms:
             self._confirmed_ms = confirmed_ms
@@ -141,12 +159,11 @@
         self._timers.after(pause_ms * self._rng.uniform(0.7, 1.3), again)
 
     def _answered(self) -> None:
-        now_ms = self._timers.now_ms()
-        self._confirmed_ms = now_ms
+        self._confirm(0.0)
         if self._failures:
             log_event("platform-regained", failures=self._failures, revision=self.revision)
             self._failures = 0
-            self._back_ms = now_ms
+            self._back_ms = self._timers.now_ms()
 
     # Taking over.
 
