fleet: searchers that refuse are chosen less

Cause: with half of the searchers shedding, each entry went on choosing them by delay alone, since a refusal comes fast; the retries used up the budget, and searches ended with too few shards. Ruled out: too few slots (the other searcher of most shards was idle), the pause after a refusal. Change: the share of refusals, smoothed, adds to a searcher's cost.

--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -9,6 +9,8 @@
 """Cost of another failure domain: two crossings of about 1 ms, and the bytes that are paid for."""
 COLD_FACTOR = 1.6
 """How much slower a searcher is just after its start, where its entry does not tell."""
+REFUSAL_FACTOR = 4.0
+"""Cost of a sure refusal in usual delays: it spends the retry budget, which is soon used up."""
 JITTER = 0.1
 """Random share of the cost, so that processes that know the same don't choose the same."""
 SUSPECT_HANDICAP_MS = 10_000.0
@@ -36,6 +38,7 @@
             own_ms *= COLD_FACTOR
         open_requests = len(observed.started_ms)
         cost_ms = own_ms * (1.0 + open_requests / max(1, searcher.capacity))
+        cost_ms += REFUSAL_FACTOR * observed.refusal_share(now_ms) * typical_ms
         overdue_ms = observed.oldest_ms(now_ms) - 2.0 * own_ms
         if overdue_ms > 0:
             cost_ms += overdue_ms + own_ms
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -8,6 +8,10 @@
 """Without news an estimate above 1 falls by half in this time, so that the searcher is tried."""
 MOST_SLOWNESS = 20.0
 """Cap of the estimate, so that a searcher that hung comes back within a few half-lives."""
+REFUSAL_SMOOTHING = 0.2
+"""Weight of a new observation in the share of refusals; some ten requests tell a shedding one."""
+REFUSAL_HALF_LIFE_MS = 3_000.0
+"""The share of refusals falls by half in this time without news."""
 SHED_PAUSE_MS = 60.0
 """How long a searcher that refused is avoided; about one execution, after which a slot is free."""
 LOSSES_TO_SUSPECT = 2
@@ -33,6 +37,8 @@
         "_slowness_ms",
         "_avoid_until_ms",
         "_losses",
+        "_refusals",
+        "_refusals_ms",
     )
 
     def __init__(self, searcher: Searcher, now_ms: float):
@@ -45,6 +51,8 @@
         self._slowness_ms = now_ms
         self._avoid_until_ms = 0.0
         self._losses = 0
+        self._refusals = 0.0
+        self._refusals_ms = now_ms
 
     @property
     def usable(self) -> bool:
@@ -70,6 +78,15 @@
         age = (now_ms - self._slowness_ms) / SLOWNESS_HALF_LIFE_MS
         return 1.0 + (self._slowness - 1.0) * 0.5**age
 
+    def refusal_share(self, now_ms: float) -> float:
+        """Estimate the share of requests that it refuses.
+
+        :param now_ms: the time.
+        :returns: 0 to 1.
+        """
+        age = (now_ms - self._refusals_ms) / REFUSAL_HALF_LIFE_MS
+        return self._refusals * 0.5**age
+
     def oldest_ms(self, now_ms: float) -> float:
         """Tell how long the oldest open request has been waiting.
 
@@ -99,6 +116,8 @@
         self.started_ms.pop(attempt, None)
         self._losses = 0
         self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
+        if self._refusals:
+            self._observe_refusal(0.0, now_ms)
 
     def on_failure(self, attempt: int, now_ms: float) -> None:
         """Note a reply that says that it failed, which costs it some standing.
@@ -118,6 +137,7 @@
         """
         self.started_ms.pop(attempt, None)
         self._avoid_until_ms = now_ms + SHED_PAUSE_MS
+        self._observe_refusal(1.0, now_ms)
 
     def on_unreachable(self, now_ms: float) -> None:
         """Note that no connection could be made; it is down until one can.
@@ -161,3 +181,8 @@
         old = self.slowness(now_ms)
         self._slowness = old + SMOOTHING * (min(ratio, MOST_SLOWNESS) - old)
         self._slowness_ms = now_ms
+
+    def _observe_refusal(self, refused: float, now_ms: float) -> None:
+        old = self.refusal_share(now_ms)
+        self._refusals = old + REFUSAL_SMOOTHING * (refused - old)
+        self._refusals_ms = now_ms
