--- /dev/null
+++ b/rhubarbhinge/delegation/__init__.py
@@ -0,0 +1,28 @@
+"""Asking an entry of another failure domain to search the shards near it.
+
+One reply with the merged records of several shards crosses between the domains in place of one
+reply for each shard, and a searcher has fewer callers, which know more of its load.
+"""
+
+from rhubarbhinge.delegation._delegates import Delegate, Delegates
+from rhubarbhinge.delegation._messages import (
+    Answer,
+    Ask,
+    Cancel,
+    Taken,
+    decode_message,
+    encode_message,
+)
+from rhubarbhinge.delegation._serving import AskServer
+
+__all__ = [
+    "Answer",
+    "Ask",
+    "AskServer",
+    "Cancel",
+    "Delegate",
+    "Delegates",
+    "Taken",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -0,0 +1,202 @@
+"""Asks to entries of other failure domains."""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from circuits import BaseComponent
+
+from rhubarbhinge.delegation._messages import (
+    Answer,
+    Ask,
+    Cancel,
+    Taken,
+    decode_message,
+    encode_message,
+)
+from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
+from rhubarbhinge.peers import PeerTable
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import Subscription, TimerService
+
+TAKEN_MS = 30.0
+"""An ask that has not been taken by then is lost; taking one needs a round trip of 2 to 3 ms."""
+CONNECT_TIMEOUT_MS = 350.0
+"""Longest wait for a connection to an entry, the same as to a searcher."""
+BAD_MS = 1_500.0
+"""An entry that failed is not asked for so long; a restart takes about a second."""
+
+OnAnswer = Callable[[Answer | None], None]
+"""Told the answer, or None when the entry failed and the shards have to be asked otherwise."""
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    """State of one link."""
+
+    ip: str
+    splitter: FrameSplitter
+    is_open: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Asking:
+    """State of one ask."""
+
+    link: int
+    ip: str
+    request_id: str
+    on_answer: OnAnswer
+    timer: Subscription
+
+
+class Delegate:
+    """Handle of an ask under way.
+
+    :param delegates: who asks.
+    :param number: the ask.
+    """
+
+    __slots__ = ("_delegates", "_number")
+
+    def __init__(self, delegates: "Delegates", number: int):
+        self._delegates = delegates
+        self._number = number
+
+    def cancel(self) -> None:
+        """Give the ask up; the other entry stops its searchers."""
+        self._delegates.cancel(self._number)
+
+
+class Delegates(BaseComponent):
+    """Asks entries of other failure domains, one link to each.
+
+    :param timers: the timer service.
+    :param peers: which entries there are.
+    :param port: where all entries take asks.
+    :param rng: spreads the choice.
+    """
+
+    channel = "delegates"
+
+    def __init__(self, timers: TimerService, peers: PeerTable, port: int, rng: random.Random):
+        super().__init__()
+        self._timers = timers
+        self._peers = peers
+        self._port = port
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._by_link: dict[int, _Link] = {}
+        self._by_ip: dict[str, int] = {}
+        self._asking: dict[int, _Asking] = {}
+        self._bad_until_ms: dict[str, float] = {}
+        self._links = Links(
+            self._opened, self._received, self._closed, notice_silence=True
+        ).register(self)
+
+    def choose(self, failure_domain: str) -> str | None:
+        """Choose an entry of a failure domain.
+
+        :param failure_domain: the failure domain.
+        :returns: its IP address, or None when there is none to ask; then links are made ready.
+        """
+        now_ms = self._timers.now_ms()
+        found = [
+            beat.ip
+            for beat in self._peers.live(now_ms)
+            if beat.failure_domain == failure_domain
+            and not beat.leaving
+            and self._bad_until_ms.get(beat.ip, 0.0) <= now_ms
+        ]
+        ready = [ip for ip in found if self._is_open(ip)]
+        for ip in found:
+            if ip not in self._by_ip:
+                self._open(ip)
+        return self._rng.choice(ready) if ready else None
+
+    def ask(self, ip: str, ask: Ask, on_answer: OnAnswer) -> Delegate:
+        """Ask an entry.
+
+        :param ip: its IP address, as :meth:`choose` gave it.
+        :param ask: what is asked; its number is set here.
+        :param on_answer: told the answer, once and later.
+        :returns: the handle to cancel it by.
+        """
+        number = next(self._numbers)
+        link = self._by_ip[ip]
+        timer = self._timers.after(TAKEN_MS, lambda: self._not_taken(number))
+        self._asking[number] = _Asking(link, ip, ask.request_id, on_answer, timer)
+        self._links.send(link, frame(encode_message(replace(ask, number=number))))
+        return Delegate(self, number)
+
+    def cancel(self, number: int) -> None:
+        """Give an ask up.
+
+        :param number: the ask.
+        """
+        asking = self._asking.pop(number, None)
+        if asking is not None:
+            asking.timer.cancel()
+            self._links.send(asking.link, frame(encode_message(Cancel(number))))
+
+    def _is_open(self, ip: str) -> bool:
+        link = self._by_link.get(self._by_ip.get(ip, -1))
+        return link is not None and link.is_open
+
+    def _open(self, ip: str) -> None:
+        number = self._links.open(ip, self._port, CONNECT_TIMEOUT_MS)
+        self._by_ip[ip] = number
+        self._by_link[number] = _Link(ip, FrameSplitter())
+
+    def _opened(self, link: int, inbound: bool) -> None:
+        self._by_link[link].is_open = True
+
+    def _received(self, link: int, data: bytes) -> None:
+        found = self._by_link.get(link)
+        if found is None:
+            return
+        try:
+            for payload in found.splitter.feed(data):
+                self._take(decode_message(payload))
+        except FrameError as error:
+            log_event("delegate-link-refused", level="error", ip=found.ip, code=error.code)
+            self._links.abort(link)
+
+    def _take(self, message: object) -> None:
+        asking = self._asking.get(getattr(message, "number", 0))
+        if asking is None:
+            return
+        asking.timer.cancel()
+        if isinstance(message, Answer):
+            del self._asking[message.number]
+            asking.on_answer(message)
+        elif not isinstance(message, Taken):
+            raise FrameError("malformed", "entries that are asked answer only")
+
+    def _not_taken(self, number: int) -> None:
+        asking = self._asking.get(number)
+        if asking is None:
+            return
+        self._links.send(asking.link, frame(encode_message(Cancel(number))))
+        self._fail(number, "not-taken")
+
+    def _closed(self, link: int, reason: CloseReason) -> None:
+        found = self._by_link.pop(link)
+        if self._by_ip.get(found.ip) == link:
+            del self._by_ip[found.ip]
+        self._bad(found.ip)
+        for number in [n for n, asking in self._asking.items() if asking.link == link]:
+            self._fail(number, reason.value)
+
+    def _fail(self, number: int, code: str) -> None:
+        asking = self._asking.pop(number)
+        asking.timer.cancel()
+        self._bad(asking.ip)
+        log_event(
+            "delegate-failed", level="warning", request=asking.request_id, ip=asking.ip, code=code
+        )
+        asking.on_answer(None)
+
+    def _bad(self, ip: str) -> None:
+        self._bad_until_ms[ip] = self._timers.now_ms() + BAD_MS
--- /dev/null
+++ b/rhubarbhinge/delegation/_messages.py
@@ -0,0 +1,193 @@
+"""What entries say to each other about parts of searches."""
+
+from dataclasses import dataclass
+
+import orjson
+
+from rhubarbhinge.net import FrameError
+
+HEAD_LENGTH_BYTES = 4
+"""Bytes of the length of a message's head; the body follows the head."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Search some shards.
+
+    :param number: identifies the ask on its link.
+    :param request_id: id of the caller's request.
+    :param method: its method.
+    :param target: its path and query.
+    :param host: its ``Host`` header.
+    :param head: request line and headers that are passed on.
+    :param body: its body.
+    :param route: name of the route, by which delays are told apart.
+    :param services: the shards.
+    :param top_k: most records in the answer.
+    :param priority: rank of the request.
+    :param max_attempts: most searchers of each shard that may execute it.
+    :param target_latency_ms: the route's latency objective.
+    :param answer_in_ms: answer with what there is after so long.
+    :param left_ms: time until the caller stops waiting.
+    """
+
+    number: int
+    request_id: str
+    method: str
+    target: str
+    host: str
+    head: bytes
+    body: bytes
+    route: str
+    services: tuple[str, ...]
+    top_k: int
+    priority: int
+    max_attempts: int
+    target_latency_ms: float
+    answer_in_ms: float
+    left_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """An ask has come and is being worked on.
+
+    :param number: the ask.
+    """
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What came of an ask.
+
+    :param number: the ask.
+    :param services: shards whose records are in the body.
+    :param signatures: the signatures of their replies, in the same order.
+    :param untried: shards that no searcher was asked for.
+    :param may_have_run: whether any searcher has executed the request.
+    :param body: the greatest records of these shards, greatest first.
+    """
+
+    number: int
+    services: tuple[str, ...]
+    signatures: tuple[str, ...]
+    untried: tuple[str, ...]
+    may_have_run: bool
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop working on an ask.
+
+    :param number: the ask.
+    """
+
+    number: int
+
+
+Message = Ask | Taken | Answer | Cancel
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message.
+
+    :param message: the message.
+    :returns: the payload of a frame.
+    """
+    if isinstance(message, Ask):
+        fields = [
+            "ask",
+            message.number,
+            message.request_id,
+            message.method,
+            message.target,
+            message.host,
+            len(message.head),
+            message.route,
+            message.services,
+            message.top_k,
+            message.priority,
+            message.max_attempts,
+            message.target_latency_ms,
+            round(message.answer_in_ms, 1),
+            round(message.left_ms, 1),
+        ]
+        return _join(fields, message.head + message.body)
+    if isinstance(message, Answer):
+        fields = [
+            "answer",
+            message.number,
+            message.services,
+            message.signatures,
+            message.untried,
+            message.may_have_run,
+        ]
+        return _join(fields, message.body)
+    return _join(["taken" if isinstance(message, Taken) else "cancel", message.number], b"")
+
+
+def decode_message(data: bytes) -> Message:
+    """Decode a message.
+
+    :param data: the payload of a frame.
+    :returns: the message.
+    :raises FrameError: with code ``malformed``, when it is none.
+    """
+    try:
+        end = HEAD_LENGTH_BYTES + int.from_bytes(data[:HEAD_LENGTH_BYTES], "little")
+        kind, number, *fields = orjson.loads(data[HEAD_LENGTH_BYTES:end])
+        return _DECODERS[kind](int(number), fields, data[end:])
+    except (KeyError, TypeError, ValueError) as error:
+        raise FrameError("malformed", f"no message between entries: {error}") from error
+
+
+def _join(fields: list, body: bytes) -> bytes:
+    head = orjson.dumps(fields)
+    return len(head).to_bytes(HEAD_LENGTH_BYTES, "little") + head + body
+
+
+def _ask(number: int, fields: list, body: bytes) -> Ask:
+    request_id, method, target, host, head_bytes, route, services, *rest = fields
+    top_k, priority, max_attempts, target_latency_ms, answer_in_ms, left_ms, *_ = rest
+    return Ask(
+        number,
+        str(request_id),
+        str(method),
+        str(target),
+        str(host),
+        body[:head_bytes],
+        body[head_bytes:],
+        str(route),
+        tuple(str(name) for name in services),
+        int(top_k),
+        int(priority),
+        int(max_attempts),
+        float(target_latency_ms),
+        float(answer_in_ms),
+        float(left_ms),
+    )
+
+
+def _answer(number: int, fields: list, body: bytes) -> Answer:
+    services, signatures, untried, may_have_run, *_ = fields
+    if len(services) != len(signatures):
+        raise ValueError("a signature for each shard is needed")
+    return Answer(
+        number,
+        tuple(str(name) for name in services),
+        tuple(str(signature) for signature in signatures),
+        tuple(str(name) for name in untried),
+        bool(may_have_run),
+        body,
+    )
+
+
+_DECODERS = {
+    "ask": _ask,
+    "answer": _answer,
+    "taken": lambda number, fields, body: Taken(number),
+    "cancel": lambda number, fields, body: Cancel(number),
+}
--- /dev/null
+++ b/rhubarbhinge/delegation/_serving.py
@@ -0,0 +1,181 @@
+"""Asks of entries of other failure domains."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from circuits import BaseComponent
+
+from rhubarbhinge.delegation._messages import (
+    Answer,
+    Ask,
+    Cancel,
+    Taken,
+    decode_message,
+    encode_message,
+)
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import CallerRequest, CallTerms, SearcherReply, Surroundings
+from rhubarbhinge.gather import ShardCalls, ShardEnd, merge_greatest
+from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import TimerService
+
+TermsOf = Callable[[Ask, Delays], CallTerms]
+"""Gives what is granted to the calls of an ask."""
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    """State of one link."""
+
+    splitter: FrameSplitter = field(default_factory=FrameSplitter)
+    searches: dict[int, "_Search"] = field(default_factory=dict)
+
+
+class AskServer(BaseComponent):
+    """Searches shards for entries of other failure domains.
+
+    :param timers: the timer service.
+    :param surroundings: what requests share.
+    :param terms_of: gives what is granted to the calls of an ask.
+    :param delays_of: gives the usual delays on a route with a latency objective.
+    :param bind: IP address and port to listen at.
+    :raises OSError: when the port can not be bound.
+    """
+
+    channel = "ask-server"
+
+    def __init__(
+        self,
+        timers: TimerService,
+        surroundings: Surroundings,
+        terms_of: TermsOf,
+        delays_of: Callable[[str, float], Delays],
+        bind: tuple[str, int],
+    ):
+        super().__init__()
+        self._timers = timers
+        self._around = surroundings
+        self._terms_of = terms_of
+        self._delays_of = delays_of
+        self._by_link: dict[int, _Link] = {}
+        self._links = Links(self._opened, self._received, self._closed, bind).register(self)
+
+    @property
+    def open_asks(self) -> int:
+        """How many asks are being worked on; a graceful stop waits for them."""
+        return sum(len(link.searches) for link in self._by_link.values())
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers not written yet."""
+        return self._links.pending_bytes
+
+    def _opened(self, link: int, inbound: bool) -> None:
+        self._by_link[link] = _Link()
+
+    def _closed(self, link: int, reason: CloseReason) -> None:
+        for search in self._by_link.pop(link).searches.values():
+            search.cancel()
+
+    def _received(self, link: int, data: bytes) -> None:
+        found = self._by_link.get(link)
+        if found is None:
+            return
+        try:
+            for payload in found.splitter.feed(data):
+                self._take(link, found, decode_message(payload))
+        except FrameError as error:
+            log_event("ask-link-refused", level="error", code=error.code)
+            self._links.abort(link)
+
+    def _take(self, link: int, found: _Link, message: object) -> None:
+        if isinstance(message, Ask):
+            self._send(link, Taken(message.number))
+            delays = self._delays_of(message.route, message.target_latency_ms)
+            search = _Search(
+                self._around,
+                message,
+                self._terms_of(message, delays),
+                delays,
+                lambda answer: self._answer(link, found, answer),
+            )
+            found.searches[message.number] = search
+            search.start()
+        elif isinstance(message, Cancel):
+            search = found.searches.pop(message.number, None)
+            if search is not None:
+                search.cancel()
+        else:
+            raise FrameError("malformed", "entries that ask don't answer")
+
+    def _answer(self, link: int, found: _Link, answer: Answer) -> None:
+        if found.searches.pop(answer.number, None) is not None:
+            self._send(link, answer)
+
+    def _send(self, link: int, message: Taken | Answer) -> None:
+        self._links.send(link, frame(encode_message(message)))
+
+
+class _Search:
+    """One ask that is being worked on.
+
+    :param surroundings: what requests share.
+    :param ask: what is asked.
+    :param terms: what is granted to the call to each shard.
+    :param delays: the usual delays of such requests at one shard.
+    :param on_answer: told the answer.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        ask: Ask,
+        terms: CallTerms,
+        delays: Delays,
+        on_answer: Callable[[Answer], None],
+    ):
+        self._around = surroundings
+        self._ask = ask
+        self._on_answer = on_answer
+        self._parts: dict[str, SearcherReply] = {}
+        self._untried: list[str] = []
+        self._may_have_run = False
+        request = CallerRequest(
+            ask.request_id, ask.method, ask.target, ask.host, ask.head, ask.body, ask.left_ms
+        )
+        self._calls = ShardCalls(surroundings, request, terms, delays, self._ended)
+        self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer)
+
+    def start(self) -> None:
+        """Send to the shards."""
+        self._around.budget.on_request(self._ask.services)
+        self._calls.start(self._ask.services)
+
+    def cancel(self) -> None:
+        """Stop the searchers."""
+        self._timer.cancel()
+        self._calls.cancel()
+
+    def _ended(self, end: ShardEnd) -> None:
+        self._may_have_run = self._may_have_run or end.may_have_run
+        if end.reply is not None:
+            self._parts[end.service] = end.reply
+        elif not end.sends:
+            self._untried.append(end.service)
+        if not self._calls.open:
+            self._answer()
+
+    def _answer(self) -> None:
+        may_have_run = self._may_have_run or self._calls.may_have_run
+        self.cancel()
+        self._on_answer(
+            Answer(
+                self._ask.number,
+                tuple(self._parts),
+                tuple(reply.signature for reply in self._parts.values()),
+                tuple(self._untried),
+                may_have_run,
+                merge_greatest((reply.body for reply in self._parts.values()), self._ask.top_k),
+            )
+        )
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -49,6 +49,7 @@
     :param terms: what is granted.
     :param delays: the usual delays of such requests.
     :param on_result: told the result, once and later than the start.
+    :param arrived: whether the request may have arrived at the service before.
     """
 
     __slots__ = (
@@ -79,6 +80,7 @@
         terms: CallTerms,
         delays: Delays,
         on_result: Callable[["ServiceCall", Result], None],
+        arrived: bool = False,
     ):
         self._around = surroundings
         self._request = request
@@ -90,7 +92,7 @@
         self._tried: set[str] = set()
         self._ran = 0
         self._refusals = 0
-        self._arrived = False
+        self._arrived = arrived
         self._failure: SearcherReply | None = None
         self._why: Why | None = None
         self._may_have_run = False
@@ -106,7 +108,7 @@
     def start(self) -> None:
         """Send to the searcher that is expected to answer first."""
         chosen = self._choose()
-        if chosen is None:
+        if chosen is None or not self._may_send():
             self._around.timers.after(0, self._end)
             return
         self._send(chosen)
--- /dev/null
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -0,0 +1,47 @@
+"""What is granted to the calls of one request."""
+
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import CallTerms
+
+HEDGE_QUANTILE = 0.92
+"""A request that takes longer than so many others is sent to a second searcher."""
+LEAST_HEDGE_SHARE = 0.12
+"""Hedges wait at least this part of the latency objective."""
+MOST_HEDGE_SHARE = 0.45
+"""Hedges wait at most this part of the latency objective, so that they still can be in time."""
+RETRY_SHARE = 0.5
+"""Refusals are followed by further tries up to this part of the latency objective."""
+
+
+def call_terms(
+    target_latency_ms: float,
+    idempotent: bool,
+    max_attempts: int,
+    priority: int,
+    started_ms: float,
+    deadline_ms: float,
+    delays: Delays,
+) -> CallTerms:
+    """Work out what is granted to each call of a request.
+
+    :param target_latency_ms: the route's latency objective.
+    :param idempotent: whether the request may be executed more than once.
+    :param max_attempts: most searchers that may execute it.
+    :param priority: its rank; 0 is the most urgent.
+    :param started_ms: when it was read.
+    :param deadline_ms: when the caller stops waiting.
+    :param delays: the usual delays of such requests.
+    :returns: the terms.
+    """
+    hedge_ms = min(
+        MOST_HEDGE_SHARE * target_latency_ms,
+        max(LEAST_HEDGE_SHARE * target_latency_ms, delays.quantile(HEDGE_QUANTILE)),
+    )
+    return CallTerms(
+        idempotent,
+        max_attempts,
+        hedge_ms if idempotent else None,
+        started_ms + RETRY_SHARE * target_latency_ms,
+        deadline_ms,
+        priority,
+    )
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -8,10 +8,13 @@
 
 from circuits import Component, handler
 
-from rhubarbhinge.fleet import Fleet, ObservedSearcher, expected_cost
-from rhubarbhinge.forward import ConnectionPool, Dialect, Surroundings
+from rhubarbhinge.delegation import Ask, AskServer, Delegates
+from rhubarbhinge.fleet import Delays, Fleet, ObservedSearcher, expected_cost
+from rhubarbhinge.forward import CallTerms, ConnectionPool, Dialect, Surroundings
 from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.gateway._call_terms import call_terms
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
+from rhubarbhinge.gateway._far_search import far_search
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.peers import Peers
 from rhubarbhinge.plans import CallerLimits, ServingPlan
@@ -111,7 +114,18 @@
             settings.seed_ips,
             self._rng,
         ).register(self)
-        self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng)
+        delegates = Delegates(
+            self.timers, self._peers.table, settings.ask_port, self._rng
+        ).register(self)
+        far = far_search(settings.failure_domain, around, delegates)
+        self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng, far)
+        self._asks = AskServer(
+            self.timers,
+            around,
+            self._ask_terms,
+            self._gateway.delays_of,
+            (settings.ip, settings.ask_port),
+        ).register(self)
         self._callers = HttpServer(
             self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
         ).register(self)
@@ -162,6 +176,18 @@
     def _store_address(self) -> Address:
         return self._settings.store
 
+    def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
+        now_ms = self.timers.now_ms()
+        return call_terms(
+            ask.target_latency_ms,
+            True,
+            ask.max_attempts,
+            ask.priority,
+            now_ms,
+            now_ms + ask.left_ms,
+            delays,
+        )
+
     def _processes(self) -> int:
         now_ms = self.timers.now_ms()
         if now_ms < self._settled_at_ms:
@@ -236,7 +262,9 @@
     def _stop_when_done(self) -> None:
         now_ms = self.timers.now_ms()
         late = now_ms >= self._stop_by_ms
-        answered = self._callers.open_requests == 0 and self._callers.unsent_bytes == 0
+        open_work = self._callers.open_requests + self._asks.open_asks
+        unsent_bytes = self._callers.unsent_bytes + self._asks.unsent_bytes
+        answered = open_work == 0 and unsent_bytes == 0
         if late or (answered and now_ms >= self._quiet_at_ms):
             log_event("stopped", open_requests=self._callers.open_requests, late=late)
             self.stop()
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -26,6 +26,7 @@
     :param readiness: where the balancer asks whether the entry is ready.
     :param readiness_path: the path it asks for.
     :param peer_port: port for other entries, TCP and UDP, the same on all VMs.
+    :param ask_port: TCP port for other entries' asks, the same on all VMs.
     :param metrics_port: port for operators.
     :param seed_ips: IP addresses of some other VMs; they may be stale.
     :param store: address of the platform's store.
@@ -40,6 +41,7 @@
     readiness: Address
     readiness_path: str
     peer_port: int
+    ask_port: int
     metrics_port: int
     seed_ips: tuple[str, ...]
     store: Address
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -16,9 +16,10 @@
     Surroundings,
 )
 from rhubarbhinge.gateway._answers import failed, refused, timed_out, unknown_route
+from rhubarbhinge.gateway._call_terms import call_terms
 from rhubarbhinge.gateway._recent_routes import RecentRoutes
 from rhubarbhinge.gateway._split import Splitter
-from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
+from rhubarbhinge.gather import FarSearch, Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import Route, ServingPlan
 from rhubarbhinge.published import Follower
 from rhubarbhinge.telemetry import Metrics, log_event
@@ -29,12 +30,6 @@
 """Part of the latency objective after which a search is answered with what there is."""
 ANSWER_MARGIN_MS = 3.0
 """Taken off besides: a round trip to the caller of 2 ms, and the writing of the answer."""
-HEDGE_QUANTILE = 0.92
-"""A request that takes longer than so many others is sent to a second searcher."""
-LEAST_HEDGE_SHARE = 0.12
-"""Hedges wait at least this part of the latency objective."""
-MOST_HEDGE_SHARE = 0.45
-"""Hedges wait at most this part of the latency objective, so that they still can be in time."""
 TYPICAL_SHARE = 0.2
 """Part of the latency objective that a shard is assumed to take before any was seen."""
 CALLER_MARGIN_MS = 5.0
@@ -55,6 +50,7 @@
     :param follower: knows the plan.
     :param metrics: counts.
     :param rng: spreads what is said to callers.
+    :param far: how other entries are asked for the shards near them.
     """
 
     def __init__(
@@ -64,8 +60,10 @@
         follower: Follower,
         metrics: Metrics,
         rng: random.Random,
+        far: FarSearch,
     ):
         self._around = surroundings
+        self._far = far
         self._dialect = dialect
         self._follower = follower
         self._metrics = metrics
@@ -124,9 +122,11 @@
         self._recent.add(route.name)
         handling = _Handling(self, asked, plan, route, responder)
         if route.shards is not None:
-            handling.gather(self._delays_of(route))
+            handling.gather(self.delays_of(route.name, route.target_latency_ms))
         else:
-            handling.forward(self._splitter.next(route), self._delays_of(route))
+            handling.forward(
+                self._splitter.next(route), self.delays_of(route.name, route.target_latency_ms)
+            )
 
     def _no_route(self, asked: CallerRequest, plan: ServingPlan) -> Response:
         current = self._follower.is_current()
@@ -142,11 +142,17 @@
         message = "This entry's configuration may be out of date."
         return refused("stale-plan", message, NO_PLAN_RETRY_AFTER_MS)
 
-    def _delays_of(self, route: Route) -> Delays:
-        delays = self._delays.get(route.name)
+    def delays_of(self, route_name: str, target_latency_ms: float) -> Delays:
+        """Give the usual delays on a route.
+
+        :param route_name: the route.
+        :param target_latency_ms: its latency objective, from which they are guessed at first.
+        :returns: the delays.
+        """
+        delays = self._delays.get(route_name)
         if delays is None:
-            delays = Delays(TYPICAL_SHARE * route.target_latency_ms)
-            self._delays[route.name] = delays
+            delays = Delays(TYPICAL_SHARE * target_latency_ms)
+            self._delays[route_name] = delays
         return delays
 
 
@@ -201,25 +207,30 @@
         """
         route = self._route
         answer_by_ms = self._started_ms + ANSWER_SHARE * route.target_latency_ms - ANSWER_MARGIN_MS
-        terms = GatherTerms(route.shards, answer_by_ms, self._terms(delays))
-        gathering = Gathering(self._around, self._asked, terms, delays, self._gathered)
+        terms = GatherTerms(
+            route.name,
+            route.shards,
+            route.target_latency_ms,
+            delays.quantile(0.5),
+            answer_by_ms,
+            self._terms(delays),
+        )
+        gathering = Gathering(
+            self._around, self._asked, terms, delays, self._gateway._far, self._gathered
+        )
         self._begin(gathering.cancel, gathering.time_out)
         gathering.start()
 
     def _terms(self, delays: Delays) -> CallTerms:
         route = self._route
-        target_ms = route.target_latency_ms
-        hedge_ms = min(
-            MOST_HEDGE_SHARE * target_ms,
-            max(LEAST_HEDGE_SHARE * target_ms, delays.quantile(HEDGE_QUANTILE)),
-        )
-        return CallTerms(
+        return call_terms(
+            route.target_latency_ms,
             route.idempotent,
             route.max_attempts,
-            hedge_ms if route.idempotent else None,
-            self._started_ms + 0.5 * target_ms,
-            self._deadline_ms,
             route.priority,
+            self._started_ms,
+            self._deadline_ms,
+            delays,
         )
 
     def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
--- a/rhubarbhinge/gather/__init__.py
+++ b/rhubarbhinge/gather/__init__.py
@@ -1,13 +1,27 @@
 """Searches: one request to every shard, merged into one answer."""
 
-from rhubarbhinge.gather._gathering import Gathered, Gathering, GatherTerms, NotEnough
+from rhubarbhinge.gather._gathering import (
+    FarAsk,
+    FarPart,
+    FarSearch,
+    Gathered,
+    Gathering,
+    GatherTerms,
+    NotEnough,
+)
 from rhubarbhinge.gather._merge import RECORD_BYTES, merge_greatest
+from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 
 __all__ = [
     "RECORD_BYTES",
+    "FarAsk",
+    "FarPart",
+    "FarSearch",
     "GatherTerms",
     "Gathered",
     "Gathering",
     "NotEnough",
+    "ShardCalls",
+    "ShardEnd",
     "merge_greatest",
 ]
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -1,19 +1,13 @@
 """One search under way."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from rhubarbhinge.fleet import Delays
-from rhubarbhinge.forward import (
-    CallerRequest,
-    CallTerms,
-    Passed,
-    Result,
-    SearcherReply,
-    ServiceCall,
-    Surroundings,
-)
+from rhubarbhinge.forward import CallerRequest, CallTerms, Surroundings
 from rhubarbhinge.gather._merge import merge_greatest
+from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 from rhubarbhinge.plans import ShardSet
 
 
@@ -21,12 +15,18 @@
 class GatherTerms:
     """What is granted to one search.
 
+    :param route_name: name of its route.
     :param shards: the shards of the plan that it was read under.
+    :param target_latency_ms: the route's latency objective.
+    :param typical_ms: the usual delay of one shard.
     :param answer_by_ms: when it is answered with what there is, if that is enough.
     :param call: what is granted to the call to each shard.
     """
 
+    route_name: str
     shards: ShardSet
+    target_latency_ms: float
+    typical_ms: float
     answer_by_ms: float
     call: CallTerms
 
@@ -59,6 +59,51 @@
     timed_out: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class FarPart:
+    """What another entry found in the shards near it.
+
+    :param services: shards whose records are in the body.
+    :param signatures: the signatures of their replies, in the same order.
+    :param untried: shards that no searcher was asked for.
+    :param may_have_run: whether any searcher has executed the search.
+    :param body: the greatest records of these shards.
+    """
+
+    services: tuple[str, ...]
+    signatures: tuple[str, ...]
+    untried: tuple[str, ...]
+    may_have_run: bool
+    body: bytes
+
+
+class FarAsk(Protocol):
+    """Handle of an ask to another entry."""
+
+    def cancel(self) -> None:
+        """Give the ask up."""
+
+
+FarShards = Callable[[CallerRequest, GatherTerms, Iterable[str]], dict[str, list[str]]]
+"""Tells which of some shards to leave to which other entry: lists of shards by its address."""
+AskFar = Callable[
+    [str, CallerRequest, GatherTerms, list[str], Callable[[FarPart | None], None]], FarAsk
+]
+"""Asks the entry at an address to search some shards; None comes back when it failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FarSearch:
+    """How other entries are asked.
+
+    :param shards_for: tells which shards to leave to which entry.
+    :param ask: asks an entry.
+    """
+
+    shards_for: FarShards
+    ask: AskFar
+
+
 class Gathering:
     """One search under way.
 
@@ -66,6 +111,7 @@
     :param request: the caller's request.
     :param terms: what is granted.
     :param delays: the usual delays of such requests at one shard.
+    :param far: how other entries are asked for the shards near them.
     :param on_end: told the result, once and later than the start.
     """
 
@@ -75,25 +121,23 @@
         request: CallerRequest,
         terms: GatherTerms,
         delays: Delays,
+        far: FarSearch,
         on_end: Callable[[Gathered | NotEnough], None],
     ):
         self._around = surroundings
         self._request = request
         self._terms = terms
-        self._delays = delays
+        self._far = far
         self._on_end = on_end
-        self._parts: dict[str, SearcherReply] = {}
-        self._calls: dict[str, ServiceCall] = {}
+        self._calls = ShardCalls(surroundings, request, terms.call, delays, self._shard_ended)
+        self._signatures: dict[str, str] = {}
+        self._bodies: list[bytes] = []
+        self._asks: dict[str, tuple[FarAsk, list[str]]] = {}
         self._may_have_run = False
         self._late = False
         self._over = False
         self._timer = None
 
-    @property
-    def sends(self) -> int:
-        """How many requests were sent to searchers."""
-        return sum(call.sends for call in self._calls.values())
-
     def start(self) -> None:
         """Send to every shard, unless too few have a searcher."""
         around, shards = self._around, self._terms.shards
@@ -101,14 +145,13 @@
         if not shards.is_enough(len(served)):
             around.timers.after(0, self._fail)
             return
-        around.budget.on_request(shards.services)
-        for name in served:
-            call = ServiceCall(
-                around, self._request, name, self._terms.call, self._delays, self._ended
-            )
-            self._calls[name] = call
-        for call in self._calls.values():
-            call.start()
+        by_address = self._far.shards_for(self._request, self._terms, served)
+        for address, services in by_address.items():
+            self._ask(address, services)
+        left = {name for services in by_address.values() for name in services}
+        near = [name for name in served if name not in left]
+        around.budget.on_request(near)
+        self._calls.start(near)
         wait_ms = self._terms.answer_by_ms - around.timers.now_ms()
         self._timer = around.timers.after(max(0.0, wait_ms), self._time_to_answer)
 
@@ -117,43 +160,88 @@
         self._over = True
         if self._timer is not None:
             self._timer.cancel()
-        for call in self._calls.values():
-            if not call.over:
-                self._may_have_run = self._may_have_run or call.may_have_run
-                call.cancel()
+        self._may_have_run = self._may_have_run or self._calls.may_have_run or bool(self._asks)
+        self._calls.cancel()
+        asks, self._asks = self._asks, {}
+        for ask, _ in asks.values():
+            ask.cancel()
 
     def time_out(self) -> None:
         """Finish now, with what there is."""
         if self._over:
             return
-        if self._terms.shards.is_enough(len(self._parts)):
+        if self._terms.shards.is_enough(len(self._signatures)):
             self._answer()
         else:
             self._fail(timed_out=True)
 
-    def _ended(self, call: ServiceCall, result: Result) -> None:
+    def _ask(self, address: str, services: list[str]) -> None:
+        ask = self._far.ask(
+            address,
+            self._request,
+            self._terms,
+            services,
+            lambda part: self._far_ended(address, part),
+        )
+        self._asks[address] = (ask, services)
+
+    def _far_ended(self, address: str, part: FarPart | None) -> None:
         if self._over:
             return
-        self._may_have_run = self._may_have_run or call.may_have_run
-        if isinstance(result, Passed) and _is_part(result.reply):
-            self._parts[call.service] = result.reply
+        _, services = self._asks.pop(address)
+        if part is None:
+            self._may_have_run = True
+            self._calls.start(services, arrived=True)
+        else:
+            self._may_have_run = self._may_have_run or part.may_have_run
+            asked = set(services)
+            self._signatures.update(
+                (name, signature)
+                for name, signature in zip(part.services, part.signatures, strict=True)
+                if name in asked
+            )
+            self._bodies.append(part.body)
+            self._calls.start([name for name in part.untried if name in asked])
+            self._ask_again(asked - set(part.services) - set(part.untried))
+        self._look()
+
+    def _ask_again(self, services: set[str]) -> None:
+        """Ask for what another entry did not get in time, where there is not enough without."""
+        possible = len(self._signatures) + self._open_shards()
+        if services and not self._terms.shards.is_enough(possible):
+            self._calls.start(services, arrived=True)
+
+    def _shard_ended(self, end: ShardEnd) -> None:
+        if self._over:
+            return
+        self._may_have_run = self._may_have_run or end.may_have_run
+        if end.reply is not None:
+            self._signatures[end.service] = end.reply.signature
+            self._bodies.append(end.reply.body)
+        self._look()
+
+    def _look(self) -> None:
+        """Finish if all has ended, if it is late and there is enough, or if there can't be."""
         shards = self._terms.shards
-        still_open = sum(not other.over for other in self._calls.values())
-        if not shards.is_enough(len(self._parts) + still_open):
+        still_open = self._open_shards()
+        if not shards.is_enough(len(self._signatures) + still_open):
             self._fail()
-        elif not still_open or (self._late and shards.is_enough(len(self._parts))):
+        elif not still_open or (self._late and shards.is_enough(len(self._signatures))):
             self._answer()
 
+    def _open_shards(self) -> int:
+        return self._calls.open + sum(len(services) for _, services in self._asks.values())
+
     def _time_to_answer(self) -> None:
         self._late = True
-        if not self._over and self._terms.shards.is_enough(len(self._parts)):
+        if not self._over and self._terms.shards.is_enough(len(self._signatures)):
             self._answer()
 
     def _answer(self) -> None:
-        shards = self._terms.shards
-        signatures = tuple(reply.signature for reply in self._parts.values())
-        body = merge_greatest((reply.body for reply in self._parts.values()), shards.top_k)
-        self._finish(Gathered(signatures, self._missing(), body))
+        body = merge_greatest(self._bodies, self._terms.shards.top_k)
+        missing = self._missing()
+        self.cancel()
+        self._on_end(Gathered(tuple(self._signatures.values()), missing, body))
 
     def _fail(self, timed_out: bool = False) -> None:
         if self._over:
@@ -162,12 +250,4 @@
         self._on_end(NotEnough(self._missing(), self._may_have_run, timed_out))
 
     def _missing(self) -> tuple[str, ...]:
-        return tuple(name for name in self._terms.shards.services if name not in self._parts)
-
-    def _finish(self, result: Gathered) -> None:
-        self.cancel()
-        self._on_end(result)
-
-
-def _is_part(reply: SearcherReply) -> bool:
-    return reply.succeeded and bool(reply.signature)
+        return tuple(name for name in self._terms.shards.services if name not in self._signatures)
--- /dev/null
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -0,0 +1,97 @@
+"""One request to each of some shards."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import (
+    CallerRequest,
+    CallTerms,
+    Passed,
+    Result,
+    SearcherReply,
+    ServiceCall,
+    Surroundings,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ShardEnd:
+    """How the call to one shard came out.
+
+    :param service: the shard.
+    :param reply: its records; None when it gave none.
+    :param sends: how many searchers were asked.
+    :param may_have_run: whether one of them has executed the request.
+    """
+
+    service: str
+    reply: SearcherReply | None
+    sends: int
+    may_have_run: bool
+
+
+class ShardCalls:
+    """One request to each of some shards.
+
+    :param surroundings: what requests share.
+    :param request: the caller's request.
+    :param terms: what is granted to the call to each shard.
+    :param delays: the usual delays of such requests at one shard.
+    :param on_end: told how each call came out, later than its start.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        request: CallerRequest,
+        terms: CallTerms,
+        delays: Delays,
+        on_end: Callable[[ShardEnd], None],
+    ):
+        self._around = surroundings
+        self._request = request
+        self._terms = terms
+        self._delays = delays
+        self._on_end = on_end
+        self._calls: dict[str, ServiceCall] = {}
+
+    @property
+    def open(self) -> int:
+        """How many calls are under way."""
+        return len(self._calls)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher may be executing one of the calls under way."""
+        return any(call.may_have_run for call in self._calls.values())
+
+    def start(self, services: Iterable[str], arrived: bool = False) -> None:
+        """Send to shards.
+
+        :param services: the shards.
+        :param arrived: whether the request may have arrived there before, so that the retry
+            budget has to grant it.
+        """
+        calls = [
+            ServiceCall(
+                self._around, self._request, name, self._terms, self._delays, self._ended, arrived
+            )
+            for name in services
+        ]
+        self._calls.update((call.service, call) for call in calls)
+        for call in calls:
+            call.start()
+
+    def cancel(self) -> None:
+        """Give up all calls under way."""
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            call.cancel()
+
+    def _ended(self, call: ServiceCall, result: Result) -> None:
+        if self._calls.pop(call.service, None) is None:
+            return
+        reply = result.reply if isinstance(result, Passed) else None
+        part = reply if reply is not None and reply.succeeded and reply.signature else None
+        self._on_end(ShardEnd(call.service, part, call.sends, call.may_have_run))
--- a/rhubarbhinge/net/__init__.py
+++ b/rhubarbhinge/net/__init__.py
@@ -1,7 +1,18 @@
-"""Components that own sockets: TCP links and UDP datagrams."""
+"""Components that own sockets (TCP links and UDP datagrams), and frames on links."""
 
 from rhubarbhinge.net._datagrams import Datagrams
+from rhubarbhinge.net._frameerror import FrameError
+from rhubarbhinge.net._frames import MAX_FRAME_BYTES, FrameSplitter, frame
 from rhubarbhinge.net._links import DEFAULT_MAX_PENDING_BYTES, Links
 from rhubarbhinge.net._reason import CloseReason
 
-__all__ = ["DEFAULT_MAX_PENDING_BYTES", "CloseReason", "Datagrams", "Links"]
+__all__ = [
+    "DEFAULT_MAX_PENDING_BYTES",
+    "MAX_FRAME_BYTES",
+    "CloseReason",
+    "Datagrams",
+    "FrameError",
+    "FrameSplitter",
+    "Links",
+    "frame",
+]
--- a/rhubarbhinge/wire/_frames.py
+++ b/rhubarbhinge/net/_frames.py
@@ -1,6 +1,6 @@
 """Length-prefixed frames on a byte stream."""
 
-from rhubarbhinge.wire._frameerror import FrameError
+from rhubarbhinge.net._frameerror import FrameError
 
 #: Bytes of the length in front of each frame.
 LENGTH_BYTES = 4
--- a/rhubarbhinge/web/_connections.py
+++ b/rhubarbhinge/web/_connections.py
@@ -46,6 +46,7 @@
     :param on_open: called with a connection that has opened.
     :param on_reply: called with a connection and the reply to its request.
     :param on_close: called once for each connection, with the reason.
+    :param notice_silence: whether a connection ends when the peer's host is silent.
     """
 
     channel = "http-connections"
@@ -56,6 +57,7 @@
         on_open: Callable[[int], None],
         on_reply: Callable[[int, Reply], None],
         on_close: Callable[[int, str], None],
+        notice_silence: bool = False,
     ):
         super().__init__()
         self._timers = timers
@@ -63,7 +65,9 @@
         self._on_reply = on_reply
         self._on_close = on_close
         self._conns: dict[int, _Conn] = {}
-        self._links = Links(self._opened, self._received, self._closed).register(self)
+        self._links = Links(
+            self._opened, self._received, self._closed, notice_silence=notice_silence
+        ).register(self)
 
     def open(self, ip: str, port: int, timeout_ms: float) -> int:
         """Start a connection; ``on_open`` or ``on_close`` is called later.
--- a/rhubarbhinge/wire/__init__.py
+++ b/rhubarbhinge/wire/__init__.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from rhubarbhinge.net._frameerror import FrameError
+from rhubarbhinge.net._frames import MAX_FRAME_BYTES, FrameSplitter, frame
 from rhubarbhinge.wire._cancelbatch import CancelBatch
 from rhubarbhinge.wire._codec import Codec
 from rhubarbhinge.wire._columns import check_columns
@@ -10,8 +12,6 @@
 from rhubarbhinge.wire._config_digest import ConfigDigest
 from rhubarbhinge.wire._config_notice import ConfigNotice
 from rhubarbhinge.wire._config_request import ConfigRequest
-from rhubarbhinge.wire._frameerror import FrameError
-from rhubarbhinge.wire._frames import MAX_FRAME_BYTES, FrameSplitter, frame
 from rhubarbhinge.wire._hello import Hello
 from rhubarbhinge.wire._hellocheck import (
     NONCE_BYTES,
--- a/rhubarbhinge/wire/_columns.py
+++ b/rhubarbhinge/wire/_columns.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
+from rhubarbhinge.net._frameerror import FrameError
 from rhubarbhinge.wire._cancelbatch import CancelBatch
-from rhubarbhinge.wire._frameerror import FrameError
 from rhubarbhinge.wire._holdingreport import HoldingReport
 from rhubarbhinge.wire._replybatch import ReplyBatch
 from rhubarbhinge.wire._subbatch import SubBatch
