--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -1,11 +1,14 @@
 """What entries say to each other about parts of searches."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import orjson
 
 from rhubarbhinge.net import FrameError
 
+ASK, TAKEN, ANSWER, CANCEL = range(4)
+"""Kinds of messages on the wire; short, as each byte between failure domains is paid for."""
 HEAD_LENGTH_BYTES = 4
 """Bytes of the length of a message's head; the body follows the head."""
 
@@ -16,9 +19,6 @@
 
     :param number: identifies the ask on its link.
     :param request_id: id of the caller's request.
-    :param method: its method.
-    :param target: its path and query.
-    :param host: its ``Host`` header.
     :param head: request line and headers that are passed on.
     :param body: its body.
     :param route: name of the route, by which delays are told apart.
@@ -33,9 +33,6 @@
 
     number: int
     request_id: str
-    method: str
-    target: str
-    host: str
     head: bytes
     body: bytes
     route: str
@@ -99,12 +96,9 @@
     """
     if isinstance(message, Ask):
         fields = [
-            "ask",
+            ASK,
             message.number,
             message.request_id,
-            message.method,
-            message.target,
-            message.host,
             len(message.head),
             message.route,
             message.services,
@@ -118,7 +112,7 @@
         return _join(fields, message.head + message.body)
     if isinstance(message, Answer):
         fields = [
-            "answer",
+            ANSWER,
             message.number,
             message.services,
             message.signatures,
@@ -126,7 +120,7 @@
             message.may_have_run,
         ]
         return _join(fields, message.body)
-    return _join(["taken" if isinstance(message, Taken) else "cancel", message.number], b"")
+    return _join([TAKEN if isinstance(message, Taken) else CANCEL, message.number], b"")
 
 
 def decode_message(data: bytes) -> Message:
@@ -150,14 +144,11 @@
 
 
 def _ask(number: int, fields: list, body: bytes) -> Ask:
-    request_id, method, target, host, head_bytes, route, services, *rest = fields
+    request_id, head_bytes, route, services, *rest = fields
     top_k, priority, max_attempts, target_latency_ms, answer_in_ms, left_ms, *_ = rest
     return Ask(
         number,
         str(request_id),
-        str(method),
-        str(target),
-        str(host),
         body[:head_bytes],
         body[head_bytes:],
         str(route),
@@ -185,9 +176,9 @@
     )
 
 
-_DECODERS = {
-    "ask": _ask,
-    "answer": _answer,
-    "taken": lambda number, fields, body: Taken(number),
-    "cancel": lambda number, fields, body: Cancel(number),
+_DECODERS: dict[int, Callable[[int, list, bytes], Message]] = {
+    ASK: _ask,
+    ANSWER: _answer,
+    TAKEN: lambda number, fields, body: Taken(number),
+    CANCEL: lambda number, fields, body: Cancel(number),
 }
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -141,9 +141,7 @@
         self._parts: dict[str, SearcherReply] = {}
         self._untried: list[str] = []
         self._may_have_run = False
-        request = CallerRequest(
-            ask.request_id, ask.method, ask.target, ask.host, ask.head, ask.body, ask.left_ms
-        )
+        request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
         self._calls = ShardCalls(surroundings, request, terms, delays, self._ended)
         self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer)
 
--- a/rhubarbhinge/forward/_caller_request.py
+++ b/rhubarbhinge/forward/_caller_request.py
@@ -8,18 +8,17 @@
     """A caller's request on its way to searchers.
 
     :param id: identifies this attempt of the caller; empty when it gave none.
-    :param method: the method.
-    :param target: path and query as the caller sent them.
-    :param host: the ``Host`` header.
     :param head: request line and headers that are passed on, without those set for each searcher.
     :param body: the whole body.
     :param wait_ms: how long the caller said that it waits; None when it did not say.
     """
 
     id: str
-    method: str
-    target: str
-    host: str
     head: bytes
     body: bytes
     wait_ms: float | None
+
+    @property
+    def wants_body(self) -> bool:
+        """Whether a reply to it has a body."""
+        return not self.head.startswith(b"HEAD ")
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -215,6 +215,7 @@
     def _write(self, conn: _Conn, exchanging: _Exchanging, now_ms: float) -> None:
         exchange = exchanging.exchange
         conn.exchanging = exchanging
+        conn.reader.wants_body = exchange.request.wants_body
         exchanging.conn = conn
         exchanging.sent_ms = now_ms
         left_ms = exchange.deadline_ms - now_ms
--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -43,6 +43,8 @@
     """Reads replies one after the other; the parsing is that of ``httptools``.
 
     A reply without a stated length ends with its connection: :meth:`finish` gives it.
+
+    :ivar wants_body: whether replies have bodies; set before the reply to a ``HEAD`` request.
     """
 
     __slots__ = (
@@ -57,9 +59,11 @@
         "_excess",
         "_status",
         "_keeps_alive",
+        "wants_body",
     )
 
     def __init__(self) -> None:
+        self.wants_body = True
         self._reset()
 
     def feed(self, data: bytes) -> RawReply | None:
@@ -142,6 +146,10 @@
         names = {name for name, _ in self._headers}
         stated = b"content-length" in names or b"transfer-encoding" in names
         self._until_close = not stated and status not in NO_BODY
+        if not self.wants_body:
+            # The parser can't be told; the connection is closed, as it would wait for a body.
+            self._until_close = False
+            self._done = True
 
     def on_body(self, data: bytes) -> None:
         """Keep a piece of the body.
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -40,7 +40,7 @@
 """How often a stopping entry looks whether all is answered."""
 IDLE_SWEEP_MS = 500.0
 """How often idle connections to searchers are looked through."""
-SERVING_CHECK_MS = 100.0
+SERVING_CHECK_MS = 300.0
 """How often the entry looks whether it can serve; the balancer asks once a second."""
 REACH_AGAIN_MS = 250.0
 """How often a connection is tried to searchers that could not be reached; no request waits."""
--- a/rhubarbhinge/gateway/_far_search.py
+++ b/rhubarbhinge/gateway/_far_search.py
@@ -59,9 +59,6 @@
         message = Ask(
             number=0,
             request_id=request.id,
-            method=request.method,
-            target=request.target,
-            host=request.host,
             head=request.head,
             body=request.body,
             route=terms.route_name,
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -115,7 +115,7 @@
             message = "This entry has no configuration yet."
             responder.answer(refused("no-plan", message, NO_PLAN_RETRY_AFTER_MS))
             return
-        route = plan.find(asked.host, asked.target.partition("?")[0])
+        route = plan.find(request.headers.get("host", ""), request.target.partition("?")[0])
         if route is None:
             responder.answer(self._no_route(asked, plan))
             return
