Revert: leave shards that can't keep up out of some searches

Tried: shards that answered in time less than 0.6 of the time were left out of some searches, a tenth at most and with one in reserve. Conclusion: leaving out a tenth takes too little load off; what would help is refusing whole searches.

--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -19,7 +19,7 @@
 from rhubarbhinge.gateway._call_terms import call_terms
 from rhubarbhinge.gateway._recent_routes import RecentRoutes
 from rhubarbhinge.gateway._split import Splitter
-from rhubarbhinge.gather import FarSearch, Gathered, Gathering, GatherTerms, InTimeShares, NotEnough
+from rhubarbhinge.gather import FarSearch, Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import Route, ServingPlan
 from rhubarbhinge.published import Follower
 from rhubarbhinge.telemetry import Metrics, log_event
@@ -68,7 +68,6 @@
         self._follower = follower
         self._metrics = metrics
         self._rng = rng
-        self._in_time = InTimeShares(rng)
         self._splitter = Splitter()
         self._delays: dict[str, Delays] = {}
         self._recent = RecentRoutes(surroundings.timers.now_ms)
@@ -80,7 +79,6 @@
         """
         names = {route.name for route in plan.routes}
         self._splitter.keep(names)
-        self._in_time.keep(plan.services)
         for name in self._delays.keys() - names:
             del self._delays[name]
 
@@ -217,13 +215,7 @@
             self._terms(delays),
         )
         gathering = Gathering(
-            self._around,
-            self._asked,
-            terms,
-            delays,
-            self._gateway._far,
-            self._gateway._in_time,
-            self._gathered,
+            self._around, self._asked, terms, delays, self._gateway._far, self._gathered
         )
         self._begin(gathering.cancel, gathering.time_out)
         gathering.start()
--- a/rhubarbhinge/gather/__init__.py
+++ b/rhubarbhinge/gather/__init__.py
@@ -9,7 +9,6 @@
     GatherTerms,
     NotEnough,
 )
-from rhubarbhinge.gather._in_time import InTimeShares
 from rhubarbhinge.gather._merge import RECORD_BYTES, merge_greatest
 from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 
@@ -21,7 +20,6 @@
     "GatherTerms",
     "Gathered",
     "Gathering",
-    "InTimeShares",
     "NotEnough",
     "ShardCalls",
     "ShardEnd",
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -6,7 +6,6 @@
 
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest, CallTerms, Surroundings
-from rhubarbhinge.gather._in_time import InTimeShares
 from rhubarbhinge.gather._merge import merge_greatest
 from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 from rhubarbhinge.plans import ShardSet
@@ -111,7 +110,6 @@
     :param terms: what is granted.
     :param delays: the usual delays of such requests at one shard.
     :param far: how other entries are asked for the shards near them.
-    :param in_time: which shards answer in time.
     :param on_end: told the result, once and later than the start.
     """
 
@@ -122,15 +120,12 @@
         terms: GatherTerms,
         delays: Delays,
         far: FarSearch,
-        in_time: InTimeShares,
         on_end: Callable[[Gathered | NotEnough], None],
     ):
         self._around = surroundings
         self._request = request
         self._terms = terms
         self._far = far
-        self._in_time = in_time
-        self._asked: list[str] = []
         self._on_end = on_end
         self._calls = ShardCalls(surroundings, request, terms.call, delays, self._shard_ended)
         self._signatures: dict[str, str] = {}
@@ -148,8 +143,6 @@
         if not shards.is_enough(len(served)):
             around.timers.after(0, self._fail)
             return
-        skipped = self._in_time.to_skip(shards, served)
-        self._asked = served = [name for name in served if name not in skipped]
         by_address = self._far.shards_for(self._request, self._terms, served)
         for address, services in by_address.items():
             self._ask(address, services)
@@ -239,14 +232,10 @@
 
     def _time_to_answer(self) -> None:
         self._late = True
-        if not self._over:
-            self._in_time.on_search(self._asked, self._signatures)
         if not self._over and self._terms.shards.is_enough(len(self._signatures)):
             self._answer()
 
     def _answer(self) -> None:
-        if not self._late:
-            self._in_time.on_search(self._asked, self._signatures)
         body = merge_greatest(self._bodies, self._terms.shards.top_k)
         missing = self._missing()
         self.cancel()
--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -1,19 +1,10 @@
 """Searches: when they are answered, and with what."""
 
-import random
 import unittest
 
 from rhubarbhinge.forward import Lost, NotRun, Why
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
-from rhubarbhinge.gather import (
-    FarPart,
-    FarSearch,
-    Gathered,
-    Gathering,
-    GatherTerms,
-    InTimeShares,
-    NotEnough,
-)
+from rhubarbhinge.gather import FarPart, FarSearch, Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import ShardSet
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -43,7 +34,6 @@
     def start(self, least: float = 0.75, far: dict | None = None, slack: float = 10.0):
         self.world = FakeWorld(slack, SHARDS)
         self.far = FakeFar(far or {})
-        self.in_time = InTimeShares(random.Random(1))
         self.ends: list[Gathered | NotEnough] = []
         now_ms = self.world.timers.now_ms()
         terms = GatherTerms(
@@ -54,13 +44,7 @@
             self.world.terms(hedge_ms=None),
         )
         self.gathering = Gathering(
-            self.world.around,
-            REQUEST,
-            terms,
-            self.world.delays,
-            self.far.search,
-            self.in_time,
-            self.ends.append,
+            self.world.around, REQUEST, terms, self.world.delays, self.far.search, self.ends.append
         )
         self.gathering.start()
 
@@ -119,9 +103,7 @@
         terms = GatherTerms(
             "route", ShardSet(SHARDS, 2, 0.75), 100.0, 1_090.0, world.terms(hedge_ms=None)
         )
-        Gathering(
-            world.around, REQUEST, terms, world.delays, self.far.search, self.in_time, ends.append
-        ).start()
+        Gathering(world.around, REQUEST, terms, world.delays, self.far.search, ends.append).start()
         world.timers.advance(0.0)
         self.assertEqual(ends, [NotEnough(SHARDS, False)])
         self.assertEqual(len(world.attempts), sent)
