--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -18,6 +18,7 @@
     :param deadline_ms: when the caller stops waiting, on the steady clock.
     :param delays: the usual delays of such requests, which the outcome adds to.
     :param priority: rank among what waits for the same searcher; 0 goes first.
+    :param useful_until_ms: when a reply comes too late to be of use.
     """
 
     searcher: ObservedSearcher
@@ -25,6 +26,7 @@
     deadline_ms: float
     delays: Delays
     priority: int = 0
+    useful_until_ms: float = float("inf")
 
 
 class Attempt(Protocol):
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -15,6 +15,8 @@
     """No connection could be made."""
     LEAVING = "leaving"
     """The searcher left before the request was sent."""
+    TOO_LATE = "too-late"
+    """It waited for a connection until a reply could not be of use any more."""
     WRONG_SEARCHER = "wrong-searcher"
     """Another searcher has the address."""
     BROKEN = "broken"
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -22,6 +22,8 @@
 """How long an idle connection is kept where the searcher does not say how long it keeps it."""
 IDLE_MARGIN_MS = 500.0
 """An idle connection is given up this much before the searcher closes it, so as not to race it."""
+LEAST_USEFUL_SHARE = 0.6
+"""With less than this part of the usual delay left a request would mostly be run in vain."""
 SKIPPED_REPLIES = 4
 """Most replies to earlier requests that are skipped on one connection before it is given up."""
 
@@ -302,8 +304,8 @@
 
     def _keep(self, conn: _Conn, keep_alive_ms: float | None) -> None:
         lane = self._lane(conn.searcher)
-        waiting = lane.next_waiting()
         now_ms = self._timers.now_ms()
+        waiting = self._next_in_time(lane, now_ms)
         if waiting is not None:
             self._write(conn, waiting, now_ms)
             return
@@ -314,6 +316,17 @@
         conn.idle_until_ms = now_ms + idle_ms
         lane.idle.append(conn)
 
+    def _next_in_time(self, lane: _Lane, now_ms: float) -> _Exchanging | None:
+        """Take what waits first and can still be of use; the rest is told that it is too late."""
+        while (exchanging := lane.next_waiting()) is not None:
+            exchange = exchanging.exchange
+            least_ms = LEAST_USEFUL_SHARE * exchange.delays.quantile(0.5)
+            if exchange.useful_until_ms - now_ms >= least_ms:
+                return exchanging
+            exchange.searcher.started_ms.pop(exchanging.number, None)
+            self._tell_later(exchanging, NotRun(Why.TOO_LATE))
+        return None
+
     def _cancelled(self, exchanging: _Exchanging) -> None:
         exchanging.over = True
         conn = exchanging.conn
@@ -399,7 +412,7 @@
         if conn in lane.idle:
             lane.idle.remove(conn)
         self._links.abort(conn.link)
-        waiting = lane.next_waiting()
+        waiting = self._next_in_time(lane, self._timers.now_ms())
         if waiting is not None:
             self._open(observed, lane, waiting)
         elif not lane.count:
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -14,7 +14,7 @@
 
 MOST_REFUSED_SENDS = 4
 """Searchers that refuse cost arrivals but run nothing; so many are asked for one call at most."""
-NEVER_SENT = (Why.UNREACHABLE, Why.LEAVING)
+NEVER_SENT = (Why.UNREACHABLE, Why.LEAVING, Why.TOO_LATE)
 """Causes for which nothing arrived at a searcher."""
 RETRY_PAUSE_MS = 25.0
 """Pause once all searchers have refused; about half an execution, after which a slot is free."""
@@ -30,6 +30,8 @@
     :param retry_until_ms: up to this time refusals are followed by further tries.
     :param deadline_ms: when the caller stops waiting.
     :param priority: rank among what waits for the same searcher; 0 goes first.
+    :param useful_until_ms: when a reply comes too late to be of use; what can't be sent in time
+        for that is not sent.
     """
 
     idempotent: bool
@@ -38,6 +40,7 @@
     retry_until_ms: float
     deadline_ms: float
     priority: int = 0
+    useful_until_ms: float = float("inf")
 
 
 class ServiceCall:
@@ -140,7 +143,12 @@
         self.sends += 1
         terms = self._terms
         exchange = Exchange(
-            observed, self._request, terms.deadline_ms, self._delays, terms.priority
+            observed,
+            self._request,
+            terms.deadline_ms,
+            self._delays,
+            terms.priority,
+            terms.useful_until_ms,
         )
         self._open[incarnation] = self._around.send(
             exchange, lambda outcome: self._ended(incarnation, outcome)
@@ -202,7 +210,10 @@
         if why not in NEVER_SENT:
             self._arrived = True
             self._refusals += 1
-        self._retry()
+        if why is Why.TOO_LATE:
+            self._end()
+        else:
+            self._retry()
 
     def _retry(self) -> None:
         if self._refusals >= MOST_REFUSED_SENDS or self._ran >= self._terms.max_attempts:
--- a/rhubarbhinge/gateway/_call_terms.py
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -21,6 +21,7 @@
     started_ms: float,
     deadline_ms: float,
     delays: Delays,
+    useful_until_ms: float,
 ) -> CallTerms:
     """Work out what is granted to each call of a request.
 
@@ -31,6 +32,7 @@
     :param started_ms: when it was read.
     :param deadline_ms: when the caller stops waiting.
     :param delays: the usual delays of such requests.
+    :param useful_until_ms: when a reply comes too late to be of use.
     :returns: the terms.
     """
     hedge_ms = min(
@@ -44,4 +46,5 @@
         started_ms + RETRY_SHARE * target_latency_ms,
         deadline_ms,
         priority,
+        useful_until_ms,
     )
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -1,6 +1,7 @@
 """The process of an entry."""
 
 import gc
+import math
 import random
 import signal
 from collections.abc import Callable
@@ -50,6 +51,11 @@
 """Callers' connections; the descriptors of a VM less those for searchers and files."""
 NEVER_GZIP_BYTES = 1 << 62
 """Searchers' bodies are passed on as they are."""
+IN_FLIGHT_FACTOR = 3.0
+"""Requests that the entries of a searcher's domain send it at a time, in its slots: enough to keep
+it busy; what is more waits here, where it can be dropped when it is too late."""
+LEAST_IN_FLIGHT = 2
+"""Requests that one entry may send to a searcher at a time, however many entries there are."""
 USUAL_CONNECTIONS = 2
 """Connections to a searcher whose service the plan does not name."""
 ASSUMED_PROCESSES = 8
@@ -193,6 +199,7 @@
             now_ms,
             now_ms + ask.left_ms,
             delays,
+            now_ms + ask.answer_in_ms,
         )
 
     def _processes(self) -> int:
@@ -206,7 +213,10 @@
         service = plan.services.get(observed.searcher.service) if plan else None
         if service is None:
             return USUAL_CONNECTIONS
-        return max(1, service.max_connections // self._processes())
+        share = service.max_connections // self._processes()
+        near = max(1, self._peers.in_domain(observed.searcher.failure_domain))
+        busy = math.ceil(IN_FLIGHT_FACTOR * observed.searcher.capacity / near)
+        return max(1, min(share, max(LEAST_IN_FLIGHT, busy)))
 
     def _searcher_left(self, observed: ObservedSearcher) -> None:
         self._pool.forget(observed)
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -196,7 +196,8 @@
         """
         around = self._around
         around.budget.on_request((service,))
-        call = ServiceCall(around, self._asked, service, self._terms(delays), delays, self._called)
+        terms = self._terms(delays, self._deadline_ms)
+        call = ServiceCall(around, self._asked, service, terms, delays, self._called)
         self._begin(call.cancel, lambda: self._expired(call))
         call.start()
 
@@ -212,7 +213,7 @@
             route.shards,
             route.target_latency_ms,
             answer_by_ms,
-            self._terms(delays),
+            self._terms(delays, answer_by_ms),
         )
         gathering = Gathering(
             self._around, self._asked, terms, delays, self._gateway._far, self._gathered
@@ -220,7 +221,7 @@
         self._begin(gathering.cancel, gathering.time_out)
         gathering.start()
 
-    def _terms(self, delays: Delays) -> CallTerms:
+    def _terms(self, delays: Delays, useful_until_ms: float) -> CallTerms:
         route = self._route
         return call_terms(
             route.target_latency_ms,
@@ -230,6 +231,7 @@
             self._started_ms,
             self._deadline_ms,
             delays,
+            useful_until_ms,
         )
 
     def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
