--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -38,6 +38,8 @@
 """Callers come back after this part of the latency objective."""
 LEAST_RETRY_AFTER_MS = 50.0
 """Shorter pauses bring the caller back into the same shortage."""
+MOST_NAMED_SHARDS = 8
+"""Most missing shards that a line of the log names."""
 NO_PLAN_RETRY_AFTER_MS = 300.0
 """A starting entry has read its configuration within some tenths of a second."""
 
@@ -185,6 +187,7 @@
         if asked.wait_ms is not None:
             wait_ms = min(wait_ms, asked.wait_ms - CALLER_MARGIN_MS)
         self._deadline_ms = self._started_ms + max(1.0, wait_ms)
+        self._without = ""
         self._timer: Subscription | None = None
         self._cancel: Callable[[], None] | None = None
 
@@ -273,6 +276,7 @@
 
     def _gathered(self, result: Gathered | NotEnough) -> None:
         missing = len(result.missing)
+        self._without = ",".join(result.missing[:MOST_NAMED_SHARDS])
         if isinstance(result, Gathered):
             answer = self._gateway._dialect.merged(result.signatures, missing, result.body)
             self._answer(answer, "gathered", missing)
@@ -306,6 +310,7 @@
             why=why,
             status=status,
             missing=missing,
+            without=self._without,
             took_ms=round(self._around.timers.now_ms() - self._started_ms, 1),
         )
 
