forward: a late reply and the own one may come in one piece

Cause: a reply that came together with a late one to an earlier request was taken for excess bytes, and the request counted as lost. Change: the reader gives all replies that are whole; what follows the last one ends the connection's use.

--- /dev/null
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -0,0 +1,39 @@
+"""Messages between entries."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rhubarbhinge.delegation import Answer, Ask, Cancel, Taken, decode_message, encode_message
+from rhubarbhinge.net import FrameError
+
+NAMES = st.lists(st.text("abcdef", min_size=1, max_size=8), max_size=5).map(tuple)
+
+
+class MessagesTest(unittest.TestCase):
+    @given(st.binary(max_size=60), st.binary(max_size=60), NAMES)
+    def test_an_ask_reads_back(self, head, body, services):
+        ask = Ask(7, "r1", head, body, "route", services, 5, 1, 2, 95.0, 80.5, 990.0)
+        self.assertEqual(decode_message(encode_message(ask)), ask)
+
+    @given(st.binary(max_size=200), NAMES)
+    def test_an_answer_reads_back(self, body, services):
+        answer = Answer(7, services, tuple(f"sig-{name}" for name in services), ("u",), True, body)
+        self.assertEqual(decode_message(encode_message(answer)), answer)
+
+    def test_the_short_ones_read_back(self):
+        for message in (Taken(3), Cancel(4)):
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    @given(st.binary(max_size=120))
+    def test_other_bytes_are_a_coded_error(self, data):
+        try:
+            decode_message(data)
+        except FrameError as error:
+            self.assertEqual(error.code, "malformed")
+
+    def test_each_shard_of_an_answer_has_a_signature(self):
+        answer = Answer(7, ("s", "t"), ("sig",), (), True, b"")
+        with self.assertRaises(FrameError):
+            decode_message(encode_message(answer))
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -246,23 +246,27 @@
             self._drop(conn)
             return
         try:
-            raw = conn.reader.feed(data)
+            replies = conn.reader.feed(data)
         except ReplyError as error:
             self._fail(conn, Lost(Why.MALFORMED), error.code)
             return
-        if raw is not None:
-            self._replied(conn, raw)
+        for raw in replies:
+            if conn.exchanging is None:
+                self._drop(conn)
+                return
+            self._replied(conn, raw, last=raw is replies[-1])
 
-    def _replied(self, conn: _Conn, raw: RawReply) -> None:
+    def _replied(self, conn: _Conn, raw: RawReply, last: bool) -> None:
         exchanging = conn.exchanging
         reply = self._dialect.searcher_reply(raw)
         wanted_id = exchanging.exchange.request.id
         if reply.request_id != wanted_id and not reply.not_run and not reply.wrong_searcher:
-            self._skip(conn, raw, reply.request_id)
+            self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
         conn.exchanging = None
-        if raw.reusable and exchanging.exchange.searcher.usable and not conn.skipped:
+        reusable = raw.reusable and last and not conn.skipped
+        if reusable and exchanging.exchange.searcher.usable:
             self._keep(conn, reply.keep_alive_ms)
         else:
             self._drop(conn)
@@ -278,7 +282,7 @@
         else:
             self._tell(exchanging, Replied(reply, delay_ms))
 
-    def _skip(self, conn: _Conn, raw: RawReply, request_id: str) -> None:
+    def _skip(self, conn: _Conn, more_may_come: bool, request_id: str) -> None:
         """Pass over a late reply to an earlier request; the one that is waited for may follow."""
         conn.skipped += 1
         log_event(
@@ -288,7 +292,7 @@
             of_request=request_id,
             searcher=conn.searcher.searcher.incarnation,
         )
-        if not raw.reusable or conn.skipped > SKIPPED_REPLIES:
+        if not more_may_come or conn.skipped > SKIPPED_REPLIES:
             self._fail(conn, Lost(Why.MALFORMED), "other-request")
 
     def _observe(self, exchanging: _Exchanging, reply, delay_ms: float, now_ms: float) -> None:
@@ -351,7 +355,7 @@
         if conn.exchanging is not None and reason is CloseReason.PEER:
             raw = conn.reader.finish()
             if raw is not None:
-                self._replied(conn, raw)
+                self._replied(conn, raw, last=True)
         if reason is CloseReason.SILENT or not conn.is_open:
             self._unreachable(conn, reason.value)
         if conn.exchanging is None:
--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -1,6 +1,6 @@
 """Replies out of the bytes of one connection."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import httptools
 
@@ -48,82 +48,80 @@
     """
 
     __slots__ = (
+        "wants_body",
         "_parser",
+        "_replies",
+        "_status",
         "_headers",
         "_body",
         "_body_bytes",
         "_head_bytes",
-        "_until_close",
+        "_in_message",
         "_head_done",
-        "_done",
-        "_excess",
-        "_status",
-        "_keeps_alive",
-        "wants_body",
+        "_until_close",
     )
 
     def __init__(self) -> None:
         self.wants_body = True
-        self._reset()
+        self._parser = httptools.HttpResponseParser(self)
+        self._replies: list[RawReply] = []
+        self._begin()
 
-    def feed(self, data: bytes) -> RawReply | None:
+    def feed(self, data: bytes) -> list[RawReply]:
         """Take in bytes of the connection.
 
         :param data: the bytes.
-        :returns: a whole reply, or None while more bytes are needed.
+        :returns: the replies that are now whole; the connection may be used again only if the
+            last one says so.
         :raises ReplyError: when the bytes are no reply.
         """
         if not self._head_done:
             self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise ReplyError("upgrade") from error
-        except httptools.HttpParserError as error:
-            # A complete reply stands, whatever follows it; the connection is not used again.
-            if not self._done:
-                raise ReplyError("malformed") from error
-            self._excess = True
-        if self._done:
-            return self._take()
+        fault = self._parse(data)
+        replies, self._replies = self._replies, []
+        if not replies and fault:
+            raise ReplyError(fault)
+        if replies and (fault or self._in_message):
+            # A complete reply stands whatever follows it, but what follows was not asked for.
+            replies[-1] = replace(replies[-1], reusable=False)
         if self._body_bytes > BODY_BYTES or (not self._head_done and self._head_bytes > HEAD_BYTES):
             raise ReplyError("too-large")
-        return None
+        return replies
 
     def finish(self) -> RawReply | None:
         """Take note of the clean end of the connection.
 
         :returns: the reply that ends with its connection, or None when none is whole.
         """
-        if not self._until_close or not self._head_done or self._done:
-            return None
-        return self._take()
+        return self._reply(False) if self._until_close else None
 
-    def _reset(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+    def _parse(self, data: bytes) -> str:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return "upgrade"
+        except httptools.HttpParserError:
+            return "malformed"
+        return ""
+
+    def _begin(self) -> None:
+        self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
-        self._until_close = False
+        self._in_message = False
         self._head_done = False
-        self._done = False
-        self._excess = False
-        self._status = 0
-        self._keeps_alive = False
+        self._until_close = False
 
-    def _take(self) -> RawReply:
-        reusable = self._keeps_alive and not self._excess
-        reply = RawReply(self._status, tuple(self._headers), b"".join(self._body), reusable)
-        self._reset()
-        return reply
+    def _reply(self, reusable: bool) -> RawReply:
+        return RawReply(self._status, tuple(self._headers), b"".join(self._body), reusable)
 
     # Called by httptools.
 
     def on_message_begin(self) -> None:
-        """Note that bytes follow a complete reply."""
-        if self._done:
-            self._excess = True
+        """Start a reply."""
+        self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header.
@@ -131,42 +129,34 @@
         :param name: its name.
         :param value: its value.
         """
-        if not self._done:
+        if not self._head_done:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Find out how the reply ends."""
-        if self._done:
-            return
-        status = self._parser.get_status_code()
-        if status < 200:
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
             return
         self._head_done = True
-        self._status = status
+        if not self.wants_body:
+            # The parser can't be told and waits for a body, so the connection is not used again.
+            self._replies.append(self._reply(False))
+            return
         names = {name for name, _ in self._headers}
         stated = b"content-length" in names or b"transfer-encoding" in names
-        self._until_close = not stated and status not in NO_BODY
-        if not self.wants_body:
-            # The parser can't be told; the connection is closed, as it would wait for a body.
-            self._until_close = False
-            self._done = True
+        self._until_close = not stated and self._status not in NO_BODY
 
     def on_body(self, data: bytes) -> None:
         """Keep a piece of the body.
 
         :param data: the piece.
         """
-        if not self._done:
-            self._body.append(data)
-            self._body_bytes += len(data)
+        self._body.append(data)
+        self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Note the end of a reply; an interim one is dropped."""
-        if self._done:
-            return
-        if self._head_done:
-            self._done = True
-            # The parser forgets this once the message is over.
-            self._keeps_alive = self._parser.should_keep_alive()
-        else:
-            self._headers.clear()
+        if self._head_done and self.wants_body:
+            # Asked here, as the parser forgets it once the message is over.
+            self._replies.append(self._reply(self._parser.should_keep_alive()))
+        self._begin()
--- /dev/null
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -0,0 +1,246 @@
+"""Connections to searchers, on real sockets."""
+
+import socket
+import unittest
+
+from circuits import BaseComponent
+
+from rhubarbhinge.fleet import Delays, Fleet, ObservedSearcher
+from rhubarbhinge.forward import (
+    CallerRequest,
+    ConnectionPool,
+    Exchange,
+    Lost,
+    NotRun,
+    Outcome,
+    Replied,
+    Why,
+)
+from rhubarbhinge.forward.tests.scripted import PlainDialect, ScriptedSearcher, reply
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.testing import run_until, stop_tree
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.root = BaseComponent()
+        self.timers = TimerService().register(self.root)
+        self.requests: list[tuple[int, bytes]] = []
+        self.searcher = ScriptedSearcher(lambda *request: self.requests.append(request))
+        self.searcher.register(self.root)
+        self.fleet = Fleet(self.timers.now_ms, lambda observed: None)
+        self.most = 2
+        self.pool = ConnectionPool(
+            self.timers, PlainDialect(), lambda observed: self.most, self.fleet.mark_gone
+        ).register(self.root)
+        self.outcomes: dict[str, Outcome] = {}
+        self.addCleanup(stop_tree, self.root)
+        self.observed = self.add(self.searcher.searcher())
+
+    def add(self, searcher) -> ObservedSearcher:
+        self.fleet.put(searcher)
+        return next(o for o in self.fleet.all() if o.searcher == searcher)
+
+    def send(self, name: str, observed=None, useful_ms: float = 60_000.0, priority: int = 1):
+        request = CallerRequest(name, b"GET /x HTTP/1.1\r\nHost: a\r\n", b"", None)
+        now_ms = self.timers.now_ms()
+        exchange = Exchange(
+            observed or self.observed,
+            request,
+            now_ms + 60_000.0,
+            Delays(20.0),
+            priority,
+            now_ms + useful_ms,
+        )
+        return self.pool.send(exchange, lambda outcome: self.outcomes.update({name: outcome}))
+
+    def wait(self, condition) -> None:
+        self.assertTrue(run_until(self.root, condition), "the bound was reached")
+
+    def received(self, count: int) -> list[tuple[int, bytes]]:
+        self.wait(lambda: len(self.requests) >= count)
+        return self.requests
+
+    def answer(self, place: int, data: bytes) -> None:
+        self.searcher.links.send(self.requests[place][0], data)
+
+    def outcome(self, name: str) -> Outcome:
+        self.wait(lambda: name in self.outcomes)
+        return self.outcomes[name]
+
+    def test_a_connection_is_used_again(self):
+        for place, name in enumerate(("r1", "r2", "r3")):
+            self.send(name)
+            self.received(place + 1)
+            self.answer(place, reply(name, name.encode()))
+            self.assertEqual(self.outcome(name).reply.body, name.encode())
+        self.assertEqual(len(self.searcher.accepted), 1)
+
+    def test_a_late_reply_to_another_request_is_passed_over(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r0", b"old") + reply("r1", b"own"))
+        self.assertEqual(self.outcome("r1").reply.body, b"own")
+        self.send("r2")
+        self.received(2)
+        self.assertNotEqual(self.requests[0][0], self.requests[1][0])
+
+    def test_a_reply_without_an_id_is_nobody_s(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        self.assertEqual(self.outcome("r1"), Lost(Why.MALFORMED))
+
+    def test_a_second_reply_is_not_given_to_the_next_request(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r1", b"one") + reply("r1", b"two"))
+        self.assertEqual(self.outcome("r1").reply.body, b"one")
+        self.send("r2")
+        self.received(2)
+        self.answer(1, reply("r2", b"own"))
+        self.assertEqual(self.outcome("r2").reply.body, b"own")
+
+    def test_bytes_on_an_idle_connection_end_it(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r1"))
+        self.outcome("r1")
+        self.answer(0, reply("r1", b"again"))
+        self.wait(lambda: self.searcher.closed)
+        self.assertEqual(self.pool.open_connections, 0)
+
+    def test_another_searcher_at_the_address_means_that_this_one_is_gone(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("", status="421 Misdirected Request"))
+        self.assertEqual(self.outcome("r1"), NotRun(Why.WRONG_SEARCHER))
+        self.assertFalse(self.observed.usable)
+
+    def test_a_refusal_is_not_run(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("", status="503 Service Unavailable", more="Not-Run: 1\r\n"))
+        self.assertEqual(self.outcome("r1"), NotRun(Why.NO_ROOM))
+        self.assertTrue(self.observed.is_avoided(self.timers.now_ms()))
+
+    def test_a_connection_that_ends_before_the_reply_leaves_it_open_whether_it_ran(self):
+        self.send("r1")
+        self.received(1)
+        self.searcher.links.abort(self.requests[0][0])
+        self.assertEqual(self.outcome("r1"), Lost(Why.BROKEN))
+
+    def test_a_reply_that_ends_with_its_connection_is_whole(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, b"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nto the end")
+        self.searcher.links.close(self.requests[0][0])
+        self.assertEqual(self.outcome("r1").reply.body, b"to the end")
+
+    def test_a_reply_cut_by_a_reset_is_not_whole(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            searcher = self.searcher.searcher("i-2")
+            searcher = type(searcher)("i-2", "shard", *server.getsockname(), "hall-a", 2)
+            self.send("r1", self.add(searcher))
+            server.setblocking(False)
+            taken = []
+
+            def accepted() -> bool:
+                try:
+                    taken.append(server.accept()[0])
+                except BlockingIOError:
+                    return False
+                return True
+
+            self.wait(accepted)
+            conn = taken[0]
+            conn.setblocking(False)
+
+            def asked() -> bool:
+                try:
+                    return bool(conn.recv(4_096))
+                except BlockingIOError:
+                    return False
+
+            self.wait(asked)
+            conn.sendall(b"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhalf of")
+            run_until(self.root, lambda: False, 0.1)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            conn.close()
+            self.assertEqual(self.outcome("r1"), Lost(Why.BROKEN))
+
+    def test_a_port_where_nothing_listens_is_down_until_a_connection_is_made(self):
+        port = free_port()
+        gone = type(self.observed.searcher)("i-3", "shard", "127.0.0.1", port, "hall-a", 2)
+        observed = self.add(gone)
+        self.send("r1", observed)
+        self.assertEqual(self.outcome("r1"), NotRun(Why.UNREACHABLE))
+        self.assertTrue(observed.is_down)
+        with socket.create_server(("127.0.0.1", port)):
+            self.pool.open_ahead(observed)
+            self.wait(lambda: not observed.is_down)
+
+    def test_what_exceeds_the_connections_waits_and_the_urgent_goes_first(self):
+        self.most = 1
+        self.send("r1")
+        self.received(1)
+        self.send("r2", priority=2)
+        self.send("r3", priority=0)
+        self.answer(0, reply("r1"))
+        self.received(2)
+        self.assertIn(b"Id: r3", self.requests[1][1])
+        self.answer(1, reply("r3"))
+        self.received(3)
+        self.assertEqual(len(self.searcher.accepted), 1)
+
+    def test_what_waited_too_long_is_not_sent(self):
+        self.most = 1
+        self.send("r1")
+        self.received(1)
+        attempt = self.send("r2", useful_ms=1.0)
+        self.assertFalse(attempt.sent)
+        self.answer(0, reply("r1"))
+        self.assertEqual(self.outcome("r2"), NotRun(Why.TOO_LATE))
+        self.assertEqual(len(self.requests), 1)
+
+    def test_cancelling_stops_the_searcher_and_tells_nothing(self):
+        attempt = self.send("r1")
+        self.received(1)
+        attempt.cancel()
+        self.wait(lambda: self.searcher.closed)
+        self.assertEqual(self.outcomes, {})
+        self.assertEqual(list(self.observed.started_ms), [])
+
+    def test_cancelling_before_it_is_sent_keeps_the_connection(self):
+        attempt = self.send("r1")
+        attempt.cancel()
+        self.wait(lambda: self.searcher.accepted)
+        self.send("r2")
+        self.received(1)
+        self.assertIn(b"Id: r2", self.requests[0][1])
+        self.assertEqual(len(self.searcher.accepted), 1)
+
+    def test_a_searcher_that_leaves_finishes_and_gets_nothing_more(self):
+        self.most = 1
+        self.send("r1")
+        self.received(1)
+        self.send("r2")
+        self.fleet.remove("i-1")
+        self.pool.forget(self.observed)
+        self.assertEqual(self.outcome("r2"), NotRun(Why.LEAVING))
+        self.answer(0, reply("r1"))
+        self.assertIsInstance(self.outcome("r1"), Replied)
+        self.wait(lambda: self.pool.open_connections == 0)
+
+    def test_an_idle_connection_is_closed_before_the_searcher_closes_it(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r1", more="Keep: 400\r\n"))
+        self.outcome("r1")
+        self.wait(lambda: self.searcher.closed)
--- a/rhubarbhinge/forward/tests/test_reply_reader.py
+++ b/rhubarbhinge/forward/tests/test_reply_reader.py
@@ -25,30 +25,39 @@
     @given(st.sampled_from([PLAIN, CHUNKED]), st.lists(st.integers(0, 120), max_size=12))
     def test_a_reply_is_the_same_wherever_it_is_cut(self, data, places):
         reader = ReplyReader()
-        replies = [reader.feed(piece) for piece in cut(data, places)]
-        self.assertEqual([reply for reply in replies[:-1] if reply], [])
-        self.assertEqual(replies[-1].body, b"hello")
-        self.assertTrue(replies[-1].reusable)
+        *before, last = [reader.feed(piece) for piece in cut(data, places)]
+        self.assertEqual([reply for replies in before for reply in replies], [])
+        (reply,) = last
+        self.assertEqual(reply.body, b"hello")
+        self.assertTrue(reply.reusable)
 
     def test_bytes_after_a_reply_end_the_use_of_the_connection(self):
-        for excess in (b"x", PLAIN, b"HTTP/1.1 "):
-            reply = ReplyReader().feed(PLAIN + excess)
-            self.assertEqual(reply.body, b"hello")
-            self.assertFalse(reply.reusable)
+        for excess in (b"x", b"HTTP/1.1 ", PLAIN[:-1], PLAIN + b"x"):
+            replies = ReplyReader().feed(PLAIN + excess)
+            self.assertEqual(replies[0].body, b"hello")
+            self.assertFalse(replies[-1].reusable)
+
+    @given(st.lists(st.integers(0, 300), max_size=12))
+    def test_replies_that_come_together_are_all_read(self, places):
+        reader = ReplyReader()
+        data = PLAIN + CHUNKED + PLAIN.replace(b"hello", b"world")
+        replies = [reply for piece in cut(data, places) for reply in reader.feed(piece)]
+        self.assertEqual([reply.body for reply in replies], [b"hello", b"hello", b"world"])
+        self.assertTrue(replies[-1].reusable)
 
     def test_the_searcher_may_end_the_use_of_the_connection(self):
         data = PLAIN.replace(b"Content", b"Connection: close\r\nContent")
-        self.assertFalse(ReplyReader().feed(data).reusable)
+        self.assertFalse(ReplyReader().feed(data)[0].reusable)
 
     def test_replies_follow_each_other(self):
         reader = ReplyReader()
-        self.assertEqual(reader.feed(PLAIN).body, b"hello")
-        self.assertEqual(reader.feed(CHUNKED).body, b"hello")
-        self.assertEqual(dict(reader.feed(PLAIN).headers)[b"x-request-id"], b"r1")
+        self.assertEqual(reader.feed(PLAIN)[0].body, b"hello")
+        self.assertEqual(reader.feed(CHUNKED)[0].body, b"hello")
+        self.assertEqual(dict(reader.feed(PLAIN)[0].headers)[b"x-request-id"], b"r1")
 
     def test_a_reply_without_length_is_whole_only_after_a_clean_end(self):
         reader = ReplyReader()
-        self.assertIsNone(reader.feed(UNFRAMED))
+        self.assertEqual(reader.feed(UNFRAMED), [])
         reply = reader.finish()
         self.assertEqual(reply.body, b"hello")
         self.assertFalse(reply.reusable)
@@ -56,22 +65,22 @@
     def test_a_reply_that_breaks_off_is_not_whole(self):
         for data in (PLAIN[:-1], CHUNKED[:-3], PLAIN[:30]):
             reader = ReplyReader()
-            self.assertIsNone(reader.feed(data))
+            self.assertEqual(reader.feed(data), [])
             self.assertIsNone(reader.finish())
 
     def test_an_interim_reply_is_passed_over(self):
-        reply = ReplyReader().feed(b"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n" + PLAIN)
+        (reply,) = ReplyReader().feed(b"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n" + PLAIN)
         self.assertEqual((reply.status, reply.body), (200, b"hello"))
         self.assertNotIn(b"x-a", dict(reply.headers))
 
     def test_a_reply_without_body(self):
-        reply = ReplyReader().feed(b"HTTP/1.1 204 No Content\r\n\r\n")
+        (reply,) = ReplyReader().feed(b"HTTP/1.1 204 No Content\r\n\r\n")
         self.assertEqual((reply.status, reply.body), (204, b""))
 
     def test_a_reply_to_head_has_no_body_whatever_its_length_says(self):
         reader = ReplyReader()
         reader.wants_body = False
-        reply = reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        (reply,) = reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
         self.assertEqual((reply.body, reply.reusable), (b"", False))
 
     @given(st.binary(min_size=1, max_size=200))
--- /dev/null
+++ b/rhubarbhinge/gateway/tests/test_split.py
@@ -0,0 +1,33 @@
+"""Sharing requests by weight."""
+
+import unittest
+from collections import Counter
+
+from rhubarbhinge.gateway import Splitter
+from rhubarbhinge.plans import Route, WeightedService
+
+
+def route(**weights: float) -> Route:
+    parts = tuple(WeightedService(name, weight) for name, weight in weights.items())
+    return Route("r", "a", "/", True, 1_000.0, 100.0, 1, 2, parts)
+
+
+class SplitterTest(unittest.TestCase):
+    def test_every_stretch_has_its_share(self):
+        splitter, shared = Splitter(), route(a=0.7, b=0.2, c=0.1)
+        chosen = [splitter.next(shared) for _ in range(1_000)]
+        for start in range(0, 1_000, 50):
+            counts = Counter(chosen[start : start + 50])
+            for name, weight in (("a", 0.7), ("b", 0.2), ("c", 0.1)):
+                self.assertAlmostEqual(counts[name], 50 * weight, delta=1.01)
+
+    def test_new_services_start_anew(self):
+        splitter = Splitter()
+        for _ in range(7):
+            splitter.next(route(a=0.9, b=0.1))
+        counts = Counter(splitter.next(route(a=0.5, d=0.5)) for _ in range(10))
+        self.assertEqual(counts, {"a": 5, "d": 5})
+
+    def test_a_service_without_weight_gets_nothing(self):
+        splitter = Splitter()
+        self.assertEqual({splitter.next(route(a=1.0, b=0.0)) for _ in range(20)}, {"a"})
--- /dev/null
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -0,0 +1,140 @@
+"""Following what is published: never back, and nothing dropped too early or too late."""
+
+import random
+import unittest
+
+from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.plans import CallerLimits, ServingPlan
+from rhubarbhinge.published import Changes, Follower, ReadFault, Snapshot
+from rhubarbhinge.utils.fake_timers import FakeTimers
+
+
+def plan(version: int) -> ServingPlan:
+    return ServingPlan(version, (), {}, CallerLimits())
+
+
+def searcher(name: str, draining: bool = False) -> Searcher:
+    return Searcher(name, "shard", "10.0.0.1", 80, "hall-a", 2, draining)
+
+
+class FakeSource:
+    """Keeps what was asked, for the test to answer."""
+
+    def __init__(self):
+        self.asked: list[str] = []
+        self.answer = None
+
+    def read_all(self, on_done) -> None:
+        self.asked.append("all")
+        self.answer = on_done
+
+    def wait_for_changes(self, after_revision, on_done) -> None:
+        self.asked.append(f"after {after_revision}")
+        self.answer = on_done
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = FakeTimers()
+        self.source = FakeSource()
+        self.fleet = Fleet(self.timers.now_ms, lambda observed: None)
+        self.plans: list[int] = []
+        self.follower = Follower(
+            self.timers,
+            self.source,
+            self.fleet,
+            random.Random(1),
+            lambda new: self.plans.append(new.version),
+        )
+        self.follower.start()
+
+    def answer(self, outcome) -> None:
+        self.source.answer(outcome)
+
+    def known(self) -> list[str]:
+        return sorted(one.searcher.incarnation for one in self.fleet.all())
+
+    def listed(self) -> None:
+        self.answer(Snapshot(10, plan(3), (searcher("i-1"), searcher("i-2"))))
+
+    def fail_and_return(self, outcome) -> None:
+        self.answer(ReadFault("timeout"))
+        self.timers.advance(200.0)
+        self.answer(outcome)
+
+    def test_a_list_and_its_changes_are_followed(self):
+        self.listed()
+        self.assertEqual(self.source.asked, ["all", "after 10"])
+        self.answer(Changes(12, plan(5), (searcher("i-3"),), ("i-1",)))
+        self.assertEqual((self.plans, self.known()), ([3, 5], ["i-2", "i-3"]))
+        self.timers.advance(200.0)
+        self.assertEqual(self.source.asked[-1], "after 12")
+
+    def test_the_version_never_goes_back(self):
+        self.listed()
+        self.answer(Changes(12, plan(2)))
+        self.follower.offer(Snapshot(20, plan(1), ()), 0.0)
+        self.assertEqual(self.plans, [3])
+
+    def test_an_older_state_of_a_peer_changes_nothing(self):
+        self.listed()
+        self.follower.offer(Snapshot(9, plan(9), (searcher("i-9"),)), 0.0)
+        self.assertEqual((self.plans, self.known()), ([3], ["i-1", "i-2"]))
+
+    def test_a_newer_state_of_a_peer_is_taken(self):
+        self.answer(ReadFault("status-503"))
+        self.assertTrue(self.follower.needs_peers)
+        self.follower.offer(Snapshot(15, plan(4), (searcher("i-9"),)), 100.0)
+        self.assertEqual((self.plans, self.known()), ([4], ["i-9"]))
+        self.assertTrue(self.follower.is_current())
+
+    def test_a_failed_read_keeps_the_state_and_is_repeated_with_growing_pauses(self):
+        self.listed()
+        for _ in range(6):
+            self.answer(ReadFault("timeout"))
+            self.timers.advance(1_400.0)
+        self.assertEqual(self.known(), ["i-1", "i-2"])
+        self.assertEqual(len(self.source.asked), 8)
+        self.answer(ReadFault("status-429", overloaded=True))
+        self.timers.advance(300.0)
+        self.assertEqual(len(self.source.asked), 8)
+
+    def test_lost_history_is_listed_again_at_once(self):
+        self.listed()
+        self.answer(ReadFault("status-410", history_lost=True))
+        self.assertEqual(self.source.asked[-1], "all")
+        self.answer(Snapshot(30, plan(4), (searcher("i-2"),)))
+        self.assertEqual(self.known(), ["i-2"])
+
+    def test_entries_that_lapsed_while_the_platform_was_away_may_come_back(self):
+        self.listed()
+        self.fail_and_return(Changes(20, None, (), ("i-1", "i-2")))
+        self.assertEqual(self.known(), ["i-1", "i-2"])
+        self.timers.advance(200.0)
+        self.answer(Changes(21, None, (searcher("i-1"),)))
+        self.timers.advance(2_500.0)
+        self.assertEqual(self.known(), ["i-1"])
+
+    def test_an_entry_that_goes_long_after_the_return_is_gone_at_once(self):
+        self.listed()
+        self.fail_and_return(Changes(20))
+        self.timers.advance(2_100.0)
+        self.answer(Changes(22, None, (), ("i-1",)))
+        self.assertEqual(self.known(), ["i-2"])
+
+    def test_without_an_answer_the_state_is_no_longer_current(self):
+        self.assertFalse(self.follower.is_current())
+        self.listed()
+        self.timers.advance(6_000.0)
+        self.assertTrue(self.follower.is_current())
+        self.timers.advance(2_000.0)
+        self.assertFalse(self.follower.is_current())
+        self.follower.on_peer_revision(10, 50.0)
+        self.assertTrue(self.follower.is_current())
+
+    def test_a_peer_that_is_behind_confirms_nothing(self):
+        self.listed()
+        self.timers.advance(8_000.0)
+        self.follower.on_peer_revision(9, 50.0)
+        self.follower.on_peer_revision(10, -1.0)
+        self.assertFalse(self.follower.is_current())
