--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 	$(BIN)/python -m tools.run_tests
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet rhubarbhinge standins tools
-	$(BIN)/ruff check rhubarbhinge standins tools
+	$(BIN)/black --check --quiet rhubarbhinge platform deploy standins tools
+	$(BIN)/ruff check rhubarbhinge platform deploy standins tools
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix --quiet rhubarbhinge standins tools
-	$(BIN)/black --quiet rhubarbhinge standins tools
+	$(BIN)/ruff check --fix --quiet rhubarbhinge platform deploy standins tools
+	$(BIN)/black --quiet rhubarbhinge platform deploy standins tools
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
--- /dev/null
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -0,0 +1,127 @@
+"""Asks between two entries, on real sockets."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from circuits import BaseComponent
+
+from rhubarbhinge.delegation import Answer, Ask, AskServer, Delegates
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import Surroundings
+from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
+from rhubarbhinge.net import Links
+from rhubarbhinge.peers import Heartbeat, PeerTable
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.testing import run_until, stop_tree
+
+ASK = Ask(0, "r1", b"GET /x HTTP/1.1\r\n", b"", "route", ("s0", "s1"), 2, 1, 2, 5e4, 4e4, 5e4)
+
+
+class DelegationTest(unittest.TestCase):
+    def setUp(self):
+        self.root = BaseComponent()
+        self.timers = TimerService().register(self.root)
+        self.world = FakeWorld(services=("s0", "s1"))
+        around = self.world.around
+        around = Surroundings(
+            self.timers, around.fleet, around.preference, around.budget, around.send
+        )
+        self.server = AskServer(
+            self.timers,
+            around,
+            lambda ask, delays: self.world.terms(hedge_ms=None),
+            lambda route, target_ms: Delays(20.0),
+            ("127.0.0.1", 0),
+        ).register(self.root)
+        self.addCleanup(stop_tree, self.root)
+        self.answers: list[Answer | None] = []
+
+    def delegates(self, port: int) -> Delegates:
+        table = PeerTable("10.0.0.1", ())
+        beat = Heartbeat("vm-2", "127.0.0.1", "hall-b", 1, 0.0, False, False, ())
+        table.on_heartbeat(beat, self.timers.now_ms())
+        self.table = table
+        return Delegates(self.timers, table, port, random.Random(1)).register(self.root)
+
+    def wait(self, condition) -> None:
+        self.assertTrue(run_until(self.root, condition), "the bound was reached")
+
+    def open(self, delegates: Delegates) -> str:
+        self.wait(lambda: delegates.choose("hall-b") is not None)
+        return delegates.choose("hall-b")
+
+    def asked(self) -> Delegates:
+        delegates = self.delegates(self.server._links.bound_port)
+        self.ask = delegates.ask(self.open(delegates), ASK, self.answers.append)
+        self.wait(lambda: len(self.world.attempts) == 2)
+        return delegates
+
+    def test_the_parts_of_all_shards_come_back_merged(self):
+        self.asked()
+        for attempt in self.world.attempts:
+            record = attempt.service.encode() * 8
+            attempt.end(replied(body=record, signature=f"sig-{attempt.service}"))
+        self.wait(lambda: self.answers)
+        answer = self.answers[0]
+        self.assertEqual(answer.services, ("s0", "s1"))
+        self.assertEqual(answer.signatures, ("sig-s0", "sig-s1"))
+        self.assertEqual(answer.body, b"s1" * 8 + b"s0" * 8)
+        self.assertEqual(self.server.open_asks, 0)
+
+    def test_a_shard_without_searchers_comes_back_untried(self):
+        for name in ("s1-1", "s1-2"):
+            self.world.observed(name).on_unreachable(0.0)
+        delegates = self.delegates(self.server._links.bound_port)
+        delegates.ask(self.open(delegates), ASK, self.answers.append)
+        self.wait(lambda: len(self.world.attempts) == 1)
+        self.world.attempts[0].end(replied())
+        self.wait(lambda: self.answers)
+        self.assertEqual(self.answers[0].untried, ("s1",))
+
+    def test_the_time_to_answer_brings_what_there_is(self):
+        delegates = self.delegates(self.server._links.bound_port)
+        address = self.open(delegates)
+        delegates.ask(address, replace(ASK, answer_in_ms=50.0), self.answers.append)
+        self.wait(lambda: len(self.world.attempts) == 2)
+        self.world.attempts[0].end(replied())
+        self.wait(lambda: self.answers)
+        self.assertEqual(self.answers[0].services, (self.world.attempts[0].service,))
+        self.assertTrue(self.answers[0].may_have_run)
+        self.assertTrue(self.world.attempts[1].cancelled)
+
+    def test_cancelling_stops_the_searchers(self):
+        self.asked()
+        self.ask.cancel()
+        self.wait(lambda: all(attempt.cancelled for attempt in self.world.attempts))
+        self.assertEqual((self.answers, self.server.open_asks), ([], 0))
+
+    def test_an_entry_that_does_not_take_the_ask_has_failed(self):
+        silent = Links(
+            lambda link, inbound: None,
+            lambda link, data: None,
+            lambda link, reason: None,
+            ("127.0.0.1", 0),
+        ).register(self.root)
+        delegates = self.delegates(silent.bound_port)
+        delegates.ask(self.open(delegates), ASK, self.answers.append)
+        self.wait(lambda: self.answers)
+        self.assertEqual(self.answers, [None])
+        self.assertIsNone(delegates.choose("hall-b"))
+
+    def test_an_entry_that_goes_away_has_failed_and_its_searchers_stop(self):
+        delegates = self.asked()
+        for link in list(self.server._by_link):
+            self.server._links.abort(link)
+        self.wait(lambda: self.answers)
+        self.assertEqual(self.answers, [None])
+        self.wait(lambda: all(attempt.cancelled for attempt in self.world.attempts))
+        self.assertIsNone(delegates.choose("hall-b"))
+
+    def test_an_entry_that_leaves_is_not_asked(self):
+        delegates = self.delegates(self.server._links.bound_port)
+        self.open(delegates)
+        beat = Heartbeat("vm-2", "127.0.0.1", "hall-b", 1, 0.0, True, False, ())
+        self.table.on_heartbeat(beat, self.timers.now_ms())
+        self.assertIsNone(delegates.choose("hall-b"))
+        self.assertIsNone(delegates.choose("hall-c"))
--- /dev/null
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -0,0 +1,170 @@
+"""What callers are answered, and when."""
+
+import random
+import unittest
+
+from rhubarbhinge.forward import CallerRequest, Lost, NotRun, SearcherReply, Why
+from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
+from rhubarbhinge.gateway import Gateway
+from rhubarbhinge.gather import FarSearch
+from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
+from rhubarbhinge.telemetry import Metrics
+from rhubarbhinge.web import Request, Responder, Response
+
+SHARDS = ("s0", "s1", "s2", "s3")
+ONCE = Route("once", "a", "/once/", False, 500.0, 100.0, 1, 2, (WeightedService("one", 1.0),))
+ONE = Route("one", "a", "/one/", True, 500.0, 100.0, 1, 2, (WeightedService("one", 1.0),))
+ALL = Route("all", "a", "/all/", True, 500.0, 100.0, 1, 2, (), ShardSet(SHARDS, 2, 0.75))
+
+
+class FakeDialect:
+    def caller_request(self, request: Request) -> CallerRequest:
+        wait_ms = request.headers.get("wait")
+        return CallerRequest("r1", b"", request.body, float(wait_ms) if wait_ms else None)
+
+    def passed_on(self, reply: SearcherReply) -> Response:
+        return Response(reply.status, reply.body)
+
+    def merged(self, signatures: tuple[str, ...], missing: int, body: bytes) -> Response:
+        return Response(200, body, (("missing", str(missing)),))
+
+
+class FakeFollower:
+    def __init__(self):
+        self.plan: ServingPlan | None = ServingPlan(1, (ONCE, ONE, ALL), {}, CallerLimits())
+        self.current = True
+
+    def is_current(self) -> bool:
+        return self.current
+
+    def age_ms(self) -> float:
+        return 0.0
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.world = FakeWorld(services=("one", *SHARDS))
+        self.follower = FakeFollower()
+        self.answers: list[Response] = []
+        far = FarSearch(lambda request, terms, served: {}, None)
+        self.gateway = Gateway(
+            self.world.around, FakeDialect(), self.follower, Metrics(), random.Random(1), far
+        )
+
+    def ask(self, path: str, wait_ms: float | None = None) -> Responder:
+        headers = {"host": "a", **({"wait": str(wait_ms)} if wait_ms else {})}
+        request = Request("GET", path, {}, headers, b"", "10.0.0.1", path)
+        responder = Responder(self.answers.append)
+        self.gateway.handle(request, responder)
+        return responder
+
+    def status(self) -> int:
+        self.assertEqual(len(self.answers), 1)
+        return self.answers[0].status
+
+    def retry_after(self) -> float:
+        return float(dict(self.answers[0].headers)["Retry-After"])
+
+    def test_without_a_plan_a_request_is_refused_and_never_unknown(self):
+        self.follower.plan = None
+        self.ask("/one/x")
+        self.assertEqual(self.status(), 503)
+        self.assertLess(self.retry_after(), 1.0)
+
+    def test_an_unknown_route_is_404_only_while_the_plan_is_current(self):
+        self.ask("/none/")
+        self.assertEqual(self.status(), 404)
+        self.answers.clear()
+        self.follower.current = False
+        self.ask("/none/")
+        self.assertEqual(self.status(), 503)
+
+    def test_a_reply_is_passed_on(self):
+        self.ask("/one/x")
+        self.world.attempts[0].end(replied(body=b"whole"))
+        self.assertEqual((self.status(), self.answers[0].body), (200, b"whole"))
+
+    def test_a_searcher_s_refusal_status_without_its_word_is_not_passed_on(self):
+        for status in (503, 429, 408, 421):
+            self.answers.clear()
+            self.world.attempts.clear()
+            self.ask("/once/x")
+            self.world.attempts[0].end(replied(status))
+            self.assertEqual(self.status(), 502)
+
+    def test_what_was_refused_by_all_is_refused_with_a_time_to_come_back(self):
+        self.ask("/once/x")
+        for _ in range(4):
+            self.world.attempts[-1].end(NotRun(Why.NO_ROOM))
+            self.world.timers.advance(25.0)
+        self.assertEqual(self.status(), 503)
+        self.assertGreater(self.retry_after(), 0.0)
+
+    def test_what_may_have_run_is_never_called_refused(self):
+        self.ask("/once/x")
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.assertEqual(self.status(), 502)
+
+    def test_the_route_s_time_ends_the_wait_and_the_searcher(self):
+        self.ask("/once/x")
+        self.world.timers.advance(499.0)
+        self.assertEqual(self.answers, [])
+        self.world.timers.advance(2.0)
+        self.assertEqual(self.status(), 504)
+        self.assertTrue(self.world.attempts[0].cancelled)
+
+    def test_the_caller_s_time_ends_it_sooner(self):
+        self.ask("/one/x", wait_ms=100.0)
+        self.world.timers.advance(99.0)
+        self.assertEqual(self.status(), 504)
+
+    def test_what_was_never_sent_is_refused_when_its_time_is_over(self):
+        self.world.unsent_next = True
+        self.ask("/once/x")
+        self.world.timers.advance(501.0)
+        self.assertEqual(self.status(), 503)
+
+    def test_a_caller_that_leaves_stops_the_searchers(self):
+        for path in ("/one/x", "/all/x"):
+            self.world.attempts.clear()
+            responder = self.ask(path)
+            responder.abandon()
+            self.assertTrue(all(attempt.cancelled for attempt in self.world.attempts))
+            self.world.timers.advance(1_000.0)
+        self.assertEqual(self.answers, [])
+
+    def test_a_search_is_answered_with_what_is_there_before_the_objective(self):
+        self.ask("/all/x")
+        for attempt in self.world.attempts[:3]:
+            attempt.end(replied(signature=attempt.service))
+        self.world.timers.advance(95.0)
+        self.assertEqual(self.status(), 200)
+        self.assertEqual(dict(self.answers[0].headers)["missing"], "1")
+
+    def test_a_search_with_too_few_shards_in_reach_is_refused_at_once(self):
+        for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
+            self.world.observed(name).on_unreachable(0.0)
+        self.ask("/all/x")
+        self.world.timers.advance(0.0)
+        self.assertEqual((self.status(), self.world.attempts), (503, []))
+
+    def test_an_entry_that_reaches_too_few_searchers_can_not_serve(self):
+        self.assertTrue(self.gateway.can_serve())
+        for _ in range(3):
+            self.ask("/all/x")
+        for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
+            self.world.observed(name).on_unreachable(0.0)
+        self.assertFalse(self.gateway.can_serve())
+        for _ in range(5):
+            self.ask("/one/x")
+        self.assertTrue(self.gateway.can_serve())
+
+    def test_a_request_keeps_to_the_plan_that_it_was_read_under(self):
+        self.ask("/all/x")
+        newer = Route("all", "a", "/all/", True, 500.0, 100.0, 1, 2, (), ShardSet(("t0",), 2, 1.0))
+        self.follower.plan = ServingPlan(2, (newer,), {}, CallerLimits())
+        self.gateway.on_plan(self.follower.plan)
+        for attempt in list(self.world.attempts):
+            attempt.end(replied(signature=attempt.service))
+        self.assertEqual(dict(self.answers[0].headers)["missing"], "0")
+        self.assertEqual({attempt.service for attempt in self.world.attempts}, set(SHARDS))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,6 +6,9 @@
 
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
 KNOWN_RED_MOST = 3
+PACKAGES = ("rhubarbhinge", "standins", "tools")
+ADAPTER = "platform"
+"""Folder of the adapter's package; no package itself, as the standard library has its name."""
 
 
 def main() -> int:
@@ -13,6 +16,7 @@
 
     :returns: 0 when nothing failed but what KNOWN-RED.txt lists, else 1.
     """
+    sys.path.insert(0, ADAPTER)
     suite = _suite(sys.argv[1:])
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     known = _known_red()
@@ -38,9 +42,11 @@
     if names:
         return loader.loadTestsFromNames(names)
     suite = unittest.TestSuite()
-    for package in ("rhubarbhinge", "standins", "tools"):
+    for package in PACKAGES:
         for folder in sorted(Path(package).rglob("tests")):
             suite.addTests(loader.discover(str(folder), top_level_dir="."))
+    for folder in sorted(Path(ADAPTER).rglob("tests")):
+        suite.addTests(loader.discover(str(folder), top_level_dir=ADAPTER))
     return suite
 
 
