--- /dev/null
+++ b/standins/operators/__init__.py
@@ -0,0 +1,15 @@
+"""Stand-ins of the operators' platform: its store, its searchers, and a deployment of entries."""
+
+from standins.operators._deployment import Deployment, EntryProcess
+from standins.operators._model import CompactedError, StoreModel
+from standins.operators._searcher import Searcher
+from standins.operators._store import Store
+
+__all__ = [
+    "CompactedError",
+    "Deployment",
+    "EntryProcess",
+    "Searcher",
+    "Store",
+    "StoreModel",
+]
--- /dev/null
+++ b/standins/operators/_searcher.py
@@ -0,0 +1,109 @@
+"""A searcher on a port."""
+
+import asyncio
+import hashlib
+
+from standins.http import Connection, Reply, Request, Server
+
+RECORD_BYTES = 16
+
+
+class Searcher:
+    """Answers each request with records that follow from its service's name.
+
+    :param incarnation: its id.
+    :param service: its service.
+    :ivar delay_ms: how long a request takes.
+    :ivar refuses: whether it has no room.
+    :ivar arrivals: ids of the requests that it got, in order.
+    :ivar ran: ids of those that it executed to the end.
+    :ivar left: ids of those whose caller left first.
+    """
+
+    def __init__(self, incarnation: str, service: str) -> None:
+        self.incarnation = incarnation
+        self.service = service
+        self.delay_ms = 2.0
+        self.refuses = False
+        self.arrivals: list[str] = []
+        self.ran: list[str] = []
+        self.left: list[str] = []
+        self.port = 0
+        self._server = Server(self._requested, self._gone, lambda count: 0.0)
+        self._open: dict[Connection, tuple[str, asyncio.TimerHandle]] = {}
+
+    def listen(self) -> int:
+        """Start.
+
+        :returns: the port.
+        """
+        self.port = self._server.listen("127.0.0.1", 0)
+        return self.port
+
+    def close(self) -> None:
+        """Refuse new connections."""
+        self._server.stop_listening()
+
+    def entry(self, draining: bool = False) -> dict:
+        """Describe it as the store does.
+
+        :param draining: whether it is about to leave.
+        :returns: the entry.
+        """
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "hall-a",
+            "version": "v1",
+            "capacity": 4,
+            "state": "draining" if draining else "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
+        }
+
+    @staticmethod
+    def records(service: str, request_id: str, count: int = 5) -> list[bytes]:
+        """Work out the records of an answer.
+
+        :param service: the searcher's service.
+        :param request_id: the request.
+        :param count: how many.
+        :returns: the records, in no particular order.
+        """
+        texts = (f"{service}/{request_id}/{place}" for place in range(count))
+        return [hashlib.md5(text.encode()).digest() for text in texts]
+
+    def signature(self, request_id: str) -> str:
+        """Sign an answer.
+
+        :param request_id: the request.
+        :returns: the signature.
+        """
+        return f"{self.service}.{request_id}"
+
+    def _requested(self, connection: Connection, request: Request) -> None:
+        if request.headers.get("x-target-instance") != self.incarnation:
+            connection.reply(Reply(421))
+            return
+        request_id = request.headers.get("x-request-id", "")
+        self.arrivals.append(request_id)
+        if self.refuses:
+            connection.reply(Reply(503, b"", (("X-Not-Executed", "1"),)))
+            return
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self.delay_ms / 1e3, self._done, connection, request_id)
+        self._open[connection] = (request_id, timer)
+
+    def _done(self, connection: Connection, request_id: str) -> None:
+        del self._open[connection]
+        self.ran.append(request_id)
+        headers = (
+            ("X-Request-Id", request_id),
+            ("X-Response-Seal", self.signature(request_id)),
+        )
+        connection.reply(Reply(200, b"".join(self.records(self.service, request_id)), headers))
+
+    def _gone(self, connection: Connection) -> None:
+        request_id, timer = self._open.pop(connection)
+        timer.cancel()
+        self.left.append(request_id)
--- /dev/null
+++ b/standins/tests/test_live_operators.py
@@ -0,0 +1,197 @@
+"""Entries as processes on a stand-in of the operators' platform."""
+
+import signal
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+
+from standins.fleet import wait_until
+from standins.operators import Deployment, EntryProcess, Searcher
+
+SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
+
+
+def config(version: int, shards: tuple[str, ...] = SHARDS, **routes: str) -> dict:
+    """Make a configuration: a search, a record fetch, and more routes to services."""
+    common = {"host": "desk.example", "timeout_ms": 5_000, "target_latency_ms": 2_000}
+    entries = [
+        {
+            "name": "search",
+            "path_prefix": "/search/",
+            "route_type": "idempotent",
+            "priority": 1,
+            "gather": list(shards),
+            "max_attempts": 2,
+            "top_k": 7,
+            "min_success_ratio": 0.75,
+        }
+    ]
+    entries += [
+        {
+            "name": name,
+            "path_prefix": f"/{name}/",
+            "route_type": "non_idempotent" if name == "once" else "idempotent",
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+        }
+        for name, service in {"once": "store", **routes}.items()
+    ]
+    services = {*shards, "store", *routes.values()}
+    return {
+        "version": version,
+        "routes": [{**common, **entry} for entry in entries],
+        "services": [
+            {"name": name, "health_path": "/health", "max_connections": 40}
+            for name in sorted(services)
+        ],
+        "limits": {},
+    }
+
+
+class OperatorsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = Deployment(Path(folder.name))
+        self.addCleanup(self.deployment.close)
+        self.deployment.put("op/config", config(3))
+        for service in (*SHARDS, "store"):
+            for place in (1, 2):
+                self.deployment.add_searcher(f"i-{service}-{place}", service)
+
+    def start(self, count: int = 1, read_log: bool = True) -> list[EntryProcess]:
+        entries = [self.deployment.start_entry(read_log) for _ in range(count)]
+        for entry in entries:
+            self.assertTrue(wait_until(entry.is_ready), entry.log())
+            if read_log:
+                self.assertTrue(entry.wait_log("event=searcher-published", 10), entry.log())
+        return entries
+
+    def searcher(self, service: str, place: int = 1) -> Searcher:
+        return self.deployment.searchers[f"i-{service}-{place}"]
+
+    def check_search(self, entry: EntryProcess, request_id: str, shards=SHARDS) -> None:
+        answer = entry.ask("/search/x", request_id)
+        self.assertEqual(answer.status, 200, entry.log())
+        records = [one for name in shards for one in Searcher.records(name, request_id)]
+        self.assertEqual(answer.body, b"".join(sorted(records, reverse=True)[:7]))
+        signatures = answer.headers["x-part-seals"].split(", ")
+        self.assertEqual(sorted(signatures), sorted(f"{name}.{request_id}" for name in shards))
+
+    def test_a_search_and_a_fetch(self):
+        (entry,) = self.start()
+        self.check_search(entry, "r1")
+        answer = entry.ask("/once/x", "r2")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["x-response-seal"], "store.r2")
+        self.assertEqual(answer.body, b"".join(Searcher.records("store", "r2")))
+        self.assertEqual(entry.ask("/none/x", "r3").status, 404)
+        self.assertIn("query_latency_ms", entry.metrics())
+
+    def test_a_configuration_is_followed_and_never_taken_back(self):
+        (entry,) = self.start()
+        self.deployment.add_searcher("i-new", "new")
+        self.deployment.put("op/config", config(5, added="new"))
+        self.assertTrue(wait_until(lambda: entry.ask("/added/x", "r1").status == 200), entry.log())
+        self.deployment.put("op/config", config(4))
+        self.deployment.add_searcher("i-later", "new")
+        self.assertTrue(entry.wait_log("searcher=i-later"), entry.log())
+        self.assertEqual(entry.ask("/added/x", "r2").status, 200)
+
+    def test_shards_are_cut_anew_under_searches(self):
+        (entry,) = self.start()
+        self.check_search(entry, "r1")
+        fresh = tuple(f"fresh-{place}" for place in range(6))
+        for service in fresh:
+            self.deployment.add_searcher(f"i-{service}", service)
+        self.deployment.put("op/config", config(9, fresh))
+        self.assertTrue(entry.wait_log("event=plan-adopted version=9"), entry.log())
+        self.check_search(entry, "r2", fresh)
+
+    def test_a_draining_searcher_gets_nothing_new(self):
+        (entry,) = self.start()
+        leaving = self.searcher("store")
+        self.deployment.put(f"servers/{leaving.incarnation}", leaving.entry(draining=True))
+        self.assertTrue(entry.wait_log("draining=true"), entry.log())
+        before = len(leaving.arrivals)
+        for number in range(10):
+            self.assertEqual(entry.ask("/once/x", f"r{number}").status, 200)
+        self.assertEqual(len(leaving.arrivals), before)
+
+    def test_lost_history_is_listed_again(self):
+        (entry,) = self.start()
+
+        self.deployment.forget_history("servers/i-store-1")
+        self.assertTrue(entry.wait_log("event=searcher-gone searcher=i-store-1"), entry.log())
+        self.assertEqual(entry.ask("/once/x", "r1").status, 200)
+
+    def test_refusals_by_all_searchers_are_not_run(self):
+        (entry,) = self.start()
+        for place in (1, 2):
+            self.searcher("store", place).refuses = True
+        answer = entry.ask("/once/x", "r1")
+        self.assertEqual(answer.status, 503, entry.log())
+        self.assertIn("retry-after", answer.headers)
+        for place in (1, 2):
+            self.assertEqual(self.searcher("store", place).ran, [])
+
+    def test_a_caller_that_leaves_stops_every_searcher(self):
+        (entry,) = self.start()
+        for service in SHARDS:
+            for place in (1, 2):
+                self.searcher(service, place).delay_ms = 60_000.0
+        self.assertEqual(entry.ask("/search/x", "r1", leave_s=0.5).status, 0)
+        everyone = [self.searcher(name, place) for name in SHARDS for place in (1, 2)]
+
+        def stopped() -> bool:
+            started = sum(len(one.arrivals) for one in everyone)
+            return started > 0 and sum(len(one.left) for one in everyone) == started
+
+        self.assertTrue(wait_until(stopped), entry.log())
+
+    def test_a_stop_answers_what_is_in_flight(self):
+        (entry,) = self.start()
+        for place in (1, 2):
+            self.searcher("store", place).delay_ms = 1_500.0
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(entry.ask("/once/x", "r1")))
+        thread.start()
+        arrived = wait_until(
+            lambda: any("r1" in self.searcher("store", place).arrivals for place in (1, 2))
+        )
+        self.assertTrue(arrived)
+        entry.signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: not entry.is_ready()))
+        self.assertEqual(entry.ask("/search/x", "r2").status, 200)
+        thread.join(20.0)
+        self.assertEqual(answers[0].status, 200, entry.log())
+        self.assertEqual(entry.stop(), 0)
+        self.assertIn("event=stopped open_requests=0 late=false", entry.log())
+
+    def test_an_entry_that_the_store_turns_away_learns_from_its_peers(self):
+        first, second = self.start(2)
+        self.assertTrue(second.wait_log("event=peer-regained"), second.log())
+        self.deployment.turn_away(second)
+        self.deployment.put("op/config", config(7))
+        self.assertTrue(first.wait_log("event=plan-adopted version=7"), first.log())
+        self.assertTrue(second.wait_log("event=plan-adopted version=7"), second.log())
+        self.assertIn("event=peer-pulled", second.log())
+        third = self.deployment.start_entry(store_up=False)
+        self.assertTrue(wait_until(third.is_ready), third.log())
+
+    def test_settings_are_read_again_and_faulty_ones_are_refused(self):
+        (entry,) = self.start()
+        entry.write_settings(ratio=0.3)
+        entry.signal(signal.SIGHUP)
+        self.assertTrue(entry.wait_log("changed=retry_budget"), entry.log())
+        entry.write_settings("broken = = 1")
+        self.assertTrue(entry.wait_log("event=settings-refused"), entry.log())
+        self.check_search(entry, "r1")
+
+    def test_an_entry_whose_output_nobody_reads_serves_on(self):
+        (entry,) = self.start(read_log=False)
+        for number in range(400):
+            self.assertEqual(entry.ask("/none/x", f"r{number}").status, 404)
+        self.check_search(entry, "last")
