gateway: refused callers come back when the balancer has moved them; watches with longer pauses

Change: while an entry can't serve, Retry-After is the time until the balancer has moved; watches pause 300 ms in place of 150.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -45,6 +45,8 @@
 """How often the entry looks whether it can serve; the balancer asks once a second."""
 NO_PLAN_WAIT_MS = 600.0
 """Callers wait this long for the first plan, which takes 30 ms; then they are refused at once."""
+BALANCER_MS = 2_200.0
+"""The balancer asks once a second and sends callers elsewhere after two misses."""
 REACH_AGAIN_MS = 250.0
 """How often a connection is tried to searchers that could not be reached; no request waits."""
 MOST_CALLER_CONNECTIONS = 2_500
@@ -91,6 +93,7 @@
         self._settings = settings = read_settings()
         self._stopping = False
         self._serving = False
+        self._moved_at_ms = 0.0
         self._stop_by_ms = 0.0
         self._quiet_at_ms = 0.0
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
@@ -128,7 +131,15 @@
             self.timers, self._peers.table, settings.ask_port, self._rng
         ).register(self)
         far = far_search(settings.failure_domain, around, delegates, self._rng)
-        self._gateway = Gateway(around, dialect, self._follower, self._metrics, self._rng, far)
+        self._gateway = Gateway(
+            around,
+            dialect,
+            self._follower,
+            self._metrics,
+            self._rng,
+            far,
+            self._moving_ms,
+        )
         self._asks = AskServer(
             self.timers,
             around,
@@ -226,11 +237,16 @@
             if observed.is_down and observed.usable:
                 self._pool.open_ahead(observed)
 
+    def _moving_ms(self) -> float:
+        """Tell when the balancer will have sent callers elsewhere, as this entry can't serve."""
+        return max(0.0, self._moved_at_ms - self.timers.now_ms())
+
     def _check_serving(self) -> None:
         serving = self._gateway.can_serve()
         if serving == self._serving:
             return
         self._serving = serving
+        self._moved_at_ms = 0.0 if serving else self.timers.now_ms() + BALANCER_MS
         self._callers.close_after_answers(not serving)
         unreachable = sum(observed.is_down for observed in self._fleet.all())
         log_event("serving-changed", serving=serving, searchers_unreachable=unreachable)
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -53,6 +53,7 @@
     :param metrics: counts.
     :param rng: spreads what is said to callers.
     :param far: how other entries are asked for the shards near them.
+    :param moving_ms: gives the time until callers are sent to other entries, 0 when they aren't.
     """
 
     def __init__(
@@ -63,8 +64,10 @@
         metrics: Metrics,
         rng: random.Random,
         far: FarSearch,
+        moving_ms: Callable[[], float],
     ):
         self._around = surroundings
+        self._moving_ms = moving_ms
         self._far = far
         self._dialect = dialect
         self._follower = follower
@@ -290,7 +293,11 @@
             self._answer(answer, "no-shards", missing)
 
     def _refusal(self, code: str, message: str) -> Response:
-        pause_ms = max(LEAST_RETRY_AFTER_MS, RETRY_AFTER_SHARE * self._route.target_latency_ms)
+        pause_ms = max(
+            LEAST_RETRY_AFTER_MS,
+            RETRY_AFTER_SHARE * self._route.target_latency_ms,
+            self._gateway._moving_ms(),
+        )
         return refused(code, message, pause_ms * self._gateway._rng.uniform(0.8, 1.2))
 
     def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -18,7 +18,7 @@
 """Longest pause; the platform promises to have lapsed entries back two seconds after its return."""
 OVERLOAD_BACKOFF_MS = 500.0
 """Least pause after the platform asked for fewer calls."""
-WATCH_PAUSE_MS = 150.0
+WATCH_PAUSE_MS = 300.0
 """Pause between two watches, so that changes that come in series cost one call together."""
 LAPSE_GRACE_MS = 2_000.0
 """Entries that lapsed while the platform was away are back within this time, or gone."""
