--- /dev/null
+++ b/deploy/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for playing days on the operators' bench."""
