logs: the steps of failed requests, and commands that read them

Cause: of a failed request the log had its end, but not which searchers were asked, why, and what they said.

--- a/rhubarbhinge/cli/_main.py
+++ b/rhubarbhinge/cli/_main.py
@@ -22,6 +22,8 @@
 from rhubarbhinge.cli._run import outcome, run
 from rhubarbhinge.cli._search import search
 from rhubarbhinge.cli._status import status
+from rhubarbhinge.cli._trace import trace
+from rhubarbhinge.cli._why import why
 
 COMMANDS: Mapping[str, Callable[..., CommandResult]] = {
     "entry": entry,
@@ -32,6 +34,8 @@
     "search": search,
     "run": run,
     "outcome": outcome,
+    "trace": trace,
+    "why": why,
 }
 """The commands in the order of the help."""
 
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -14,7 +14,7 @@
     encode_message,
 )
 from rhubarbhinge.fleet import Delays
-from rhubarbhinge.forward import CallerRequest, CallTerms, SearcherReply, Surroundings
+from rhubarbhinge.forward import CallerRequest, CallTerms, SearcherReply, Story, Surroundings
 from rhubarbhinge.gather import ShardCalls, ShardEnd, merge_greatest
 from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
 from rhubarbhinge.telemetry import log_event
@@ -142,7 +142,8 @@
         self._untried: list[str] = []
         self._may_have_run = False
         request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
-        self._calls = ShardCalls(surroundings, request, terms, delays, self._ended)
+        self._story = Story(ask.request_id, surroundings.timers.now_ms)
+        self._calls = ShardCalls(surroundings, request, terms, delays, self._ended, self._story)
         self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer)
 
     def start(self) -> None:
@@ -167,6 +168,16 @@
     def _answer(self) -> None:
         may_have_run = self._may_have_run or self._calls.may_have_run
         self.cancel()
+        missing = frozenset(self._ask.services) - self._parts.keys()
+        if missing:
+            self._story.tell(missing)
+            log_event(
+                "ask-answered",
+                request=self._ask.request_id,
+                route=self._ask.route,
+                parts=len(self._parts),
+                without=",".join(sorted(missing)),
+            )
         self._on_answer(
             Answer(
                 self._ask.number,
--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 from rhubarbhinge.forward._service_call import CallTerms, ServiceCall
+from rhubarbhinge.forward._story import Story
 from rhubarbhinge.forward._surroundings import Surroundings
 
 __all__ = [
@@ -31,6 +32,7 @@
     "SearcherReply",
     "SendAttempt",
     "ServiceCall",
+    "Story",
     "Surroundings",
     "Why",
 ]
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
 from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
 from rhubarbhinge.forward._searcher_reply import SearcherReply
+from rhubarbhinge.forward._story import Story
 from rhubarbhinge.forward._surroundings import Surroundings
 from rhubarbhinge.timing import Subscription
 
@@ -52,6 +53,7 @@
     :param terms: what is granted.
     :param delays: the usual delays of such requests.
     :param on_result: told the result, once and later than the start.
+    :param story: keeps what is decided.
     :param arrived: whether the request may have arrived at the service before.
     """
 
@@ -62,6 +64,7 @@
         "_terms",
         "_delays",
         "_on_result",
+        "_story",
         "_open",
         "_tried",
         "_ran",
@@ -83,6 +86,7 @@
         terms: CallTerms,
         delays: Delays,
         on_result: Callable[["ServiceCall", Result], None],
+        story: Story,
         arrived: bool = False,
     ):
         self._around = surroundings
@@ -91,6 +95,7 @@
         self._terms = terms
         self._delays = delays
         self._on_result = on_result
+        self._story = story
         self._open: dict[str, Attempt] = {}
         self._tried: set[str] = set()
         self._ran = 0
@@ -112,9 +117,10 @@
         """Send to the searcher that is expected to answer first."""
         chosen = self._choose()
         if chosen is None or not self._may_send():
+            self._story.note("attempt-not-sent", self.service, **self._shortage(chosen))
             self._around.timers.after(0, self._end)
             return
-        self._send(chosen)
+        self._send(chosen, "first")
         if self._terms.idempotent and self._terms.hedge_ms is not None:
             self._wait(self._terms.hedge_ms, self._hedge)
 
@@ -136,8 +142,24 @@
             self._tried,
         )
 
-    def _send(self, observed: ObservedSearcher) -> None:
+    def _shortage(self, chosen: ObservedSearcher | None) -> dict:
+        """Say why there was no send: no searcher that could be asked, or no budget."""
+        if chosen is None:
+            return {"why": "no-searcher", "tried": len(self._tried)}
+        return {"why": "no-budget", "budget_left": round(self._around.budget.left(self.service), 1)}
+
+    def _send(self, observed: ObservedSearcher, why: str) -> None:
         incarnation = observed.searcher.incarnation
+        now_ms = self._around.timers.now_ms()
+        self._story.note(
+            "attempt-sent",
+            self.service,
+            incarnation,
+            why=why,
+            in_flight=len(observed.started_ms),
+            slowness=round(observed.slowness(now_ms), 2),
+            left_ms=round(self._terms.deadline_ms - now_ms),
+        )
         self._tried.add(incarnation)
         self._ran += 1
         self.sends += 1
@@ -159,6 +181,7 @@
             return
         chosen = self._choose()
         if chosen is None or chosen.is_avoided(self._around.timers.now_ms()):
+            self._story.note("hedge-not-sent", self.service, why="no-searcher")
             return
         unsent = [name for name, attempt in self._open.items() if not attempt.sent]
         if unsent:
@@ -168,7 +191,9 @@
                 self._ran -= 1
             self._wait(self._terms.hedge_ms, self._hedge)
         if self._ran < self._terms.max_attempts and self._may_send():
-            self._send(chosen)
+            self._send(chosen, "hedge")
+        else:
+            self._story.note("hedge-not-sent", self.service, **self._shortage(chosen))
 
     def _may_send(self) -> bool:
         """Ask the budget, which counts what arrives at a service beyond the first time."""
@@ -178,6 +203,7 @@
     def _ended(self, incarnation: str, outcome: Outcome) -> None:
         if self.over:
             return
+        self._story.note("attempt-ended", self.service, incarnation, **_outcome_fields(outcome))
         self._open.pop(incarnation, None)
         if isinstance(outcome, Replied):
             self._replied(outcome.reply)
@@ -227,18 +253,20 @@
             self._tried.update(self._open)
             self._wait(RETRY_PAUSE_MS, self._retry_paused)
         elif chosen is None or not self._may_send():
+            self._story.note("retry-not-sent", self.service, **self._shortage(chosen))
             self._end()
         else:
-            self._send(chosen)
+            self._send(chosen, "retry")
 
     def _retry_paused(self) -> None:
         if self.over or self._open:
             return
         chosen = self._choose()
         if chosen is None or not self._may_send():
+            self._story.note("retry-not-sent", self.service, **self._shortage(chosen))
             self._end()
         else:
-            self._send(chosen)
+            self._send(chosen, "retry-later")
 
     def _end(self) -> None:
         """Finish without a success, unless a searcher is still at work."""
@@ -263,3 +291,13 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+
+def _outcome_fields(outcome: Outcome) -> dict:
+    if isinstance(outcome, Replied):
+        delay_ms = round(outcome.delay_ms, 1)
+        return {"outcome": "replied", "status": outcome.reply.status, "delay_ms": delay_ms}
+    return {
+        "outcome": "not-run" if isinstance(outcome, NotRun) else "lost",
+        "why": outcome.why.value,
+    }
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -2,7 +2,17 @@
 
 import unittest
 
-from rhubarbhinge.forward import Failed, Lost, NotRun, Passed, Refused, Result, ServiceCall, Why
+from rhubarbhinge.forward import (
+    Failed,
+    Lost,
+    NotRun,
+    Passed,
+    Refused,
+    Result,
+    ServiceCall,
+    Story,
+    Why,
+)
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
 
 
@@ -17,6 +27,7 @@
             world.terms(**terms),
             world.delays,
             lambda call, result: self.results.append(result),
+            Story("r1", world.timers.now_ms),
             arrived,
         )
         call.start()
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -13,6 +13,7 @@
     Refused,
     Result,
     ServiceCall,
+    Story,
     Surroundings,
 )
 from rhubarbhinge.gateway._answers import failed, refused, timed_out, unknown_route
@@ -190,7 +191,8 @@
         if asked.wait_ms is not None:
             wait_ms = min(wait_ms, asked.wait_ms - CALLER_MARGIN_MS)
         self._deadline_ms = self._started_ms + max(1.0, wait_ms)
-        self._without = ""
+        self._missing: tuple[str, ...] = ()
+        self._story = Story(asked.id, self._around.timers.now_ms)
         self._timer: Subscription | None = None
         self._cancel: Callable[[], None] | None = None
 
@@ -203,7 +205,7 @@
         around = self._around
         around.budget.on_request((service,))
         terms = self._terms(delays, self._deadline_ms)
-        call = ServiceCall(around, self._asked, service, terms, delays, self._called)
+        call = ServiceCall(around, self._asked, service, terms, delays, self._called, self._story)
         self._begin(call.cancel, lambda: self._expired(call))
         call.start()
 
@@ -222,7 +224,13 @@
             self._terms(delays, answer_by_ms),
         )
         gathering = Gathering(
-            self._around, self._asked, terms, delays, self._gateway._far, self._gathered
+            self._around,
+            self._asked,
+            terms,
+            delays,
+            self._gateway._far,
+            self._gathered,
+            self._story,
         )
         self._begin(gathering.cancel, gathering.time_out)
         gathering.start()
@@ -249,7 +257,7 @@
     def _abandoned(self) -> None:
         self._timer.cancel()
         self._cancel()
-        self._log("caller-gone", 0)
+        self._log("caller-gone", CALLER_GONE)
 
     def _expired(self, call: ServiceCall) -> None:
         may_have_run = call.may_have_run
@@ -279,7 +287,7 @@
 
     def _gathered(self, result: Gathered | NotEnough) -> None:
         missing = len(result.missing)
-        self._without = ",".join(result.missing[:MOST_NAMED_SHARDS])
+        self._missing = result.missing
         if isinstance(result, Gathered):
             answer = self._gateway._dialect.merged(result.signatures, missing, result.body)
             self._answer(answer, "gathered", missing)
@@ -309,18 +317,29 @@
             self._log(why, answer.status, missing)
 
     def _log(self, why: str, status: int, missing: int = 0) -> None:
+        if status not in (SUCCESS, CALLER_GONE):
+            self._story.tell()
+        elif missing:
+            self._story.tell(frozenset(self._missing))
         log_event(
             "request-ended",
             request=self._asked.id,
             route=self._route.name,
+            priority=self._route.priority,
             plan=self._plan.version,
+            plan_age_ms=round(self._gateway._follower.age_ms()),
             why=why,
             status=status,
             missing=missing,
-            without=self._without,
+            without=",".join(self._missing[:MOST_NAMED_SHARDS]),
+            wait_ms=self._asked.wait_ms,
             took_ms=round(self._around.timers.now_ms() - self._started_ms, 1),
         )
 
 
+CALLER_GONE = 0
+"""In logs: the status of a request whose caller left before its answer."""
+SUCCESS = 200
+"""Status of an answer whose steps are not written, unless shards are missing."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that callers take to mean that the request was not executed."""
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from rhubarbhinge.fleet import Delays
-from rhubarbhinge.forward import CallerRequest, CallTerms, Surroundings
+from rhubarbhinge.forward import CallerRequest, CallTerms, Story, Surroundings
 from rhubarbhinge.gather._merge import merge_greatest
 from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 from rhubarbhinge.plans import ShardSet
@@ -111,6 +111,7 @@
     :param delays: the usual delays of such requests at one shard.
     :param far: how other entries are asked for the shards near them.
     :param on_end: told the result, once and later than the start.
+    :param story: keeps what is decided.
     """
 
     def __init__(
@@ -121,13 +122,17 @@
         delays: Delays,
         far: FarSearch,
         on_end: Callable[[Gathered | NotEnough], None],
+        story: Story,
     ):
         self._around = surroundings
         self._request = request
         self._terms = terms
         self._far = far
         self._on_end = on_end
-        self._calls = ShardCalls(surroundings, request, terms.call, delays, self._shard_ended)
+        self._story = story
+        self._calls = ShardCalls(
+            surroundings, request, terms.call, delays, self._shard_ended, story
+        )
         self._signatures: dict[str, str] = {}
         self._bodies: list[bytes] = []
         self._asks: dict[str, tuple[FarAsk, list[str]]] = {}
@@ -174,6 +179,7 @@
             self._fail(timed_out=True)
 
     def _ask(self, address: str, services: list[str]) -> None:
+        self._story.note("ask-sent", ",".join(services), entry=address)
         ask = self._far.ask(
             address,
             self._request,
@@ -187,6 +193,8 @@
         if self._over:
             return
         _, services = self._asks.pop(address)
+        in_time = "none" if part is None else len(part.services)
+        self._story.note("ask-ended", ",".join(services), entry=address, parts=in_time)
         if part is None:
             self._may_have_run = True
             self._calls.start(services, arrived=True)
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -11,6 +11,7 @@
     Result,
     SearcherReply,
     ServiceCall,
+    Story,
     Surroundings,
 )
 
@@ -39,6 +40,7 @@
     :param terms: what is granted to the call to each shard.
     :param delays: the usual delays of such requests at one shard.
     :param on_end: told how each call came out, later than its start.
+    :param story: keeps what is decided.
     """
 
     def __init__(
@@ -48,12 +50,14 @@
         terms: CallTerms,
         delays: Delays,
         on_end: Callable[[ShardEnd], None],
+        story: Story,
     ):
         self._around = surroundings
         self._request = request
         self._terms = terms
         self._delays = delays
         self._on_end = on_end
+        self._story = story
         self._calls: dict[str, ServiceCall] = {}
 
     @property
@@ -75,7 +79,14 @@
         """
         calls = [
             ServiceCall(
-                self._around, self._request, name, self._terms, self._delays, self._ended, arrived
+                self._around,
+                self._request,
+                name,
+                self._terms,
+                self._delays,
+                self._ended,
+                self._story,
+                arrived,
             )
             for name in services
         ]
--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rhubarbhinge.forward import Lost, NotRun, Why
+from rhubarbhinge.forward import Lost, NotRun, Story, Why
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
 from rhubarbhinge.gather import FarPart, FarSearch, Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import ShardSet
@@ -44,7 +44,13 @@
             self.world.terms(hedge_ms=None),
         )
         self.gathering = Gathering(
-            self.world.around, REQUEST, terms, self.world.delays, self.far.search, self.ends.append
+            self.world.around,
+            REQUEST,
+            terms,
+            self.world.delays,
+            self.far.search,
+            self.ends.append,
+            Story("r1", self.world.timers.now_ms),
         )
         self.gathering.start()
 
@@ -103,7 +109,15 @@
         terms = GatherTerms(
             "route", ShardSet(SHARDS, 2, 0.75), 100.0, 1_090.0, world.terms(hedge_ms=None)
         )
-        Gathering(world.around, REQUEST, terms, world.delays, self.far.search, ends.append).start()
+        Gathering(
+            world.around,
+            REQUEST,
+            terms,
+            world.delays,
+            self.far.search,
+            ends.append,
+            Story("r1", world.timers.now_ms),
+        ).start()
         world.timers.advance(0.0)
         self.assertEqual(ends, [NotEnough(SHARDS, False)])
         self.assertEqual(len(world.attempts), sent)
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 
-from standins.http import Connection, Reply, Request, Server
+from standins.http import Connection, Delivery, Reply, Request, Server
 
 RECORD_BYTES = 16
 
@@ -29,6 +29,7 @@
         self.ran: list[str] = []
         self.left: list[str] = []
         self.port = 0
+        self._breaks_off = False
         self._server = Server(self._requested, self._gone, lambda count: 0.0)
         self._open: dict[Connection, tuple[str, asyncio.TimerHandle]] = {}
 
@@ -44,6 +45,10 @@
         """Refuse new connections."""
         self._server.stop_listening()
 
+    def break_off_next(self) -> None:
+        """End the connection of the next request in place of an answer."""
+        self._breaks_off = True
+
     def entry(self, draining: bool = False) -> dict:
         """Describe it as the store does.
 
@@ -87,6 +92,10 @@
             return
         request_id = request.headers.get("x-request-id", "")
         self.arrivals.append(request_id)
+        if self._breaks_off:
+            self._breaks_off = False
+            connection.reply(Reply(200, delivery=Delivery.LOST))
+            return
         if self.refuses:
             connection.reply(Reply(503, b"", (("X-Not-Executed", "1"),)))
             return
