net, gateway: one handler a turn for all owners of sockets, one housekeeping timer

Cause: CPU is dear in Suva; each loop turn called two handlers of each of eight owners of sockets, and an idle entry woke 27 times a second for timers of its own.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -39,16 +39,13 @@
 """A stopping entry ends this much before it would be killed."""
 STOP_POLL_MS = 20.0
 """How often a stopping entry looks whether all is answered."""
-IDLE_SWEEP_MS = 500.0
-"""How often idle connections to searchers are looked through."""
-SERVING_CHECK_MS = 300.0
-"""How often the entry looks whether it can serve; the balancer asks once a second."""
 NO_PLAN_WAIT_MS = 600.0
 """Callers wait this long for the first plan, which takes 30 ms; then they are refused at once."""
+HOUSEKEEPING_MS = 250.0
+"""How often an entry looks after its connections, its log, and whether it can serve; together, as
+each wake-up costs. Searchers that can't be reached are tried as often."""
 BALANCER_MS = 2_200.0
 """The balancer asks once a second and sends callers elsewhere after two misses."""
-REACH_AGAIN_MS = 250.0
-"""How often a connection is tried to searchers that could not be reached; no request waits."""
 MOST_CALLER_CONNECTIONS = 2_500
 """Callers' connections; the descriptors of a VM less those for searchers and files."""
 NEVER_GZIP_BYTES = 1 << 62
@@ -65,8 +62,6 @@
 SETTLE_MS = 3_000.0
 """Within so long after its start an entry has heard of the others: several heartbeats."""
 
-LOG_FLUSH_MS = 100.0
-"""How often events are written; together, as each write costs a call."""
 RELOAD_MS = 2_000.0
 """How often the settings are read again, as they may change without a signal."""
 
@@ -81,14 +76,22 @@
     :param read_settings: reads its settings.
     :param dialect: translates messages of callers and searchers.
     :param make_source: makes the reader of published state.
+    :param flush_log: writes the events that wait.
     :raises SettingsError: when the settings can not be used.
     :raises OSError: when a port can not be bound.
     """
 
     channel = "entry"
 
-    def __init__(self, read_settings: ReadSettings, dialect: Dialect, make_source: MakeSource):
+    def __init__(
+        self,
+        read_settings: ReadSettings,
+        dialect: Dialect,
+        make_source: MakeSource,
+        flush_log: Callable[[], None],
+    ):
         super().__init__()
+        self._flush_log = flush_log
         self._read_settings = read_settings
         self._settings = settings = read_settings()
         self._stopping = False
@@ -157,9 +160,7 @@
         HttpServer(self.timers, self._operators, (settings.ip, settings.metrics_port)).register(
             self
         )
-        self.timers.every(IDLE_SWEEP_MS, self._pool.close_idle)
-        self.timers.every(SERVING_CHECK_MS, self._check_serving)
-        self.timers.every(REACH_AGAIN_MS, self._reach_again)
+        self.timers.every(HOUSEKEEPING_MS, self._keep_house)
         self.timers.every(RELOAD_MS, self.reload)
         signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, self.reload))
         self._follower.start()
@@ -232,6 +233,12 @@
     def _searcher_left(self, observed: ObservedSearcher) -> None:
         self._pool.forget(observed)
 
+    def _keep_house(self) -> None:
+        self._pool.close_idle()
+        self._reach_again()
+        self._check_serving()
+        self._flush_log()
+
     def _reach_again(self) -> None:
         for observed in self._fleet.all():
             if observed.is_down and observed.usable:
@@ -320,8 +327,7 @@
     """
     event_log = EventLog(read_settings().name)
     use_event_log(event_log)
-    entry = Entry(read_settings, dialect, make_source)
-    entry.timers.every(LOG_FLUSH_MS, event_log.flush)
+    entry = Entry(read_settings, dialect, make_source, event_log.flush)
     gc.collect()
     gc.freeze()
     try:
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -17,8 +17,8 @@
     connecting_socket,
     is_self_connected,
 )
+from rhubarbhinge.net._turns import Turns
 from rhubarbhinge.timing import TimerService
-from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.utils.shared import shared_component
 
 DEFAULT_MAX_PENDING_BYTES = 8 * 1024 * 1024
@@ -37,12 +37,6 @@
 has not read yet (RFC 9112, 9.6).
 """
 
-NOTIFY_PRIORITY = 5
-"""Closes are told after due timers have run."""
-
-FLUSH_PRIORITY = -5
-"""Writes happen after all callbacks of a turn and before the poll."""
-
 _AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 _CONNECT_STARTED = (0, errno.EINPROGRESS)
 _CONNECT_FAULTS = {
@@ -91,6 +85,7 @@
         self._dirty: list[Link] = []
         self._ended: list[tuple[int, CloseReason]] = []
         self._poller: ReadyPoller | None = None
+        self._turns: Turns | None = None
         self._timers: TimerService | None = None
         self._listener = None if bind is None else Listener(bind)
 
@@ -112,7 +107,7 @@
         try:
             sock, fault = connecting_socket(ip, port, self._notice_silence)
         except OSError:
-            self._ended.append((number, CloseReason.UNREACHABLE))
+            self._note_ended(number, CloseReason.UNREACHABLE)
             return number
         link = self._add(number, sock, LinkState.CONNECTING, ip)
         if fault not in _CONNECT_STARTED:
@@ -136,8 +131,7 @@
         if found.pending_bytes > self._max_pending_bytes:
             self._end(found, CloseReason.OVERFLOW)
         elif not found.dirty:
-            found.dirty = True
-            self._dirty.append(found)
+            self._note_dirty(found)
 
     def close(self, link: int) -> None:
         """Close a link after what is pending has been written, within a bound.
@@ -154,8 +148,7 @@
         found.state = LinkState.FLUSHING
         self._end_after(found, FLUSH_BOUND_MS, CloseReason.LOCAL)
         if not found.dirty:
-            found.dirty = True
-            self._dirty.append(found)
+            self._note_dirty(found)
 
     def abort(self, link: int) -> None:
         """Close a link at once; what is pending is dropped.
@@ -242,27 +235,25 @@
         if link is not None:
             self._broken(link, connect_error(sock))
 
-    @handler("generate_events", priority=NOTIFY_PRIORITY)
-    def _on_notify(self, event) -> None:
-        if not self._ended:
-            return
+    def _notify(self) -> None:
         ended, self._ended = self._ended, []
-        try:
-            for number, reason in ended:
-                self._on_close(number, reason)
-        except Exception as error:
-            fail_stop(error)
-
-    @handler("generate_events", priority=FLUSH_PRIORITY)
-    def _on_flush(self, event) -> None:
-        if self._dirty:
-            dirty, self._dirty = self._dirty, []
-            try:
-                self._flush_all(dirty)
-            except Exception as error:
-                fail_stop(error)
-        if self._ended:
-            event.reduce_time_left(0)
+        for number, reason in ended:
+            self._on_close(number, reason)
+
+    def _flush_dirty(self) -> None:
+        dirty, self._dirty = self._dirty, []
+        self._flush_all(dirty)
+
+    def _note_ended(self, number: int, reason: CloseReason) -> None:
+        if not self._ended:
+            self._turns.notify_soon(self._notify)
+        self._ended.append((number, reason))
+
+    def _note_dirty(self, link: Link) -> None:
+        link.dirty = True
+        if not self._dirty:
+            self._turns.flush_soon(self._flush_dirty)
+        self._dirty.append(link)
 
     def _read(self, sock) -> None:
         link = self._by_sock.get(sock)
@@ -288,6 +279,7 @@
             return
         self._timers = shared_component(self, TimerService)
         self._poller = shared_component(self, ReadyPoller)
+        self._turns = shared_component(self, Turns)
         if self._listener is not None:
             self._listener.attach(self, self._poller, self._timers)
 
@@ -391,7 +383,7 @@
 
     def _end(self, link: Link, reason: CloseReason) -> None:
         if self._forget(link):
-            self._ended.append((link.number, reason))
+            self._note_ended(link.number, reason)
 
     def _forget(self, link: Link) -> bool:
         if self._links.pop(link.number, None) is None:
