--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,5 +1,6 @@
 """Starts an entry on the operators' platform."""
 
+import gc
 import os
 import socket
 import sys
@@ -36,6 +37,8 @@
 
     :returns: the exit code.
     """
+    # Loading makes only objects that stay; collecting them takes a tenth of the start.
+    gc.disable()
     settings_path = os.environ.get(SETTINGS_FILE, DEFAULT_SETTINGS_PATH)
     early = listen_early(settings_path)
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -328,8 +328,8 @@
     event_log = EventLog(read_settings().name)
     use_event_log(event_log)
     entry = Entry(read_settings, dialect, make_source, event_log.flush)
-    gc.collect()
     gc.freeze()
+    gc.enable()
     try:
         entry.run()
     finally:
