peers: one entry of each failure domain reads the store for the others

Ruled out: longer watches, which would notice a silent store too late. Change: the live entry with the least name reads, the others wait for changes at it, by its log of changes; one that fails, is behind or does not read is passed over at once for the store. What a reader told is told with its age.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -17,7 +17,7 @@
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
 from rhubarbhinge.gateway._far_search import far_search
 from rhubarbhinge.gateway._gateway import Gateway
-from rhubarbhinge.peers import Peers
+from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
 from rhubarbhinge.retries import RetryBudget
@@ -112,9 +112,17 @@
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         preference = expected_cost(settings.failure_domain, self._rng)
         around = Surroundings(self.timers, self._fleet, preference, self._budget, self._pool.send)
-        self._follower = Follower(
+        source = SharedSource(
             self.timers,
+            client,
             make_source(client, self._store_address),
+            settings.name,
+            settings.failure_domain,
+            settings.peer_port,
+        )
+        self._follower = Follower(
+            self.timers,
+            source,
             self._fleet,
             self._rng,
             self._plan_changed,
@@ -129,7 +137,9 @@
             settings.failure_domain,
             settings.seed_ips,
             self._rng,
+            lambda: source.reads_platform,
         ).register(self)
+        source.know(self._peers.table)
         delegates = Delegates(
             self.timers, self._peers.table, settings.ask_port, self._rng
         ).register(self)
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -1,6 +1,8 @@
 """Heartbeats between entries, and handing on of published state."""
 
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from circuits import Component
 
@@ -13,7 +15,7 @@
 )
 from rhubarbhinge.peers._peer_table import PeerTable
 from rhubarbhinge.peers._state_codec import StateError, decode_state, encode_state
-from rhubarbhinge.published import Follower
+from rhubarbhinge.published import Changes, Follower, Snapshot
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import (
@@ -33,6 +35,11 @@
 """One in so many heartbeats lists the known addresses, which cost bytes between domains."""
 STATE_PATH = "/v1/published-state"
 """Path at which an entry hands on what it knows."""
+CHANGES_PATH = "/v1/published-changes"
+"""Path at which an entry that reads the platform tells others what changes."""
+CHANGES_WAIT_MS = 1_500.0
+"""How long an entry that asks for changes waits; short, so that a reader that died is noticed well
+within the seconds that a change may take to be in force."""
 PULL_TIMEOUT_MS = 500.0
 """Longest that a peer may take to hand on its state; usually some milliseconds."""
 
@@ -52,6 +59,7 @@
     :param failure_domain: its failure domain.
     :param seed_ips: addresses of some other VMs.
     :param rng: spreads heartbeats and choices.
+    :param reads_platform: tells whether this entry reads the platform itself, with success.
     :raises OSError: when the port can not be bound.
     """
 
@@ -68,8 +76,13 @@
         failure_domain: str,
         seed_ips: tuple[str, ...],
         rng: random.Random,
+        reads_platform: Callable[[], bool],
     ):
         super().__init__()
+        self._reads_platform = reads_platform
+        self._waiting: list[_Waiting] = []
+        self._telling = False
+        follower.on_changed = self._grown
         self._timers = timers
         self._client = client
         self._follower = follower
@@ -194,7 +207,7 @@
             log_event("peer-pull-failed", level="warning", peer=peer, code=code)
             return
         try:
-            snapshot, age_ms = decode_state(outcome.body)
+            snapshot = decode_state(outcome.body).state
         except StateError as error:
             log_event("peer-pull-failed", level="error", peer=peer, code=error.code)
             return
@@ -203,15 +216,64 @@
             peer=peer,
             revision=snapshot.revision,
             before=self._follower.revision,
-            age_ms=round(age_ms),
+            age_ms=round(snapshot.age_ms),
         )
-        self._follower.offer(snapshot, age_ms)
+        self._follower.offer(snapshot)
 
     def _request(self, request: Request, responder: Responder) -> None:
-        if request.path != STATE_PATH:
+        if request.path == STATE_PATH:
+            responder.answer(self._state(self._follower.snapshot()))
+        elif request.path == CHANGES_PATH:
+            self._asked_for_changes(request, responder)
+        else:
             responder.answer(
                 error_response(404, "no-such-path", "Only entries call here.", "Use another port.")
             )
+
+    def _state(self, state: Snapshot | Changes) -> Response:
+        log = self._follower.log
+        return Response(200, encode_state(state, log.id, log.position))
+
+    def _asked_for_changes(self, request: Request, responder: Responder) -> None:
+        if not self._reads_platform() or self._leaving:
+            message = "This entry does not read the platform itself."
+            responder.answer(error_response(503, "no-reader", message, "Ask the platform."))
             return
-        state = encode_state(self._follower.snapshot(), self._follower.age_ms())
-        responder.answer(Response(200, state))
+        log = self._follower.log
+        after = request.query.get("after", "")
+        position = int(after) if after.isdigit() else -1
+        waiting = _Waiting(responder, request.query.get("log", ""), position)
+        if waiting.log_id == log.id and waiting.position == log.position:
+            self._waiting.append(waiting)
+            self._timers.after(CHANGES_WAIT_MS, lambda: self._tell_changes(waiting))
+        else:
+            self._answer_changes(waiting)
+
+    def _grown(self) -> None:
+        """Tell those that wait, once for all changes of this turn."""
+        if self._waiting and not self._telling:
+            self._telling = True
+            self._timers.after(0, self._tell_all)
+
+    def _tell_all(self) -> None:
+        self._telling = False
+        for waiting in list(self._waiting):
+            self._tell_changes(waiting)
+
+    def _tell_changes(self, waiting: "_Waiting") -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            self._answer_changes(waiting)
+
+    def _answer_changes(self, waiting: "_Waiting") -> None:
+        state = self._follower.changes_since(waiting.log_id, waiting.position)
+        waiting.responder.answer(self._state(state))
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Waiting:
+    """An entry that waits for changes."""
+
+    responder: Responder
+    log_id: str
+    position: int
--- /dev/null
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -0,0 +1,164 @@
+"""Published state by one reader in each failure domain."""
+
+from collections.abc import Callable
+
+from rhubarbhinge.peers._heartbeat import Heartbeat
+from rhubarbhinge.peers._peer_table import PeerTable
+from rhubarbhinge.peers._peers import CHANGES_PATH, CHANGES_WAIT_MS
+from rhubarbhinge.peers._state_codec import StateError, decode_state
+from rhubarbhinge.published import Changes, ReadFault, Snapshot, Source
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.web import Failure, HttpClient, Reply
+
+MARGIN_MS = 400.0
+"""What an answer may take beyond the wait."""
+BAD_MS = 3_000.0
+"""A reader that failed is not asked for so long; by then its heartbeats tell whether it lives."""
+MOST_AGE_MS = 6_000.0
+"""An entry whose own state was not confirmed for so long is no reader."""
+
+OnTold = Callable[[Changes | Snapshot | ReadFault], None]
+
+
+class SharedSource:
+    """Reads the platform in one entry of each failure domain; the others ask that one.
+
+    The reader is the live entry with the least name, which all work out alike. Nothing depends on
+    their agreeing: an entry that is asked and does not read the platform says so, and who gets no
+    answer asks the platform itself.
+
+    :param timers: the timer service.
+    :param client: calls peers.
+    :param store: reads the platform.
+    :param name: name of this VM.
+    :param failure_domain: its failure domain.
+    :param port: port of all entries.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        client: HttpClient,
+        store: Source,
+        name: str,
+        failure_domain: str,
+        port: int,
+    ):
+        self._timers = timers
+        self._client = client
+        self._store = store
+        self._name = name
+        self._failure_domain = failure_domain
+        self._port = port
+        self._peers: PeerTable | None = None
+        self._bad_until_ms: dict[str, float] = {}
+        self._place: tuple[str, int] | None = None
+        self._told_by = ""
+        self._failing = False
+        self._reading = True
+
+    @property
+    def reads_platform(self) -> bool:
+        """Whether this entry reads the platform itself, with success."""
+        return self._reading and not self._failing
+
+    def know(self, peers: PeerTable) -> None:
+        """Choose readers from now on.
+
+        :param peers: the other entries.
+        """
+        self._peers = peers
+
+    def read_all(self, on_done: Callable[[Snapshot | ReadFault], None]) -> None:
+        """Read everything from the platform.
+
+        :param on_done: told the outcome.
+        """
+        self._place = None
+        self._reading = True
+
+        def done(outcome: Snapshot | ReadFault) -> None:
+            self._failing = isinstance(outcome, ReadFault)
+            on_done(outcome)
+
+        self._store.read_all(done)
+
+    def wait_for_changes(self, after_revision: int, on_done: OnTold) -> None:
+        """Wait for changes, at the reader or the platform.
+
+        :param after_revision: changes after it are told.
+        :param on_done: told the outcome.
+        """
+        reader = self._reader()
+        if reader is None:
+            self._wait_at_platform(after_revision, on_done)
+            return
+        if reader.ip != self._told_by:
+            self._place, self._told_by = None, reader.ip
+            log_event("reader-chosen", reader=reader.name)
+        self._reading = False
+        query = "?log={}&after={}".format(*self._place) if self._place else ""
+        self._client.call(
+            reader.ip,
+            self._port,
+            "GET",
+            CHANGES_PATH + query,
+            timeout_ms=CHANGES_WAIT_MS + MARGIN_MS,
+            on_done=lambda outcome: self._asked(reader, outcome, after_revision, on_done),
+        )
+
+    def _wait_at_platform(self, after_revision: int, on_done: OnTold) -> None:
+        # What the platform tells now makes the place in a reader's log meaningless.
+        self._place, self._told_by = None, ""
+        self._reading = True
+
+        def done(outcome: Changes | ReadFault) -> None:
+            self._failing = isinstance(outcome, ReadFault) and not outcome.history_lost
+            on_done(outcome)
+
+        self._store.wait_for_changes(after_revision, done)
+
+    def _reader(self) -> Heartbeat | None:
+        """Choose the reader; None when this entry is to read."""
+        if self._peers is None:
+            return None
+        now_ms = self._timers.now_ms()
+        others = [
+            beat
+            for beat in self._peers.live(now_ms)
+            if beat.failure_domain == self._failure_domain
+            and not beat.leaving
+            and 0 <= beat.age_ms <= MOST_AGE_MS
+            and self._bad_until_ms.get(beat.ip, 0.0) <= now_ms
+        ]
+        if not others:
+            return None
+        least = min(others, key=lambda beat: beat.name)
+        return least if self._failing or least.name < self._name else None
+
+    def _asked(
+        self, reader: Heartbeat, outcome: Reply | Failure, after_revision: int, on_done: OnTold
+    ) -> None:
+        fault = _fault(outcome)
+        told = None
+        if not fault:
+            try:
+                told = decode_state(outcome.body)
+            except StateError as error:
+                fault = error.code
+        if told is not None and told.state.revision < after_revision:
+            fault = "behind"
+        if fault:
+            log_event("reader-failed", level="warning", reader=reader.name, code=fault)
+            self._bad_until_ms[reader.ip] = self._timers.now_ms() + BAD_MS
+            self._wait_at_platform(after_revision, on_done)
+            return
+        self._place = (told.log_id, told.position)
+        on_done(told.state)
+
+
+def _fault(outcome: Reply | Failure) -> str:
+    if isinstance(outcome, Failure):
+        return outcome.code
+    return "" if outcome.status == 200 else f"status-{outcome.status}"
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -1,6 +1,6 @@
 """Published state as entries hand it on."""
 
-from dataclasses import asdict, fields
+from dataclasses import asdict, dataclass, fields
 
 import orjson
 
@@ -13,7 +13,7 @@
     ShardSet,
     WeightedService,
 )
-from rhubarbhinge.published import Snapshot
+from rhubarbhinge.published import Changes, Snapshot
 
 
 class StateError(ValueError):
@@ -25,37 +25,60 @@
     code = "bad-state"
 
 
-def encode_state(snapshot: Snapshot, age_ms: float) -> bytes:
-    """Encode published state.
+def encode_state(state: Snapshot | Changes, log_id: str, position: int) -> bytes:
+    """Encode published state, or changes of it.
 
-    :param snapshot: the state.
-    :param age_ms: time since it was confirmed.
+    :param state: the state.
+    :param log_id: the log of changes of who tells it.
+    :param position: up to where in the log it is told.
     :returns: the bytes.
     """
-    plan = snapshot.plan
+    plan = state.plan
     return orjson.dumps(
         {
-            "revision": snapshot.revision,
-            "age_ms": age_ms,
+            "revision": state.revision,
+            "age_ms": state.age_ms,
+            "log": log_id,
+            "position": position,
             "plan": None if plan is None else _plan_fields(plan),
-            "searchers": [asdict(searcher) for searcher in snapshot.searchers],
+            "searchers": [asdict(searcher) for searcher in state.searchers],
+            "removed": state.removed if isinstance(state, Changes) else None,
         }
     )
 
 
-def decode_state(data: bytes) -> tuple[Snapshot, float]:
+@dataclass(frozen=True, slots=True)
+class ToldState:
+    """What a peer told.
+
+    :param state: its state, or what changed since a position of its log.
+    :param log_id: its log.
+    :param position: up to where in the log this tells.
+    """
+
+    state: Snapshot | Changes
+    log_id: str
+    position: int
+
+
+def decode_state(data: bytes) -> ToldState:
     """Decode published state.
 
     :param data: the bytes.
-    :returns: the state, and the time since it was confirmed when it was encoded.
+    :returns: what the peer told.
     :raises StateError: when they are none.
     """
     try:
-        state = orjson.loads(data)
-        plan = None if state["plan"] is None else _plan(state["plan"])
-        searchers = tuple(Searcher(**entry) for entry in state["searchers"])
-        return Snapshot(int(state["revision"]), plan, searchers), float(state["age_ms"])
-    except (KeyError, TypeError, ValueError) as error:
+        fields = orjson.loads(data)
+        plan = None if fields["plan"] is None else _plan(fields["plan"])
+        searchers = tuple(Searcher(**_known(Searcher, one)) for one in fields["searchers"])
+        revision, age_ms = int(fields["revision"]), float(fields["age_ms"])
+        state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms)
+        if fields["removed"] is not None:
+            removed = tuple(str(name) for name in fields["removed"])
+            state = Changes(revision, plan, searchers, removed, age_ms, by_peer=True)
+        return ToldState(state, str(fields["log"]), int(fields["position"]))
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise StateError(f"a peer's bytes are no published state: {error}") from error
 
 
@@ -89,5 +112,5 @@
 
 def _known(kind: type, entry: dict) -> dict:
     """Leave out what a newer release added."""
-    names = {field.name for field in fields(kind)}
+    names = {field.name for field in fields(kind) if field.init}
     return {name: value for name, value in entry.items() if name in names}
--- /dev/null
+++ b/rhubarbhinge/peers/tests/test_shared_source.py
@@ -0,0 +1,120 @@
+"""One reader of the platform in each failure domain."""
+
+import unittest
+from dataclasses import replace
+
+from rhubarbhinge.peers import Heartbeat, PeerTable, SharedSource, encode_state
+from rhubarbhinge.published import Changes, ReadFault, Snapshot
+from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.web import Failure, Reply
+
+BEAT = Heartbeat("vm-1", "10.0.0.1", "hall-a", 40, 12.0, False, False, ())
+
+
+class FakeStore:
+    def __init__(self):
+        self.waits: list[int] = []
+        self.outcome: Changes | ReadFault = Changes(50)
+
+    def read_all(self, on_done) -> None:
+        on_done(Snapshot(40, None, ()))
+
+    def wait_for_changes(self, after_revision, on_done) -> None:
+        self.waits.append(after_revision)
+        on_done(self.outcome)
+
+
+class FakeClient:
+    def __init__(self):
+        self.paths: list[str] = []
+        self.outcome: Reply | Failure = Failure("refused", False)
+
+    def call(self, ip, port, method, path, timeout_ms, on_done) -> None:
+        self.paths.append(f"{ip}{path}")
+        on_done(self.outcome)
+
+
+class SharedSourceTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = FakeTimers()
+        self.client, self.store = FakeClient(), FakeStore()
+        self.table = PeerTable("10.0.0.2", ())
+        self.source = SharedSource(self.timers, self.client, self.store, "vm-2", "hall-a", 7380)
+        self.source.know(self.table)
+        self.told = []
+
+    def hear(self, **changes: object) -> None:
+        self.table.on_heartbeat(replace(BEAT, **changes), self.timers.now_ms())
+
+    def wait(self, after: int = 40) -> None:
+        self.source.wait_for_changes(after, self.told.append)
+
+    def tells(self, state: Snapshot | Changes, position: int = 3) -> None:
+        self.client.outcome = Reply(200, {}, encode_state(state, "log", position))
+
+    def test_alone_it_reads_the_platform(self):
+        self.wait()
+        self.assertEqual((self.store.waits, self.client.paths), ([40], []))
+        self.assertTrue(self.source.reads_platform)
+
+    def test_the_least_name_of_the_domain_reads_for_the_others(self):
+        self.hear()
+        self.tells(Snapshot(41, None, (), 5.0))
+        self.wait()
+        self.tells(Changes(42, None, (), ("i-1",), 6.0, by_peer=True), 4)
+        self.wait(41)
+        path = "10.0.0.1/v1/published-changes"
+        self.assertEqual(self.client.paths, [path, path + "?log=log&after=3"])
+        self.assertEqual((self.store.waits, self.told[1].removed), ([], ("i-1",)))
+        self.assertFalse(self.source.reads_platform)
+
+    def test_others_are_no_readers(self):
+        for changes in (
+            {"name": "vm-3"},
+            {"failure_domain": "hall-b"},
+            {"leaving": True},
+            {"age_ms": 9_000.0},
+            {"age_ms": -1.0},
+        ):
+            self.hear(**changes)
+            self.wait()
+        self.timers.advance(4_000.0)
+        self.wait()
+        self.assertEqual((len(self.store.waits), self.client.paths), (6, []))
+
+    def test_a_reader_that_fails_is_left_alone_and_the_platform_asked_at_once(self):
+        self.hear()
+        for outcome in (Failure("timeout", True), Reply(503, {}, b""), Reply(200, {}, b"x")):
+            self.client.outcome = outcome
+            self.wait()
+            self.wait()
+            self.timers.advance(3_001.0)
+            self.hear()
+        self.assertEqual((len(self.client.paths), len(self.store.waits)), (3, 6))
+
+    def test_a_reader_that_is_behind_is_not_followed(self):
+        self.hear()
+        self.tells(Snapshot(39, None, (), 5.0))
+        self.wait()
+        self.assertEqual(self.told, [Changes(50)])
+
+    def test_after_the_platform_was_asked_the_place_in_the_log_is_forgotten(self):
+        self.hear()
+        self.tells(Snapshot(41, None, (), 5.0))
+        self.wait()
+        self.client.outcome = Failure("reset", True)
+        self.wait()
+        self.timers.advance(3_001.0)
+        self.hear()
+        self.tells(Snapshot(60, None, (), 5.0))
+        self.wait()
+        self.assertNotIn("after=", self.client.paths[-1])
+
+    def test_one_that_the_platform_turns_away_asks_any_other_and_reads_for_nobody(self):
+        self.store.outcome = ReadFault("status-503")
+        self.hear(name="vm-9")
+        self.wait()
+        self.assertFalse(self.source.reads_platform)
+        self.tells(Snapshot(41, None, (), 5.0))
+        self.wait()
+        self.assertEqual(len(self.client.paths), 1)
--- /dev/null
+++ b/rhubarbhinge/published/_change_log.py
@@ -0,0 +1,46 @@
+"""The latest changes of what is known, for entries that follow this one."""
+
+import random
+from collections import deque
+
+from rhubarbhinge.fleet import Searcher
+from rhubarbhinge.plans import ServingPlan
+
+MOST_CHANGES = 1_000
+"""Changes kept; an entry that is further behind takes everything anew."""
+
+
+class ChangeLog:
+    """The latest changes, in the order in which they were taken over here.
+
+    Positions count changes, not the platform's revisions: a searcher that lapsed goes later than
+    the platform told.
+
+    :param rng: makes the log's id.
+    """
+
+    def __init__(self, rng: random.Random):
+        self.id = f"{rng.getrandbits(64):016x}"
+        self.position = 0
+        self._changes: deque[ServingPlan | Searcher | str] = deque(maxlen=MOST_CHANGES)
+
+    def add(self, change: ServingPlan | Searcher | str) -> None:
+        """Take a change.
+
+        :param change: a new plan, a searcher that came or changed, or the incarnation of one that
+            is gone.
+        """
+        self._changes.append(change)
+        self.position += 1
+
+    def since(self, log_id: str, position: int) -> list[ServingPlan | Searcher | str] | None:
+        """Give the changes after a position.
+
+        :param log_id: the log that the position is of.
+        :param position: the position.
+        :returns: the changes; None when they are not known.
+        """
+        missing = self.position - position
+        if log_id != self.id or not 0 <= missing <= len(self._changes):
+            return None
+        return list(self._changes)[len(self._changes) - missing :]
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -14,9 +14,13 @@
     :param plan: the configuration, if it changed.
     :param searchers: searchers that came or changed.
     :param removed: incarnations whose entries were removed.
+    :param age_ms: time since the platform confirmed this, when a peer tells it.
+    :param by_peer: whether a peer told it, which costs the platform no call.
     """
 
     revision: int
     plan: ServingPlan | None = None
     searchers: tuple[Searcher, ...] = ()
     removed: tuple[str, ...] = ()
+    age_ms: float = 0.0
+    by_peer: bool = False
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -5,6 +5,7 @@
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
@@ -37,6 +38,8 @@
     :param fleet: gets the searchers.
     :param rng: spreads the pauses.
     :param on_plan: told each new configuration.
+    :ivar log: the latest changes, for entries that follow this one.
+    :ivar on_changed: called when the log has grown.
     """
 
     def __init__(
@@ -59,6 +62,8 @@
         self._failures = 0
         self._back_ms = float("-inf")
         self._missing: dict[str, float] = {}
+        self.log = ChangeLog(rng)
+        self.on_changed: Callable[[], None] = _nothing
 
     def start(self) -> None:
         """Read everything, then follow the changes."""
@@ -101,21 +106,51 @@
 
         :returns: the state.
         """
-        return Snapshot(self.revision, self.plan, tuple(self._searchers.values()))
+        searchers = tuple(self._searchers.values())
+        return Snapshot(self.revision, self.plan, searchers, self.age_ms())
 
-    def offer(self, snapshot: Snapshot, age_ms: float) -> None:
+    def changes_since(self, log_id: str, position: int) -> Changes | Snapshot:
+        """Give what was taken over here since a position of the log.
+
+        :param log_id: the log that the position is of.
+        :param position: the position.
+        :returns: the changes; everything when they are not known.
+        """
+        changes = self.log.since(log_id, position)
+        if changes is None:
+            return self.snapshot()
+        plans = [change for change in changes if isinstance(change, ServingPlan)]
+        newest: dict[str, Searcher | None] = {}
+        for change in changes:
+            if isinstance(change, Searcher):
+                newest[change.incarnation] = change
+            elif isinstance(change, str):
+                newest[change] = None
+        return Changes(
+            self.revision,
+            plans[-1] if plans else None,
+            tuple(searcher for searcher in newest.values() if searcher is not None),
+            tuple(name for name, searcher in newest.items() if searcher is None),
+            self.age_ms(),
+            by_peer=True,
+        )
+
+    def _changed(self, change: ServingPlan | Searcher | str) -> None:
+        self.log.add(change)
+        self.on_changed()
+
+    def offer(self, snapshot: Snapshot) -> None:
         """Take what a peer knows, if it is newer.
 
         :param snapshot: the peer's state.
-        :param age_ms: time since the peer had it confirmed.
         """
         if snapshot.revision < self.revision:
             return
         self._take_plan(snapshot.plan)
         if snapshot.revision > self.revision:
             self._replace(snapshot)
-        if age_ms >= 0:
-            self._confirm(age_ms)
+        if snapshot.age_ms >= 0:
+            self._confirm(snapshot.age_ms)
 
     def _confirm(self, age_ms: float) -> None:
         confirmed_ms = self._timers.now_ms() - age_ms
@@ -128,16 +163,19 @@
         if isinstance(outcome, ReadFault):
             self._failed(outcome, self.start)
             return
-        self._answered()
-        if outcome.revision >= self.revision:
-            self._take_plan(outcome.plan)
-            self._replace(outcome)
+        self._answered(outcome.age_ms)
+        self._take_snapshot(outcome)
         self._watch()
 
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        if snapshot.revision >= self.revision:
+            self._take_plan(snapshot.plan)
+            self._replace(snapshot)
+
     def _watch(self) -> None:
         self._source.wait_for_changes(self.revision, self._told)
 
-    def _told(self, outcome: Changes | ReadFault) -> None:
+    def _told(self, outcome: Changes | Snapshot | ReadFault) -> None:
         if isinstance(outcome, ReadFault):
             if outcome.history_lost:
                 log_event("history-lost", level="warning", revision=self.revision)
@@ -145,9 +183,13 @@
             else:
                 self._failed(outcome, self._watch)
             return
-        self._answered()
+        self._answered(outcome.age_ms)
+        if isinstance(outcome, Snapshot):
+            self._take_snapshot(outcome)
+            self._timers.after(0, self._watch)
+            return
         self._apply(outcome)
-        self._timers.after(WATCH_PAUSE_MS, self._watch)
+        self._timers.after(0 if outcome.by_peer else WATCH_PAUSE_MS, self._watch)
 
     def _failed(self, fault: ReadFault, again: Callable[[], None]) -> None:
         if not self._failures:
@@ -158,8 +200,8 @@
             pause_ms = max(pause_ms, OVERLOAD_BACKOFF_MS)
         self._timers.after(pause_ms * self._rng.uniform(0.7, 1.3), again)
 
-    def _answered(self) -> None:
-        self._confirm(0.0)
+    def _answered(self, age_ms: float) -> None:
+        self._confirm(age_ms)
         if self._failures:
             log_event("platform-regained", failures=self._failures, revision=self.revision)
             self._failures = 0
@@ -173,6 +215,7 @@
         before = None if self.plan is None else self.plan.version
         self.plan = plan
         log_event("plan-adopted", version=plan.version, before=before, routes=len(plan.routes))
+        self._changed(plan)
         self._on_plan(plan)
 
     def _replace(self, snapshot: Snapshot) -> None:
@@ -199,6 +242,7 @@
             return
         known = self._searchers.get(searcher.incarnation)
         self._searchers[searcher.incarnation] = searcher
+        self._changed(searcher)
         self._fleet.put(searcher)
         if known is None or known.draining != searcher.draining:
             log_event(
@@ -227,5 +271,10 @@
     def _remove(self, incarnation: str) -> None:
         self._missing.pop(incarnation, None)
         self._searchers.pop(incarnation, None)
+        self._changed(incarnation)
         log_event("searcher-gone", searcher=incarnation, revision=self.revision)
         self._fleet.remove(incarnation)
+
+
+def _nothing() -> None:
+    pass
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -13,8 +13,10 @@
     :param revision: changes after it may be missing here.
     :param plan: the configuration; None when none is published.
     :param searchers: all searchers.
+    :param age_ms: time since the platform confirmed this, when a peer tells it.
     """
 
     revision: int
     plan: ServingPlan | None
     searchers: tuple[Searcher, ...]
+    age_ms: float = 0.0
--- a/rhubarbhinge/published/_source.py
+++ b/rhubarbhinge/published/_source.py
@@ -18,10 +18,11 @@
         """
 
     def wait_for_changes(
-        self, after_revision: int, on_done: Callable[[Changes | ReadFault], None]
+        self, after_revision: int, on_done: Callable[[Changes | Snapshot | ReadFault], None]
     ) -> None:
         """Wait until something changes, within a bound.
 
         :param after_revision: changes after it are told.
-        :param on_done: told the outcome, once and later; no changes when the bound is over.
+        :param on_done: told the outcome, once and later; no changes when the bound is over, and
+            everything when the changes alone are not known.
         """
