--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -1,5 +1,6 @@
 """Requests to single searchers: connections, replies, retries and hedges."""
 
+from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
@@ -8,7 +9,7 @@
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyReader
 from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
 from rhubarbhinge.forward._searcher_reply import SearcherReply
-from rhubarbhinge.forward._service_call import CallTerms, ServiceCall
+from rhubarbhinge.forward._service_call import ServiceCall
 from rhubarbhinge.forward._story import Story
 from rhubarbhinge.forward._surroundings import Surroundings
 
--- /dev/null
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -0,0 +1,26 @@
+"""What is granted to one call."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallTerms:
+    """What is granted to one call.
+
+    :param idempotent: whether it may be executed more than once.
+    :param max_attempts: most searchers that may execute it.
+    :param hedge_ms: wait before a second searcher is asked too; None to ask none.
+    :param retry_until_ms: up to this time refusals are followed by further tries.
+    :param deadline_ms: when the caller stops waiting.
+    :param priority: rank among what waits for the same searcher; 0 goes first.
+    :param useful_until_ms: when a reply comes too late to be of use; what can't be sent in time
+        for that is not sent.
+    """
+
+    idempotent: bool
+    max_attempts: int
+    hedge_ms: float | None
+    retry_until_ms: float
+    deadline_ms: float
+    priority: int = 0
+    useful_until_ms: float = float("inf")
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -3,15 +3,16 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from circuits import BaseComponent
 
 from rhubarbhinge.fleet import ObservedSearcher
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange
+from rhubarbhinge.forward._exchanging import Exchanging
+from rhubarbhinge.forward._lane import Connection, Lane
 from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
-from rhubarbhinge.forward._reply_reader import RawReply, ReplyError, ReplyReader
+from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
@@ -28,81 +29,6 @@
 """Most replies to earlier requests that are skipped on one connection before it is given up."""
 
 
-class _Exchanging:
-    """State of one exchange.
-
-    :param number: identifies it.
-    :param exchange: what is asked of whom.
-    :param tell: told the outcome.
-    :param cancel: gives it up.
-    """
-
-    __slots__ = ("number", "exchange", "tell", "conn", "sent_ms", "over", "_cancel")
-
-    def __init__(
-        self,
-        number: int,
-        exchange: Exchange,
-        tell: Callable[[Outcome], None],
-        cancel: Callable[["_Exchanging"], None],
-    ):
-        self.number = number
-        self.exchange = exchange
-        self.tell = tell
-        self.conn: _Conn | None = None
-        self.sent_ms: float | None = None
-        self.over = False
-        self._cancel = cancel
-
-    def __lt__(self, other: "_Exchanging") -> bool:
-        """Order what waits: the more urgent first, then the earlier."""
-        return (self.exchange.priority, self.number) < (other.exchange.priority, other.number)
-
-    @property
-    def sent(self) -> bool:
-        """Whether the request was handed to a connection."""
-        return self.sent_ms is not None
-
-    def cancel(self) -> None:
-        """Give the exchange up."""
-        if not self.over:
-            self._cancel(self)
-
-
-@dataclass(slots=True, eq=False)
-class _Conn:
-    """State of one connection."""
-
-    link: int
-    searcher: ObservedSearcher
-    is_open: bool = False
-    reader: ReplyReader = field(default_factory=ReplyReader)
-    exchanging: _Exchanging | None = None
-    idle_until_ms: float = 0.0
-    skipped: int = 0
-
-
-@dataclass(slots=True)
-class _Lane:
-    """Connections to one searcher, and what waits for one; the idle one used last is next."""
-
-    idle: list[_Conn] = field(default_factory=list)
-    count: int = 0
-    opening: int = 0
-    waiting: list[_Exchanging] = field(default_factory=list)
-
-    def next_waiting(self) -> _Exchanging | None:
-        """Take what waits first.
-
-        :returns: the exchange, or None.
-        """
-        while self.waiting:
-            exchanging = heapq.heappop(self.waiting)
-            if not exchanging.over:
-                return exchanging
-        return None
-
-
 class ConnectionPool(BaseComponent):
     """Sends requests to searchers on connections that are kept, one request at a time on each.
 
@@ -127,8 +53,8 @@
         self._most_connections = most_connections
         self._on_wrong_searcher = on_wrong_searcher
         self._numbers = itertools.count(1)
-        self._conns: dict[int, _Conn] = {}
-        self._lanes: dict[str, _Lane] = {}
+        self._conns: dict[int, Connection] = {}
+        self._lanes: dict[str, Lane] = {}
         self.opened = 0
         self._links = Links(
             self._opened, self._received, self._closed, notice_silence=True
@@ -146,7 +72,7 @@
         :param tell: told the outcome, once and later.
         :returns: the handle to cancel it by.
         """
-        exchanging = _Exchanging(next(self._numbers), exchange, tell, self._cancelled)
+        exchanging = Exchanging(next(self._numbers), exchange, tell, self._cancelled)
         observed = exchange.searcher
         now_ms = self._timers.now_ms()
         observed.on_sent(exchanging.number, now_ms)
@@ -190,10 +116,10 @@
             for conn in [conn for conn in lane.idle if conn.idle_until_ms <= now_ms]:
                 self._drop(conn)
 
-    def _lane(self, observed: ObservedSearcher) -> _Lane:
-        return self._lanes.setdefault(observed.searcher.incarnation, _Lane())
+    def _lane(self, observed: ObservedSearcher) -> Lane:
+        return self._lanes.setdefault(observed.searcher.incarnation, Lane())
 
-    def _take_idle(self, lane: _Lane, now_ms: float) -> _Conn | None:
+    def _take_idle(self, lane: Lane, now_ms: float) -> Connection | None:
         while lane.idle:
             conn = lane.idle.pop()
             if conn.idle_until_ms > now_ms and self._links.is_quiet(conn.link):
@@ -201,24 +127,22 @@
             self._drop(conn)
         return None
 
-    def _open(
-        self, observed: ObservedSearcher, lane: _Lane, exchanging: _Exchanging | None
-    ) -> None:
+    def _open(self, observed: ObservedSearcher, lane: Lane, exchanging: Exchanging | None) -> None:
         searcher = observed.searcher
         lane.count += 1
         lane.opening += 1
         self.opened += 1
         link = self._links.open(searcher.ip, searcher.port, CONNECT_TIMEOUT_MS)
-        conn = _Conn(link, observed, exchanging=exchanging)
+        conn = Connection(link, observed, exchanging=exchanging)
         if exchanging is not None:
-            exchanging.conn = conn
+            exchanging.link = link
         self._conns[link] = conn
 
-    def _write(self, conn: _Conn, exchanging: _Exchanging, now_ms: float) -> None:
+    def _write(self, conn: Connection, exchanging: Exchanging, now_ms: float) -> None:
         exchange = exchanging.exchange
         conn.exchanging = exchanging
         conn.reader.wants_body = exchange.request.wants_body
-        exchanging.conn = conn
+        exchanging.link = conn.link
         exchanging.sent_ms = now_ms
         left_ms = exchange.deadline_ms - now_ms
         data = self._dialect.searcher_request(
@@ -256,7 +180,7 @@
                 return
             self._replied(conn, raw, last=raw is replies[-1])
 
-    def _replied(self, conn: _Conn, raw: RawReply, last: bool) -> None:
+    def _replied(self, conn: Connection, raw: RawReply, last: bool) -> None:
         exchanging = conn.exchanging
         reply = self._dialect.searcher_reply(raw)
         wanted_id = exchanging.exchange.request.id
@@ -282,7 +206,7 @@
         else:
             self._tell(exchanging, Replied(reply, delay_ms))
 
-    def _skip(self, conn: _Conn, more_may_come: bool, request_id: str) -> None:
+    def _skip(self, conn: Connection, more_may_come: bool, request_id: str) -> None:
         """Pass over a late reply to an earlier request; the one that is waited for may follow."""
         conn.skipped += 1
         log_event(
@@ -295,7 +219,7 @@
         if not more_may_come or conn.skipped > SKIPPED_REPLIES:
             self._fail(conn, Lost(Why.MALFORMED), "other-request")
 
-    def _observe(self, exchanging: _Exchanging, reply, delay_ms: float, now_ms: float) -> None:
+    def _observe(self, exchanging: Exchanging, reply, delay_ms: float, now_ms: float) -> None:
         observed, number = exchanging.exchange.searcher, exchanging.number
         if reply.not_run or reply.wrong_searcher:
             observed.on_refused(number, now_ms)
@@ -306,7 +230,7 @@
             observed.on_reply(number, delay_ms, delays.quantile(0.5), now_ms)
             delays.add(delay_ms)
 
-    def _keep(self, conn: _Conn, keep_alive_ms: float | None) -> None:
+    def _keep(self, conn: Connection, keep_alive_ms: float | None) -> None:
         lane = self._lane(conn.searcher)
         now_ms = self._timers.now_ms()
         waiting = self._next_in_time(lane, now_ms)
@@ -320,7 +244,7 @@
         conn.idle_until_ms = now_ms + idle_ms
         lane.idle.append(conn)
 
-    def _next_in_time(self, lane: _Lane, now_ms: float) -> _Exchanging | None:
+    def _next_in_time(self, lane: Lane, now_ms: float) -> Exchanging | None:
         """Take what waits first and can still be of use; the rest is told that it is too late."""
         while (exchanging := lane.next_waiting()) is not None:
             exchange = exchanging.exchange
@@ -331,9 +255,9 @@
             self._tell_later(exchanging, NotRun(Why.TOO_LATE))
         return None
 
-    def _cancelled(self, exchanging: _Exchanging) -> None:
+    def _cancelled(self, exchanging: Exchanging) -> None:
         exchanging.over = True
-        conn = exchanging.conn
+        conn = self._conns.get(exchanging.link)
         exchange = exchanging.exchange
         now_ms = self._timers.now_ms()
         if exchanging.sent_ms is None:
@@ -365,7 +289,7 @@
         else:
             self._fail(conn, NotRun(Why.UNREACHABLE), reason.value)
 
-    def _fail(self, conn: _Conn, outcome: Outcome, code: str) -> None:
+    def _fail(self, conn: Connection, outcome: Outcome, code: str) -> None:
         exchanging, conn.exchanging = conn.exchanging, None
         observed = conn.searcher
         now_ms = self._timers.now_ms()
@@ -385,7 +309,7 @@
         self._drop(conn)
         self._tell(exchanging, outcome)
 
-    def _unreachable(self, conn: _Conn, code: str) -> None:
+    def _unreachable(self, conn: Connection, code: str) -> None:
         """Note that a searcher can't be reached; what waits for it is told to go elsewhere."""
         observed = conn.searcher
         if not observed.is_down:
@@ -397,15 +321,15 @@
             observed.started_ms.pop(exchanging.number, None)
             self._tell_later(exchanging, NotRun(Why.UNREACHABLE))
 
-    def _tell_later(self, exchanging: _Exchanging, outcome: Outcome) -> None:
+    def _tell_later(self, exchanging: Exchanging, outcome: Outcome) -> None:
         self._timers.after(0, lambda: self._tell(exchanging, outcome))
 
-    def _tell(self, exchanging: _Exchanging, outcome: Outcome) -> None:
+    def _tell(self, exchanging: Exchanging, outcome: Outcome) -> None:
         if not exchanging.over:
             exchanging.over = True
             exchanging.tell(outcome)
 
-    def _drop(self, conn: _Conn) -> None:
+    def _drop(self, conn: Connection) -> None:
         if self._conns.pop(conn.link, None) is None:
             return
         observed = conn.searcher
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -1,9 +1,9 @@
 """One request to one service: whichever of its searchers answers first."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from rhubarbhinge.fleet import Delays, ObservedSearcher, best_searcher
+from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
@@ -21,29 +21,6 @@
 """Pause once all searchers have refused; about half an execution, after which a slot is free."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallTerms:
-    """What is granted to one call.
-
-    :param idempotent: whether it may be executed more than once.
-    :param max_attempts: most searchers that may execute it.
-    :param hedge_ms: wait before a second searcher is asked too; None to ask none.
-    :param retry_until_ms: up to this time refusals are followed by further tries.
-    :param deadline_ms: when the caller stops waiting.
-    :param priority: rank among what waits for the same searcher; 0 goes first.
-    :param useful_until_ms: when a reply comes too late to be of use; what can't be sent in time
-        for that is not sent.
-    """
-
-    idempotent: bool
-    max_attempts: int
-    hedge_ms: float | None
-    retry_until_ms: float
-    deadline_ms: float
-    priority: int = 0
-    useful_until_ms: float = float("inf")
-
-
 class ServiceCall:
     """One request to one service, with its retries and its hedge.
 
--- a/rhubarbhinge/gateway/__init__.py
+++ b/rhubarbhinge/gateway/__init__.py
@@ -4,6 +4,16 @@
 from rhubarbhinge.gateway._entry import Entry, run_entry
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError
 from rhubarbhinge.gateway._gateway import Gateway
+from rhubarbhinge.gateway._gateway_parts import GatewayParts
 from rhubarbhinge.gateway._split import Splitter
 
-__all__ = ["Address", "Entry", "EntrySettings", "Gateway", "SettingsError", "Splitter", "run_entry"]
+__all__ = [
+    "Address",
+    "Entry",
+    "EntrySettings",
+    "Gateway",
+    "GatewayParts",
+    "SettingsError",
+    "Splitter",
+    "run_entry",
+]
--- /dev/null
+++ b/rhubarbhinge/gateway/_connection_shares.py
@@ -0,0 +1,40 @@
+"""How many connections this entry may hold to a searcher."""
+
+import math
+from collections.abc import Callable
+
+from rhubarbhinge.fleet import ObservedSearcher
+from rhubarbhinge.peers import Peers
+from rhubarbhinge.published import Follower
+
+IN_FLIGHT_FACTOR = 3.0
+"""Requests that the entries of a searcher's domain send it at a time, in its slots: enough to keep
+it busy; what is more waits here, where it can be dropped when it is too late."""
+LEAST_IN_FLIGHT = 2
+"""Requests that one entry may send to a searcher at a time, however many entries there are."""
+USUAL_CONNECTIONS = 2
+"""Connections to a searcher whose service the plan does not name."""
+
+
+def connection_shares(
+    follower: Follower, peers: Peers, processes: Callable[[], int]
+) -> Callable[[ObservedSearcher], int]:
+    """Share the connections of searchers among the live entries.
+
+    :param follower: knows the plan, which tells how many connections a searcher takes.
+    :param peers: knows the entries of each failure domain.
+    :param processes: gives how many entries there may be in all.
+    :returns: gives the most connections to a searcher.
+    """
+
+    def share(observed: ObservedSearcher) -> int:
+        plan = follower.plan
+        service = plan.services.get(observed.searcher.service) if plan else None
+        if service is None:
+            return USUAL_CONNECTIONS
+        even = service.max_connections // processes()
+        near = max(1, peers.in_domain(observed.searcher.failure_domain))
+        busy = math.ceil(IN_FLIGHT_FACTOR * observed.searcher.capacity / near)
+        return max(1, min(even, max(LEAST_IN_FLIGHT, busy)))
+
+    return share
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -1,7 +1,6 @@
 """The process of an entry."""
 
 import gc
-import math
 import random
 import signal
 from collections.abc import Callable
@@ -14,9 +13,12 @@
 from rhubarbhinge.forward import CallTerms, ConnectionPool, Dialect, Surroundings
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._call_terms import call_terms
+from rhubarbhinge.gateway._connection_shares import connection_shares
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
 from rhubarbhinge.gateway._far_search import far_search
 from rhubarbhinge.gateway._gateway import Gateway
+from rhubarbhinge.gateway._gateway_parts import GatewayParts
+from rhubarbhinge.gateway._shutdown import Shutdown
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
@@ -33,12 +35,6 @@
     error_response,
 )
 
-UNREADY_MS = 3_200.0
-"""A stopping entry goes on this long: the balancer needs two misses, a second apart, to notice."""
-STOP_MARGIN_MS = 500.0
-"""A stopping entry ends this much before it would be killed."""
-STOP_POLL_MS = 20.0
-"""How often a stopping entry looks whether all is answered."""
 NO_PLAN_WAIT_MS = 600.0
 """Callers wait this long for the first plan, which takes 30 ms; then they are refused at once."""
 HOUSEKEEPING_MS = 250.0
@@ -50,13 +46,6 @@
 """Callers' connections; the descriptors of a VM less those for searchers and files."""
 NEVER_GZIP_BYTES = 1 << 62
 """Searchers' bodies are passed on as they are."""
-IN_FLIGHT_FACTOR = 3.0
-"""Requests that the entries of a searcher's domain send it at a time, in its slots: enough to keep
-it busy; what is more waits here, where it can be dropped when it is too late."""
-LEAST_IN_FLIGHT = 2
-"""Requests that one entry may send to a searcher at a time, however many entries there are."""
-USUAL_CONNECTIONS = 2
-"""Connections to a searcher whose service the plan does not name."""
 ASSUMED_PROCESSES = 8
 """Entries that share limits while the others have not been heard of; the most of today's sites."""
 SETTLE_MS = 3_000.0
@@ -97,8 +86,6 @@
         self._stopping = False
         self._serving = False
         self._moved_at_ms = 0.0
-        self._stop_by_ms = 0.0
-        self._quiet_at_ms = 0.0
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
         self._metrics = Metrics()
         self.timers = TimerService().register(self)
@@ -140,11 +127,12 @@
             lambda: source.reads_platform,
         ).register(self)
         source.know(self._peers.table)
+        self._share = connection_shares(self._follower, self._peers, self._processes)
         delegates = Delegates(
             self.timers, self._peers.table, settings.ask_port, self._rng
         ).register(self)
         far = far_search(settings.failure_domain, around, delegates, self._rng)
-        self._gateway = Gateway(
+        parts = GatewayParts(
             around,
             dialect,
             self._follower,
@@ -153,6 +141,7 @@
             far,
             self._moving_ms,
         )
+        self._gateway = Gateway(parts)
         self._asks = AskServer(
             self.timers,
             around,
@@ -165,6 +154,7 @@
             self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
         )
         self._accepting = False
+        self._shutdown = Shutdown(self.timers, self._callers, self._asks, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
         HttpServer(self.timers, self._readiness, settings.readiness).register(self)
         HttpServer(self.timers, self._operators, (settings.ip, settings.metrics_port)).register(
@@ -231,14 +221,7 @@
         return self._peers.processes()
 
     def _most_connections(self, observed: ObservedSearcher) -> int:
-        plan = self._follower.plan
-        service = plan.services.get(observed.searcher.service) if plan else None
-        if service is None:
-            return USUAL_CONNECTIONS
-        share = service.max_connections // self._processes()
-        near = max(1, self._peers.in_domain(observed.searcher.failure_domain))
-        busy = math.ceil(IN_FLIGHT_FACTOR * observed.searcher.capacity / near)
-        return max(1, min(share, max(LEAST_IN_FLIGHT, busy)))
+        return self._share(observed)
 
     def _searcher_left(self, observed: ObservedSearcher) -> None:
         self._pool.forget(observed)
@@ -306,24 +289,8 @@
         if self._stopping:
             return
         self._stopping = True
-        now_ms = self.timers.now_ms()
-        grace_ms = self._settings.stop_grace_ms - STOP_MARGIN_MS
-        self._stop_by_ms = now_ms + grace_ms
-        self._quiet_at_ms = now_ms + min(UNREADY_MS, grace_ms)
-        log_event("stop-started", open_requests=self._callers.open_requests)
-        self._callers.begin_closing()
+        self._shutdown.begin(self._settings.stop_grace_ms)
         self._peers.leave()
-        self.timers.every(STOP_POLL_MS, self._stop_when_done)
-
-    def _stop_when_done(self) -> None:
-        now_ms = self.timers.now_ms()
-        late = now_ms >= self._stop_by_ms
-        open_work = self._callers.open_requests + self._asks.open_asks
-        unsent_bytes = self._callers.unsent_bytes + self._asks.unsent_bytes
-        answered = open_work == 0 and unsent_bytes == 0
-        if late or (answered and now_ms >= self._quiet_at_ms):
-            log_event("stopped", open_requests=self._callers.open_requests, late=late)
-            self.stop()
 
 
 def run_entry(read_settings: ReadSettings, dialect: Dialect, make_source: MakeSource) -> None:
--- /dev/null
+++ b/rhubarbhinge/gateway/_gateway_parts.py
@@ -0,0 +1,32 @@
+"""What the requests of a gateway share."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rhubarbhinge.forward import Dialect, Surroundings
+from rhubarbhinge.gather import FarSearch
+from rhubarbhinge.published import Follower
+from rhubarbhinge.telemetry import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayParts:
+    """What the requests of a gateway share.
+
+    :param surroundings: timers, searchers, budget and connections.
+    :param dialect: translates messages.
+    :param follower: knows the plan.
+    :param metrics: counts.
+    :param rng: spreads what is said to callers.
+    :param far: how other entries are asked for the shards near them.
+    :param moving_ms: gives the time until callers are sent to other entries, 0 when they aren't.
+    """
+
+    surroundings: Surroundings
+    dialect: Dialect
+    follower: Follower
+    metrics: Metrics
+    rng: random.Random
+    far: FarSearch
+    moving_ms: Callable[[], float]
--- /dev/null
+++ b/rhubarbhinge/gateway/_handling.py
@@ -0,0 +1,217 @@
+"""One request under way."""
+
+from collections.abc import Callable
+
+from rhubarbhinge.fleet import Delays
+from rhubarbhinge.forward import (
+    CallerRequest,
+    CallTerms,
+    Failed,
+    Passed,
+    Refused,
+    Result,
+    ServiceCall,
+    Story,
+)
+from rhubarbhinge.gateway._answers import failed, refused, timed_out
+from rhubarbhinge.gateway._call_terms import call_terms
+from rhubarbhinge.gateway._gateway_parts import GatewayParts
+from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
+from rhubarbhinge.plans import Route, ServingPlan
+from rhubarbhinge.telemetry import log_event
+from rhubarbhinge.timing import Subscription
+from rhubarbhinge.web import Responder, Response
+
+ANSWER_SHARE = 0.92
+"""Part of the latency objective after which a search is answered with what there is."""
+ANSWER_MARGIN_MS = 3.0
+"""Taken off besides: a round trip to the caller of 2 ms, and the writing of the answer."""
+CALLER_MARGIN_MS = 5.0
+"""A caller's time is taken to be over this much sooner, so that it gets the answer."""
+RETRY_AFTER_SHARE = 0.25
+"""Callers come back after this part of the latency objective."""
+LEAST_RETRY_AFTER_MS = 50.0
+"""Shorter pauses bring the caller back into the same shortage."""
+MOST_NAMED_SHARDS = 8
+"""Most missing shards that a line of the log names."""
+CALLER_GONE = 0
+"""In logs: the status of a request whose caller left before its answer."""
+SUCCESS = 200
+"""Status of an answer whose steps are not written, unless shards are missing."""
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that callers take to mean that the request was not executed."""
+
+
+class Handling:
+    """One request under way.
+
+    :param parts: what requests share.
+    :param asked: the request.
+    :param plan: the plan it was read under.
+    :param route: its route.
+    :param responder: answers it.
+    """
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        asked: CallerRequest,
+        plan: ServingPlan,
+        route: Route,
+        responder: Responder,
+    ):
+        self._parts = parts
+        self._around = parts.surroundings
+        self._asked = asked
+        self._plan = plan
+        self._route = route
+        self._responder = responder
+        self._started_ms = self._around.timers.now_ms()
+        wait_ms = route.timeout_ms
+        if asked.wait_ms is not None:
+            wait_ms = min(wait_ms, asked.wait_ms - CALLER_MARGIN_MS)
+        self._deadline_ms = self._started_ms + max(1.0, wait_ms)
+        self._missing: tuple[str, ...] = ()
+        self._story = Story(asked.id, self._around.timers.now_ms)
+        self._timer: Subscription | None = None
+        self._cancel: Callable[[], None] | None = None
+
+    def forward(self, service: str, delays: Delays) -> None:
+        """Have one searcher of a service answer.
+
+        :param service: the service.
+        :param delays: the usual delays of such requests.
+        """
+        around = self._around
+        around.budget.on_request((service,))
+        terms = self._terms(delays, self._deadline_ms)
+        call = ServiceCall(around, self._asked, service, terms, delays, self._called, self._story)
+        self._begin(call.cancel, lambda: self._expired(call))
+        call.start()
+
+    def gather(self, delays: Delays) -> None:
+        """Have all shards answer.
+
+        :param delays: the usual delays of such requests at one shard.
+        """
+        route = self._route
+        answer_by_ms = self._started_ms + ANSWER_SHARE * route.target_latency_ms - ANSWER_MARGIN_MS
+        terms = GatherTerms(
+            route.name,
+            route.shards,
+            route.target_latency_ms,
+            answer_by_ms,
+            self._terms(delays, answer_by_ms),
+        )
+        gathering = Gathering(
+            self._around,
+            self._asked,
+            terms,
+            delays,
+            self._parts.far,
+            self._gathered,
+            self._story,
+        )
+        self._begin(gathering.cancel, gathering.time_out)
+        gathering.start()
+
+    def _terms(self, delays: Delays, useful_until_ms: float) -> CallTerms:
+        route = self._route
+        return call_terms(
+            route.target_latency_ms,
+            route.idempotent,
+            route.max_attempts,
+            route.priority,
+            self._started_ms,
+            self._deadline_ms,
+            delays,
+            useful_until_ms,
+        )
+
+    def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
+        self._cancel = cancel
+        self._responder.on_abandoned(self._abandoned)
+        wait_ms = self._deadline_ms - self._started_ms
+        self._timer = self._around.timers.after(wait_ms, on_timeout)
+
+    def _abandoned(self) -> None:
+        self._timer.cancel()
+        self._cancel()
+        self._log("caller-gone", CALLER_GONE)
+
+    def _expired(self, call: ServiceCall) -> None:
+        may_have_run = call.may_have_run
+        call.cancel()
+        if may_have_run:
+            self._answer(timed_out(), "timeout")
+        else:
+            self._answer(self._refusal("timeout", "No searcher had room in time."), "timeout")
+
+    def _called(self, call: ServiceCall, result: Result) -> None:
+        if isinstance(result, Passed):
+            self._pass_on(result)
+        elif isinstance(result, Refused):
+            why = result.why.value if result.why else "no-searcher"
+            self._answer(self._refusal(why, "No searcher took the request."), why)
+        elif isinstance(result, Failed):
+            why = result.why.value if result.why else "failed"
+            self._answer(failed(why, "The searcher's reply did not come."), why)
+
+    def _pass_on(self, result: Passed) -> None:
+        reply = result.reply
+        if reply.status in NOT_RUN_STATUSES:
+            # To callers these say "not run", which this searcher did not say.
+            self._answer(failed("searcher-failed", "The searcher failed."), "searcher-failed")
+        else:
+            self._answer(self._parts.dialect.passed_on(reply), "passed")
+
+    def _gathered(self, result: Gathered | NotEnough) -> None:
+        missing = len(result.missing)
+        self._missing = result.missing
+        if isinstance(result, Gathered):
+            answer = self._parts.dialect.merged(result.signatures, missing, result.body)
+            self._answer(answer, "gathered", missing)
+        elif result.timed_out:
+            self._answer(timed_out(), "timeout", missing)
+        elif result.may_have_run:
+            answer = failed("too-few-shards", "Too few shards answered.")
+            self._answer(answer, "too-few-shards", missing)
+        else:
+            answer = self._refusal("too-few-shards", "Too few shards can answer.")
+            self._answer(answer, "no-shards", missing)
+
+    def _refusal(self, code: str, message: str) -> Response:
+        pause_ms = max(
+            LEAST_RETRY_AFTER_MS,
+            RETRY_AFTER_SHARE * self._route.target_latency_ms,
+            self._parts.moving_ms(),
+        )
+        return refused(code, message, pause_ms * self._parts.rng.uniform(0.8, 1.2))
+
+    def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
+        self._timer.cancel()
+        self._responder.answer(answer)
+        took_ms = self._around.timers.now_ms() - self._started_ms
+        self._parts.metrics.observe_latency(self._route.host, self._route.name, took_ms)
+        if why not in ("passed", "gathered") or missing or took_ms > self._route.target_latency_ms:
+            self._log(why, answer.status, missing)
+
+    def _log(self, why: str, status: int, missing: int = 0) -> None:
+        if status not in (SUCCESS, CALLER_GONE):
+            self._story.tell()
+        elif missing:
+            self._story.tell(frozenset(self._missing))
+        log_event(
+            "request-ended",
+            request=self._asked.id,
+            route=self._route.name,
+            priority=self._route.priority,
+            plan=self._plan.version,
+            plan_age_ms=round(self._parts.follower.age_ms()),
+            why=why,
+            status=status,
+            missing=missing,
+            without=",".join(self._missing[:MOST_NAMED_SHARDS]),
+            wait_ms=self._asked.wait_ms,
+            took_ms=round(self._around.timers.now_ms() - self._started_ms, 1),
+        )
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 from rhubarbhinge.forward import CallerRequest, Lost, NotRun, SearcherReply, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
-from rhubarbhinge.gateway import Gateway
+from rhubarbhinge.gateway import Gateway, GatewayParts
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
 from rhubarbhinge.telemetry import Metrics
@@ -48,7 +48,7 @@
         self.answers: list[Response] = []
         far = FarSearch(lambda request, terms, served: {}, None)
         self.moving_ms = 0.0
-        self.gateway = Gateway(
+        parts = GatewayParts(
             self.world.around,
             FakeDialect(),
             self.follower,
@@ -57,6 +57,7 @@
             far,
             lambda: self.moving_ms,
         )
+        self.gateway = Gateway(parts)
 
     def ask(self, path: str, wait_ms: float | None = None) -> Responder:
         headers = {"host": "a", **({"wait": str(wait_ms)} if wait_ms else {})}
--- a/rhubarbhinge/gather/__init__.py
+++ b/rhubarbhinge/gather/__init__.py
@@ -1,15 +1,10 @@
 """Searches: one request to every shard, merged into one answer."""
 
-from rhubarbhinge.gather._gathering import (
-    FarAsk,
-    FarPart,
-    FarSearch,
-    Gathered,
-    Gathering,
-    GatherTerms,
-    NotEnough,
-)
+from rhubarbhinge.gather._far_search import FarAsk, FarPart, FarSearch
+from rhubarbhinge.gather._gather_terms import GatherTerms
+from rhubarbhinge.gather._gathering import Gathering
 from rhubarbhinge.gather._merge import RECORD_BYTES, merge_greatest
+from rhubarbhinge.gather._results import Gathered, NotEnough
 from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
 
 __all__ = [
--- /dev/null
+++ b/rhubarbhinge/gather/_far_search.py
@@ -0,0 +1,53 @@
+"""How other entries are asked for the shards near them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from rhubarbhinge.forward import CallerRequest
+from rhubarbhinge.gather._gather_terms import GatherTerms
+
+
+@dataclass(frozen=True, slots=True)
+class FarPart:
+    """What another entry found in the shards near it.
+
+    :param services: shards whose records are in the body.
+    :param signatures: the signatures of their replies, in the same order.
+    :param untried: shards that no searcher was asked for.
+    :param may_have_run: whether any searcher has executed the search.
+    :param body: the greatest records of these shards.
+    """
+
+    services: tuple[str, ...]
+    signatures: tuple[str, ...]
+    untried: tuple[str, ...]
+    may_have_run: bool
+    body: bytes
+
+
+class FarAsk(Protocol):
+    """Handle of an ask to another entry."""
+
+    def cancel(self) -> None:
+        """Give the ask up."""
+
+
+FarShards = Callable[[CallerRequest, GatherTerms, Iterable[str]], dict[str, list[str]]]
+"""Tells which of some shards to leave to which other entry: lists of shards by its address."""
+AskFar = Callable[
+    [str, CallerRequest, GatherTerms, list[str], Callable[[FarPart | None], None]], FarAsk
+]
+"""Asks the entry at an address to search some shards; None comes back when it failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FarSearch:
+    """How other entries are asked.
+
+    :param shards_for: tells which shards to leave to which entry.
+    :param ask: asks an entry.
+    """
+
+    shards_for: FarShards
+    ask: AskFar
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -1,105 +1,14 @@
 """One search under way."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import Protocol
+from collections.abc import Callable
 
 from rhubarbhinge.fleet import Delays
-from rhubarbhinge.forward import CallerRequest, CallTerms, Story, Surroundings
+from rhubarbhinge.forward import CallerRequest, Story, Surroundings
+from rhubarbhinge.gather._far_search import FarAsk, FarPart, FarSearch
+from rhubarbhinge.gather._gather_terms import GatherTerms
 from rhubarbhinge.gather._merge import merge_greatest
+from rhubarbhinge.gather._results import Gathered, NotEnough
 from rhubarbhinge.gather._shard_calls import ShardCalls, ShardEnd
-from rhubarbhinge.plans import ShardSet
-
-
-@dataclass(frozen=True, slots=True)
-class GatherTerms:
-    """What is granted to one search.
-
-    :param route_name: name of its route.
-    :param shards: the shards of the plan that it was read under.
-    :param target_latency_ms: the route's latency objective.
-    :param answer_by_ms: when it is answered with what there is, if that is enough.
-    :param call: what is granted to the call to each shard.
-    """
-
-    route_name: str
-    shards: ShardSet
-    target_latency_ms: float
-    answer_by_ms: float
-    call: CallTerms
-
-
-@dataclass(frozen=True, slots=True)
-class Gathered:
-    """A success.
-
-    :param signatures: those of the replies that are in it.
-    :param missing: names of the shards that are not.
-    :param body: the merged records.
-    """
-
-    signatures: tuple[str, ...]
-    missing: tuple[str, ...]
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class NotEnough:
-    """Too few shards answered, or can.
-
-    :param missing: names of the shards that did not answer.
-    :param may_have_run: whether any searcher has executed the search.
-    :param timed_out: whether the time was over.
-    """
-
-    missing: tuple[str, ...]
-    may_have_run: bool
-    timed_out: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class FarPart:
-    """What another entry found in the shards near it.
-
-    :param services: shards whose records are in the body.
-    :param signatures: the signatures of their replies, in the same order.
-    :param untried: shards that no searcher was asked for.
-    :param may_have_run: whether any searcher has executed the search.
-    :param body: the greatest records of these shards.
-    """
-
-    services: tuple[str, ...]
-    signatures: tuple[str, ...]
-    untried: tuple[str, ...]
-    may_have_run: bool
-    body: bytes
-
-
-class FarAsk(Protocol):
-    """Handle of an ask to another entry."""
-
-    def cancel(self) -> None:
-        """Give the ask up."""
-
-
-FarShards = Callable[[CallerRequest, GatherTerms, Iterable[str]], dict[str, list[str]]]
-"""Tells which of some shards to leave to which other entry: lists of shards by its address."""
-AskFar = Callable[
-    [str, CallerRequest, GatherTerms, list[str], Callable[[FarPart | None], None]], FarAsk
-]
-"""Asks the entry at an address to search some shards; None comes back when it failed."""
-
-
-@dataclass(frozen=True, slots=True)
-class FarSearch:
-    """How other entries are asked.
-
-    :param shards_for: tells which shards to leave to which entry.
-    :param ask: asks an entry.
-    """
-
-    shards_for: FarShards
-    ask: AskFar
 
 
 class Gathering:
--- a/standins/operators/__init__.py
+++ b/standins/operators/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins of the operators' platform: its store, its searchers, and a deployment of entries."""
 
+from standins.operators._configuration import configuration
 from standins.operators._deployment import Deployment, EntryProcess
 from standins.operators._model import CompactedError, StoreModel
 from standins.operators._searcher import Searcher
@@ -12,4 +13,5 @@
     "Searcher",
     "Store",
     "StoreModel",
+    "configuration",
 ]
--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -15,12 +15,12 @@
 from typing import TypeVar
 
 from standins.fleet import free_ports, wait_until
+from standins.operators._configuration import HOST
 from standins.operators._model import StoreModel
 from standins.operators._searcher import Searcher
 from standins.operators._store import Store
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-HOST = "desk.example"
 STOP_S = 20.0
 T = TypeVar("T")
 
--- a/standins/tests/test_live_operators.py
+++ b/standins/tests/test_live_operators.py
@@ -7,47 +7,14 @@
 from pathlib import Path
 
 from standins.fleet import wait_until
-from standins.operators import Deployment, EntryProcess, Searcher
+from standins.operators import Deployment, EntryProcess, Searcher, configuration
 
 SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
 
 
-def config(version: int, shards: tuple[str, ...] = SHARDS, **routes: str) -> dict:
-    """Make a configuration: a search, a record fetch, and more routes to services."""
-    common = {"host": "desk.example", "timeout_ms": 5_000, "target_latency_ms": 2_000}
-    entries = [
-        {
-            "name": "search",
-            "path_prefix": "/search/",
-            "route_type": "idempotent",
-            "priority": 1,
-            "gather": list(shards),
-            "max_attempts": 2,
-            "top_k": 7,
-            "min_success_ratio": 0.75,
-        }
-    ]
-    entries += [
-        {
-            "name": name,
-            "path_prefix": f"/{name}/",
-            "route_type": "non_idempotent" if name == "once" else "idempotent",
-            "priority": 1,
-            "service": service,
-            "max_attempts": 2,
-        }
-        for name, service in {"once": "store", **routes}.items()
-    ]
-    services = {*shards, "store", *routes.values()}
-    return {
-        "version": version,
-        "routes": [{**common, **entry} for entry in entries],
-        "services": [
-            {"name": name, "health_path": "/health", "max_connections": 40}
-            for name in sorted(services)
-        ],
-        "limits": {},
-    }
+def config(version: int, shards: tuple[str, ...] = SHARDS, **added: str) -> dict:
+    """Make a configuration: a search, a fetch that may not repeat, and more routes to services."""
+    return configuration(version, shards, {"once": "store"}, added, 2_000)
 
 
 class OperatorsTest(unittest.TestCase):
--- a/tools/stories.py
+++ b/tools/stories.py
@@ -11,46 +11,11 @@
 
 from rhubarbhinge.cli import main as command
 from standins.fleet import wait_until
-from standins.operators import Deployment, EntryProcess
+from standins.operators import Deployment, EntryProcess, configuration
 
-HOST = "desk.example"
 SHARDS = tuple(f"shard-{place}" for place in range(8))
 
 
-def _config(target_latency_ms: int) -> dict:
-    common = {"host": HOST, "timeout_ms": 4_000, "max_attempts": 2}
-    return {
-        "version": 3,
-        "routes": [
-            {
-                **common,
-                "name": "sweep",
-                "path_prefix": "/sweep/",
-                "route_type": "idempotent",
-                "target_latency_ms": target_latency_ms,
-                "priority": 1,
-                "gather": list(SHARDS),
-                "top_k": 5,
-                "min_success_ratio": 0.75,
-            },
-            {
-                **common,
-                "name": "pay",
-                "path_prefix": "/pay/",
-                "route_type": "non_idempotent",
-                "target_latency_ms": 800,
-                "priority": 1,
-                "service": "ledger",
-            },
-        ],
-        "services": [
-            {"name": name, "health_path": "/health", "max_connections": 26}
-            for name in (*SHARDS, "ledger")
-        ],
-        "limits": {},
-    }
-
-
 def late(deployment: Deployment, entry: EntryProcess) -> str:
     """A sweep that one slow shard holds up.
 
@@ -60,7 +25,7 @@
     """
     for place in (1, 2):
         deployment.searchers[f"i-shard-3-{place}"].delay_ms = 30_000.0
-    print(f"answered {entry.ask('/sweep/x', 'late-1').status}")
+    print(f"answered {entry.ask('/search/x', 'late-1').status}")
     return "late-1"
 
 
@@ -107,7 +72,7 @@
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(Path(folder))
         try:
-            deployment.put("op/config", _config(300))
+            deployment.put("op/config", configuration(3, SHARDS, {"pay": "ledger"}, {}, 300))
             for service in (*SHARDS, "ledger"):
                 for place in (1, 2):
                     deployment.add_searcher(f"i-{service}-{place}", service)
