--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -25,7 +25,12 @@
         self.world = FakeWorld(services=("s0", "s1"))
         around = self.world.around
         around = Surroundings(
-            self.timers, around.fleet, around.preference, around.budget, around.send
+            self.timers,
+            around.fleet,
+            around.preference,
+            around.budget,
+            around.send,
+            around.metrics,
         )
         self.server = AskServer(
             self.timers,
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -7,6 +7,7 @@
 class CallTerms:
     """What is granted to one call.
 
+    :param route_name: the route, for counts.
     :param idempotent: whether it may be executed more than once.
     :param max_attempts: most searchers that may execute it.
     :param hedge_ms: wait before a second searcher is asked too; None to ask none.
@@ -17,6 +18,7 @@
         for that is not sent.
     """
 
+    route_name: str
     idempotent: bool
     max_attempts: int
     hedge_ms: float | None
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -11,12 +11,20 @@
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 from rhubarbhinge.forward._story import Story
 from rhubarbhinge.forward._surroundings import Surroundings
+from rhubarbhinge.telemetry import SubQueryKind
 from rhubarbhinge.timing import Subscription
 
 MOST_REFUSED_SENDS = 4
 """Searchers that refuse cost arrivals but run nothing; so many are asked for one call at most."""
 NEVER_SENT = (Why.UNREACHABLE, Why.LEAVING, Why.TOO_LATE)
 """Causes for which nothing arrived at a searcher."""
+SEND_KINDS = {
+    "first": SubQueryKind.BASE,
+    "hedge": SubQueryKind.HEDGE,
+    "retry": SubQueryKind.RETRY,
+    "retry-later": SubQueryKind.RETRY,
+}
+"""How sends are counted, by the reason that the log gives for them."""
 RETRY_PAUSE_MS = 25.0
 """Pause once all searchers have refused; about half an execution, after which a slot is free."""
 
@@ -128,6 +136,8 @@
     def _send(self, observed: ObservedSearcher, why: str) -> None:
         incarnation = observed.searcher.incarnation
         now_ms = self._around.timers.now_ms()
+        kind = SEND_KINDS[why]
+        self._around.metrics.count_sub_queries(self._terms.route_name, kind)
         self._story.note(
             "attempt-sent",
             self.service,
--- a/rhubarbhinge/forward/_surroundings.py
+++ b/rhubarbhinge/forward/_surroundings.py
@@ -5,6 +5,7 @@
 from rhubarbhinge.fleet import Fleet, Preference
 from rhubarbhinge.forward._exchange import SendAttempt
 from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.timing import TimerService
 
 
@@ -17,6 +18,7 @@
     :param preference: chooses among them.
     :param budget: what may be sent beyond the first time.
     :param send: starts an exchange.
+    :param metrics: counts what is sent.
     """
 
     timers: TimerService
@@ -24,3 +26,4 @@
     preference: Preference
     budget: RetryBudget
     send: SendAttempt
+    metrics: Metrics
--- a/rhubarbhinge/forward/tests/fakes.py
+++ b/rhubarbhinge/forward/tests/fakes.py
@@ -14,6 +14,7 @@
     Surroundings,
 )
 from rhubarbhinge.retries import BudgetRule, RetryBudget
+from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.utils.fake_timers import FakeTimers
 
 REQUEST = CallerRequest("r1", b"GET /x HTTP/1.1\r\nHost: a\r\n", b"", 1_000.0)
@@ -72,7 +73,10 @@
         self.budget = RetryBudget(rule, self.timers.now_ms, lambda: 1)
         self.delays = Delays(20.0)
         preference = expected_cost("hall-a", random.Random(1))
-        self.around = Surroundings(self.timers, self.fleet, preference, self.budget, self._send)
+        self.metrics = Metrics()
+        self.around = Surroundings(
+            self.timers, self.fleet, preference, self.budget, self._send, self.metrics
+        )
 
     def _send(self, exchange: Exchange, tell: Callable[[Outcome], None]) -> FakeAttempt:
         attempt = FakeAttempt(exchange, tell)
@@ -86,6 +90,7 @@
     def terms(self, **changes: object) -> CallTerms:
         now_ms = self.timers.now_ms()
         fields = {
+            "route_name": "route",
             "idempotent": True,
             "max_attempts": 2,
             "hedge_ms": 30.0,
--- a/rhubarbhinge/gateway/_call_terms.py
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -14,6 +14,7 @@
 
 
 def call_terms(
+    route_name: str,
     target_latency_ms: float,
     idempotent: bool,
     max_attempts: int,
@@ -25,6 +26,7 @@
 ) -> CallTerms:
     """Work out what is granted to each call of a request.
 
+    :param route_name: the route.
     :param target_latency_ms: the route's latency objective.
     :param idempotent: whether the request may be executed more than once.
     :param max_attempts: most searchers that may execute it.
@@ -40,6 +42,7 @@
         max(LEAST_HEDGE_SHARE * target_latency_ms, delays.quantile(HEDGE_QUANTILE)),
     )
     return CallTerms(
+        route_name,
         idempotent,
         max_attempts,
         hedge_ms if idempotent else None,
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -98,7 +98,9 @@
         self._settings_fault = ""
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         preference = expected_cost(settings.failure_domain, self._rng)
-        around = Surroundings(self.timers, self._fleet, preference, self._budget, self._pool.send)
+        around = Surroundings(
+            self.timers, self._fleet, preference, self._budget, self._pool.send, self._metrics
+        )
         source = SharedSource(
             self.timers,
             client,
@@ -204,6 +206,7 @@
     def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
         now_ms = self.timers.now_ms()
         return call_terms(
+            ask.route,
             ask.target_latency_ms,
             True,
             ask.max_attempts,
@@ -272,10 +275,18 @@
 
     def _operators(self, request: Request, responder: Responder) -> None:
         if request.path == "/metrics":
+            self._fill_metrics()
             responder.answer(Response(200, self._metrics.render(), content_type=CONTENT_TYPE))
         else:
             responder.answer(_no_such_page(request))
 
+    def _fill_metrics(self) -> None:
+        plan = self._follower.plan
+        version = plan.version if plan else 0
+        self._metrics.set_config("plan", version, self._follower.age_ms())
+        self._metrics.set_members({"alive": len(self._peers.live())})
+        self._metrics.set_drains(sum(not observed.usable for observed in self._fleet.all()))
+
     # Stopping.
 
     @handler("signal", channel="*")
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -118,6 +118,7 @@
     def _terms(self, delays: Delays, useful_until_ms: float) -> CallTerms:
         route = self._route
         return call_terms(
+            route.name,
             route.target_latency_ms,
             route.idempotent,
             route.max_attempts,
@@ -193,6 +194,11 @@
         self._responder.answer(answer)
         took_ms = self._around.timers.now_ms() - self._started_ms
         self._parts.metrics.observe_latency(self._route.host, self._route.name, took_ms)
+        if answer.status != SUCCESS:
+            self._parts.metrics.count_refusal(why)
+        if self._route.shards is not None and answer.status == SUCCESS:
+            share = 1.0 - missing / len(self._route.shards.services)
+            self._parts.metrics.observe_coverage(self._route.host, self._route.name, share)
         if why not in ("passed", "gathered") or missing or took_ms > self._route.target_latency_ms:
             self._log(why, answer.status, missing)
 
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -8,7 +8,6 @@
 from rhubarbhinge.gateway import Gateway, GatewayParts
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
-from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.web import Request, Responder, Response
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -48,11 +47,12 @@
         self.answers: list[Response] = []
         far = FarSearch(lambda request, terms, served: {}, None)
         self.moving_ms = 0.0
+        self.metrics = self.world.metrics
         parts = GatewayParts(
             self.world.around,
             FakeDialect(),
             self.follower,
-            Metrics(),
+            self.metrics,
             random.Random(1),
             far,
             lambda: self.moving_ms,
@@ -87,6 +87,16 @@
         self.ask("/none/")
         self.assertEqual(self.status(), 503)
 
+    def test_sends_refusals_and_latencies_are_counted(self):
+        self.ask("/one/x")
+        self.world.timers.advance(50.0)
+        self.world.attempts[1].end(replied())
+        self.ask("/once/x")
+        self.world.attempts[2].end(Lost(Why.BROKEN))
+        text = self.metrics.render().decode()
+        for part in ('kind="base"', 'kind="hedge"', 'code="broken"', 'class="one"'):
+            self.assertIn(part, text)
+
     def test_a_reply_is_passed_on(self):
         self.ask("/one/x")
         self.world.attempts[0].end(replied(body=b"whole"))
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -108,13 +108,20 @@
         """
         return self.table.processes(self._timers.now_ms())
 
+    def live(self) -> list[Heartbeat]:
+        """Give the other entries that are alive.
+
+        :returns: their last heartbeats.
+        """
+        return self.table.live(self._timers.now_ms())
+
     def in_domain(self, failure_domain: str) -> int:
         """Count the live entries of a failure domain, this one included.
 
         :param failure_domain: the failure domain.
         :returns: their number.
         """
-        live = self.table.live(self._timers.now_ms())
+        live = self.live()
         count = sum(beat.failure_domain == failure_domain and not beat.leaving for beat in live)
         return count + (failure_domain == self._failure_domain)
 
