forward: a call that waits is not given up for a move that the budget forbids

Cause: at the time of the hedge, what waited for a connection was cancelled before the budget was asked; with none left the call had nothing under way and hung until the caller's time was over. Found by reading; the test fails before the change (a third searcher is needed to show it). Change: the budget is asked first, and only then the waiting attempt is given up.

--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -171,16 +171,18 @@
             self._story.note("hedge-not-sent", self.service, why="no-searcher")
             return
         unsent = [name for name, attempt in self._open.items() if not attempt.sent]
-        if unsent:
+        if self._ran - len(unsent) >= self._terms.max_attempts:
+            return
+        if not self._may_send():
+            self._story.note("hedge-not-sent", self.service, **self._shortage(chosen))
+            return
+        for name in unsent:
             # What still waits for a connection moves, which costs no searcher anything.
-            for name in unsent:
-                self._open.pop(name).cancel()
-                self._ran -= 1
+            self._open.pop(name).cancel()
+            self._ran -= 1
+        if unsent:
             self._wait(self._terms.hedge_ms, self._hedge)
-        if self._ran < self._terms.max_attempts and self._may_send():
-            self._send(chosen, "hedge")
-        else:
-            self._story.note("hedge-not-sent", self.service, **self._shortage(chosen))
+        self._send(chosen, "hedge")
 
     def _may_send(self) -> bool:
         """Ask the budget, which counts what arrives at a service beyond the first time."""
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.forward import (
     Failed,
     Lost,
@@ -116,6 +117,18 @@
         world.timers.advance(500.0)
         self.assertEqual(self.sent(), 2)
 
+    def test_what_waits_goes_on_waiting_where_a_move_has_no_budget(self):
+        world = FakeWorld(slack=1.0)
+        world.fleet.put(Searcher("shard-3", "shard", "10.0.0.1", 80, "hall-a", 2))
+        self.start(world)
+        world.unsent_next = True
+        world.attempts[0].end(NotRun(Why.NO_ROOM))
+        self.assertEqual(self.sent(), 2)
+        world.timers.advance(100.0)
+        self.assertFalse(world.attempts[1].cancelled)
+        world.attempts[1].end(replied())
+        self.assertIsInstance(self.results[0], Passed)
+
     def test_after_an_arrival_by_another_entry_the_first_send_needs_budget(self):
         self.start(FakeWorld(slack=0.0), arrived=True)
         self.world.timers.advance(1.0)
