--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -36,8 +36,6 @@
 """Most missing shards that a line of the log names."""
 CALLER_GONE = 0
 """In logs: the status of a request whose caller left before its answer."""
-SUCCESS = 200
-"""Status of an answer whose steps are not written, unless shards are missing."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that callers take to mean that the request was not executed."""
 
@@ -194,16 +192,17 @@
         self._responder.answer(answer)
         took_ms = self._around.timers.now_ms() - self._started_ms
         self._parts.metrics.observe_latency(self._route.host, self._route.name, took_ms)
-        if answer.status != SUCCESS:
+        succeeded = _is_success(answer.status)
+        if not succeeded:
             self._parts.metrics.count_refusal(why)
-        if self._route.shards is not None and answer.status == SUCCESS:
+        elif self._route.shards is not None:
             share = 1.0 - missing / len(self._route.shards.services)
             self._parts.metrics.observe_coverage(self._route.host, self._route.name, share)
-        if why not in ("passed", "gathered") or missing or took_ms > self._route.target_latency_ms:
+        if not succeeded or missing or took_ms > self._route.target_latency_ms:
             self._log(why, answer.status, missing)
 
     def _log(self, why: str, status: int, missing: int = 0) -> None:
-        if status not in (SUCCESS, CALLER_GONE):
+        if not _is_success(status) and status != CALLER_GONE:
             self._story.tell()
         elif missing:
             self._story.tell(frozenset(self._missing))
@@ -221,3 +220,7 @@
             wait_ms=self._asked.wait_ms,
             took_ms=round(self._around.timers.now_ms() - self._started_ms, 1),
         )
+
+
+def _is_success(status: int) -> bool:
+    return 200 <= status < 300
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from rhubarbhinge.gateway import Gateway, GatewayParts
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
+from rhubarbhinge.telemetry import use_event_log
 from rhubarbhinge.web import Request, Responder, Response
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -40,6 +41,16 @@
         return 0.0
 
 
+class KeptEvents:
+    """Keeps events in place of writing them."""
+
+    def __init__(self):
+        self.events: list[tuple[str, dict]] = []
+
+    def write(self, level: str, name: str, fields: dict) -> None:
+        self.events.append((name, fields))
+
+
 class GatewayTest(unittest.TestCase):
     def setUp(self):
         self.world = FakeWorld(services=("one", *SHARDS))
@@ -87,6 +98,20 @@
         self.ask("/none/")
         self.assertEqual(self.status(), 503)
 
+    def test_a_failure_that_is_passed_on_is_logged(self):
+        log = KeptEvents()
+        use_event_log(log)
+        self.addCleanup(use_event_log, None)
+        self.ask("/once/x")
+        self.world.attempts[0].end(replied(500))
+        names = [name for name, _ in log.events]
+        self.assertEqual(names, ["attempt-sent", "attempt-ended", "request-ended"])
+        self.assertEqual(log.events[-1][1]["status"], 500)
+        log.events.clear()
+        self.ask("/once/x")
+        self.world.attempts[-1].end(replied())
+        self.assertEqual(log.events, [])
+
     def test_sends_refusals_and_latencies_are_counted(self):
         self.ask("/one/x")
         self.world.timers.advance(50.0)
