peers: who stays behind a peer takes its state, though its own watch is still open

Ruled out: the reader's follower asking too late when the reader fails (it had not failed yet); shorter watches, which cost calls and do not help against a lost answer. Change: an entry that hears of a further revision from a peer for 0.6 s takes that peer's state; a new configuration is told to all at once. A part of another entry with shards that were not asked for is not taken.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -261,6 +261,7 @@
 
     def _plan_changed(self, plan: ServingPlan) -> None:
         self._accept_callers()
+        self._peers.tell_plan()
         self._gateway.on_plan(plan)
         self._callers.limit(_limits(plan.limits))
         self._check_serving()
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -104,22 +104,21 @@
         _, services = self._asks.pop(address)
         in_time = "none" if part is None else len(part.services)
         self._story.note("ask-ended", ",".join(services), entry=address, parts=in_time)
-        if part is None:
+        if part is None or not set(services).issuperset(part.services):
+            # Also for a part with records of other shards, which can't be taken out again.
             self._may_have_run = True
             self._calls.start(services, arrived=True)
         else:
-            self._may_have_run = self._may_have_run or part.may_have_run
-            asked = set(services)
-            self._signatures.update(
-                (name, signature)
-                for name, signature in zip(part.services, part.signatures, strict=True)
-                if name in asked
-            )
-            self._bodies.append(part.body)
-            self._calls.start([name for name in part.untried if name in asked])
-            self._ask_again(asked - set(part.services) - set(part.untried))
+            self._take_part(part, services)
         self._look()
 
+    def _take_part(self, part: FarPart, services: list[str]) -> None:
+        self._may_have_run = self._may_have_run or part.may_have_run
+        self._signatures.update(zip(part.services, part.signatures, strict=True))
+        self._bodies.append(part.body)
+        self._calls.start(part.untried)
+        self._ask_again(set(services) - set(part.services) - set(part.untried))
+
     def _ask_again(self, services: set[str]) -> None:
         """Ask for what another entry did not get in time, where there is not enough without."""
         possible = len(self._signatures) + self._open_shards()
--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -178,11 +178,12 @@
         self.answer(*SHARDS)
         self.assertEqual(self.ends[0].missing, ())
 
-    def test_shards_that_were_not_asked_for_are_not_taken(self):
+    def test_a_part_with_shards_that_were_not_asked_for_is_not_taken(self):
         self.start(far={"10.0.0.9": ["s3"]})
-        self.far.tells["10.0.0.9"](FarPart(("s3", "s0"), ("f3", "f0"), (), True, b""))
-        self.answer("s0", "s1", "s2")
-        self.assertEqual(sorted(self.ends[0].signatures), ["f3", "sig-s0", "sig-s1", "sig-s2"])
+        self.far.tells["10.0.0.9"](FarPart(("s3", "s0"), ("f3", "f0"), (), True, b"z" * 16))
+        self.answer(*SHARDS)
+        self.assertEqual(sorted(self.ends[0].signatures), [f"sig-{name}" for name in SHARDS])
+        self.assertEqual(self.ends[0].body, b"s3" * 8 + b"s2" * 8)
 
     def test_cancelling_stops_searchers_and_entries(self):
         self.start(far={"10.0.0.9": ["s2", "s3"]})
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -40,6 +40,9 @@
 CHANGES_WAIT_MS = 1_500.0
 """How long an entry that asks for changes waits; short, so that a reader that died is noticed well
 within the seconds that a change may take to be in force."""
+BEHIND_MS = 600.0
+"""An entry that is behind a peer for so long is not told any more, though its call to the platform
+or to its reader may still be open: two pauses between watches."""
 PULL_TIMEOUT_MS = 500.0
 """Longest that a peer may take to hand on its state; usually some milliseconds."""
 
@@ -47,8 +50,8 @@
 class Peers(Component):
     """Keeps in touch with the other entries.
 
-    State is taken from a peer only while the platform does not answer this entry; a peer in the
-    same failure domain is asked first.
+    State is taken from a peer that is further: at once while the platform does not answer this
+    entry, otherwise when it stays behind. A peer in the same failure domain is asked first.
 
     :param timers: the timer service.
     :param client: calls peers.
@@ -93,6 +96,7 @@
         self._rng = rng
         self._leaving = False
         self._pulling = False
+        self._behind_since_ms: float | None = None
         self._beats = 0
         self._live: set[str] = set()
         self.table = PeerTable(ip, seed_ips)
@@ -125,6 +129,10 @@
         count = sum(beat.failure_domain == failure_domain and not beat.leaving for beat in live)
         return count + (failure_domain == self._failure_domain)
 
+    def tell_plan(self) -> None:
+        """Tell the others at the end of this turn that there is something new."""
+        self._timers.after(0, self._tell)
+
     def leave(self) -> None:
         """Tell the others that this entry is stopping."""
         self._leaving = True
@@ -186,14 +194,18 @@
     # Handing on.
 
     def _pull_if_behind(self) -> None:
-        if self._pulling or not self._follower.needs_peers:
+        if self._pulling:
             return
-        ahead = [
-            beat
-            for beat in self.table.live(self._timers.now_ms())
-            if beat.revision > self._follower.revision
-        ]
+        now_ms = self._timers.now_ms()
+        revision = self._follower.revision
+        ahead = [beat for beat in self.table.live(now_ms) if beat.revision > revision]
         if not ahead:
+            self._behind_since_ms = None
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+            self._timers.after(BEHIND_MS, self._pull_if_behind)
+        if not self._follower.needs_peers and now_ms - self._behind_since_ms < BEHIND_MS:
             return
         near = [beat for beat in ahead if beat.failure_domain == self._failure_domain]
         chosen = self._rng.choice(near or ahead)
@@ -209,6 +221,7 @@
 
     def _pulled(self, peer: str, outcome: Reply | Failure) -> None:
         self._pulling = False
+        self._behind_since_ms = None
         if isinstance(outcome, Failure) or outcome.status != 200:
             code = outcome.code if isinstance(outcome, Failure) else f"status-{outcome.status}"
             log_event("peer-pull-failed", level="warning", peer=peer, code=code)
--- /dev/null
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -0,0 +1,96 @@
+"""Taking state from a peer that is further, on a real socket for heartbeats."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from circuits import BaseComponent
+
+from rhubarbhinge.peers import Heartbeat, Peers, encode_heartbeat, encode_state
+from rhubarbhinge.published import ChangeLog, Snapshot
+from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.testing import run_until, stop_tree
+from rhubarbhinge.web import Reply
+from standins.fleet import free_ports
+
+BEAT = Heartbeat("vm-2", "127.0.0.2", "hall-b", 51, 12.0, False, False, ())
+
+
+class FakeFollower:
+    """Knows revision 50, and takes what is offered."""
+
+    def __init__(self):
+        self.revision = 50
+        self.needs_peers = False
+        self.log = ChangeLog(random.Random(1))
+        self.on_changed = None
+
+    def age_ms(self) -> float:
+        return 100.0
+
+    def on_peer_revision(self, revision: int, age_ms: float) -> None:
+        pass
+
+    def snapshot(self) -> Snapshot:
+        return Snapshot(self.revision, None, ())
+
+    def offer(self, snapshot: Snapshot) -> None:
+        self.revision = max(self.revision, snapshot.revision)
+
+
+class FakeClient:
+    def __init__(self):
+        self.asked: list[str] = []
+
+    def call(self, ip, port, method, path, timeout_ms, on_done) -> None:
+        self.asked.append(ip)
+        on_done(Reply(200, {}, encode_state(Snapshot(51, None, (), 5.0), "log", 1)))
+
+
+class PullingTest(unittest.TestCase):
+    def setUp(self):
+        self.root = BaseComponent()
+        timers = TimerService().register(self.root)
+        self.client, self.follower = FakeClient(), FakeFollower()
+        (self.port,) = free_ports(1)
+        self.peers = Peers(
+            timers,
+            self.client,
+            self.follower,
+            "vm-1",
+            "127.0.0.1",
+            self.port,
+            "hall-a",
+            (),
+            random.Random(1),
+            lambda: True,
+        ).register(self.root)
+        self.addCleanup(stop_tree, self.root)
+
+    def hear(self, **changes: object) -> None:
+        beat = replace(BEAT, **changes)
+        self.peers._datagram(beat.ip, self.port, encode_heartbeat(beat))
+
+    def test_an_entry_whose_watch_is_silent_takes_what_a_peer_knows(self):
+        self.hear()
+        self.assertEqual(self.client.asked, [])
+        self.assertTrue(run_until(self.root, lambda: self.follower.revision == 51))
+        self.assertEqual(self.client.asked, ["127.0.0.2"])
+
+    def test_one_that_is_told_meanwhile_asks_nobody(self):
+        self.hear()
+        self.follower.revision = 51
+        self.hear(revision=51)
+        run_until(self.root, lambda: False, 1.0)
+        self.assertEqual(self.client.asked, [])
+
+    def test_one_whose_store_fails_does_not_wait(self):
+        self.follower.needs_peers = True
+        self.hear()
+        self.assertEqual(self.client.asked, ["127.0.0.2"])
+
+    def test_a_peer_of_the_same_domain_is_asked_first(self):
+        self.hear()
+        self.hear(name="vm-3", ip="127.0.0.3", failure_domain="hall-a")
+        self.assertTrue(run_until(self.root, lambda: self.client.asked))
+        self.assertEqual(self.client.asked, ["127.0.0.3"])
--- a/rhubarbhinge/published/__init__.py
+++ b/rhubarbhinge/published/__init__.py
@@ -1,9 +1,10 @@
 """What the platform publishes, followed by lists, watches and peers."""
 
+from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
 from rhubarbhinge.published._follower import Follower
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
 
-__all__ = ["Changes", "Follower", "ReadFault", "Snapshot", "Source"]
+__all__ = ["ChangeLog", "Changes", "Follower", "ReadFault", "Snapshot", "Source"]
