forward, fleet, published: one way to withdraw what waits, dead parts removed

Read in the whole change: a request that waits for a connection was withdrawn in five places by hand, twice with the same loop; a count of opened connections and a parameter that nothing read; the age of the state worked out twice. No behaviour changes; the tests keep their assertions (a call lost its unused argument).

--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -76,7 +76,7 @@
 
     def test_a_shard_without_searchers_comes_back_untried(self):
         for name in ("s1-1", "s1-2"):
-            self.world.observed(name).on_unreachable(0.0)
+            self.world.observed(name).on_unreachable()
         delegates = self.delegates(self.server._links.bound_port)
         delegates.ask(self.open(delegates), ASK, self.answers.append)
         self.wait(lambda: len(self.world.attempts) == 1)
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -105,6 +105,13 @@
         """
         self.started_ms[attempt] = now_ms
 
+    def on_withdrawn(self, attempt: int) -> None:
+        """Note that a request was not handed to a connection after all.
+
+        :param attempt: identifies the request.
+        """
+        self.started_ms.pop(attempt, None)
+
     def on_reply(self, attempt: int, delay_ms: float, typical_ms: float, now_ms: float) -> None:
         """Note a reply.
 
@@ -139,11 +146,8 @@
         self._avoid_until_ms = now_ms + SHED_PAUSE_MS
         self._observe_refusal(1.0, now_ms)
 
-    def on_unreachable(self, now_ms: float) -> None:
-        """Note that no connection could be made; it is down until one can.
-
-        :param now_ms: the time.
-        """
+    def on_unreachable(self) -> None:
+        """Note that no connection could be made; it is down until one can."""
         self.is_down = True
 
     def on_connected(self) -> None:
--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -45,9 +45,9 @@
 
     def test_a_service_is_reachable_while_one_searcher_is(self):
         one, two = self.fleet.of("shard")
-        one.on_unreachable(self.now_ms)
+        one.on_unreachable()
         self.assertTrue(self.fleet.is_reachable("shard"))
-        two.on_unreachable(self.now_ms)
+        two.on_unreachable()
         self.assertFalse(self.fleet.is_reachable("shard"))
         two.on_connected()
         self.assertTrue(self.fleet.is_reachable("shard"))
@@ -93,7 +93,7 @@
         self.assertEqual(self.chosen(1_200.0), "i-2")
 
     def test_down_draining_and_tried_ones_are_left_out(self):
-        self.one.on_unreachable(1_000.0)
+        self.one.on_unreachable()
         self.assertEqual(self.chosen(), "i-2")
         self.assertIsNone(self.chosen(tried=("i-2",)))
         self.fleet.put(replace(TWO, draining=True))
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -55,7 +55,6 @@
         self._numbers = itertools.count(1)
         self._conns: dict[int, Connection] = {}
         self._lanes: dict[str, Lane] = {}
-        self.opened = 0
         self._links = Links(
             self._opened, self._received, self._closed, notice_silence=True
         ).register(self)
@@ -105,9 +104,7 @@
             return
         for conn in list(lane.idle):
             self._drop(conn)
-        while (exchanging := lane.next_waiting()) is not None:
-            observed.started_ms.pop(exchanging.number, None)
-            self._tell_later(exchanging, NotRun(Why.LEAVING))
+        self._turn_away(lane, Why.LEAVING)
 
     def close_idle(self) -> None:
         """Close idle connections whose time is over."""
@@ -131,7 +128,6 @@
         searcher = observed.searcher
         lane.count += 1
         lane.opening += 1
-        self.opened += 1
         link = self._links.open(searcher.ip, searcher.port, CONNECT_TIMEOUT_MS)
         conn = Connection(link, observed, exchanging=exchanging)
         if exchanging is not None:
@@ -251,8 +247,7 @@
             least_ms = LEAST_USEFUL_SHARE * exchange.delays.quantile(0.5)
             if exchange.useful_until_ms - now_ms >= least_ms:
                 return exchanging
-            exchange.searcher.started_ms.pop(exchanging.number, None)
-            self._tell_later(exchanging, NotRun(Why.TOO_LATE))
+            self._withdraw(exchanging, Why.TOO_LATE)
         return None
 
     def _cancelled(self, exchanging: Exchanging) -> None:
@@ -261,7 +256,7 @@
         exchange = exchanging.exchange
         now_ms = self._timers.now_ms()
         if exchanging.sent_ms is None:
-            exchange.searcher.started_ms.pop(exchanging.number, None)
+            exchange.searcher.on_withdrawn(exchanging.number)
         else:
             waited_ms = now_ms - exchanging.sent_ms
             typical_ms = exchange.delays.quantile(0.5)
@@ -294,7 +289,7 @@
         observed = conn.searcher
         now_ms = self._timers.now_ms()
         if isinstance(outcome, NotRun):
-            observed.started_ms.pop(exchanging.number, None)
+            observed.on_withdrawn(exchanging.number)
         else:
             observed.on_lost(exchanging.number, now_ms)
         log_event(
@@ -315,14 +310,17 @@
         if not observed.is_down:
             incarnation = observed.searcher.incarnation
             log_event("searcher-unreachable", level="warning", searcher=incarnation, code=code)
-        observed.on_unreachable(self._timers.now_ms())
-        lane = self._lane(observed)
+        observed.on_unreachable()
+        self._turn_away(self._lane(observed), Why.UNREACHABLE)
+
+    def _turn_away(self, lane: Lane, why: Why) -> None:
+        """Tell all that wait for a connection that it was not run."""
         while (exchanging := lane.next_waiting()) is not None:
-            observed.started_ms.pop(exchanging.number, None)
-            self._tell_later(exchanging, NotRun(Why.UNREACHABLE))
+            self._withdraw(exchanging, why)
 
-    def _tell_later(self, exchanging: Exchanging, outcome: Outcome) -> None:
-        self._timers.after(0, lambda: self._tell(exchanging, outcome))
+    def _withdraw(self, exchanging: Exchanging, why: Why) -> None:
+        exchanging.exchange.searcher.on_withdrawn(exchanging.number)
+        self._timers.after(0, lambda: self._tell(exchanging, NotRun(why)))
 
     def _tell(self, exchanging: Exchanging, outcome: Outcome) -> None:
         if not exchanging.over:
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -138,7 +138,7 @@
     def test_a_service_without_reachable_searchers_is_refused_at_once(self):
         world = FakeWorld()
         for observed in world.fleet.all():
-            observed.on_unreachable(0.0)
+            observed.on_unreachable()
         self.start(world)
         world.timers.advance(0.0)
         self.assertEqual(self.results, [Refused(None)])
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -186,14 +186,14 @@
 
     def test_a_search_with_too_few_shards_in_reach_is_refused_at_once(self):
         for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
-            self.world.observed(name).on_unreachable(0.0)
+            self.world.observed(name).on_unreachable()
         self.ask("/all/x")
         self.world.timers.advance(0.0)
         self.assertEqual((self.status(), self.world.attempts), (503, []))
 
     def test_a_refused_caller_comes_back_when_the_balancer_has_moved_it(self):
         for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
-            self.world.observed(name).on_unreachable(0.0)
+            self.world.observed(name).on_unreachable()
         self.moving_ms = 1_500.0
         self.ask("/all/x")
         self.world.timers.advance(0.0)
@@ -205,7 +205,7 @@
         for _ in range(3):
             self.ask("/all/x")
         for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
-            self.world.observed(name).on_unreachable(0.0)
+            self.world.observed(name).on_unreachable()
         self.assertFalse(self.gateway.can_serve())
         for _ in range(5):
             self.ask("/one/x")
--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -103,7 +103,7 @@
         self.gathering.cancel()
         world = self.world
         for name in ("s0-1", "s0-2", "s1-1", "s1-2"):
-            world.observed(name).on_unreachable(0.0)
+            world.observed(name).on_unreachable()
         sent = len(world.attempts)
         ends: list[Gathered | NotEnough] = []
         terms = GatherTerms(
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -88,9 +88,7 @@
 
         :returns: whether a change that is older than some seconds would be known here.
         """
-        if self._confirmed_ms is None:
-            return False
-        return self._timers.now_ms() - self._confirmed_ms <= CURRENT_MS
+        return 0 <= self.age_ms() <= CURRENT_MS
 
     def age_ms(self) -> float:
         """Tell how old the state may be.
@@ -238,9 +236,9 @@
 
     def _put(self, searcher: Searcher) -> None:
         self._missing.pop(searcher.incarnation, None)
-        if self._searchers.get(searcher.incarnation) == searcher:
-            return
         known = self._searchers.get(searcher.incarnation)
+        if known == searcher:
+            return
         self._searchers[searcher.incarnation] = searcher
         self._changed(searcher)
         self._fleet.put(searcher)
