gateway: an entry stays ready when nobody could serve what it is asked

Cause: an entry that was restarted, or out of the balancer's rotation, got mostly requests for routes whose searchers are gone everywhere (after a change of the shards). Ruled out: unreachable searchers (none in the log), a missing plan, the stop of the entry before. Change: only requests for which enough searchers are published count, whether they are reached or not. Test: test_requests_that_no_entry_can_serve_leave_it_ready, which failed before.

--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -30,6 +30,14 @@
         """
         return self._by_service.get(service, {}).values()
 
+    def is_published(self, service: str) -> bool:
+        """Tell whether a service has a searcher that is not leaving, reachable from here or not.
+
+        :param service: the service's name.
+        :returns: whether one is published.
+        """
+        return any(one.usable for one in self.of(service))
+
     def is_reachable(self, service: str) -> bool:
         """Tell whether a service has a searcher that may get requests.
 
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -1,5 +1,7 @@
 """From a caller's request to its answer."""
 
+from collections.abc import Callable
+
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest
 from rhubarbhinge.gateway._answers import refused, unknown_route
@@ -41,7 +43,10 @@
             del self._delays[name]
 
     def can_serve(self) -> bool:
-        """Tell whether most of what callers ask for can be served.
+        """Tell whether most of what callers ask for can be served here, if it can be anywhere.
+
+        Requests for which too few searchers are published don't count: callers who are sent to
+        other entries are not served there either.
 
         :returns: whether the routes that most of the recent requests took have searchers that
             can be reached.
@@ -49,17 +54,16 @@
         plan = self._follower.plan
         if plan is None:
             return False
-        by_name = {route.name: route for route in plan.routes}
-        asked = [(by_name[name], n) for name, n in self._recent.counts() if name in by_name]
-        served = sum(n for route, n in asked if self._is_served(route))
-        return 2 * served >= sum(n for _, n in asked)
-
-    def _is_served(self, route: Route) -> bool:
         fleet = self._parts.surroundings.fleet
-        if route.shards is None:
-            return any(fleet.is_reachable(part.name) for part in route.services)
-        reachable = sum(fleet.is_reachable(name) for name in route.shards.services)
-        return route.shards.is_enough(reachable)
+        by_name = {route.name: route for route in plan.routes}
+        servable = served = 0
+        for name, requests in self._recent.counts():
+            route = by_name.get(name)
+            if route is not None and _has_enough(route, fleet.is_published):
+                servable += requests
+                if _has_enough(route, fleet.is_reachable):
+                    served += requests
+        return 2 * served >= servable
 
     def handle(self, request: Request, responder: Responder) -> None:
         """Take a caller's request.
@@ -112,3 +116,10 @@
             delays = Delays(TYPICAL_SHARE * target_latency_ms)
             self._delays[route_name] = delays
         return delays
+
+
+def _has_enough(route: Route, has_searcher: Callable[[str], bool]) -> bool:
+    """Tell whether enough services of a route have a searcher, of the kind that is asked for."""
+    if route.shards is None:
+        return any(has_searcher(part.name) for part in route.services)
+    return route.shards.is_enough(sum(has_searcher(name) for name in route.shards.services))
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -211,6 +211,18 @@
             self.ask("/one/x")
         self.assertTrue(self.gateway.can_serve())
 
+    def test_requests_that_no_entry_can_serve_leave_it_ready(self):
+        for name in ("s0", "s1", "s2", "s3"):
+            for observed in list(self.world.fleet.of(name)):
+                self.world.fleet.remove(observed.searcher.incarnation)
+        for _ in range(3):
+            self.ask("/all/x")
+        self.assertTrue(self.gateway.can_serve())
+        self.ask("/one/x")
+        for observed in self.world.fleet.of("one"):
+            observed.on_unreachable()
+        self.assertFalse(self.gateway.can_serve())
+
     def test_a_request_keeps_to_the_plan_that_it_was_read_under(self):
         self.ask("/all/x")
         newer = Route("all", "a", "/all/", True, 500.0, 100.0, 1, 2, (), ShardSet(("t0",), 2, 1.0))
