forward, delegation, fleet: late is not failed; a domain is suspected as a whole

(3) Each searcher of the domain that was cut off was found out by a request of its own, 350 to 400 ms each, the last of them 1.1 s after the cut. Change: an answer between entries names the shards that are still searched, and further answers follow; a request that is late for its objective goes behind those in time and is dropped at its deadline only; two silent hosts and nothing heard from their domain make all of its searchers unused until a new connection to them is open.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -15,6 +15,7 @@
     decode_message,
     encode_message,
 )
+from rhubarbhinge.fleet import DomainReach
 from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
 from rhubarbhinge.peers import PeerTable
 from rhubarbhinge.telemetry import log_event
@@ -27,8 +28,12 @@
 BAD_MS = 1_500.0
 """An entry that failed is not asked for so long; a restart takes about a second."""
 
+SILENCES = (CloseReason.SILENT, CloseReason.CONNECT_TIMEOUT)
+"""How links to hosts end that can't be reached; a process that ended shows otherwise."""
+
 OnAnswer = Callable[[Answer | None], None]
-"""Told the answer, or None when the entry failed and the shards have to be asked otherwise."""
+"""Told each answer, the last of them without pending shards; or None when the entry failed and the
+shards that are left have to be asked otherwise."""
 
 
 @dataclass(slots=True, eq=False)
@@ -36,6 +41,7 @@
     """State of one link."""
 
     ip: str
+    failure_domain: str
     splitter: FrameSplitter
     is_open: bool = False
 
@@ -76,12 +82,21 @@
     :param peers: which entries there are.
     :param port: where all entries take asks.
     :param rng: spreads the choice.
+    :param reach: told which failure domains are heard from, and which entries can't be reached.
     """
 
     channel = "delegates"
 
-    def __init__(self, timers: TimerService, peers: PeerTable, port: int, rng: random.Random):
+    def __init__(
+        self,
+        timers: TimerService,
+        peers: PeerTable,
+        port: int,
+        rng: random.Random,
+        reach: DomainReach,
+    ):
         super().__init__()
+        self._reach = reach
         self._timers = timers
         self._peers = peers
         self._port = port
@@ -112,7 +127,7 @@
         ready = [ip for ip in found if self._is_open(ip)]
         for ip in found:
             if ip not in self._by_ip:
-                self._open(ip)
+                self._open(ip, failure_domain)
         return self._rng.choice(ready) if ready else None
 
     def ask(self, ip: str, ask: Ask, on_answer: OnAnswer) -> Delegate:
@@ -120,7 +135,7 @@
 
         :param ip: its IP address, as :meth:`choose` gave it.
         :param ask: what is asked; its number is set here.
-        :param on_answer: told the answer, once and later.
+        :param on_answer: told what comes of it, later.
         :returns: the handle to cancel it by.
         """
         number = next(self._numbers)
@@ -144,10 +159,10 @@
         link = self._by_link.get(self._by_ip.get(ip, -1))
         return link is not None and link.is_open
 
-    def _open(self, ip: str) -> None:
+    def _open(self, ip: str, failure_domain: str) -> None:
         number = self._links.open(ip, self._port, CONNECT_TIMEOUT_MS)
         self._by_ip[ip] = number
-        self._by_link[number] = _Link(ip, FrameSplitter())
+        self._by_link[number] = _Link(ip, failure_domain, FrameSplitter())
 
     def _opened(self, link: int, inbound: bool) -> None:
         self._by_link[link].is_open = True
@@ -156,6 +171,7 @@
         found = self._by_link.get(link)
         if found is None:
             return
+        self._reach.on_heard(found.failure_domain)
         try:
             for payload in found.splitter.feed(data):
                 self._take(decode_message(payload))
@@ -169,7 +185,8 @@
             return
         asking.timer.cancel()
         if isinstance(message, Answer):
-            del self._asking[message.number]
+            if not message.pending:
+                del self._asking[message.number]
             asking.on_answer(message)
         elif not isinstance(message, Taken):
             raise FrameError("malformed", "entries that are asked answer only")
@@ -186,6 +203,8 @@
         if self._by_ip.get(found.ip) == link:
             del self._by_ip[found.ip]
         self._bad(found.ip)
+        if reason in SILENCES:
+            self._reach.on_unreachable(found.failure_domain, found.ip)
         for number in [n for n, asking in self._asking.items() if asking.link == link]:
             self._fail(number, reason.value)
 
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -57,12 +57,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """What came of an ask.
+    """What came of an ask, or of the part of it that was told of before as pending.
 
     :param number: the ask.
     :param services: shards whose records are in the body.
     :param signatures: the signatures of their replies, in the same order.
     :param untried: shards that no searcher was asked for.
+    :param pending: shards that are still being searched; further answers tell of them.
     :param may_have_run: whether any searcher has executed the request.
     :param body: the greatest records of these shards, greatest first.
     """
@@ -71,6 +72,7 @@
     services: tuple[str, ...]
     signatures: tuple[str, ...]
     untried: tuple[str, ...]
+    pending: tuple[str, ...]
     may_have_run: bool
     body: bytes
 
@@ -117,6 +119,7 @@
             message.services,
             message.signatures,
             message.untried,
+            message.pending,
             message.may_have_run,
         ]
         return _join(fields, message.body)
@@ -163,7 +166,7 @@
 
 
 def _answer(number: int, fields: list, body: bytes) -> Answer:
-    services, signatures, untried, may_have_run, *_ = fields
+    services, signatures, untried, pending, may_have_run, *_ = fields
     if len(services) != len(signatures):
         raise ValueError("a signature for each shard is needed")
     return Answer(
@@ -171,6 +174,7 @@
         tuple(str(name) for name in services),
         tuple(str(signature) for signature in signatures),
         tuple(str(name) for name in untried),
+        tuple(str(name) for name in pending),
         bool(may_have_run),
         body,
     )
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -110,7 +110,9 @@
             raise FrameError("malformed", "entries that ask don't answer")
 
     def _answer(self, link: int, found: _Link, answer: Answer) -> None:
-        if found.searches.pop(answer.number, None) is not None:
+        if answer.number in found.searches:
+            if not answer.pending:
+                del found.searches[answer.number]
             self._send(link, answer)
 
     def _send(self, link: int, message: Taken | Answer) -> None:
@@ -124,7 +126,7 @@
     :param ask: what is asked.
     :param terms: what is granted to the call to each shard.
     :param delays: the usual delays of such requests at one shard.
-    :param on_answer: told the answer.
+    :param on_answer: told what was found when the answer is due, and what is found after that.
     """
 
     def __init__(
@@ -140,11 +142,13 @@
         self._on_answer = on_answer
         self._parts: dict[str, SearcherReply] = {}
         self._untried: list[str] = []
+        self._failed: list[str] = []
         self._may_have_run = False
+        self._due = False
         request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
         self._story = Story(ask.request_id, surroundings.timers.now_ms)
         self._calls = ShardCalls(surroundings, request, terms, delays, self._ended, self._story)
-        self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer)
+        self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer_due)
 
     def start(self) -> None:
         """Send to the shards."""
@@ -162,29 +166,42 @@
             self._parts[end.service] = end.reply
         elif not end.sends:
             self._untried.append(end.service)
-        if not self._calls.open:
+        else:
+            self._failed.append(end.service)
+        if self._due or not self._calls.open:
             self._answer()
 
+    def _answer_due(self) -> None:
+        self._due = True
+        self._answer()
+
     def _answer(self) -> None:
-        may_have_run = self._may_have_run or self._calls.may_have_run
-        self.cancel()
-        missing = frozenset(self._ask.services) - self._parts.keys()
+        """Tell what was found and has not been told yet."""
+        parts, self._parts = self._parts, {}
+        untried, self._untried = self._untried, []
+        failed, self._failed = self._failed, []
+        pending = self._calls.services
+        missing = {*pending, *failed}
         if missing:
-            self._story.tell(missing)
+            self._story.tell(frozenset(missing))
             log_event(
                 "ask-answered",
                 request=self._ask.request_id,
                 route=self._ask.route,
-                parts=len(self._parts),
+                parts=len(parts),
                 without=",".join(sorted(missing)),
+                pending=len(pending),
             )
+        if not pending:
+            self._timer.cancel()
         self._on_answer(
             Answer(
                 self._ask.number,
-                tuple(self._parts),
-                tuple(reply.signature for reply in self._parts.values()),
-                tuple(self._untried),
-                may_have_run,
-                merge_greatest((reply.body for reply in self._parts.values()), self._ask.top_k),
+                tuple(parts),
+                tuple(reply.signature for reply in parts.values()),
+                tuple(untried),
+                pending,
+                self._may_have_run or self._calls.may_have_run,
+                merge_greatest((reply.body for reply in parts.values()), self._ask.top_k),
             )
         )
--- a/rhubarbhinge/fleet/__init__.py
+++ b/rhubarbhinge/fleet/__init__.py
@@ -2,12 +2,14 @@
 
 from rhubarbhinge.fleet._choice import Preference, best_searcher, expected_cost
 from rhubarbhinge.fleet._delays import Delays
+from rhubarbhinge.fleet._domain_reach import DomainReach
 from rhubarbhinge.fleet._fleet import Fleet
 from rhubarbhinge.fleet._observed import ObservedSearcher
 from rhubarbhinge.fleet._searcher import Searcher
 
 __all__ = [
     "Delays",
+    "DomainReach",
     "Fleet",
     "ObservedSearcher",
     "Preference",
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -122,6 +122,7 @@
         """
         self.started_ms.pop(attempt, None)
         self._losses = 0
+        self.is_down = False
         self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
         if self._refusals:
             self._observe_refusal(0.0, now_ms)
--- /dev/null
+++ b/rhubarbhinge/fleet/tests/test_domain_reach.py
@@ -0,0 +1,46 @@
+"""What is concluded of a failure domain from single hosts."""
+
+import unittest
+
+from rhubarbhinge.fleet import DomainReach
+
+
+class DomainReachTest(unittest.TestCase):
+    def setUp(self):
+        self.now_ms = 10_000.0
+        self.suspected: list[str] = []
+        self.reach = DomainReach(lambda: self.now_ms, self.suspected.append)
+
+    def test_two_silent_hosts_make_their_domain_suspect(self):
+        self.reach.on_unreachable("hall-b", "10.0.0.1")
+        self.assertEqual(self.suspected, [])
+        self.now_ms += 400.0
+        self.reach.on_unreachable("hall-b", "10.0.0.2")
+        self.assertEqual(self.suspected, ["hall-b"])
+
+    def test_one_host_again_and_again_is_one_host(self):
+        for _ in range(5):
+            self.reach.on_unreachable("hall-b", "10.0.0.1")
+        self.assertEqual(self.suspected, [])
+
+    def test_hosts_of_different_domains_are_not_added_up(self):
+        self.reach.on_unreachable("hall-b", "10.0.0.1")
+        self.reach.on_unreachable("hall-c", "10.0.0.2")
+        self.assertEqual(self.suspected, [])
+
+    def test_a_domain_that_is_heard_from_is_not_cut_off(self):
+        self.reach.on_unreachable("hall-b", "10.0.0.1")
+        self.now_ms += 100.0
+        self.reach.on_heard("hall-b")
+        self.now_ms += 100.0
+        self.reach.on_unreachable("hall-b", "10.0.0.2")
+        self.assertEqual(self.suspected, [])
+        self.now_ms += 400.0
+        self.reach.on_unreachable("hall-b", "10.0.0.3")
+        self.assertEqual(self.suspected, ["hall-b"])
+
+    def test_hosts_that_failed_long_apart_count_alone(self):
+        self.reach.on_unreachable("hall-b", "10.0.0.1")
+        self.now_ms += 5_000.0
+        self.reach.on_unreachable("hall-b", "10.0.0.2")
+        self.assertEqual(self.suspected, [])
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -14,8 +14,8 @@
     :param retry_until_ms: up to this time refusals are followed by further tries.
     :param deadline_ms: when the caller stops waiting.
     :param priority: rank among what waits for the same searcher; 0 goes first.
-    :param useful_until_ms: when a reply comes too late to be of use; what can't be sent in time
-        for that is not sent.
+    :param due_ms: when a reply is due for the latency objective; what waits longer goes behind
+        what is still in time.
     """
 
     route_name: str
@@ -25,4 +25,4 @@
     retry_until_ms: float
     deadline_ms: float
     priority: int = 0
-    useful_until_ms: float = float("inf")
+    due_ms: float = float("inf")
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -18,7 +18,8 @@
     :param deadline_ms: when the caller stops waiting, on the steady clock.
     :param delays: the usual delays of such requests, which the outcome adds to.
     :param priority: rank among what waits for the same searcher; 0 goes first.
-    :param useful_until_ms: when a reply comes too late to be of use.
+    :param due_ms: when a reply is due for the latency objective; what waits longer goes behind
+        what is still in time.
     """
 
     searcher: ObservedSearcher
@@ -26,7 +27,7 @@
     deadline_ms: float
     delays: Delays
     priority: int = 0
-    useful_until_ms: float = float("inf")
+    due_ms: float = float("inf")
 
 
 class Attempt(Protocol):
--- a/rhubarbhinge/forward/_exchanging.py
+++ b/rhubarbhinge/forward/_exchanging.py
@@ -15,9 +15,10 @@
     :param cancel: gives it up.
     :ivar sent_ms: when it was handed to a connection; None while it waits for one.
     :ivar over: whether its outcome has been told, or it was given up.
+    :ivar late: whether a reply would come after it was due; it waits behind all that is in time.
     """
 
-    __slots__ = ("number", "exchange", "tell", "link", "sent_ms", "over", "_cancel")
+    __slots__ = ("number", "exchange", "tell", "link", "sent_ms", "over", "late", "_cancel")
 
     def __init__(
         self,
@@ -32,11 +33,16 @@
         self.link: int | None = None
         self.sent_ms: float | None = None
         self.over = False
+        self.late = False
         self._cancel = cancel
 
     def __lt__(self, other: "Exchanging") -> bool:
-        """Order what waits: the more urgent first, then the earlier."""
-        return (self.exchange.priority, self.number) < (other.exchange.priority, other.number)
+        """Order what waits: what is in time, then the more urgent, then the earlier."""
+        return self._rank < other._rank
+
+    @property
+    def _rank(self) -> tuple[bool, int, int]:
+        return (self.late, self.exchange.priority, self.number)
 
     @property
     def sent(self) -> bool:
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -6,7 +6,7 @@
 
 from circuits import BaseComponent
 
-from rhubarbhinge.fleet import ObservedSearcher
+from rhubarbhinge.fleet import DomainReach, ObservedSearcher
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._exchanging import Exchanging
@@ -36,6 +36,7 @@
     :param dialect: encodes requests and decodes replies.
     :param most_connections: gives the most connections that may be open to a searcher.
     :param on_wrong_searcher: told when another searcher answered at a searcher's address.
+    :param reach: told which searchers are heard from, and which can't be reached.
     """
 
     channel = "connection-pool"
@@ -46,12 +47,14 @@
         dialect: Dialect,
         most_connections: Callable[[ObservedSearcher], int],
         on_wrong_searcher: Callable[[ObservedSearcher], None],
+        reach: DomainReach,
     ):
         super().__init__()
         self._timers = timers
         self._dialect = dialect
         self._most_connections = most_connections
         self._on_wrong_searcher = on_wrong_searcher
+        self._reach = reach
         self._numbers = itertools.count(1)
         self._conns: dict[int, Connection] = {}
         self._lanes: dict[str, Lane] = {}
@@ -94,6 +97,18 @@
         if not lane.opening and lane.count < self._most_connections(observed):
             self._open(observed, lane, None)
 
+    def verify(self, observed: ObservedSearcher) -> None:
+        """Give a searcher no more requests until a new connection to it is open.
+
+        Requests that were sent to it are waited for; those that were not go elsewhere.
+
+        :param observed: a searcher that may be out of reach.
+        """
+        self._set_down(observed, "domain-suspected")
+        for conn in list(self._lane(observed).idle):
+            self._drop(conn)
+        self.open_ahead(observed)
+
     def forget(self, observed: ObservedSearcher) -> None:
         """Close the idle connections to a searcher that gets no more requests.
 
@@ -153,6 +168,7 @@
         conn.is_open = True
         self._lane(conn.searcher).opening -= 1
         conn.searcher.on_connected()
+        self._reach.on_heard(conn.searcher.searcher.failure_domain)
         if conn.exchanging is not None:
             self._write(conn, conn.exchanging, self._timers.now_ms())
         else:
@@ -162,6 +178,7 @@
         conn = self._conns.get(link)
         if conn is None:
             return
+        self._reach.on_heard(conn.searcher.searcher.failure_domain)
         if conn.exchanging is None:
             self._drop(conn)
             return
@@ -229,7 +246,7 @@
     def _keep(self, conn: Connection, keep_alive_ms: float | None) -> None:
         lane = self._lane(conn.searcher)
         now_ms = self._timers.now_ms()
-        waiting = self._next_in_time(lane, now_ms)
+        waiting = self._next_sendable(lane, now_ms)
         if waiting is not None:
             self._write(conn, waiting, now_ms)
             return
@@ -240,14 +257,23 @@
         conn.idle_until_ms = now_ms + idle_ms
         lane.idle.append(conn)
 
-    def _next_in_time(self, lane: Lane, now_ms: float) -> Exchanging | None:
-        """Take what waits first and can still be of use; the rest is told that it is too late."""
+    def _next_sendable(self, lane: Lane, now_ms: float) -> Exchanging | None:
+        """Take what waits first.
+
+        What comes too late for its latency objective goes behind all that does not: failing it
+        would bring its caller back with a whole new request. What can't be done before its
+        deadline either is told so.
+        """
         while (exchanging := lane.next_waiting()) is not None:
             exchange = exchanging.exchange
             least_ms = LEAST_USEFUL_SHARE * exchange.delays.quantile(0.5)
-            if exchange.useful_until_ms - now_ms >= least_ms:
+            if exchange.deadline_ms - now_ms < least_ms:
+                self._withdraw(exchanging, Why.TOO_LATE)
+            elif exchanging.late or exchange.due_ms - now_ms >= least_ms:
                 return exchanging
-            self._withdraw(exchanging, Why.TOO_LATE)
+            else:
+                exchanging.late = True
+                heapq.heappush(lane.waiting, exchanging)
         return None
 
     def _cancelled(self, exchanging: Exchanging) -> None:
@@ -305,13 +331,31 @@
         self._tell(exchanging, outcome)
 
     def _unreachable(self, conn: Connection, code: str) -> None:
-        """Note that a searcher can't be reached; what waits for it is told to go elsewhere."""
-        observed = conn.searcher
-        if not observed.is_down:
-            incarnation = observed.searcher.incarnation
-            log_event("searcher-unreachable", level="warning", searcher=incarnation, code=code)
+        searcher = conn.searcher.searcher
+        if not conn.searcher.is_down:
+            log_event(
+                "searcher-unreachable",
+                level="warning",
+                searcher=searcher.incarnation,
+                code=code,
+            )
+        self._set_down(conn.searcher, code, but=conn)
+        self._reach.on_unreachable(searcher.failure_domain, searcher.ip)
+
+    def _set_down(
+        self, observed: ObservedSearcher, code: str, but: Connection | None = None
+    ) -> None:
+        """Note that a searcher can't be reached; what was not sent to it yet goes elsewhere."""
         observed.on_unreachable()
         self._turn_away(self._lane(observed), Why.UNREACHABLE)
+        opening = [c for c in self._conns.values() if c.searcher is observed and not c.is_open]
+        for conn in opening:
+            if conn is but:
+                continue
+            if conn.exchanging is None:
+                self._drop(conn)
+            else:
+                self._fail(conn, NotRun(Why.UNREACHABLE), code)
 
     def _turn_away(self, lane: Lane, why: Why) -> None:
         """Tell all that wait for a connection that it was not run."""
@@ -338,7 +382,7 @@
         if conn in lane.idle:
             lane.idle.remove(conn)
         self._links.abort(conn.link)
-        waiting = self._next_in_time(lane, self._timers.now_ms())
+        waiting = self._next_sendable(lane, self._timers.now_ms())
         if waiting is not None:
             self._open(observed, lane, waiting)
         elif not lane.count:
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -157,7 +157,7 @@
             terms.deadline_ms,
             self._delays,
             terms.priority,
-            terms.useful_until_ms,
+            terms.due_ms,
         )
         self._open[incarnation] = self._around.send(
             exchange, lambda outcome: self._ended(incarnation, outcome)
--- a/rhubarbhinge/gateway/_call_terms.py
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -22,7 +22,7 @@
     started_ms: float,
     deadline_ms: float,
     delays: Delays,
-    useful_until_ms: float,
+    due_ms: float,
 ) -> CallTerms:
     """Work out what is granted to each call of a request.
 
@@ -34,7 +34,7 @@
     :param started_ms: when it was read.
     :param deadline_ms: when the caller stops waiting.
     :param delays: the usual delays of such requests.
-    :param useful_until_ms: when a reply comes too late to be of use.
+    :param due_ms: when a reply is due for the latency objective.
     :returns: the terms.
     """
     hedge_ms = min(
@@ -49,5 +49,5 @@
         started_ms + RETRY_SHARE * target_latency_ms,
         deadline_ms,
         priority,
-        useful_until_ms,
+        due_ms,
     )
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -9,7 +9,7 @@
 from circuits import Component, handler
 
 from rhubarbhinge.delegation import Ask, AskServer, Delegates
-from rhubarbhinge.fleet import Delays, Fleet, ObservedSearcher, expected_cost
+from rhubarbhinge.fleet import Delays, DomainReach, Fleet, ObservedSearcher, expected_cost
 from rhubarbhinge.forward import CallTerms, ConnectionPool, Dialect, Surroundings
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._call_terms import call_terms
@@ -92,8 +92,9 @@
         self._settled_at_ms = self.timers.now_ms() + SETTLE_MS
         client = HttpClient(self.timers).register(self)
         self._fleet = Fleet(self.timers.now_ms, self._searcher_left)
+        self._reach = DomainReach(self.timers.now_ms, self._verify_domain)
         self._pool = ConnectionPool(
-            self.timers, dialect, self._most_connections, self._fleet.mark_gone
+            self.timers, dialect, self._most_connections, self._fleet.mark_gone, self._reach
         ).register(self)
         self._settings_fault = ""
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
@@ -131,7 +132,7 @@
         source.know(self._peers.table)
         self._share = connection_shares(self._follower, self._peers, self._processes)
         delegates = Delegates(
-            self.timers, self._peers.table, settings.ask_port, self._rng
+            self.timers, self._peers.table, settings.ask_port, self._rng, self._reach
         ).register(self)
         far = far_search(settings.failure_domain, around, delegates, self._rng)
         parts = GatewayParts(
@@ -240,6 +241,27 @@
             if observed.is_down and observed.usable:
                 self._pool.open_ahead(observed)
 
+    def _verify_domain(self, failure_domain: str) -> None:
+        """Use no searcher of a failure domain before it is reached again."""
+        suspects = [
+            observed
+            for observed in self._fleet.all()
+            if observed.searcher.failure_domain == failure_domain
+            and observed.usable
+            and not observed.is_down
+        ]
+        if not suspects:
+            return
+        log_event(
+            "domain-suspected",
+            level="warning",
+            failure_domain=failure_domain,
+            searchers=len(suspects),
+        )
+        for observed in suspects:
+            self._pool.verify(observed)
+        self._check_serving()
+
     def _moving_ms(self) -> float:
         """Tell when the balancer will have sent callers elsewhere, as this entry can't serve."""
         return max(0.0, self._moved_at_ms - self.timers.now_ms())
--- a/rhubarbhinge/gateway/_far_search.py
+++ b/rhubarbhinge/gateway/_far_search.py
@@ -99,5 +99,10 @@
     if answer is None:
         return None
     return FarPart(
-        answer.services, answer.signatures, answer.untried, answer.may_have_run, answer.body
+        answer.services,
+        answer.signatures,
+        answer.untried,
+        answer.pending,
+        answer.may_have_run,
+        answer.body,
     )
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -113,7 +113,7 @@
         self._begin(gathering.cancel, gathering.time_out)
         gathering.start()
 
-    def _terms(self, delays: Delays, useful_until_ms: float) -> CallTerms:
+    def _terms(self, delays: Delays, due_ms: float) -> CallTerms:
         route = self._route
         return call_terms(
             route.name,
@@ -124,7 +124,7 @@
             self._started_ms,
             self._deadline_ms,
             delays,
-            useful_until_ms,
+            due_ms,
         )
 
     def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
--- a/rhubarbhinge/gather/_far_search.py
+++ b/rhubarbhinge/gather/_far_search.py
@@ -15,6 +15,7 @@
     :param services: shards whose records are in the body.
     :param signatures: the signatures of their replies, in the same order.
     :param untried: shards that no searcher was asked for.
+    :param pending: shards that it is still searching; further parts tell of them.
     :param may_have_run: whether any searcher has executed the search.
     :param body: the greatest records of these shards.
     """
@@ -22,6 +23,7 @@
     services: tuple[str, ...]
     signatures: tuple[str, ...]
     untried: tuple[str, ...]
+    pending: tuple[str, ...]
     may_have_run: bool
     body: bytes
 
@@ -38,7 +40,8 @@
 AskFar = Callable[
     [str, CallerRequest, GatherTerms, list[str], Callable[[FarPart | None], None]], FarAsk
 ]
-"""Asks the entry at an address to search some shards; None comes back when it failed."""
+"""Asks the entry at an address to search some shards; parts come back, the last one without pending
+shards, or None when the entry failed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -101,14 +101,17 @@
     def _far_ended(self, address: str, part: FarPart | None) -> None:
         if self._over:
             return
-        _, services = self._asks.pop(address)
+        ask, services = self._asks.pop(address)
         in_time = "none" if part is None else len(part.services)
         self._story.note("ask-ended", ",".join(services), entry=address, parts=in_time)
-        if part is None or not set(services).issuperset(part.services):
-            # Also for a part with records of other shards, which can't be taken out again.
+        if part is None or not _is_sound(part, services):
+            # Records of other shards can't be taken out of a part again.
+            ask.cancel()
             self._may_have_run = True
             self._calls.start(services, arrived=True)
         else:
+            if part.pending:
+                self._asks[address] = (ask, list(part.pending))
             self._take_part(part, services)
         self._look()
 
@@ -117,7 +120,8 @@
         self._signatures.update(zip(part.services, part.signatures, strict=True))
         self._bodies.append(part.body)
         self._calls.start(part.untried)
-        self._ask_again(set(services) - set(part.services) - set(part.untried))
+        ended = {*part.services, *part.untried, *part.pending}
+        self._ask_again(set(services) - ended)
 
     def _ask_again(self, services: set[str]) -> None:
         """Ask for what another entry did not get in time, where there is not enough without."""
@@ -165,3 +169,9 @@
 
     def _missing(self) -> tuple[str, ...]:
         return tuple(name for name in self._terms.shards.services if name not in self._signatures)
+
+
+def _is_sound(part: FarPart, services: list[str]) -> bool:
+    """Tell whether a part is about shards that were asked for, each of them once."""
+    told = (*part.services, *part.pending)
+    return len(set(told)) == len(told) and set(services).issuperset(told)
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -65,6 +65,11 @@
         """How many calls are under way."""
         return len(self._calls)
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The shards whose calls are under way."""
+        return tuple(self._calls)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a searcher may be executing one of the calls under way."""
