--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -67,6 +67,11 @@
         """How many connections are open or being opened."""
         return len(self._conns)
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a connection."""
+        return sum(not one.over for lane in self._lanes.values() for one in lane.waiting)
+
     def send(self, exchange: Exchange, tell: Callable[[Outcome], None]) -> Attempt:
         """Start an exchange.
 
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -16,6 +16,7 @@
 from rhubarbhinge.gateway._connection_shares import connection_shares
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
 from rhubarbhinge.gateway._far_search import far_search
+from rhubarbhinge.gateway._figures import EntryFigures
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_parts import GatewayParts
 from rhubarbhinge.gateway._shutdown import Shutdown
@@ -65,7 +66,7 @@
     :param read_settings: reads its settings.
     :param dialect: translates messages of callers and searchers.
     :param make_source: makes the reader of published state.
-    :param flush_log: writes the events that wait.
+    :param event_log: keeps events until there is time to write them; None if they go elsewhere.
     :raises SettingsError: when the settings can not be used.
     :raises OSError: when a port can not be bound.
     """
@@ -77,10 +78,10 @@
         read_settings: ReadSettings,
         dialect: Dialect,
         make_source: MakeSource,
-        flush_log: Callable[[], None],
+        event_log: EventLog | None = None,
     ):
         super().__init__()
-        self._flush_log = flush_log
+        self._event_log = event_log
         self._read_settings = read_settings
         self._settings = settings = read_settings()
         self._stopping = False
@@ -130,6 +131,9 @@
             lambda: source.reads_platform,
         ).register(self)
         source.know(self._peers.table)
+        self._figures = EntryFigures(
+            self._follower, self._peers, source, self._fleet, self._pool, self._budget, event_log
+        )
         self._share = connection_shares(self._follower, self._peers, self._processes)
         delegates = Delegates(
             self.timers, self._peers.table, settings.ask_port, self._rng, self._reach
@@ -163,6 +167,7 @@
         HttpServer(self.timers, self._operators, (settings.ip, settings.metrics_port)).register(
             self
         )
+        self._house_due_ms = self.timers.now_ms() + HOUSEKEEPING_MS
         self.timers.every(HOUSEKEEPING_MS, self._keep_house)
         self.timers.every(RELOAD_MS, self.reload)
         signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, self.reload))
@@ -234,7 +239,11 @@
         self._pool.close_idle()
         self._reach_again()
         self._check_serving()
-        self._flush_log()
+        now_ms = self.timers.now_ms()
+        self._metrics.observe_loop_lag(max(0.0, now_ms - self._house_due_ms))
+        self._house_due_ms = now_ms + HOUSEKEEPING_MS
+        if self._event_log is not None:
+            self._event_log.flush()
 
     def _reach_again(self) -> None:
         for observed in self._fleet.all():
@@ -298,18 +307,11 @@
 
     def _operators(self, request: Request, responder: Responder) -> None:
         if request.path == "/metrics":
-            self._fill_metrics()
+            self._figures.show(self._metrics)
             responder.answer(Response(200, self._metrics.render(), content_type=CONTENT_TYPE))
         else:
             responder.answer(_no_such_page(request))
 
-    def _fill_metrics(self) -> None:
-        plan = self._follower.plan
-        version = plan.version if plan else 0
-        self._metrics.set_config("plan", version, self._follower.age_ms())
-        self._metrics.set_members({"alive": len(self._peers.live())})
-        self._metrics.set_drains(sum(not observed.usable for observed in self._fleet.all()))
-
     # Stopping.
 
     @handler("signal", channel="*")
@@ -338,7 +340,7 @@
     """
     event_log = EventLog(read_settings().name)
     use_event_log(event_log)
-    entry = Entry(read_settings, dialect, make_source, event_log.flush)
+    entry = Entry(read_settings, dialect, make_source, event_log)
     gc.freeze()
     gc.enable()
     try:
--- /dev/null
+++ b/rhubarbhinge/gateway/_figures.py
@@ -0,0 +1,70 @@
+"""What an entry shows of itself besides latencies and refusals."""
+
+from rhubarbhinge.fleet import Fleet
+from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.peers import Peers, SharedSource
+from rhubarbhinge.published import Follower
+from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.telemetry import EventLog, Figure, Metrics
+
+CONNECTIONS = Figure("searcher_connections", "Connections to searchers, open or being opened")
+WAITING = Figure("requests_waiting", "Requests that wait for a connection to a searcher")
+UNREACHABLE = Figure("searchers_unreachable", "Searchers to which no connection can be made")
+EXTRA_SENDS = Figure("extra_sends_total", "Hedges and retries that the budget granted", True)
+EXTRA_REFUSED = Figure("extra_sends_refused_total", "Hedges and retries that it did not", True)
+BUDGET_LEFT = Figure("extra_sends_left", "Extra sends left for the service that has least")
+STORE_CALLS = Figure("platform_calls_total", "Reads and watches of the platform's store", True)
+READER_CALLS = Figure("reader_calls_total", "Waits for changes at another entry", True)
+LINES_DROPPED = Figure("log_lines_dropped_total", "Lines above the log's budget, or unread", True)
+
+
+class EntryFigures:
+    """Reads an entry's parts when its metrics are asked for.
+
+    :param follower: the published state.
+    :param peers: the other entries.
+    :param source: where published state comes from.
+    :param fleet: the searchers.
+    :param pool: connections to them.
+    :param budget: the retry budget.
+    :param event_log: where events go; None when they go elsewhere.
+    """
+
+    def __init__(
+        self,
+        follower: Follower,
+        peers: Peers,
+        source: SharedSource,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        budget: RetryBudget,
+        event_log: EventLog | None,
+    ):
+        self._follower = follower
+        self._peers = peers
+        self._source = source
+        self._fleet = fleet
+        self._pool = pool
+        self._budget = budget
+        self._event_log = event_log
+
+    def show(self, metrics: Metrics) -> None:
+        """Show the figures of now.
+
+        :param metrics: takes them.
+        """
+        plan = self._follower.plan
+        version = plan.version if plan else 0
+        metrics.set_config("plan", version, self._follower.age_ms())
+        metrics.set_members({"alive": len(self._peers.live())})
+        metrics.set_drains(sum(not observed.usable for observed in self._fleet.all()))
+        metrics.show(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
+        metrics.show(CONNECTIONS, self._pool.open_connections)
+        metrics.show(WAITING, self._pool.waiting)
+        metrics.show(EXTRA_SENDS, self._budget.granted)
+        metrics.show(EXTRA_REFUSED, self._budget.refused)
+        metrics.show(BUDGET_LEFT, self._budget.least_left())
+        metrics.show(STORE_CALLS, self._source.platform_calls)
+        metrics.show(READER_CALLS, self._source.reader_calls)
+        if self._event_log is not None:
+            metrics.show(LINES_DROPPED, self._event_log.dropped)
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -34,6 +34,8 @@
     :param name: name of this VM.
     :param failure_domain: its failure domain.
     :param port: port of all entries.
+    :ivar platform_calls: reads and watches of the platform since the start.
+    :ivar reader_calls: waits at another entry since the start.
     """
 
     def __init__(
@@ -57,6 +59,8 @@
         self._told_by = ""
         self._failing = False
         self._reading = True
+        self.platform_calls = 0
+        self.reader_calls = 0
 
     @property
     def reads_platform(self) -> bool:
@@ -77,6 +81,7 @@
         """
         self._place = None
         self._reading = True
+        self.platform_calls += 1
 
         def done(outcome: Snapshot | ReadFault) -> None:
             self._failing = isinstance(outcome, ReadFault)
@@ -98,6 +103,7 @@
             self._place, self._told_by = None, reader.ip
             log_event("reader-chosen", reader=reader.name)
         self._reading = False
+        self.reader_calls += 1
         query = "?log={}&after={}".format(*self._place) if self._place else ""
         self._client.call(
             reader.ip,
@@ -112,6 +118,7 @@
         # What the platform tells now makes the place in a reader's log meaningless.
         self._place, self._told_by = None, ""
         self._reading = True
+        self.platform_calls += 1
 
         def done(outcome: Changes | ReadFault) -> None:
             self._failing = isinstance(outcome, ReadFault) and not outcome.history_lost
--- a/rhubarbhinge/retries/_budget.py
+++ b/rhubarbhinge/retries/_budget.py
@@ -31,6 +31,8 @@
     :param rule: the shared rule; may be replaced, but for its window.
     :param now_ms: gives the time.
     :param processes: gives how many processes may be sending.
+    :ivar granted: extra sends granted since the start.
+    :ivar refused: extra sends refused since the start.
     """
 
     def __init__(self, rule: BudgetRule, now_ms: Callable[[], float], processes: Callable[[], int]):
@@ -40,6 +42,8 @@
         # Requests are forgotten early and extra sends late, as both are counted by buckets.
         self._requests = _WindowCounts(rule.window_ms - BUCKET_MS)
         self._extras = _WindowCounts(rule.window_ms + BUCKET_MS)
+        self.granted = 0
+        self.refused = 0
 
     def on_request(self, services: Iterable[str]) -> None:
         """Count the first sends of a request.
@@ -59,6 +63,14 @@
         allowed = self.rule.ratio * self._requests.count(service, now_ms) + slack
         return allowed - self._extras.count(service, now_ms)
 
+    def least_left(self) -> float:
+        """Tell how much the service that has least may still be sent.
+
+        :returns: number of extra sends; 0 before the first request.
+        """
+        services = self._requests.names()
+        return min((self.left(service) for service in services), default=0.0)
+
     def take(self, service: str) -> bool:
         """Ask for one extra send.
 
@@ -66,7 +78,9 @@
         :returns: whether it may be sent; then it counts as sent.
         """
         if self.left(service) < 1.0:
+            self.refused += 1
             return False
+        self.granted += 1
         self._extras.add((service,), self._now_ms())
         return True
 
@@ -95,6 +109,9 @@
         self._expire(now_ms)
         return self._sums[name]
 
+    def names(self) -> list[str]:
+        return [name for name, count in self._sums.items() if count]
+
     def _expire(self, now_ms: float) -> None:
         while self._buckets and now_ms - self._buckets[0][0] > self._window_ms:
             _, bucket = self._buckets.popleft()
--- a/rhubarbhinge/retries/tests/test_budget.py
+++ b/rhubarbhinge/retries/tests/test_budget.py
@@ -23,6 +23,15 @@
         self.assertEqual(sum(self.budget.take("s") for _ in range(50)), 27)
         self.assertEqual(sum(self.budget.take("t") for _ in range(50)), 27)
 
+    def test_what_is_left_and_what_was_refused_is_told(self):
+        self.assertEqual(self.budget.least_left(), 0.0)
+        self.budget.on_request(("s", "t"))
+        while self.budget.take("s"):
+            pass
+        self.assertEqual((self.budget.granted, self.budget.refused), (7, 1))
+        self.assertLess(self.budget.least_left(), 1.0)
+        self.assertGreater(self.budget.left("t"), 7.0)
+
     def test_what_was_spent_comes_back_after_the_window(self):
         while self.budget.take("s"):
             pass
--- a/rhubarbhinge/telemetry/__init__.py
+++ b/rhubarbhinge/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.telemetry._event_log import EventLog
 from rhubarbhinge.telemetry._events import log_event, use_event_log
+from rhubarbhinge.telemetry._figure import Figure
 from rhubarbhinge.telemetry._format import format_event
 from rhubarbhinge.telemetry._labels import CONTENT_TYPE
 from rhubarbhinge.telemetry._loghistogram import RELATIVE_ERROR, LogHistogram
@@ -13,6 +14,7 @@
 __all__ = [
     "CONTENT_TYPE",
     "EventLog",
+    "Figure",
     "LogHistogram",
     "Metrics",
     "RELATIVE_ERROR",
--- a/rhubarbhinge/telemetry/_metrics.py
+++ b/rhubarbhinge/telemetry/_metrics.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from rhubarbhinge.telemetry._boundhistogram import BoundHistogram
+from rhubarbhinge.telemetry._figure import Figure
 from rhubarbhinge.telemetry._labels import Labels
 from rhubarbhinge.telemetry._loghistogram import BOUNDS, LogHistogram
 from rhubarbhinge.telemetry._subquerykind import SubQueryKind
@@ -46,6 +47,8 @@
         self._drains = 0
         self._slots: dict[str, tuple[int, int]] = {}
         self._queues: dict[str, int] = {}
+        self._figures: dict[Figure, float] = {}
+        self._loop_lag = LogHistogram()
 
     def observe_latency(self, tenant: str, class_name: str, latency_ms: float) -> None:
         """Count the latency of one answer.
@@ -136,6 +139,21 @@
         """
         self._queues[class_name] = length
 
+    def show(self, figure: Figure, value: float) -> None:
+        """Show a single number.
+
+        :param figure: what it is.
+        :param value: the number.
+        """
+        self._figures[figure] = value
+
+    def observe_loop_lag(self, late_ms: float) -> None:
+        """Count how late a periodic timer ran.
+
+        :param late_ms: time since it was due, in ms.
+        """
+        self._loop_lag.observe(late_ms)
+
     def render(self) -> bytes:
         """Render everything in the Prometheus text format.
 
@@ -179,6 +197,12 @@
             _SHOWN_BOUNDS,
             [(_pair(key), _shown(h), h.total) for key, h in self._latency.items()],
         )
+        page.histogram(
+            PREFIX + "loop_lag_ms",
+            "Lateness of a periodic timer in ms",
+            _SHOWN_BOUNDS,
+            [({}, _shown(self._loop_lag), self._loop_lag.total)],
+        )
         page.histogram(
             PREFIX + "query_coverage",
             "Share of the records that answers reflect",
@@ -198,6 +222,9 @@
             "Outcomes of runs that must not repeat",
             _rows("outcome", self._runs),
         )
+        for figure, value in self._figures.items():
+            if figure.only_grows:
+                page.counter(PREFIX + figure.name, figure.help, [({}, value)])
 
     def _add_gauges(self, page: "Exposition") -> None:
         revisions = {key: revision for key, (revision, _) in self._config.items()}
@@ -213,6 +240,9 @@
         page.gauge(PREFIX + "slots_in_use", "Slots in use", _rows("system", in_use))
         page.gauge(PREFIX + "slots", "Slots owned by this process", _rows("system", totals))
         page.gauge(PREFIX + "queue_length", "Requests that wait", _rows("class", self._queues))
+        for figure, value in self._figures.items():
+            if not figure.only_grows:
+                page.gauge(PREFIX + figure.name, figure.help, [({}, value)])
 
 
 def _new_series(series: dict[tuple[str, str], H], key: tuple[str, str], fresh: H) -> H:
--- a/standins/tests/test_live_operators.py
+++ b/standins/tests/test_live_operators.py
@@ -55,7 +55,17 @@
         self.assertEqual(answer.headers["x-response-seal"], "store.r2")
         self.assertEqual(answer.body, b"".join(Searcher.records("store", "r2")))
         self.assertEqual(entry.ask("/none/x", "r3").status, 404)
-        self.assertIn("query_latency_ms", entry.metrics())
+        metrics = entry.metrics()
+        for name in (
+            "query_latency_ms",
+            "loop_lag_ms",
+            "searcher_connections",
+            "requests_waiting",
+            "extra_sends_left",
+            "platform_calls_total",
+            "log_lines_dropped_total",
+        ):
+            self.assertIn(f"rhubarbhinge_{name}", metrics)
 
     def test_a_configuration_is_followed_and_never_taken_back(self):
         (entry,) = self.start()
