tools: a load tool for the path on the operators' platform; make bench is it

The searcher stand-in has slots, a queue and a domain now. The bench of the own interface is make bench-relays. Found on the way: the ports of a stand-in's entry came in any order, and the one after the first could be taken.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo bench slopes clean
+.PHONY: setup test lint format demo bench bench-relays slopes clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,9 @@
 	touch $(VENV)/.plot
 
 bench: $(VENV)/.plot
+	$(BIN)/python -m tools.load
+
+bench-relays: $(VENV)/.plot
 	$(BIN)/python -m tools.bench
 
 slopes: $(STAMP)
--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -28,7 +28,7 @@
 node_name = "{name}"
 role = "entry"
 ip = "{ip}"
-zone = "hall-a"
+zone = "{zone}"
 internal_port_range = [{peer}, {metrics}]
 seeds = ["{seed}:1"]
 [listen_addrs]
@@ -58,6 +58,14 @@
     body: bytes
 
 
+def _ports_of_an_entry() -> list[int]:
+    """Give free ports in rising order; the one after the first is used by entries as well."""
+    while True:
+        ports = sorted(free_ports(4))
+        if ports[1] > ports[0] + 1:
+            return ports
+
+
 class EntryProcess:
     """One entry, started as the platform starts it.
 
@@ -65,12 +73,16 @@
     :param name: name of its VM.
     :param fields: fields of its settings.
     :param read_log: whether its output goes to a file; if not, to a pipe that nobody reads.
+    :param root: the source tree that it is started from.
     """
 
-    def __init__(self, folder: Path, name: str, fields: dict, read_log: bool = True) -> None:
+    def __init__(
+        self, folder: Path, name: str, fields: dict, read_log: bool = True, root: Path = ROOT
+    ) -> None:
         self.name = name
         self.ip: str = fields["ip"]
-        self._fields = {"name": name, "ratio": 0.2, **fields}
+        self.callers: int = fields["callers"]
+        self._fields = {"name": name, "ratio": 0.2, "zone": "hall-a", **fields}
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
         self.write_settings()
@@ -82,7 +94,7 @@
         with self._log_path.open("ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, "deploy/entry.py"],
-                cwd=ROOT,
+                cwd=root,
                 env=environment,
                 stdout=log if read_log else subprocess.PIPE,
                 stderr=log,
@@ -194,10 +206,12 @@
     """Store and searchers in a thread of this process, entries as processes.
 
     :param folder: for settings and logs.
+    :param root: the source tree that entries are started from.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, root: Path = ROOT) -> None:
         self._folder = folder
+        self._root = root
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -209,7 +223,7 @@
         rng = random.SystemRandom()
         self._net = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}"
         self._numbers = itertools.count(1)
-        ports = free_ports(4)
+        ports = _ports_of_an_entry()
         self._ports = {
             "peer": ports[0],
             "callers": ports[1],
@@ -229,14 +243,15 @@
 
         return asyncio.run_coroutine_threadsafe(calling(), self._loop).result(10.0)
 
-    def add_searcher(self, incarnation: str, service: str) -> Searcher:
+    def add_searcher(self, incarnation: str, service: str, zone: str = "hall-a") -> Searcher:
         """Start a searcher and publish it.
 
         :param incarnation: its id.
         :param service: its service.
+        :param zone: its failure domain.
         :returns: the searcher.
         """
-        searcher = Searcher(incarnation, service)
+        searcher = Searcher(incarnation, service, zone)
         self.searchers[incarnation] = searcher
         self.run(searcher.listen)
         self.put(f"servers/{incarnation}", searcher.entry())
@@ -257,11 +272,14 @@
         """
         self._change(lambda: self.model.delete(key))
 
-    def start_entry(self, read_log: bool = True, store_up: bool = True) -> EntryProcess:
+    def start_entry(
+        self, read_log: bool = True, store_up: bool = True, zone: str = "hall-a"
+    ) -> EntryProcess:
         """Start an entry on a VM of its own, for which the store has a port of its own.
 
         :param read_log: whether anybody reads its output.
         :param store_up: whether the store serves this entry.
+        :param zone: its failure domain.
         :returns: the entry.
         """
         number = next(self._numbers)
@@ -273,9 +291,10 @@
             "ip": f"{self._net}.{number}",
             "seed": f"{self._net}.1",
             "store": self.run(store.listen),
+            "zone": zone,
             **self._ports,
         }
-        entry = EntryProcess(self._folder, name, fields, read_log)
+        entry = EntryProcess(self._folder, name, fields, read_log, self._root)
         self.entries.append(entry)
         return entry
 
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import hashlib
+from collections import deque
+from collections.abc import Callable
 
 from standins.http import Connection, Delivery, Reply, Request, Server
 
 RECORD_BYTES = 16
+SLOTS = 4
+"""Requests that a searcher executes at a time, as its entry in the store says."""
+QUEUE = 12
+"""Requests that wait for a slot; further ones are refused."""
 
 
 class Searcher:
@@ -13,17 +19,23 @@
 
     :param incarnation: its id.
     :param service: its service.
+    :param zone: its failure domain.
     :ivar delay_ms: how long a request takes.
+    :ivar work_ms: gives how long a request with a path takes, in place of ``delay_ms``.
+    :ivar slots: how many requests it executes at a time.
     :ivar refuses: whether it has no room.
     :ivar arrivals: ids of the requests that it got, in order.
     :ivar ran: ids of those that it executed to the end.
     :ivar left: ids of those whose caller left first.
     """
 
-    def __init__(self, incarnation: str, service: str) -> None:
+    def __init__(self, incarnation: str, service: str, zone: str = "hall-a") -> None:
         self.incarnation = incarnation
         self.service = service
+        self.zone = zone
         self.delay_ms = 2.0
+        self.work_ms: Callable[[str], float] = lambda path: self.delay_ms
+        self.slots = SLOTS
         self.refuses = False
         self.arrivals: list[str] = []
         self.ran: list[str] = []
@@ -32,6 +44,7 @@
         self._breaks_off = False
         self._server = Server(self._requested, self._gone, lambda count: 0.0)
         self._open: dict[Connection, tuple[str, asyncio.TimerHandle]] = {}
+        self._waiting: deque[tuple[Connection, str, str]] = deque()
 
     def listen(self) -> int:
         """Start.
@@ -58,9 +71,9 @@
         return {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
-            "zone": "hall-a",
+            "zone": self.zone,
             "version": "v1",
-            "capacity": 4,
+            "capacity": self.slots,
             "state": "draining" if draining else "ready",
             "warmup_left_ms": 0,
             "sequence": 1,
@@ -96,15 +109,22 @@
             self._breaks_off = False
             connection.reply(Reply(200, delivery=Delivery.LOST))
             return
-        if self.refuses:
+        if self.refuses or len(self._waiting) >= QUEUE:
             connection.reply(Reply(503, b"", (("X-Not-Executed", "1"),)))
             return
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self.delay_ms / 1e3, self._done, connection, request_id)
-        self._open[connection] = (request_id, timer)
+        self._waiting.append((connection, request_id, request.path))
+        self._execute_next()
+
+    def _execute_next(self) -> None:
+        while self._waiting and len(self._open) < self.slots:
+            connection, request_id, path = self._waiting.popleft()
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(self.work_ms(path) / 1e3, self._done, connection, request_id)
+            self._open[connection] = (request_id, timer)
 
     def _done(self, connection: Connection, request_id: str) -> None:
         del self._open[connection]
+        self._execute_next()
         self.ran.append(request_id)
         headers = (
             ("X-Request-Id", request_id),
@@ -113,6 +133,12 @@
         connection.reply(Reply(200, b"".join(self.records(self.service, request_id)), headers))
 
     def _gone(self, connection: Connection) -> None:
+        for waiting in list(self._waiting):
+            if waiting[0] is connection:
+                self._waiting.remove(waiting)
+                self.left.append(waiting[1])
+                return
         request_id, timer = self._open.pop(connection)
         timer.cancel()
         self.left.append(request_id)
+        self._execute_next()
