--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -185,13 +185,16 @@
         :returns: whether nothing has come in that ``on_data`` or ``on_close`` has not told.
         """
         found = self._links.get(link)
-        if found is None or found.state is not LinkState.OPEN:
-            return False
-        try:
-            found.sock.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return error.errno in _AGAIN
-        return False
+        return found is not None and found.state is LinkState.OPEN and _peek(found) is None
+
+    def has_ended(self, link: int) -> bool:
+        """Tell whether the peer's end of a link is next, which ``on_close`` has not told yet.
+
+        :param link: the link.
+        :returns: whether it has closed or reset the connection and all its data has been read.
+        """
+        found = self._links.get(link)
+        return found is None or _peek(found) == b""
 
     def peer_ip(self, link: int) -> str:
         """Tell the IP address of a link's peer.
@@ -405,3 +408,11 @@
         self._poller.discard(link.sock)
         link.sock.close()
         return True
+
+
+def _peek(link: Link) -> bytes | None:
+    """Look at what comes next: some data, ``b""`` for the end, None when nothing is there."""
+    try:
+        return link.sock.recv(1, socket.MSG_PEEK)
+    except OSError as error:
+        return None if error.errno in _AGAIN else b""
--- a/rhubarbhinge/web/tests/test_server.py
+++ b/rhubarbhinge/web/tests/test_server.py
@@ -147,6 +147,12 @@
         caller = self.serve(SMALL, answer=False).send(GET % b"/" + b"x" * 4000).until_ended()
         self.assertEqual(b"", caller.got)
 
+    def test_the_request_of_a_caller_that_has_left_is_not_begun(self):
+        caller = self.serve()
+        caller.send(GET % b"/late").sock.close()
+        self.tree.settle()
+        self.assertEqual(([], 0), (self.requests, self.server.open_requests))
+
     def test_a_caller_that_goes_is_told_once(self):
         gone = []
         caller = self.serve(answer=False).send(GET % b"/")
