gateway, forward: the entry's parts in files of their own

What decides readiness (Serving), follows the settings file (LiveSettings) and answers the balancer and operators (pages) are files of their own now; which waiting request goes next is decided by the lane that holds them. No behaviour changed; tests of gateway, pool and live entries pass.

--- a/rhubarbhinge/forward/_lane.py
+++ b/rhubarbhinge/forward/_lane.py
@@ -7,6 +7,9 @@
 from rhubarbhinge.forward._exchanging import Exchanging
 from rhubarbhinge.forward._reply_reader import ReplyReader
 
+LEAST_USEFUL_SHARE = 0.6
+"""With less than this part of the usual delay left a request would mostly be run in vain."""
+
 
 @dataclass(slots=True, eq=False)
 class Connection:
@@ -40,3 +43,25 @@
             if not exchanging.over:
                 return exchanging
         return None
+
+    def take_sendable(self, now_ms: float) -> tuple[Exchanging | None, list[Exchanging]]:
+        """Take what waits first and can still be done.
+
+        What comes too late for its latency objective goes behind all that does not: failing it
+        would bring its caller back with a whole new request.
+
+        :param now_ms: the time.
+        :returns: the exchange, or None, and those that can't be done before their deadline.
+        """
+        hopeless = []
+        while (exchanging := self.next_waiting()) is not None:
+            exchange = exchanging.exchange
+            least_ms = LEAST_USEFUL_SHARE * exchange.delays.quantile(0.5)
+            if exchange.deadline_ms - now_ms < least_ms:
+                hopeless.append(exchanging)
+            elif exchanging.late or exchange.due_ms - now_ms >= least_ms:
+                return exchanging, hopeless
+            else:
+                exchanging.late = True
+                heapq.heappush(self.waiting, exchanging)
+        return None, hopeless
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -23,8 +23,6 @@
 """How long an idle connection is kept where the searcher does not say how long it keeps it."""
 IDLE_MARGIN_MS = 500.0
 """An idle connection is given up this much before the searcher closes it, so as not to race it."""
-LEAST_USEFUL_SHARE = 0.6
-"""With less than this part of the usual delay left a request would mostly be run in vain."""
 SKIPPED_REPLIES = 4
 """Most replies to earlier requests that are skipped on one connection before it is given up."""
 
@@ -263,23 +261,10 @@
         lane.idle.append(conn)
 
     def _next_sendable(self, lane: Lane, now_ms: float) -> Exchanging | None:
-        """Take what waits first.
-
-        What comes too late for its latency objective goes behind all that does not: failing it
-        would bring its caller back with a whole new request. What can't be done before its
-        deadline either is told so.
-        """
-        while (exchanging := lane.next_waiting()) is not None:
-            exchange = exchanging.exchange
-            least_ms = LEAST_USEFUL_SHARE * exchange.delays.quantile(0.5)
-            if exchange.deadline_ms - now_ms < least_ms:
-                self._withdraw(exchanging, Why.TOO_LATE)
-            elif exchanging.late or exchange.due_ms - now_ms >= least_ms:
-                return exchanging
-            else:
-                exchanging.late = True
-                heapq.heappush(lane.waiting, exchanging)
-        return None
+        found, hopeless = lane.take_sendable(now_ms)
+        for exchanging in hopeless:
+            self._withdraw(exchanging, Why.TOO_LATE)
+        return found
 
     def _cancelled(self, exchanging: Exchanging) -> None:
         exchanging.over = True
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -14,35 +14,28 @@
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._call_terms import call_terms
 from rhubarbhinge.gateway._connection_shares import connection_shares
-from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError, changed_fields
+from rhubarbhinge.gateway._entry_settings import EntrySettings
 from rhubarbhinge.gateway._far_search import far_search
 from rhubarbhinge.gateway._figures import EntryFigures
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_parts import GatewayParts
+from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
+from rhubarbhinge.gateway._pages import metrics_page, readiness_page
+from rhubarbhinge.gateway._serving import Serving
 from rhubarbhinge.gateway._shutdown import Shutdown
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
 from rhubarbhinge.retries import RetryBudget
-from rhubarbhinge.telemetry import CONTENT_TYPE, EventLog, Metrics, log_event, use_event_log
+from rhubarbhinge.telemetry import EventLog, Metrics, log_event, use_event_log
 from rhubarbhinge.timing import TimerService
-from rhubarbhinge.web import (
-    HttpClient,
-    HttpLimits,
-    HttpServer,
-    Request,
-    Responder,
-    Response,
-    error_response,
-)
+from rhubarbhinge.web import HttpClient, HttpLimits, HttpServer
 
 NO_PLAN_WAIT_MS = 600.0
 """Callers wait this long for the first plan, which takes 30 ms; then they are refused at once."""
 HOUSEKEEPING_MS = 250.0
 """How often an entry looks after its connections, its log, and whether it can serve; together, as
 each wake-up costs. Searchers that can't be reached are tried as often."""
-BALANCER_MS = 2_200.0
-"""The balancer asks once a second and sends callers elsewhere after two misses."""
 MOST_CALLER_CONNECTIONS = 2_500
 """Callers' connections; the descriptors of a VM less those for searchers and files."""
 NEVER_GZIP_BYTES = 1 << 62
@@ -55,7 +48,6 @@
 RELOAD_MS = 2_000.0
 """How often the settings are read again, as they may change without a signal."""
 
-ReadSettings = Callable[[], EntrySettings]
 MakeSource = Callable[[HttpClient, Callable[[], Address]], Source]
 """Makes a source from the client that it calls by and what gives the store's address."""
 
@@ -82,11 +74,9 @@
     ):
         super().__init__()
         self._event_log = event_log
-        self._read_settings = read_settings
-        self._settings = settings = read_settings()
+        self._settings = LiveSettings(read_settings, self._settings_changed)
+        settings = self._settings.now
         self._stopping = False
-        self._serving = False
-        self._moved_at_ms = 0.0
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
         self._metrics = Metrics()
         self.timers = TimerService().register(self)
@@ -97,7 +87,6 @@
         self._pool = ConnectionPool(
             self.timers, dialect, self._most_connections, self._fleet.mark_gone, self._reach
         ).register(self)
-        self._settings_fault = ""
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         preference = expected_cost(settings.failure_domain, self._rng)
         around = Surroundings(
@@ -106,7 +95,7 @@
         source = SharedSource(
             self.timers,
             client,
-            make_source(client, self._store_address),
+            make_source(client, lambda: self._settings.now.store),
             settings.name,
             settings.failure_domain,
             settings.peer_port,
@@ -131,7 +120,7 @@
             lambda: source.reads_platform,
         ).register(self)
         source.know(self._peers.table)
-        self._figures = EntryFigures(
+        figures = EntryFigures(
             self._follower, self._peers, source, self._fleet, self._pool, self._budget, event_log
         )
         self._share = connection_shares(self._follower, self._peers, self._processes)
@@ -146,9 +135,12 @@
             self._metrics,
             self._rng,
             far,
-            self._moving_ms,
+            lambda: self._serving.moving_ms(),
         )
         self._gateway = Gateway(parts)
+        self._serving = Serving(
+            self.timers.now_ms, self._fleet, self._gateway.can_serve, self._serving_changed
+        )
         self._asks = AskServer(
             self.timers,
             around,
@@ -163,14 +155,15 @@
         self._accepting = False
         self._shutdown = Shutdown(self.timers, self._callers, self._asks, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
-        HttpServer(self.timers, self._readiness, settings.readiness).register(self)
-        HttpServer(self.timers, self._operators, (settings.ip, settings.metrics_port)).register(
-            self
-        )
+        readiness = readiness_page(lambda: self._settings.now.readiness_path, lambda: self.ready)
+        HttpServer(self.timers, readiness, settings.readiness).register(self)
+        metrics = metrics_page(self._metrics, figures)
+        HttpServer(self.timers, metrics, (settings.ip, settings.metrics_port)).register(self)
         self._house_due_ms = self.timers.now_ms() + HOUSEKEEPING_MS
         self.timers.every(HOUSEKEEPING_MS, self._keep_house)
-        self.timers.every(RELOAD_MS, self.reload)
-        signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, self.reload))
+        reload = self._settings.reload
+        self.timers.every(RELOAD_MS, reload)
+        signal.signal(signal.SIGHUP, lambda number, stack: self.timers.after(0, reload))
         self._follower.start()
         log_event(
             "entry-started",
@@ -186,29 +179,12 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return not self._stopping and self._serving
+        return not self._stopping and self._serving.now
 
-    def reload(self) -> None:
-        """Read the settings again; faulty ones leave those in force."""
-        try:
-            settings = self._read_settings()
-        except SettingsError as error:
-            if str(error) != self._settings_fault:
-                log_event("settings-refused", level="error", code=error.code, detail=str(error))
-            self._settings_fault = str(error)
-            return
-        self._settings_fault = ""
-        if settings == self._settings:
-            return
-        changed = changed_fields(self._settings, settings)
-        log_event("settings-reloaded", changed=",".join(changed))
-        self._settings = settings
+    def _settings_changed(self, settings: EntrySettings) -> None:
         self._budget.rule = settings.retry_budget
         self._peers.table.follow_seeds(settings.seed_ips)
 
-    def _store_address(self) -> Address:
-        return self._settings.store
-
     def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
         now_ms = self.timers.now_ms()
         return call_terms(
@@ -238,7 +214,7 @@
     def _keep_house(self) -> None:
         self._pool.close_idle()
         self._reach_again()
-        self._check_serving()
+        self._serving.check()
         now_ms = self.timers.now_ms()
         self._metrics.observe_loop_lag(max(0.0, now_ms - self._house_due_ms))
         self._house_due_ms = now_ms + HOUSEKEEPING_MS
@@ -269,21 +245,10 @@
         )
         for observed in suspects:
             self._pool.verify(observed)
-        self._check_serving()
-
-    def _moving_ms(self) -> float:
-        """Tell when the balancer will have sent callers elsewhere, as this entry can't serve."""
-        return max(0.0, self._moved_at_ms - self.timers.now_ms())
+        self._serving.check()
 
-    def _check_serving(self) -> None:
-        serving = self._gateway.can_serve()
-        if serving == self._serving:
-            return
-        self._serving = serving
-        self._moved_at_ms = 0.0 if serving else self.timers.now_ms() + BALANCER_MS
+    def _serving_changed(self, serving: bool) -> None:
         self._callers.close_after_answers(not serving)
-        unreachable = sum(observed.is_down for observed in self._fleet.all())
-        log_event("serving-changed", serving=serving, searchers_unreachable=unreachable)
 
     def _accept_callers(self) -> None:
         if not self._accepting:
@@ -295,22 +260,7 @@
         self._peers.tell_plan()
         self._gateway.on_plan(plan)
         self._callers.limit(_limits(plan.limits))
-        self._check_serving()
-
-    # What operators and the balancer ask.
-
-    def _readiness(self, request: Request, responder: Responder) -> None:
-        if request.path != self._settings.readiness_path:
-            responder.answer(_no_such_page(request))
-        else:
-            responder.answer(Response(200 if self.ready else 503))
-
-    def _operators(self, request: Request, responder: Responder) -> None:
-        if request.path == "/metrics":
-            self._figures.show(self._metrics)
-            responder.answer(Response(200, self._metrics.render(), content_type=CONTENT_TYPE))
-        else:
-            responder.answer(_no_such_page(request))
+        self._serving.check()
 
     # Stopping.
 
@@ -325,7 +275,7 @@
         if self._stopping:
             return
         self._stopping = True
-        self._shutdown.begin(self._settings.stop_grace_ms)
+        self._shutdown.begin(self._settings.now.stop_grace_ms)
         self._peers.leave()
 
 
@@ -358,9 +308,3 @@
         idle_timeout_ms=limits.idle_timeout_ms,
         gzip_least_bytes=NEVER_GZIP_BYTES,
     )
-
-
-def _no_such_page(request: Request) -> Response:
-    return error_response(
-        404, "no-such-path", f"There is no {request.path[:80]} here.", "See docs/OPERATIONS.md."
-    )
