gateway, telemetry, delegation: samples of what went well, time to refuse; answers that earlier releases understand

Change: one in 64 requests that went well is logged with its steps (why=sampled); refusal_ms by reason; pending shards come last and may be missing. Tests: test_one_in_so_many_requests_that_went_well_is_logged_with_its_steps, test_an_answer_of_an_earlier_release_has_no_pending_shards.

--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -119,8 +119,8 @@
             message.services,
             message.signatures,
             message.untried,
-            message.pending,
             message.may_have_run,
+            message.pending,
         ]
         return _join(fields, message.body)
     return _join([TAKEN if isinstance(message, Taken) else CANCEL, message.number], b"")
@@ -166,7 +166,9 @@
 
 
 def _answer(number: int, fields: list, body: bytes) -> Answer:
-    services, signatures, untried, pending, may_have_run, *_ = fields
+    services, signatures, untried, may_have_run, *later = fields
+    # Entries of a release before 2026-12 don't say which shards they still search.
+    pending = later[0] if later else ()
     if len(services) != len(signatures):
         raise ValueError("a signature for each shard is needed")
     return Answer(
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+import orjson
 from hypothesis import given
 from hypothesis import strategies as st
 
 from rhubarbhinge.delegation import Answer, Ask, Cancel, Taken, decode_message, encode_message
+from rhubarbhinge.delegation._messages import ANSWER, HEAD_LENGTH_BYTES
 from rhubarbhinge.net import FrameError
 
 NAMES = st.lists(st.text("abcdef", min_size=1, max_size=8), max_size=5).map(tuple)
@@ -38,3 +40,8 @@
         answer = Answer(7, ("s", "t"), ("sig",), (), (), True, b"")
         with self.assertRaises(FrameError):
             decode_message(encode_message(answer))
+
+    def test_an_answer_of_an_earlier_release_has_no_pending_shards(self):
+        body = orjson.dumps([ANSWER, 7, ["s"], ["sig"], [], True])
+        data = len(body).to_bytes(HEAD_LENGTH_BYTES, "little") + body + b"x" * 16
+        self.assertEqual(decode_message(data), Answer(7, ("s",), ("sig",), (), (), True, b"x" * 16))
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -33,6 +33,9 @@
 """Shorter pauses bring the caller back into the same shortage."""
 MOST_NAMED_SHARDS = 8
 """Most missing shards that a line of the log names."""
+SAMPLED_ONE_IN = 64
+"""One in so many requests that went well is logged with its steps, to compare the others with; at
+20 a second that is a few KB each three seconds, a small part of the log's budget."""
 CALLER_GONE = 0
 """In logs: the status of a request whose caller left before its answer."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -197,15 +200,17 @@
         self._parts.metrics.observe_latency(self._route.host, self._route.name, took_ms)
         succeeded = _is_success(answer.status)
         if not succeeded:
-            self._parts.metrics.count_refusal(why)
+            self._parts.metrics.count_refusal(why, took_ms)
         elif self._route.shards is not None:
             share = 1.0 - missing / len(self._route.shards.services)
             self._parts.metrics.observe_coverage(self._route.host, self._route.name, share)
         if not succeeded or missing or took_ms > self._route.target_latency_ms:
             self._log(why, answer.status, missing)
+        elif self._parts.rng.random() * SAMPLED_ONE_IN < 1.0:
+            self._log("sampled", answer.status)
 
     def _log(self, why: str, status: int, missing: int = 0) -> None:
-        if not _is_success(status) and status != CALLER_GONE:
+        if why == "sampled" or not (_is_success(status) or status == CALLER_GONE):
             self._story.tell()
         elif missing:
             self._story.tell(frozenset(self._missing))
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -6,6 +6,7 @@
 from rhubarbhinge.forward import CallerRequest, Lost, NotRun, SearcherReply, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
 from rhubarbhinge.gateway import Gateway, GatewayParts
+from rhubarbhinge.gateway._handling import SAMPLED_ONE_IN
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
 from rhubarbhinge.telemetry import use_event_log
@@ -90,6 +91,18 @@
         self.assertEqual(self.status(), 503)
         self.assertLess(self.retry_after(), 1.0)
 
+    def test_one_in_so_many_requests_that_went_well_is_logged_with_its_steps(self):
+        log = KeptEvents()
+        use_event_log(log)
+        self.addCleanup(use_event_log, None)
+        for _ in range(10 * SAMPLED_ONE_IN):
+            self.ask("/one/x")
+            self.world.attempts[-1].end(replied())
+        ends = [fields for name, fields in log.events if name == "request-ended"]
+        self.assertTrue(1 <= len(ends) <= 30, len(ends))
+        self.assertEqual({fields["why"] for fields in ends}, {"sampled"})
+        self.assertEqual(sum(name == "attempt-sent" for name, _ in log.events), len(ends))
+
     def test_an_unknown_route_is_404_only_while_the_plan_is_current(self):
         self.ask("/none/")
         self.assertEqual(self.status(), 404)
--- a/rhubarbhinge/telemetry/_metrics.py
+++ b/rhubarbhinge/telemetry/_metrics.py
@@ -41,6 +41,7 @@
         self._coverage: dict[tuple[str, str], BoundHistogram] = {}
         self._sub_queries: Counter[tuple[str, str]] = Counter()
         self._refusals: Counter[str] = Counter()
+        self._refusal_delays: dict[str, LogHistogram] = {}
         self._runs: Counter[str] = Counter()
         self._config: dict[str, tuple[int, float]] = {}
         self._members: dict[str, int] = {}
@@ -84,13 +85,17 @@
         """
         self._sub_queries[class_name, kind] += number
 
-    def count_refusal(self, code: str) -> None:
+    def count_refusal(self, code: str, took_ms: float | None = None) -> None:
         """Count a refused request.
 
         :param code: code of the refusal.
+        :param took_ms: time until it was refused, in ms; None if that was at once.
         """
         known = code in self._refusals or len(self._refusals) < MOST_SERIES
-        self._refusals[code if known else OTHER] += 1
+        name = code if known else OTHER
+        self._refusals[name] += 1
+        if took_ms is not None:
+            self._refusal_delays.setdefault(name, LogHistogram()).observe(took_ms)
 
     def count_run(self, outcome: str) -> None:
         """Count the outcome of a run that must not repeat.
@@ -197,6 +202,12 @@
             _SHOWN_BOUNDS,
             [(_pair(key), _shown(h), h.total) for key, h in self._latency.items()],
         )
+        page.histogram(
+            PREFIX + "refusal_ms",
+            "Time until requests were refused or failed, in ms",
+            _SHOWN_BOUNDS,
+            [({"code": code}, _shown(h), h.total) for code, h in self._refusal_delays.items()],
+        )
         page.histogram(
             PREFIX + "loop_lag_ms",
             "Lateness of a periodic timer in ms",
--- a/rhubarbhinge/telemetry/tests/test_metrics.py
+++ b/rhubarbhinge/telemetry/tests/test_metrics.py
@@ -63,7 +63,7 @@
         self.metrics.count_sub_queries("planning", SubQueryKind.BASE, 100)
         self.metrics.count_sub_queries("planning", SubQueryKind.HEDGE, 3)
         self.metrics.count_sub_queries("planning", SubQueryKind.RETRY)
-        self.metrics.count_refusal("shed")
+        self.metrics.count_refusal("shed", 12.0)
         self.metrics.count_run("unknown")
         self.metrics.set_config("rules", 7, 12.5)
         self.metrics.set_members({"live": 6})
@@ -73,6 +73,7 @@
         wanted = [
             'sub_queries_total{class="planning",kind="hedge"} 3',
             'refusals_total{code="shed"} 1',
+            'refusal_ms_count{code="shed"} 1.0',
             'runs_total{outcome="unknown"} 1',
             'config_revision{key="rules"} 7',
             'config_age_ms{key="rules"} 12.5',
