published, peers: searchers that vanish together are kept for a while, and by peers no longer

The wait for lapsed entries began only after a failed call. Ruled out: waiting for each vanished entry (a searcher that leaves without a notice would get work too late).

--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -43,6 +43,7 @@
             "plan": None if plan is None else _plan_fields(plan),
             "searchers": state.searchers,
             "removed": state.removed if isinstance(state, Changes) else None,
+            "lapsed_ms": {} if isinstance(state, Changes) else state.lapsed_ms,
         }
     )
 
@@ -73,7 +74,8 @@
         plan = None if fields["plan"] is None else _plan(fields["plan"])
         searchers = tuple(Searcher(**_known(Searcher, one)) for one in fields["searchers"])
         revision, age_ms = int(fields["revision"]), float(fields["age_ms"])
-        state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms)
+        lapsed_ms = {str(k): float(v) for k, v in fields.get("lapsed_ms", {}).items()}
+        state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms, lapsed_ms)
         if fields["removed"] is not None:
             removed = tuple(str(name) for name in fields["removed"])
             state = Changes(revision, plan, searchers, removed, age_ms, by_peer=True)
--- a/rhubarbhinge/peers/tests/test_peers.py
+++ b/rhubarbhinge/peers/tests/test_peers.py
@@ -82,6 +82,7 @@
         searcher = Searcher("i-1", "s", "10.0.0.9", 80, "hall-a", 2)
         for state in (
             Snapshot(12, plan, (searcher,), 5.0),
+            Snapshot(12, plan, (searcher,), 5.0, {searcher.incarnation: 700.0}),
             Snapshot(0, None, (), -1.0),
             Changes(13, None, (searcher,), ("i-2",), 7.0, by_peer=True),
         ):
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -1,12 +1,13 @@
 """Follows what is published, and never goes back."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._lapsed import LapsedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
@@ -23,6 +24,13 @@
 """Pause between two watches, so that changes that come in series cost one call together."""
 LAPSE_GRACE_MS = 2_000.0
 """Entries that lapsed while the platform was away are back within this time, or gone."""
+LAPSE_COUNT = 5
+LAPSE_SHARE = 0.1
+"""When so many entries, and this part of all, vanish with one answer of the platform, their leases
+ran out while it was away unnoticed; searchers leave one by one, or say before that they drain."""
+LAPSE_HOLD_MS = 1_500.0
+"""How long these are kept. They came back within 1.3 s where this was seen; a searcher that has
+left serves for at least another three seconds, so that no request comes to it too late."""
 CURRENT_MS = 7_000.0
 """Without an answer for so long, a change may have been missed: one watch and its timeout."""
 
@@ -31,7 +39,8 @@
     """Follows what is published.
 
     The configuration's version only grows. A failed read changes nothing. Entries that are missing
-    after the platform was away are kept for ``LAPSE_GRACE_MS``, then they count as gone.
+    after the platform was away are kept for ``LAPSE_GRACE_MS``, those that vanish with many others
+    for ``LAPSE_HOLD_MS``; then they count as gone.
 
     :param timers: the timer service.
     :param source: reads the platform.
@@ -60,8 +69,8 @@
         self._searchers: dict[str, Searcher] = {}
         self._confirmed_ms: float | None = None
         self._failures = 0
-        self._back_ms = float("-inf")
-        self._missing: dict[str, float] = {}
+        self._keep_until_ms = float("-inf")
+        self._lapsed = LapsedSearchers(timers, self._remove)
         self.log = ChangeLog(rng)
         self.on_changed: Callable[[], None] = _nothing
 
@@ -105,7 +114,7 @@
         :returns: the state.
         """
         searchers = tuple(self._searchers.values())
-        return Snapshot(self.revision, self.plan, searchers, self.age_ms())
+        return Snapshot(self.revision, self.plan, searchers, self.age_ms(), self._lapsed.left_ms())
 
     def changes_since(self, log_id: str, position: int) -> Changes | Snapshot:
         """Give what was taken over here since a position of the log.
@@ -145,7 +154,7 @@
         if snapshot.revision < self.revision:
             return
         if snapshot.revision > self.revision:
-            self._take_snapshot(snapshot)
+            self._take_snapshot(snapshot, by_peer=True)
         if snapshot.age_ms >= 0:
             self._confirm(snapshot.age_ms)
 
@@ -161,13 +170,13 @@
             self._failed(outcome, self.start)
             return
         self._answered(outcome.age_ms)
-        self._take_snapshot(outcome)
+        self._take_snapshot(outcome, by_peer=False)
         self._watch()
 
-    def _take_snapshot(self, snapshot: Snapshot) -> None:
+    def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
         if snapshot.revision >= self.revision:
             self._take_plan(snapshot.plan)
-            self._replace(snapshot)
+            self._replace(snapshot, by_peer)
 
     def _watch(self) -> None:
         self._source.wait_for_changes(self.revision, self._told)
@@ -182,7 +191,7 @@
             return
         self._answered(outcome.age_ms)
         if isinstance(outcome, Snapshot):
-            self._take_snapshot(outcome)
+            self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
             return
         self._apply(outcome)
@@ -202,7 +211,7 @@
         if self._failures:
             log_event("platform-regained", failures=self._failures, revision=self.revision)
             self._failures = 0
-            self._back_ms = self._timers.now_ms()
+            self._keep_vanished(LAPSE_GRACE_MS)
 
     # Taking over.
 
@@ -215,16 +224,19 @@
         self._changed(plan)
         self._on_plan(plan)
 
-    def _replace(self, snapshot: Snapshot) -> None:
+    def _replace(self, snapshot: Snapshot, by_peer: bool) -> None:
         listed = {searcher.incarnation for searcher in snapshot.searchers}
         first = not self._searchers
         for searcher in snapshot.searchers:
+            if searcher.incarnation not in snapshot.lapsed_ms:
+                self._lapsed.discard(searcher.incarnation)
             self._put(searcher, logged=not first)
+        for incarnation, left_ms in snapshot.lapsed_ms.items():
+            self._lapsed.keep(incarnation, left_ms)
         if first:
             # One line: callers wait while a process starts.
             log_event("searchers-listed", searchers=len(listed), revision=snapshot.revision)
-        for incarnation in [name for name in self._searchers if name not in listed]:
-            self._vanished(incarnation)
+        self._vanish([name for name in self._searchers if name not in listed], by_peer)
         self.revision = snapshot.revision
 
     def _apply(self, changes: Changes) -> None:
@@ -232,13 +244,12 @@
             return
         self._take_plan(changes.plan)
         for searcher in changes.searchers:
+            self._lapsed.discard(searcher.incarnation)
             self._put(searcher)
-        for incarnation in changes.removed:
-            self._vanished(incarnation)
+        self._vanish(changes.removed, changes.by_peer)
         self.revision = changes.revision
 
     def _put(self, searcher: Searcher, logged: bool = True) -> None:
-        self._missing.pop(searcher.incarnation, None)
         known = self._searchers.get(searcher.incarnation)
         if known == searcher:
             return
@@ -254,23 +265,30 @@
                 draining=searcher.draining,
             )
 
-    def _vanished(self, incarnation: str) -> None:
-        if incarnation not in self._searchers or incarnation in self._missing:
-            return
-        now_ms = self._timers.now_ms()
-        left_ms = self._back_ms + LAPSE_GRACE_MS - now_ms
-        if left_ms <= 0:
-            self._remove(incarnation)
-            return
-        self._missing[incarnation] = now_ms
-        self._timers.after(left_ms, lambda: self._remove_missing(incarnation, now_ms))
+    def _vanish(self, incarnations: Iterable[str], by_peer: bool) -> None:
+        """Take out entries that are no longer published.
+
+        :param incarnations: the searchers.
+        :param by_peer: whether a peer tells it, which has kept them long enough itself.
+        """
+        gone = [name for name in incarnations if name in self._searchers]
+        silent = [name for name in gone if not self._searchers[name].draining]
+        if not by_peer and len(silent) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._searchers)):
+            log_event("searchers-lapsed", level="warning", searchers=len(silent))
+            self._keep_vanished(LAPSE_HOLD_MS)
+        left_ms = self._keep_until_ms - self._timers.now_ms()
+        for incarnation in gone:
+            if by_peer or left_ms <= 0 or self._searchers[incarnation].draining:
+                self._remove(incarnation)
+            else:
+                self._lapsed.keep(incarnation, left_ms)
 
-    def _remove_missing(self, incarnation: str, since_ms: float) -> None:
-        if self._missing.get(incarnation) == since_ms:
-            self._remove(incarnation)
+    def _keep_vanished(self, period_ms: float) -> None:
+        until_ms = self._timers.now_ms() + period_ms
+        self._keep_until_ms = max(self._keep_until_ms, until_ms)
 
     def _remove(self, incarnation: str) -> None:
-        self._missing.pop(incarnation, None)
+        self._lapsed.discard(incarnation)
         self._searchers.pop(incarnation, None)
         self._changed(incarnation)
         log_event("searcher-gone", searcher=incarnation, revision=self.revision)
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -1,6 +1,7 @@
 """All that is published at one time."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
@@ -14,9 +15,12 @@
     :param plan: the configuration; None when none is published.
     :param searchers: all searchers.
     :param age_ms: time since the platform confirmed this, when a peer tells it.
+    :param lapsed_ms: which of the searchers are no longer published, and how long the peer that
+        tells it still keeps them.
     """
 
     revision: int
     plan: ServingPlan | None
     searchers: tuple[Searcher, ...]
     age_ms: float = 0.0
+    lapsed_ms: Mapping[str, float] = field(default_factory=dict)
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -115,6 +115,53 @@
         self.timers.advance(2_500.0)
         self.assertEqual(self.known(), ["i-1"])
 
+    def many(self) -> tuple[Searcher, ...]:
+        return tuple(searcher(f"i-{number}") for number in range(10, 30))
+
+    def test_many_entries_that_vanish_at_once_may_come_back(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        self.answer(Changes(20, None, (), names[:8]))
+        self.assertEqual(len(self.known()), 20)
+        self.timers.advance(300.0)
+        self.answer(Changes(21, None, self.many()[:5], names[8:9]))
+        self.timers.advance(300.0)
+        self.assertEqual(len(self.known()), 20)
+        self.timers.advance(1_000.0)
+        self.assertEqual(set(names) - set(self.known()), set(names[5:9]))
+
+    def test_what_is_kept_for_a_while_is_not_kept_for_ever_by_peers(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        self.answer(Changes(20, None, (), names[:8]))
+        fleet = Fleet(self.timers.now_ms, lambda observed: None)
+        peer = Follower(self.timers, FakeSource(), fleet, random.Random(1), lambda new: None)
+        self.timers.advance(500.0)
+        peer.offer(self.follower.snapshot())
+        self.assertEqual(len(list(fleet.all())), 20)
+        self.timers.advance(900.0)
+        self.assertEqual(len(list(fleet.all())), 20)
+        self.timers.advance(200.0)
+        self.assertEqual(len(list(fleet.all())), 12)
+
+    def test_a_draining_searcher_that_vanishes_is_gone_at_once(self):
+        self.answer(Snapshot(10, plan(3), (searcher("i-1", draining=True), searcher("i-2"))))
+        self.fail_and_return(Changes(20, None, (), ("i-1", "i-2")))
+        self.assertEqual(self.known(), ["i-2"])
+
+    def test_many_entries_that_a_peer_has_seen_vanish_are_gone(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        # Also just after the platform's return: the peer has waited for them, twice is too long.
+        self.fail_and_return(Changes(20, None, (), names[:8], 0.0, by_peer=True))
+        self.assertEqual(len(self.known()), 12)
+
+    def test_a_few_entries_that_vanish_are_gone_at_once(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        self.answer(Changes(20, None, (), names[:3]))
+        self.assertEqual(len(self.known()), 17)
+
     def test_an_entry_that_goes_long_after_the_return_is_gone_at_once(self):
         self.listed()
         self.fail_and_return(Changes(20))
