published, delegation: an entry that is kept already does not count as vanishing again; steps of an ask are told once

By reading the diff: a list that lacks kept entries would have begun a new wait for others; each late answer to another entry repeated the steps of the search in the log.

--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -145,6 +145,7 @@
         self._failed: list[str] = []
         self._may_have_run = False
         self._due = False
+        self._told = False
         request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
         self._story = Story(ask.request_id, surroundings.timers.now_ms)
         self._calls = ShardCalls(surroundings, request, terms, delays, self._ended, self._story)
@@ -183,7 +184,9 @@
         pending = self._calls.services
         missing = {*pending, *failed}
         if missing:
-            self._story.tell(frozenset(missing))
+            if not self._told:
+                self._story.tell(frozenset(missing))
+            self._told = True
             log_event(
                 "ask-answered",
                 request=self._ask.request_id,
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -272,10 +272,9 @@
         :param by_peer: whether a peer tells it, which has kept them long enough itself.
         """
         gone = [name for name in incarnations if name in self._searchers]
-        silent = [name for name in gone if not self._searchers[name].draining]
-        if not by_peer and len(silent) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._searchers)):
-            log_event("searchers-lapsed", level="warning", searchers=len(silent))
-            self._keep_vanished(LAPSE_HOLD_MS)
+        if not by_peer:
+            gone = [name for name in gone if name not in self._lapsed]
+            self._note_lapse(gone)
         left_ms = self._keep_until_ms - self._timers.now_ms()
         for incarnation in gone:
             if by_peer or left_ms <= 0 or self._searchers[incarnation].draining:
@@ -283,6 +282,13 @@
             else:
                 self._lapsed.keep(incarnation, left_ms)
 
+    def _note_lapse(self, gone: list[str]) -> None:
+        """Keep what vanishes from now on for a while, if too many vanish together to have left."""
+        silent = [name for name in gone if not self._searchers[name].draining]
+        if len(silent) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._searchers)):
+            log_event("searchers-lapsed", level="warning", searchers=len(silent))
+            self._keep_vanished(LAPSE_HOLD_MS)
+
     def _keep_vanished(self, period_ms: float) -> None:
         until_ms = self._timers.now_ms() + period_ms
         self._keep_until_ms = max(self._keep_until_ms, until_ms)
