published, peers: changes told to followers name the searchers that are only kept for a while

Ruled out: the length of the wait itself (1.5 s of the 3 s allowed). Entries count as lapsed only when the platform told nothing for two seconds before; here it had, a quarter of a second earlier. Tests, failing before: test_who_follows_by_changes_hears_what_is_kept_and_what_came_back, test_many_entries_that_vanish_while_the_platform_talks_are_gone_at_once.

--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -43,7 +43,7 @@
             "plan": None if plan is None else _plan_fields(plan),
             "searchers": state.searchers,
             "removed": state.removed if isinstance(state, Changes) else None,
-            "lapsed_ms": {} if isinstance(state, Changes) else state.lapsed_ms,
+            "lapsed_ms": state.lapsed_ms,
         }
     )
 
@@ -78,7 +78,7 @@
         state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms, lapsed_ms)
         if fields["removed"] is not None:
             removed = tuple(str(name) for name in fields["removed"])
-            state = Changes(revision, plan, searchers, removed, age_ms, by_peer=True)
+            state = Changes(revision, plan, searchers, removed, age_ms, True, lapsed_ms)
         return ToldState(state, str(fields["log"]), int(fields["position"]))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise StateError(f"a peer's bytes are no published state: {error}") from error
--- a/rhubarbhinge/peers/tests/test_peers.py
+++ b/rhubarbhinge/peers/tests/test_peers.py
@@ -85,6 +85,7 @@
             Snapshot(12, plan, (searcher,), 5.0, {searcher.incarnation: 700.0}),
             Snapshot(0, None, (), -1.0),
             Changes(13, None, (searcher,), ("i-2",), 7.0, by_peer=True),
+            Changes(13, None, (), (), 7.0, True, {searcher.incarnation: 700.0}),
         ):
             told = decode_state(encode_state(state, "log", 4))
             self.assertEqual(told, ToldState(state, "log", 4))
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -1,6 +1,7 @@
 """What changed since a revision."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
@@ -16,6 +17,8 @@
     :param removed: incarnations whose entries were removed.
     :param age_ms: time since the platform confirmed this, when a peer tells it.
     :param by_peer: whether a peer told it, which costs the platform no call.
+    :param lapsed_ms: which searchers are no longer published, and how long the peer that tells it
+        still keeps them; the revision covers their removal, so it is not told again.
     """
 
     revision: int
@@ -24,3 +27,4 @@
     removed: tuple[str, ...] = ()
     age_ms: float = 0.0
     by_peer: bool = False
+    lapsed_ms: Mapping[str, float] = field(default_factory=dict)
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -1,7 +1,7 @@
 """Follows what is published, and never goes back."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import ServingPlan
@@ -28,6 +28,8 @@
 LAPSE_SHARE = 0.1
 """When so many entries, and this part of all, vanish with one answer of the platform, their leases
 ran out while it was away unnoticed; searchers leave one by one, or say before that they drain."""
+LAPSE_SILENCE_MS = 2_000.0
+"""They count as lapsed only when the platform has told nothing for so long; a lease runs longer."""
 LAPSE_HOLD_MS = 1_500.0
 """How long these are kept. They came back within 1.3 s where this was seen; a searcher that has
 left serves for at least another three seconds, so that no request comes to it too late."""
@@ -70,6 +72,8 @@
         self._confirmed_ms: float | None = None
         self._failures = 0
         self._keep_until_ms = float("-inf")
+        self._told_ms = float("-inf")
+        self._silence_ms = 0.0
         self._lapsed = LapsedSearchers(timers, self._remove)
         self.log = ChangeLog(rng)
         self.on_changed: Callable[[], None] = _nothing
@@ -139,7 +143,8 @@
             tuple(searcher for searcher in newest.values() if searcher is not None),
             tuple(name for name, searcher in newest.items() if searcher is None),
             self.age_ms(),
-            by_peer=True,
+            True,
+            self._lapsed.left_ms(),
         )
 
     def _changed(self, change: ServingPlan | Searcher | str) -> None:
@@ -169,7 +174,7 @@
         if isinstance(outcome, ReadFault):
             self._failed(outcome, self.start)
             return
-        self._answered(outcome.age_ms)
+        self._answered(outcome.age_ms, by_peer=False)
         self._take_snapshot(outcome, by_peer=False)
         self._watch()
 
@@ -189,13 +194,14 @@
             else:
                 self._failed(outcome, self._watch)
             return
-        self._answered(outcome.age_ms)
+        by_peer = isinstance(outcome, Snapshot) or outcome.by_peer
+        self._answered(outcome.age_ms, by_peer)
         if isinstance(outcome, Snapshot):
             self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
             return
         self._apply(outcome)
-        self._timers.after(0 if outcome.by_peer else WATCH_PAUSE_MS, self._watch)
+        self._timers.after(0 if by_peer else WATCH_PAUSE_MS, self._watch)
 
     def _failed(self, fault: ReadFault, again: Callable[[], None]) -> None:
         if not self._failures:
@@ -206,8 +212,12 @@
             pause_ms = max(pause_ms, OVERLOAD_BACKOFF_MS)
         self._timers.after(pause_ms * self._rng.uniform(0.7, 1.3), again)
 
-    def _answered(self, age_ms: float) -> None:
+    def _answered(self, age_ms: float, by_peer: bool) -> None:
         self._confirm(age_ms)
+        if not by_peer:
+            now_ms = self._timers.now_ms()
+            self._silence_ms = now_ms - self._told_ms
+            self._told_ms = now_ms
         if self._failures:
             log_event("platform-regained", failures=self._failures, revision=self.revision)
             self._failures = 0
@@ -229,10 +239,9 @@
         first = not self._searchers
         for searcher in snapshot.searchers:
             if searcher.incarnation not in snapshot.lapsed_ms:
-                self._lapsed.discard(searcher.incarnation)
+                self._came_back(searcher)
             self._put(searcher, logged=not first)
-        for incarnation, left_ms in snapshot.lapsed_ms.items():
-            self._lapsed.keep(incarnation, left_ms)
+        self._keep_as_told(snapshot.lapsed_ms)
         if first:
             # One line: callers wait while a process starts.
             log_event("searchers-listed", searchers=len(listed), revision=snapshot.revision)
@@ -244,11 +253,23 @@
             return
         self._take_plan(changes.plan)
         for searcher in changes.searchers:
-            self._lapsed.discard(searcher.incarnation)
+            self._came_back(searcher)
             self._put(searcher)
+        self._keep_as_told(changes.lapsed_ms)
         self._vanish(changes.removed, changes.by_peer)
         self.revision = changes.revision
 
+    def _came_back(self, searcher: Searcher) -> None:
+        """Note that a searcher is published, which those who follow this entry have to hear too."""
+        if searcher.incarnation in self._lapsed:
+            self._lapsed.discard(searcher.incarnation)
+            self._changed(searcher)
+
+    def _keep_as_told(self, lapsed_ms: Mapping[str, float]) -> None:
+        for incarnation, left_ms in lapsed_ms.items():
+            if incarnation in self._searchers:
+                self._lapsed.keep(incarnation, left_ms)
+
     def _put(self, searcher: Searcher, logged: bool = True) -> None:
         known = self._searchers.get(searcher.incarnation)
         if known == searcher:
@@ -285,6 +306,8 @@
     def _note_lapse(self, gone: list[str]) -> None:
         """Keep what vanishes from now on for a while, if too many vanish together to have left."""
         silent = [name for name in gone if not self._searchers[name].draining]
+        if self._silence_ms < LAPSE_SILENCE_MS:
+            return
         if len(silent) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._searchers)):
             log_event("searchers-lapsed", level="warning", searchers=len(silent))
             self._keep_vanished(LAPSE_HOLD_MS)
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -121,6 +121,7 @@
     def test_many_entries_that_vanish_at_once_may_come_back(self):
         self.answer(Snapshot(10, plan(3), self.many()))
         names = tuple(one.incarnation for one in self.many())
+        self.timers.advance(3_000.0)
         self.answer(Changes(20, None, (), names[:8]))
         self.assertEqual(len(self.known()), 20)
         self.timers.advance(300.0)
@@ -133,6 +134,7 @@
     def test_what_is_kept_for_a_while_is_not_kept_for_ever_by_peers(self):
         self.answer(Snapshot(10, plan(3), self.many()))
         names = tuple(one.incarnation for one in self.many())
+        self.timers.advance(3_000.0)
         self.answer(Changes(20, None, (), names[:8]))
         fleet = Fleet(self.timers.now_ms, lambda observed: None)
         peer = Follower(self.timers, FakeSource(), fleet, random.Random(1), lambda new: None)
@@ -144,6 +146,35 @@
         self.timers.advance(200.0)
         self.assertEqual(len(list(fleet.all())), 12)
 
+    def test_who_follows_by_changes_hears_what_is_kept_and_what_came_back(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        source = FakeSource()
+        fleet = Fleet(self.timers.now_ms, lambda observed: None)
+        peer = Follower(self.timers, source, fleet, random.Random(1), lambda new: None)
+        peer.start()
+        source.answer(self.follower.snapshot())
+        place = (self.follower.log.id, self.follower.log.position)
+        self.timers.advance(3_000.0)
+        self.answer(Changes(20, None, (searcher("i-new"),), names[:8]))
+        source.answer(self.follower.changes_since(*place))
+        place = (self.follower.log.id, self.follower.log.position)
+        self.assertEqual((peer.revision, len(list(fleet.all()))), (20, 21))
+        self.timers.advance(300.0)
+        self.answer(Changes(21, None, self.many()[:2]))
+        source.answer(self.follower.changes_since(*place))
+        # From now on it hears nothing more, as when it reads the platform itself, from 21 on.
+        self.timers.advance(1_500.0)
+        gone = set(names) - {one.searcher.incarnation for one in fleet.all()}
+        self.assertEqual(gone, set(names[2:8]))
+
+    def test_many_entries_that_vanish_while_the_platform_talks_are_gone_at_once(self):
+        self.answer(Snapshot(10, plan(3), self.many()))
+        names = tuple(one.incarnation for one in self.many())
+        self.timers.advance(1_000.0)
+        self.answer(Changes(20, None, (), names[:8]))
+        self.assertEqual(len(self.known()), 12)
+
     def test_a_draining_searcher_that_vanishes_is_gone_at_once(self):
         self.answer(Snapshot(10, plan(3), (searcher("i-1", draining=True), searcher("i-2"))))
         self.fail_and_return(Changes(20, None, (), ("i-1", "i-2")))
