tools, standins: the load tool takes the host of the stand-ins' routes from them

By reading the diff: the host stood twice, and a map from routes to kinds of requests was called objectives. No behaviour changed; no product code is touched.

--- a/standins/operators/__init__.py
+++ b/standins/operators/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins of the operators' platform: its store, its searchers, and a deployment of entries."""
 
-from standins.operators._configuration import configuration
+from standins.operators._configuration import HOST, configuration
 from standins.operators._deployment import Deployment, EntryProcess
 from standins.operators._model import CompactedError, StoreModel
 from standins.operators._searcher import Searcher
@@ -10,6 +10,7 @@
     "CompactedError",
     "Deployment",
     "EntryProcess",
+    "HOST",
     "Searcher",
     "Store",
     "StoreModel",
--- a/tools/load/_generator.py
+++ b/tools/load/_generator.py
@@ -7,11 +7,10 @@
 
 import aiohttp
 
+from standins.operators import HOST
 from tools.load._sample import Sample
 from tools.load._site import RequestClass
 
-HOST = "desk.example"
-"""The host of all routes of the stand-ins."""
 MISSING = "X-Missing-Parts"
 """Header that tells how many shards an answer leaves out."""
 ATTEMPTS = 2
--- a/tools/load/_site.py
+++ b/tools/load/_site.py
@@ -73,14 +73,14 @@
         single = {each.name: "single" for each in self.classes if not each.least_share}
         document = configuration(1, shards, {}, single, 1_000)
         search, *routes = document["routes"]
-        objectives = {each.name: each for each in self.classes}
+        class_by_route = {each.name: each for each in self.classes}
         searches = [
             {**search, "name": each.name, "path_prefix": f"/{each.name}/"}
             for each in self.classes
             if each.least_share
         ]
         for route in searches + routes:
-            each = objectives[route["name"]]
+            each = class_by_route[route["name"]]
             route["target_latency_ms"] = each.objective_ms
             route["timeout_ms"] = each.wait_ms
             route["priority"] = each.priority
