delegation, gather, forward: attempts beyond the first are agreed on between two entries

An entry that searches shards for another one hedged by itself, while the one that had asked gave it up after 30 ms without a sign, or on a silent link, and sent the shard once more. Ruled out: giving the other entry all attempts and falling back with none (a killed entry would cost every shard it had), and a time before which it may not hedge (a cut loses the cancel, not the searchers). Change: an entry asks for leave before each attempt beyond the first of a shard; what is granted counts as run.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -11,11 +11,14 @@
     Answer,
     Ask,
     Cancel,
+    Leave,
+    LeaveWanted,
     Taken,
     decode_message,
     encode_message,
 )
 from rhubarbhinge.fleet import DomainReach
+from rhubarbhinge.gather import GrantAttempts
 from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
 from rhubarbhinge.peers import PeerTable
 from rhubarbhinge.telemetry import log_event
@@ -54,6 +57,7 @@
     ip: str
     request_id: str
     on_answer: OnAnswer
+    grant: GrantAttempts
     timer: Subscription
 
 
@@ -130,18 +134,19 @@
                 self._open(ip, failure_domain)
         return self._rng.choice(ready) if ready else None
 
-    def ask(self, ip: str, ask: Ask, on_answer: OnAnswer) -> Delegate:
+    def ask(self, ip: str, ask: Ask, on_answer: OnAnswer, grant: GrantAttempts) -> Delegate:
         """Ask an entry.
 
         :param ip: its IP address, as :meth:`choose` gave it.
         :param ask: what is asked; its number is set here.
         :param on_answer: told what comes of it, later.
+        :param grant: decides on shards that the entry wants to send to one more searcher.
         :returns: the handle to cancel it by.
         """
         number = next(self._numbers)
         link = self._by_ip[ip]
         timer = self._timers.after(TAKEN_MS, lambda: self._not_taken(number))
-        self._asking[number] = _Asking(link, ip, ask.request_id, on_answer, timer)
+        self._asking[number] = _Asking(link, ip, ask.request_id, on_answer, grant, timer)
         self._links.send(link, frame(encode_message(replace(ask, number=number))))
         return Delegate(self, number)
 
@@ -188,6 +193,11 @@
             if not message.pending:
                 del self._asking[message.number]
             asking.on_answer(message)
+        elif isinstance(message, LeaveWanted):
+            granted = asking.grant(message.services)
+            if granted:
+                leave = Leave(message.number, granted)
+                self._links.send(asking.link, frame(encode_message(leave)))
         elif not isinstance(message, Taken):
             raise FrameError("malformed", "entries that are asked answer only")
 
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -7,7 +7,7 @@
 
 from rhubarbhinge.net import FrameError
 
-ASK, TAKEN, ANSWER, CANCEL = range(4)
+ASK, TAKEN, ANSWER, CANCEL, LEAVE_WANTED, LEAVE = range(6)
 """Kinds of messages on the wire; short, as each byte between failure domains is paid for."""
 HEAD_LENGTH_BYTES = 4
 """Bytes of the length of a message's head; the body follows the head."""
@@ -87,7 +87,31 @@
     number: int
 
 
-Message = Ask | Taken | Answer | Cancel
+@dataclass(frozen=True, slots=True)
+class LeaveWanted:
+    """Shards of an ask that are to be sent to one more searcher, beyond the first.
+
+    :param number: the ask.
+    :param services: the shards.
+    """
+
+    number: int
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Shards that may be sent to one more searcher.
+
+    :param number: the ask.
+    :param services: the shards.
+    """
+
+    number: int
+    services: tuple[str, ...]
+
+
+Message = Ask | Taken | Answer | Cancel | LeaveWanted | Leave
 
 
 def encode_message(message: Message) -> bytes:
@@ -123,6 +147,9 @@
             message.pending,
         ]
         return _join(fields, message.body)
+    if isinstance(message, LeaveWanted | Leave):
+        kind = LEAVE if isinstance(message, Leave) else LEAVE_WANTED
+        return _join([kind, message.number, message.services], b"")
     return _join([TAKEN if isinstance(message, Taken) else CANCEL, message.number], b"")
 
 
@@ -137,7 +164,7 @@
         end = HEAD_LENGTH_BYTES + int.from_bytes(data[:HEAD_LENGTH_BYTES], "little")
         kind, number, *fields = orjson.loads(data[HEAD_LENGTH_BYTES:end])
         return _DECODERS[kind](int(number), fields, data[end:])
-    except (KeyError, TypeError, ValueError) as error:
+    except (IndexError, KeyError, TypeError, ValueError) as error:
         raise FrameError("malformed", f"no message between entries: {error}") from error
 
 
@@ -146,6 +173,10 @@
     return len(head).to_bytes(HEAD_LENGTH_BYTES, "little") + head + body
 
 
+def _names(listed: list) -> tuple[str, ...]:
+    return tuple(str(name) for name in listed)
+
+
 def _ask(number: int, fields: list, body: bytes) -> Ask:
     request_id, head_bytes, route, services, *rest = fields
     top_k, priority, max_attempts, target_latency_ms, answer_in_ms, left_ms, *_ = rest
@@ -155,7 +186,7 @@
         body[:head_bytes],
         body[head_bytes:],
         str(route),
-        tuple(str(name) for name in services),
+        _names(services),
         int(top_k),
         int(priority),
         int(max_attempts),
@@ -173,10 +204,10 @@
         raise ValueError("a signature for each shard is needed")
     return Answer(
         number,
-        tuple(str(name) for name in services),
-        tuple(str(signature) for signature in signatures),
-        tuple(str(name) for name in untried),
-        tuple(str(name) for name in pending),
+        _names(services),
+        _names(signatures),
+        _names(untried),
+        _names(pending),
         bool(may_have_run),
         body,
     )
@@ -187,4 +218,6 @@
     ANSWER: _answer,
     TAKEN: lambda number, fields, body: Taken(number),
     CANCEL: lambda number, fields, body: Cancel(number),
+    LEAVE_WANTED: lambda number, fields, body: LeaveWanted(number, _names(fields[0])),
+    LEAVE: lambda number, fields, body: Leave(number, _names(fields[0])),
 }
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -1,14 +1,17 @@
 """Asks of entries of other failure domains."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from circuits import BaseComponent
 
+from rhubarbhinge.delegation._attempt_leave import AttemptLeave
 from rhubarbhinge.delegation._messages import (
     Answer,
     Ask,
     Cancel,
+    Leave,
+    LeaveWanted,
     Taken,
     decode_message,
     encode_message,
@@ -99,6 +102,7 @@
                 self._terms_of(message, delays),
                 delays,
                 lambda answer: self._answer(link, found, answer),
+                lambda services: self._send(link, LeaveWanted(message.number, services)),
             )
             found.searches[message.number] = search
             search.start()
@@ -106,6 +110,10 @@
             search = found.searches.pop(message.number, None)
             if search is not None:
                 search.cancel()
+        elif isinstance(message, Leave):
+            search = found.searches.get(message.number)
+            if search is not None:
+                search.leave.grant(message.services)
         else:
             raise FrameError("malformed", "entries that ask don't answer")
 
@@ -115,7 +123,7 @@
                 del found.searches[answer.number]
             self._send(link, answer)
 
-    def _send(self, link: int, message: Taken | Answer) -> None:
+    def _send(self, link: int, message: Taken | Answer | LeaveWanted) -> None:
         self._links.send(link, frame(encode_message(message)))
 
 
@@ -127,6 +135,8 @@
     :param terms: what is granted to the call to each shard.
     :param delays: the usual delays of such requests at one shard.
     :param on_answer: told what was found when the answer is due, and what is found after that.
+    :param want_leave: told for which shards one more attempt is wanted.
+    :ivar leave: the asking entry's leave to send shards to further searchers.
     """
 
     def __init__(
@@ -136,6 +146,7 @@
         terms: CallTerms,
         delays: Delays,
         on_answer: Callable[[Answer], None],
+        want_leave: Callable[[tuple[str, ...]], None],
     ):
         self._around = surroundings
         self._ask = ask
@@ -148,6 +159,8 @@
         self._told = False
         request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
         self._story = Story(ask.request_id, surroundings.timers.now_ms)
+        self.leave = AttemptLeave(surroundings.timers, want_leave)
+        terms = replace(terms, claim=self.leave.claim)
         self._calls = ShardCalls(surroundings, request, terms, delays, self._ended, self._story)
         self._timer = surroundings.timers.after(ask.answer_in_ms, self._answer_due)
 
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -22,6 +22,8 @@
     def setUp(self):
         self.root = BaseComponent()
         self.timers = TimerService().register(self.root)
+        self.hedge_ms = None
+        self.leave = lambda services: services
         self.world = FakeWorld(services=("s0", "s1"))
         around = self.world.around
         around = Surroundings(
@@ -35,7 +37,7 @@
         self.server = AskServer(
             self.timers,
             around,
-            lambda ask, delays: self.world.terms(hedge_ms=None),
+            lambda ask, delays: self.world.terms(hedge_ms=self.hedge_ms),
             lambda route, target_ms: Delays(20.0),
             ("127.0.0.1", 0),
         ).register(self.root)
@@ -50,6 +52,9 @@
         reach = DomainReach(self.timers.now_ms, lambda failure_domain: None)
         return Delegates(self.timers, table, port, random.Random(1), reach).register(self.root)
 
+    def more(self, services: tuple[str, ...]) -> tuple[str, ...]:
+        return self.leave(services)
+
     def wait(self, condition) -> None:
         self.assertTrue(run_until(self.root, condition), "the bound was reached")
 
@@ -59,7 +64,7 @@
 
     def asked(self) -> Delegates:
         delegates = self.delegates(self.server._links.bound_port)
-        self.ask = delegates.ask(self.open(delegates), ASK, self.answers.append)
+        self.ask = delegates.ask(self.open(delegates), ASK, self.answers.append, self.more)
         self.wait(lambda: len(self.world.attempts) == 2)
         return delegates
 
@@ -79,7 +84,7 @@
         for name in ("s1-1", "s1-2"):
             self.world.observed(name).on_unreachable()
         delegates = self.delegates(self.server._links.bound_port)
-        delegates.ask(self.open(delegates), ASK, self.answers.append)
+        delegates.ask(self.open(delegates), ASK, self.answers.append, self.more)
         self.wait(lambda: len(self.world.attempts) == 1)
         self.world.attempts[0].end(replied())
         self.wait(lambda: self.answers)
@@ -88,7 +93,7 @@
     def test_the_time_to_answer_brings_what_there_is(self):
         delegates = self.delegates(self.server._links.bound_port)
         address = self.open(delegates)
-        delegates.ask(address, replace(ASK, answer_in_ms=50.0), self.answers.append)
+        delegates.ask(address, replace(ASK, answer_in_ms=50.0), self.answers.append, self.more)
         self.wait(lambda: len(self.world.attempts) == 2)
         self.world.attempts[0].end(replied())
         self.wait(lambda: self.answers)
@@ -107,13 +112,36 @@
     def test_cancelling_after_a_part_stops_the_rest(self):
         delegates = self.delegates(self.server._links.bound_port)
         ask = delegates.ask(
-            self.open(delegates), replace(ASK, answer_in_ms=50.0), self.answers.append
+            self.open(delegates), replace(ASK, answer_in_ms=50.0), self.answers.append, self.more
         )
         self.wait(lambda: self.answers)
         ask.cancel()
         self.wait(lambda: all(attempt.cancelled for attempt in self.world.attempts))
         self.assertEqual(self.server.open_asks, 0)
 
+    def test_a_second_searcher_is_asked_once_the_asking_entry_has_agreed(self):
+        self.hedge_ms = 5.0
+        wanted: list[tuple[str, ...]] = []
+
+        def leave(services: tuple[str, ...]) -> tuple[str, ...]:
+            wanted.append(services)
+            return ("s1",)
+
+        self.leave = leave
+        self.asked()
+        self.wait(lambda: len(self.world.attempts) == 3)
+        self.assertEqual(wanted, [("s0", "s1")])
+        self.assertEqual(self.world.attempts[2].service, "s1")
+        run_until(self.root, lambda: False, 0.1)
+        self.assertEqual(len(self.world.attempts), 3)
+
+    def test_an_entry_that_hears_nothing_more_asks_no_second_searcher(self):
+        self.hedge_ms = 50.0
+        delegates = self.asked()
+        delegates._links.send = lambda link, data: None
+        run_until(self.root, lambda: False, 0.3)
+        self.assertEqual(len(self.world.attempts), 2)
+
     def test_cancelling_stops_the_searchers(self):
         self.asked()
         self.ask.cancel()
@@ -128,7 +156,7 @@
             ("127.0.0.1", 0),
         ).register(self.root)
         delegates = self.delegates(silent.bound_port)
-        delegates.ask(self.open(delegates), ASK, self.answers.append)
+        delegates.ask(self.open(delegates), ASK, self.answers.append, self.more)
         self.wait(lambda: self.answers)
         self.assertEqual(self.answers, [None])
         self.assertIsNone(delegates.choose("hall-b"))
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -6,7 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rhubarbhinge.delegation import Answer, Ask, Cancel, Taken, decode_message, encode_message
+from rhubarbhinge.delegation import (
+    Answer,
+    Ask,
+    Cancel,
+    Leave,
+    LeaveWanted,
+    Taken,
+    decode_message,
+    encode_message,
+)
 from rhubarbhinge.delegation._messages import ANSWER, HEAD_LENGTH_BYTES
 from rhubarbhinge.net import FrameError
 
@@ -26,7 +35,7 @@
         self.assertEqual(decode_message(encode_message(answer)), answer)
 
     def test_the_short_ones_read_back(self):
-        for message in (Taken(3), Cancel(4)):
+        for message in (Taken(3), Cancel(4), LeaveWanted(5, ("s", "t")), Leave(6, ())):
             self.assertEqual(decode_message(encode_message(message)), message)
 
     @given(st.binary(max_size=120))
--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -1,6 +1,6 @@
 """Requests to single searchers: connections, replies, retries and hedges."""
 
-from rhubarbhinge.forward._call_terms import CallTerms
+from rhubarbhinge.forward._call_terms import CallTerms, ClaimAttempt
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
@@ -17,6 +17,7 @@
     "Attempt",
     "CallTerms",
     "CallerRequest",
+    "ClaimAttempt",
     "ConnectionPool",
     "Dialect",
     "Exchange",
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -1,7 +1,12 @@
 """What is granted to one call."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+ClaimAttempt = Callable[[str, int, Callable[[], None]], bool]
+"""Asks whether the attempt of this number, counted from 1, may be sent to a service; if not yet,
+the callback is called once it may."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallTerms:
@@ -16,6 +21,8 @@
     :param priority: rank among what waits for the same searcher; 0 goes first.
     :param due_ms: when a reply is due for the latency objective; what waits longer goes behind
         what is still in time.
+    :param claim: asked before an attempt beyond the first, where attempts are shared with another
+        entry; None where ``max_attempts`` alone decides.
     """
 
     route_name: str
@@ -26,3 +33,4 @@
     deadline_ms: float
     priority: int = 0
     due_ms: float = float("inf")
+    claim: ClaimAttempt | None = None
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -39,8 +39,8 @@
     :param delays: the usual delays of such requests.
     :param on_result: told the result, once and later than the start.
     :param story: keeps what is decided.
-    :param arrived: whether the request may have arrived at the service before; that counts as one
-        execution and makes each send an extra one.
+    :param ran: searchers of the service that may have executed the request before this call; they
+        count among the attempts, and make each send an extra one.
     """
 
     __slots__ = (
@@ -72,7 +72,7 @@
         delays: Delays,
         on_result: Callable[["ServiceCall", Result], None],
         story: Story,
-        arrived: bool = False,
+        ran: int = 0,
     ):
         self._around = surroundings
         self._request = request
@@ -83,9 +83,9 @@
         self._story = story
         self._open: dict[str, Attempt] = {}
         self._tried: set[str] = set()
-        self._ran = 1 if arrived else 0
+        self._ran = ran
         self._refusals = 0
-        self._arrived = arrived
+        self._arrived = ran > 0
         self._failure: SearcherReply | None = None
         self._why: Why | None = None
         self._may_have_run = False
@@ -178,7 +178,7 @@
             self._story.note("hedge-not-sent", self.service, why="no-searcher")
             return
         unsent = [name for name, attempt in self._open.items() if not attempt.sent]
-        if self._ran - len(unsent) >= self._terms.max_attempts:
+        if not self._has_attempt(self._ran - len(unsent), self._hedge):
             return
         if not self._may_send():
             self._story.note("hedge-not-sent", self.service, **self._shortage(chosen))
@@ -191,6 +191,17 @@
             self._wait(self._terms.hedge_ms, self._hedge)
         self._send(chosen, "hedge")
 
+    def _has_attempt(self, ran: int, again: Callable[[], None]) -> bool:
+        """Tell whether another searcher may execute the request.
+
+        :param ran: how many may have executed it.
+        :param again: called when one more may, if that has to be agreed on first.
+        """
+        terms = self._terms
+        if ran >= terms.max_attempts:
+            return False
+        return ran == 0 or terms.claim is None or terms.claim(self.service, ran + 1, again)
+
     def _may_send(self) -> bool:
         """Ask the budget, which counts what arrives at a service beyond the first time."""
         return not self.arrived or self._around.budget.take(self.service)
@@ -237,9 +248,13 @@
             self._retry()
 
     def _retry(self) -> None:
+        if self.over:
+            return
         if self._refusals >= MOST_REFUSED_SENDS or self._ran >= self._terms.max_attempts:
             self._end()
             return
+        if not self._has_attempt(self._ran, self._retry):
+            return
         now_ms = self._around.timers.now_ms()
         chosen = self._choose()
         if chosen is None and self._tried and now_ms < self._terms.retry_until_ms:
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -17,8 +17,29 @@
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
 
 
+class FakeLeave:
+    """Leave for further attempts, given when a test says so."""
+
+    def __init__(self):
+        self.numbers: list[int] = []
+        self._granted = False
+        self._waiting = []
+
+    def claim(self, service: str, number: int, on_granted) -> bool:
+        if not self._granted:
+            self.numbers.append(number)
+            self._waiting.append(on_granted)
+        return self._granted
+
+    def grant(self) -> None:
+        self._granted = True
+        waiting, self._waiting = self._waiting, []
+        for on_granted in waiting:
+            on_granted()
+
+
 class ServiceCallTest(unittest.TestCase):
-    def start(self, world: FakeWorld, arrived: bool = False, **terms: object) -> ServiceCall:
+    def start(self, world: FakeWorld, ran: int = 0, **terms: object) -> ServiceCall:
         self.world = world
         self.results: list[Result] = []
         call = ServiceCall(
@@ -29,7 +50,7 @@
             world.delays,
             lambda call, result: self.results.append(result),
             Story("r1", world.timers.now_ms),
-            arrived,
+            ran,
         )
         call.start()
         return call
@@ -53,6 +74,31 @@
         self.world.timers.advance(500.0)
         self.assertEqual(self.sent(), 1)
 
+    def test_a_hedge_that_needs_leave_is_sent_once_there_is_leave(self):
+        leave = FakeLeave()
+        self.start(FakeWorld(), claim=leave.claim)
+        self.world.timers.advance(500.0)
+        self.assertEqual((self.sent(), leave.numbers), (1, [2]))
+        leave.grant()
+        self.assertEqual(self.sent(), 2)
+
+    def test_a_retry_that_needs_leave_is_sent_once_there_is_leave(self):
+        leave = FakeLeave()
+        self.start(FakeWorld(), claim=leave.claim)
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.assertEqual((self.sent(), self.results), (1, []))
+        leave.grant()
+        self.world.attempts[1].end(replied(body=b"two"))
+        self.assertEqual(self.results[0].reply.body, b"two")
+
+    def test_leave_that_comes_after_the_reply_sends_nothing(self):
+        leave = FakeLeave()
+        self.start(FakeWorld(), claim=leave.claim)
+        self.world.timers.advance(30.0)
+        self.world.attempts[0].end(replied())
+        leave.grant()
+        self.assertEqual((self.sent(), len(self.results)), (1, 1))
+
     def test_no_more_searchers_than_allowed(self):
         self.start(FakeWorld(), max_attempts=1)
         self.world.timers.advance(500.0)
@@ -130,7 +176,7 @@
         self.assertIsInstance(self.results[0], Passed)
 
     def test_after_an_arrival_by_another_entry_the_first_send_needs_budget(self):
-        self.start(FakeWorld(slack=0.0), arrived=True)
+        self.start(FakeWorld(slack=0.0), ran=1)
         self.world.timers.advance(1.0)
         self.assertEqual(self.sent(), 0)
         self.assertEqual(self.results, [Refused(None)])
--- a/rhubarbhinge/gateway/_far_search.py
+++ b/rhubarbhinge/gateway/_far_search.py
@@ -10,7 +10,7 @@
 from rhubarbhinge.delegation import Answer, Ask, Delegate, Delegates
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import CallerRequest, Surroundings
-from rhubarbhinge.gather import FarPart, FarSearch, GatherTerms
+from rhubarbhinge.gather import FarPart, FarSearch, GatherTerms, GrantAttempts
 
 LEAST_SHARDS = 2
 """One shard costs as many bytes by another entry as without."""
@@ -53,6 +53,7 @@
         terms: GatherTerms,
         services: list[str],
         on_part: Callable[[FarPart | None], None],
+        grant: GrantAttempts,
     ) -> Delegate:
         now_ms = surroundings.timers.now_ms()
         message = Ask(
@@ -69,7 +70,7 @@
             answer_in_ms=max(0.0, terms.answer_by_ms - now_ms - FAR_MARGIN_MS),
             left_ms=max(0.0, terms.call.deadline_ms - now_ms),
         )
-        return delegates.ask(address, message, lambda answer: on_part(_part(answer)))
+        return delegates.ask(address, message, lambda answer: on_part(_part(answer)), grant)
 
     return FarSearch(shards_for, ask)
 
--- a/rhubarbhinge/gather/__init__.py
+++ b/rhubarbhinge/gather/__init__.py
@@ -1,6 +1,6 @@
 """Searches: one request to every shard, merged into one answer."""
 
-from rhubarbhinge.gather._far_search import FarAsk, FarPart, FarSearch
+from rhubarbhinge.gather._far_search import FarAsk, FarPart, FarSearch, GrantAttempts
 from rhubarbhinge.gather._gather_terms import GatherTerms
 from rhubarbhinge.gather._gathering import Gathering
 from rhubarbhinge.gather._merge import RECORD_BYTES, merge_greatest
@@ -15,6 +15,7 @@
     "GatherTerms",
     "Gathered",
     "Gathering",
+    "GrantAttempts",
     "NotEnough",
     "ShardCalls",
     "ShardEnd",
--- a/rhubarbhinge/gather/_far_search.py
+++ b/rhubarbhinge/gather/_far_search.py
@@ -37,11 +37,13 @@
 
 FarShards = Callable[[CallerRequest, GatherTerms, Iterable[str]], dict[str, list[str]]]
 """Tells which of some shards to leave to which other entry: lists of shards by its address."""
-AskFar = Callable[
-    [str, CallerRequest, GatherTerms, list[str], Callable[[FarPart | None], None]], FarAsk
-]
-"""Asks the entry at an address to search some shards; parts come back, the last one without pending
-shards, or None when the entry failed."""
+OnFarPart = Callable[[FarPart | None], None]
+"""Told each part, the last one without pending shards; or None when the entry failed."""
+GrantAttempts = Callable[[tuple[str, ...]], tuple[str, ...]]
+"""Given the shards that the other entry wants to send to one more searcher, tells for which of them
+it may."""
+AskFar = Callable[[str, CallerRequest, GatherTerms, list[str], OnFarPart, GrantAttempts], FarAsk]
+"""Asks the entry at an address to search shards, at one searcher each until more is granted."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -1,5 +1,6 @@
 """One search under way."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from rhubarbhinge.fleet import Delays
@@ -45,6 +46,7 @@
         self._signatures: dict[str, str] = {}
         self._bodies: list[bytes] = []
         self._asks: dict[str, tuple[FarAsk, list[str]]] = {}
+        self._far_attempts: Counter[str] = Counter()
         self._may_have_run = False
         self._late = False
         self._over = False
@@ -95,8 +97,23 @@
             self._terms,
             services,
             lambda part: self._far_ended(address, part),
+            lambda wanted: self._grant(address, wanted),
         )
         self._asks[address] = (ask, services)
+        self._far_attempts.update(services)
+
+    def _grant(self, address: str, wanted: tuple[str, ...]) -> tuple[str, ...]:
+        """Let another entry send shards to one more searcher, as far as the route has attempts.
+
+        What is granted counts as executed from then on, also if the entry is never heard again.
+        """
+        _, services = self._asks.get(address, (None, ()))
+        most = self._terms.call.max_attempts
+        granted = tuple(
+            name for name in wanted if name in services and self._far_attempts[name] < most
+        )
+        self._far_attempts.update(granted)
+        return granted
 
     def _far_ended(self, address: str, part: FarPart | None) -> None:
         if self._over:
@@ -108,7 +125,7 @@
             # Records of other shards can't be taken out of a part again.
             ask.cancel()
             self._may_have_run = True
-            self._calls.start(services, arrived=True)
+            self._calls.start(services, ran=self._far_attempts)
         else:
             if part.pending:
                 self._asks[address] = (ask, list(part.pending))
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -1,7 +1,8 @@
 """One request to each of some shards."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import (
@@ -15,6 +16,9 @@
     Surroundings,
 )
 
+NONE_RAN: Mapping[str, int] = MappingProxyType({})
+"""No searcher has had the request before."""
+
 
 @dataclass(frozen=True, slots=True)
 class ShardEnd:
@@ -75,12 +79,12 @@
         """Whether a searcher may be executing one of the calls under way."""
         return any(call.may_have_run for call in self._calls.values())
 
-    def start(self, services: Iterable[str], arrived: bool = False) -> None:
+    def start(self, services: Iterable[str], ran: Mapping[str, int] = NONE_RAN) -> None:
         """Send to shards.
 
         :param services: the shards.
-        :param arrived: whether the request may have been executed there before, which the retry
-            budget has to grant and which counts among the attempts.
+        :param ran: how many searchers of a shard may have executed the request before; the retry
+            budget has to grant what comes after them, and they count among the attempts.
         """
         calls = [
             ServiceCall(
@@ -91,7 +95,7 @@
                 self._delays,
                 self._ended,
                 self._story,
-                arrived,
+                ran.get(name, 0),
             )
             for name in services
         ]
--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -19,11 +19,13 @@
     def __init__(self, by_address: dict[str, list[str]]):
         self._by_address = by_address
         self.tells = {}
+        self.more = {}
         self.cancelled = 0
         self.search = FarSearch(lambda request, terms, served: self._by_address, self._ask)
 
-    def _ask(self, address, request, terms, services, on_part):
+    def _ask(self, address, request, terms, services, on_part, on_more):
         self.tells[address] = on_part
+        self.more[address] = on_more
         return self
 
     def cancel(self) -> None:
@@ -187,6 +189,28 @@
         self.assertEqual(len(runs), 1)
         self.assertEqual(self.ends[0].missing, ("s3",))
 
+    def test_shards_that_a_failed_entry_had_leave_to_send_twice_are_not_sent_a_third_time(self):
+        self.start(least=0.5, far={"10.0.0.9": ["s2", "s3"]})
+        self.assertEqual(self.far.more["10.0.0.9"](("s3",)), ("s3",))
+        self.far.tells["10.0.0.9"](None)
+        self.world.timers.advance(0.0)
+        services = [attempt.service for attempt in self.world.attempts]
+        self.assertEqual(services, ["s0", "s1", "s2"])
+
+    def test_another_entry_gets_leave_for_no_more_attempts_than_the_route_has(self):
+        self.start(least=0.5, far={"10.0.0.9": ["s2", "s3"]})
+        more = self.far.more["10.0.0.9"]
+        self.assertEqual(more(("s2", "s0", "x")), ("s2",))
+        self.assertEqual(more(("s2", "s3")), ("s3",))
+
+    def test_an_entry_whose_ask_is_over_gets_no_leave(self):
+        self.start(least=0.5, far={"10.0.0.9": ["s2", "s3"]})
+        more = self.far.more["10.0.0.9"]
+        self.far.tells["10.0.0.9"](FarPart(("s2",), ("f2",), (), ("s3",), True, b""))
+        self.assertEqual(more(("s2", "s3")), ("s3",))
+        self.far.tells["10.0.0.9"](None)
+        self.assertEqual(more(("s3",)), ())
+
     def test_shards_that_another_entry_still_searches_are_waited_for(self):
         self.start(least=1.0, far={"10.0.0.9": ["s2", "s3"]}, slack=0.0)
         self.answer("s0", "s1")
