members, peers, delegation: membership by rings and speakers; compressed links between entries

Cause: each entry told each other one every second. Change: members: heartbeats in a ring of each domain, suspicion that the suspect contradicts, gossip, digests, two speakers between domains. peers is split: handing on, pulling, reports. An entry asks three entries of another domain, chosen by rank, in place of all. Links between entries are one deflate stream each.

--- a/rhubarbhinge/delegation/__init__.py
+++ b/rhubarbhinge/delegation/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rhubarbhinge.delegation._delegates import Delegate, Delegates
+from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
     Answer,
     Ask,
@@ -26,6 +27,7 @@
     "Delegates",
     "Leave",
     "LeaveWanted",
+    "LinkCodec",
     "Taken",
     "decode_message",
     "encode_message",
--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -2,25 +2,26 @@
 
 import itertools
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from circuits import BaseComponent
 
+from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
     Answer,
     Ask,
     Cancel,
     Leave,
     LeaveWanted,
+    Message,
     Taken,
-    decode_message,
-    encode_message,
 )
 from rhubarbhinge.fleet import DomainReach
 from rhubarbhinge.gather import GrantAttempts
-from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
-from rhubarbhinge.peers import PeerTable
+from rhubarbhinge.members import Member, Membership
+from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import Subscription, TimerService
 
@@ -31,6 +32,10 @@
 BAD_MS = 1_500.0
 """An entry that failed is not asked for so long; a restart takes about a second."""
 
+LINKS_PER_DOMAIN = 3
+"""Entries of another failure domain that this one asks. One that fails leaves two at once; each
+entry asks others, so that the load is even, and has a number of links that does not grow with the
+fleet."""
 SILENCES = (CloseReason.SILENT, CloseReason.CONNECT_TIMEOUT)
 """How links to hosts end that can't be reached; a process that ended shows otherwise."""
 
@@ -45,7 +50,7 @@
 
     ip: str
     failure_domain: str
-    splitter: FrameSplitter
+    codec: LinkCodec
     is_open: bool = False
 
 
@@ -83,7 +88,7 @@
     """Asks entries of other failure domains, one link to each.
 
     :param timers: the timer service.
-    :param peers: which entries there are.
+    :param membership: which entries there are; told of those that answer.
     :param port: where all entries take asks.
     :param rng: spreads the choice.
     :param reach: told which failure domains are heard from, and which entries can't be reached.
@@ -94,7 +99,7 @@
     def __init__(
         self,
         timers: TimerService,
-        peers: PeerTable,
+        membership: Membership,
         port: int,
         rng: random.Random,
         reach: DomainReach,
@@ -102,7 +107,7 @@
         super().__init__()
         self._reach = reach
         self._timers = timers
-        self._peers = peers
+        self._membership = membership
         self._port = port
         self._rng = rng
         self._numbers = itertools.count(1)
@@ -121,13 +126,12 @@
         :returns: its IP address, or None when there is none to ask; then links are made ready.
         """
         now_ms = self._timers.now_ms()
-        found = [
-            beat.ip
-            for beat in self._peers.live(now_ms)
-            if beat.failure_domain == failure_domain
-            and not beat.leaving
-            and self._bad_until_ms.get(beat.ip, 0.0) <= now_ms
+        sound = [
+            member
+            for member in self._membership.live(failure_domain)
+            if self._bad_until_ms.get(member.ip, 0.0) <= now_ms
         ]
+        found = [member.ip for member in sorted(sound, key=self._rank)[:LINKS_PER_DOMAIN]]
         ready = [ip for ip in found if self._is_open(ip)]
         for ip in found:
             if ip not in self._by_ip:
@@ -147,7 +151,7 @@
         link = self._by_ip[ip]
         timer = self._timers.after(TAKEN_MS, lambda: self._not_taken(number))
         self._asking[number] = _Asking(link, ip, ask.request_id, on_answer, grant, timer)
-        self._links.send(link, frame(encode_message(replace(ask, number=number))))
+        self._send(link, replace(ask, number=number))
         return Delegate(self, number)
 
     def cancel(self, number: int) -> None:
@@ -158,7 +162,11 @@
         asking = self._asking.pop(number, None)
         if asking is not None:
             asking.timer.cancel()
-            self._links.send(asking.link, frame(encode_message(Cancel(number))))
+            self._send(asking.link, Cancel(number))
+
+    def _rank(self, member: Member) -> int:
+        """Order entries differently for each entry that asks."""
+        return zlib.crc32(f"{self._membership.me.name} {member.name}".encode())
 
     def _is_open(self, ip: str) -> bool:
         link = self._by_link.get(self._by_ip.get(ip, -1))
@@ -167,7 +175,7 @@
     def _open(self, ip: str, failure_domain: str) -> None:
         number = self._links.open(ip, self._port, CONNECT_TIMEOUT_MS)
         self._by_ip[ip] = number
-        self._by_link[number] = _Link(ip, failure_domain, FrameSplitter())
+        self._by_link[number] = _Link(ip, failure_domain, LinkCodec())
 
     def _opened(self, link: int, inbound: bool) -> None:
         self._by_link[link].is_open = True
@@ -177,13 +185,19 @@
         if found is None:
             return
         self._reach.on_heard(found.failure_domain)
+        self._membership.on_work(found.failure_domain)
         try:
-            for payload in found.splitter.feed(data):
-                self._take(decode_message(payload))
+            for message in found.codec.feed(data):
+                self._take(message)
         except FrameError as error:
             log_event("delegate-link-refused", level="error", ip=found.ip, code=error.code)
             self._links.abort(link)
 
+    def _send(self, link: int, message: Message) -> None:
+        found = self._by_link.get(link)
+        if found is not None:
+            self._links.send(link, found.codec.encode(message))
+
     def _take(self, message: object) -> None:
         asking = self._asking.get(getattr(message, "number", 0))
         if asking is None:
@@ -196,8 +210,7 @@
         elif isinstance(message, LeaveWanted):
             granted = asking.grant(message.services)
             if granted:
-                leave = Leave(message.number, granted)
-                self._links.send(asking.link, frame(encode_message(leave)))
+                self._send(asking.link, Leave(message.number, granted))
         elif not isinstance(message, Taken):
             raise FrameError("malformed", "entries that are asked answer only")
 
@@ -205,7 +218,7 @@
         asking = self._asking.get(number)
         if asking is None:
             return
-        self._links.send(asking.link, frame(encode_message(Cancel(number))))
+        self._send(asking.link, Cancel(number))
         self._fail(number, "not-taken")
 
     def _closed(self, link: int, reason: CloseReason) -> None:
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 
 from rhubarbhinge.delegation._attempt_leave import AttemptLeave
+from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
     Answer,
     Ask,
@@ -13,13 +14,11 @@
     Leave,
     LeaveWanted,
     Taken,
-    decode_message,
-    encode_message,
 )
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest, CallTerms, SearcherReply, Story, Surroundings
 from rhubarbhinge.gather import ShardCalls, ShardEnd, merge_greatest
-from rhubarbhinge.net import CloseReason, FrameError, FrameSplitter, Links, frame
+from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 
@@ -31,7 +30,7 @@
 class _Link:
     """State of one link."""
 
-    splitter: FrameSplitter = field(default_factory=FrameSplitter)
+    codec: LinkCodec = field(default_factory=LinkCodec)
     searches: dict[int, "_Search"] = field(default_factory=dict)
 
 
@@ -86,8 +85,8 @@
         if found is None:
             return
         try:
-            for payload in found.splitter.feed(data):
-                self._take(link, found, decode_message(payload))
+            for message in found.codec.feed(data):
+                self._take(link, found, message)
         except FrameError as error:
             log_event("ask-link-refused", level="error", code=error.code)
             self._links.abort(link)
@@ -124,7 +123,9 @@
             self._send(link, answer)
 
     def _send(self, link: int, message: Taken | Answer | LeaveWanted) -> None:
-        self._links.send(link, frame(encode_message(message)))
+        found = self._by_link.get(link)
+        if found is not None:
+            self._links.send(link, found.codec.encode(message))
 
 
 class _Search:
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -10,12 +10,13 @@
 from rhubarbhinge.fleet import Delays, DomainReach
 from rhubarbhinge.forward import Surroundings
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
+from rhubarbhinge.members import Member, Membership, MemberState, Published
 from rhubarbhinge.net import Links
-from rhubarbhinge.peers import Heartbeat, PeerTable
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 
 ASK = Ask(0, "r1", b"GET /x HTTP/1.1\r\n", b"", "route", ("s0", "s1"), 2, 1, 2, 5e4, 4e4, 5e4)
+OTHER = Member("vm-2", "127.0.0.1", "hall-b", 2)
 
 
 class DelegationTest(unittest.TestCase):
@@ -45,12 +46,19 @@
         self.answers: list[Answer | None] = []
 
     def delegates(self, port: int) -> Delegates:
-        table = PeerTable("10.0.0.1", ())
-        beat = Heartbeat("vm-2", "127.0.0.1", "hall-b", 1, 0.0, False, False, ())
-        table.on_heartbeat(beat, self.timers.now_ms())
-        self.table = table
+        self.membership = Membership(
+            self.timers,
+            Member("vm-1", "10.0.0.1", "hall-a", 1),
+            (),
+            random.Random(1),
+            lambda ip, heartbeat: None,
+            lambda: Published(0, -1.0),
+        )
+        self.membership.on_members([OTHER])
         reach = DomainReach(self.timers.now_ms, lambda failure_domain: None)
-        return Delegates(self.timers, table, port, random.Random(1), reach).register(self.root)
+        return Delegates(self.timers, self.membership, port, random.Random(1), reach).register(
+            self.root
+        )
 
     def more(self, services: tuple[str, ...]) -> tuple[str, ...]:
         return self.leave(services)
@@ -170,10 +178,23 @@
         self.wait(lambda: all(attempt.cancelled for attempt in self.world.attempts))
         self.assertIsNone(delegates.choose("hall-b"))
 
+    def test_a_few_entries_of_a_domain_are_asked_and_others_by_others(self):
+        chosen = []
+        for name in ("vm-1", "vm-4", "vm-5"):
+            delegates = self.delegates(1)
+            self.membership.me = replace(self.membership.me, name=name)
+            opened = chosen_by = []
+            delegates._open = lambda ip, domain, opened=opened: opened.append(ip)
+            others = [replace(OTHER, name=f"vm-x{n}", ip=f"127.0.1.{n}") for n in range(40)]
+            self.membership.on_members(others)
+            delegates.choose("hall-b")
+            chosen.append(frozenset(chosen_by))
+        self.assertEqual([len(found) for found in chosen], [3, 3, 3])
+        self.assertEqual(len(set(chosen)), 3)
+
     def test_an_entry_that_leaves_is_not_asked(self):
         delegates = self.delegates(self.server._links.bound_port)
         self.open(delegates)
-        beat = Heartbeat("vm-2", "127.0.0.1", "hall-b", 1, 0.0, True, False, ())
-        self.table.on_heartbeat(beat, self.timers.now_ms())
+        self.membership.on_members([replace(OTHER, state=MemberState.LEFT)])
         self.assertIsNone(delegates.choose("hall-b"))
         self.assertIsNone(delegates.choose("hall-c"))
--- a/rhubarbhinge/gateway/_connection_shares.py
+++ b/rhubarbhinge/gateway/_connection_shares.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from rhubarbhinge.fleet import ObservedSearcher
-from rhubarbhinge.peers import Peers
+from rhubarbhinge.members import Membership
 from rhubarbhinge.published import Follower
 
 IN_FLIGHT_FACTOR = 3.0
@@ -17,12 +17,12 @@
 
 
 def connection_shares(
-    follower: Follower, peers: Peers, processes: Callable[[], int]
+    follower: Follower, membership: Membership, processes: Callable[[], int]
 ) -> Callable[[ObservedSearcher], int]:
     """Share the connections of searchers among the live entries.
 
     :param follower: knows the plan, which tells how many connections a searcher takes.
-    :param peers: knows the entries of each failure domain.
+    :param membership: knows the entries of each failure domain.
     :param processes: gives how many entries there may be in all.
     :returns: gives the most connections to a searcher.
     """
@@ -33,7 +33,7 @@
         if service is None:
             return USUAL_CONNECTIONS
         even = service.max_connections // processes()
-        near = max(1, peers.in_domain(observed.searcher.failure_domain))
+        near = max(1, membership.live_count(observed.searcher.failure_domain))
         busy = math.ceil(IN_FLIGHT_FACTOR * observed.searcher.capacity / near)
         return max(1, min(even, max(LEAST_IN_FLIGHT, busy)))
 
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -122,13 +122,14 @@
             self._rng,
             lambda: source.reads_platform,
         ).register(self)
-        source.know(self._peers.table)
+        membership = self._peers.membership
+        source.know(membership, self._peers.reports)
         figures = EntryFigures(
             self._follower, self._peers, source, self._fleet, self._pool, self._budget, event_log
         )
-        self._share = connection_shares(self._follower, self._peers, self._processes)
+        self._share = connection_shares(self._follower, membership, self._processes)
         delegates = Delegates(
-            self.timers, self._peers.table, settings.ask_port, self._rng, self._reach
+            self.timers, membership, settings.ask_port, self._rng, self._reach
         ).register(self)
         far = far_search(settings.failure_domain, around, delegates, self._rng)
         parts = GatewayParts(
@@ -186,7 +187,7 @@
 
     def _settings_changed(self, settings: EntrySettings) -> None:
         self._budget.rule = settings.retry_budget
-        self._peers.table.follow_seeds(settings.seed_ips)
+        self._peers.membership.follow_seeds(settings.seed_ips)
 
     def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
         now_ms = self.timers.now_ms()
@@ -205,8 +206,8 @@
     def _processes(self) -> int:
         now_ms = self.timers.now_ms()
         if now_ms < self._settled_at_ms:
-            return max(ASSUMED_PROCESSES, self._peers.processes())
-        return self._peers.processes()
+            return max(ASSUMED_PROCESSES, self._peers.membership.processes())
+        return self._peers.membership.processes()
 
     def _most_connections(self, observed: ObservedSearcher) -> int:
         return self._share(observed)
--- /dev/null
+++ b/rhubarbhinge/members/__init__.py
@@ -0,0 +1,30 @@
+"""Which entries of the fleet there are, at a cost for each that does not grow with their number."""
+
+from rhubarbhinge.members._heartbeat import (
+    Heartbeat,
+    HeartbeatError,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from rhubarbhinge.members._member import Member, MemberState, supersedes
+from rhubarbhinge.members._member_table import MemberTable
+from rhubarbhinge.members._members_codec import MembersError, decode_members, encode_members
+from rhubarbhinge.members._membership import Membership, Published
+from rhubarbhinge.members._table_sync import TableSync
+
+__all__ = [
+    "Heartbeat",
+    "HeartbeatError",
+    "Member",
+    "MemberState",
+    "MemberTable",
+    "MembersError",
+    "Membership",
+    "Published",
+    "TableSync",
+    "decode_heartbeat",
+    "decode_members",
+    "encode_heartbeat",
+    "encode_members",
+    "supersedes",
+]
--- /dev/null
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -0,0 +1,122 @@
+"""What entries tell each other now and then."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import orjson
+
+from rhubarbhinge.members._member import Member, MemberState
+from rhubarbhinge.members._members_codec import member_fields, read_member, read_name, read_number
+
+VERSION = 2
+"""Version of the format; entries of another one are not understood and not counted."""
+MOST_BYTES = 8_192
+"""Longest heartbeat that is read; one with all its bounds used takes about 4 KB."""
+MOST_UPDATES = 16
+"""Most claims in one heartbeat: with some 65 bytes each they fit into one packet of 1,400."""
+MOST_DOMAINS = 64
+"""Most failure domains in a heartbeat; seven are planned for."""
+
+
+class HeartbeatError(ValueError):
+    """A datagram that is no heartbeat.
+
+    :ivar code: why, for logs.
+    """
+
+    code = "bad-heartbeat"
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What an entry tells another one. Its IP address is the one that it sends from.
+
+    :param name: name of its VM.
+    :param failure_domain: its failure domain.
+    :param start_id: drawn at random when its process started.
+    :param counter: raised by the entry when it contradicts a claim about it.
+    :param leaving: whether it is stopping.
+    :param asks: whether it wants a heartbeat back at once.
+    :param revision: revision of the published state that it knows; 0 for none.
+    :param age_ms: time since that was confirmed; -1 if it never was.
+    :param members_digest: digest of the entries that it knows to be present.
+    :param heard_ms: how long ago other failure domains were heard from, by anyone in its own.
+    :param updates: claims about entries that are news.
+    """
+
+    name: str
+    failure_domain: str
+    start_id: int
+    counter: int
+    leaving: bool
+    asks: bool
+    revision: int
+    age_ms: float
+    members_digest: int
+    heard_ms: Mapping[str, float] = field(default_factory=dict)
+    updates: tuple[Member, ...] = ()
+
+    def sender(self, ip: str) -> Member:
+        """Give what it claims of its sender.
+
+        :param ip: where it came from.
+        :returns: the claim.
+        """
+        state = MemberState.LEFT if self.leaving else MemberState.ALIVE
+        return Member(self.name, ip, self.failure_domain, self.start_id, self.counter, state)
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Encode a heartbeat.
+
+    :param heartbeat: the heartbeat.
+    :returns: a datagram.
+    """
+    return orjson.dumps(
+        [
+            VERSION,
+            heartbeat.name,
+            heartbeat.failure_domain,
+            heartbeat.start_id,
+            heartbeat.counter,
+            int(heartbeat.leaving) + 2 * int(heartbeat.asks),
+            heartbeat.revision,
+            round(heartbeat.age_ms),
+            heartbeat.members_digest,
+            {name: round(age_ms) for name, age_ms in heartbeat.heard_ms.items()},
+            [member_fields(member) for member in heartbeat.updates[:MOST_UPDATES]],
+        ]
+    )
+
+
+def decode_heartbeat(data: bytes) -> Heartbeat:
+    """Decode and check a heartbeat.
+
+    :param data: a datagram, from anyone.
+    :returns: the heartbeat.
+    :raises HeartbeatError: when it is none.
+    """
+    if len(data) > MOST_BYTES:
+        raise HeartbeatError(f"a heartbeat of {len(data)} bytes is too long")
+    try:
+        version, name, failure_domain, start_id, counter, flags, *rest = orjson.loads(data)
+        if version != VERSION:
+            raise ValueError(f"version {version!r} is not spoken here")
+        revision, age_ms, members_digest, heard, listed, *_ = rest
+        if len(heard) > MOST_DOMAINS or len(listed) > MOST_UPDATES:
+            raise ValueError("too many failure domains or claims")
+        return Heartbeat(
+            name=read_name(name),
+            failure_domain=read_name(failure_domain),
+            start_id=read_number(start_id),
+            counter=read_number(counter),
+            leaving=bool(flags & 1),
+            asks=bool(flags & 2),
+            revision=read_number(revision),
+            age_ms=float(age_ms),
+            members_digest=read_number(members_digest),
+            heard_ms={read_name(one): float(read_number(ms)) for one, ms in heard.items()},
+            updates=tuple(read_member(fields) for fields in listed),
+        )
+    except (AttributeError, TypeError, ValueError) as error:
+        raise HeartbeatError(f"a datagram is no heartbeat: {error}") from error
--- /dev/null
+++ b/rhubarbhinge/peers/_paths.py
@@ -0,0 +1,11 @@
+"""Paths at which entries call each other."""
+
+STATE_PATH = "/v1/published-state"
+"""Path at which an entry hands on what it knows."""
+CHANGES_PATH = "/v1/published-changes"
+"""Path at which an entry that reads the platform tells others what changes."""
+CHANGES_WAIT_MS = 1_500.0
+"""How long an entry that asks for changes waits; short, so that a reader that died is noticed well
+within the seconds that a change may take to be in force."""
+MEMBERS_PATH = "/v1/members"
+"""Path at which an entry gives its list of entries."""
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -1,57 +1,42 @@
-"""Heartbeats between entries, and handing on of published state."""
+"""Keeping in touch with the other entries."""
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from circuits import Component
 
-from rhubarbhinge.net import Datagrams
-from rhubarbhinge.peers._heartbeat import (
+from rhubarbhinge.members import (
     Heartbeat,
     HeartbeatError,
+    Member,
+    MembersError,
+    Membership,
+    Published,
+    TableSync,
     decode_heartbeat,
+    decode_members,
     encode_heartbeat,
 )
-from rhubarbhinge.peers._peer_table import PeerTable
-from rhubarbhinge.peers._state_codec import StateError, decode_state, encode_state
-from rhubarbhinge.published import Changes, Follower, Snapshot
+from rhubarbhinge.net import Datagrams
+from rhubarbhinge.peers._paths import MEMBERS_PATH
+from rhubarbhinge.peers._reports import Report, Reports
+from rhubarbhinge.peers._state_pull import StatePull
+from rhubarbhinge.peers._state_service import StateService
+from rhubarbhinge.published import Follower
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
-from rhubarbhinge.web import (
-    Failure,
-    HttpClient,
-    HttpServer,
-    Reply,
-    Request,
-    Responder,
-    Response,
-    error_response,
-)
+from rhubarbhinge.web import Failure, HttpClient, HttpServer, Reply
 
-HEARTBEAT_MS = 1_000.0
-"""Period of heartbeats; at 58 VMs, 57 datagrams a second each way cost about half % of a core."""
-FULL_EVERY = 5
-"""One in so many heartbeats lists the known addresses, which cost bytes between domains."""
-STATE_PATH = "/v1/published-state"
-"""Path at which an entry hands on what it knows."""
-CHANGES_PATH = "/v1/published-changes"
-"""Path at which an entry that reads the platform tells others what changes."""
-CHANGES_WAIT_MS = 1_500.0
-"""How long an entry that asks for changes waits; short, so that a reader that died is noticed well
-within the seconds that a change may take to be in force."""
-BEHIND_MS = 600.0
-"""An entry that is behind a peer for so long is not told any more, though its call to the platform
-or to its reader may still be open: two pauses between watches."""
-PULL_TIMEOUT_MS = 500.0
-"""Longest that a peer may take to hand on its state; usually some milliseconds."""
+LIST_TIMEOUT_MS = 1_000.0
+"""Longest that a peer may take to give its list of entries; usually some milliseconds."""
+NOTE_MS = 1_000.0
+"""How often the log notes which entries came and went."""
+START_ID_BITS = 32
+"""Bits of the random number that tells one start of an entry from the others."""
 
 
 class Peers(Component):
-    """Keeps in touch with the other entries.
-
-    State is taken from a peer that is further: at once while the platform does not answer this
-    entry, otherwise when it stays behind. A peer in the same failure domain is asked first.
+    """Keeps in touch with the other entries, over one UDP and one TCP port.
 
     :param timers: the timer service.
     :param client: calls peers.
@@ -64,6 +49,8 @@
     :param rng: spreads heartbeats and choices.
     :param reads_platform: tells whether this entry reads the platform itself, with success.
     :raises OSError: when the port can not be bound.
+    :ivar membership: which entries there are.
+    :ivar reports: what they told last of the published state.
     """
 
     channel = "peers"
@@ -82,94 +69,37 @@
         reads_platform: Callable[[], bool],
     ):
         super().__init__()
-        self._reads_platform = reads_platform
-        self._waiting: list[_Waiting] = []
-        self._telling = False
-        follower.on_changed = self._grown
         self._timers = timers
         self._client = client
         self._follower = follower
-        self._name = name
-        self._ip = ip
         self._port = port
-        self._failure_domain = failure_domain
-        self._rng = rng
-        self._leaving = False
-        self._pulling = False
-        self._behind_since_ms: float | None = None
-        self._beats = 0
         self._live: set[str] = set()
-        self.table = PeerTable(ip, seed_ips)
+        self.reports = Reports()
+        me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS))
+        self.membership = Membership(timers, me, seed_ips, rng, self._send, self._published)
+        self._sync = TableSync(timers.now_ms, self._fetch_members)
+        self._pull = StatePull(timers, client, follower, self.reports, port, failure_domain, rng)
+        self._service = StateService(timers, follower, self.membership, reads_platform)
         self._datagrams = Datagrams(self._datagram, (ip, port)).register(self)
-        HttpServer(timers, self._request, (ip, port)).register(self)
-        self._tell(asks=True)
-        self._next()
-
-    def processes(self) -> int:
-        """Count the entries that may be sending requests, this one included.
-
-        :returns: their number.
-        """
-        return self.table.processes(self._timers.now_ms())
-
-    def live(self) -> list[Heartbeat]:
-        """Give the other entries that are alive.
-
-        :returns: their last heartbeats.
-        """
-        return self.table.live(self._timers.now_ms())
-
-    def in_domain(self, failure_domain: str) -> int:
-        """Count the live entries of a failure domain, this one included.
-
-        :param failure_domain: the failure domain.
-        :returns: their number.
-        """
-        live = self.live()
-        count = sum(beat.failure_domain == failure_domain and not beat.leaving for beat in live)
-        return count + (failure_domain == self._failure_domain)
+        HttpServer(timers, self._service.answer, (ip, port)).register(self)
+        timers.on_pause(lambda late_ms: self.membership.on_pause())
+        timers.every(NOTE_MS, self._note)
+        self.membership.start()
 
     def tell_plan(self) -> None:
         """Tell the others at the end of this turn that there is something new."""
-        self._timers.after(0, self._tell)
+        self._timers.after(0, self.membership.tell)
 
     def leave(self) -> None:
         """Tell the others that this entry is stopping."""
-        self._leaving = True
-        self._tell()
-
-    def _next(self) -> None:
-        self._timers.after(HEARTBEAT_MS * self._rng.uniform(0.9, 1.1), self._beat)
+        self._service.leaving = True
+        self.membership.leave()
 
-    def _beat(self) -> None:
-        self._next()
-        self._note_live()
-        self._tell()
-        self._pull_if_behind()
+    def _published(self) -> Published:
+        return Published(self._follower.revision, self._follower.age_ms())
 
-    def _tell(self, asks: bool = False) -> None:
-        now_ms = self._timers.now_ms()
-        self._beats += 1
-        data = self._heartbeat(asks, self._beats % FULL_EVERY == 0)
-        for ip in self.table.targets(now_ms):
-            self._datagrams.send(ip, self._port, data)
-
-    def _heartbeat(self, asks: bool, lists_known: bool) -> bytes:
-        known: tuple[str, ...] = ()
-        if lists_known:
-            known = tuple(beat.ip for beat in self.table.live(self._timers.now_ms()))
-        return encode_heartbeat(
-            Heartbeat(
-                self._name,
-                self._ip,
-                self._failure_domain,
-                self._follower.revision,
-                self._follower.age_ms(),
-                self._leaving,
-                asks,
-                known,
-            )
-        )
+    def _send(self, ip: str, heartbeat: Heartbeat) -> None:
+        self._datagrams.send(ip, self._port, encode_heartbeat(heartbeat))
 
     def _datagram(self, ip: str, port: int, data: bytes) -> None:
         try:
@@ -177,123 +107,48 @@
         except HeartbeatError as error:
             log_event("bad-heartbeat", level="warning", ip=ip, code=error.code)
             return
-        self.table.on_heartbeat(heartbeat, self._timers.now_ms())
-        if heartbeat.asks:
-            self._datagrams.send(ip, self._port, self._heartbeat(asks=False, lists_known=True))
-        self._follower.on_peer_revision(heartbeat.revision, heartbeat.age_ms)
-        self._pull_if_behind()
-
-    def _note_live(self) -> None:
-        live = {beat.name for beat in self.table.live(self._timers.now_ms())}
-        for name in sorted(live - self._live):
-            log_event("peer-regained", peer=name, peers=len(live))
-        for name in sorted(self._live - live):
-            log_event("peer-lost", level="warning", peer=name, peers=len(live))
-        self._live = live
-
-    # Handing on.
-
-    def _pull_if_behind(self) -> None:
-        if self._pulling:
-            return
-        now_ms = self._timers.now_ms()
-        revision = self._follower.revision
-        ahead = [beat for beat in self.table.live(now_ms) if beat.revision > revision]
-        if not ahead:
-            self._behind_since_ms = None
+        membership = self.membership
+        membership.on_heartbeat(heartbeat, ip)
+        if heartbeat.name == membership.me.name:
             return
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-            self._timers.after(BEHIND_MS, self._pull_if_behind)
-        if not self._follower.needs_peers and now_ms - self._behind_since_ms < BEHIND_MS:
-            return
-        near = [beat for beat in ahead if beat.failure_domain == self._failure_domain]
-        chosen = self._rng.choice(near or ahead)
-        self._pulling = True
+        equal = heartbeat.members_digest == membership.digest
+        self._sync.on_digest(ip, heartbeat.failure_domain, equal)
+        revision, age_ms = heartbeat.revision, heartbeat.age_ms
+        report = Report(heartbeat.sender(ip), revision, age_ms, self._timers.now_ms())
+        self.reports.add(report)
+        self._follower.on_peer_revision(revision, age_ms)
+        self._pull.look()
+
+    def _fetch_members(self, ip: str) -> None:
         self._client.call(
-            chosen.ip,
+            ip,
             self._port,
             "GET",
-            STATE_PATH,
-            timeout_ms=PULL_TIMEOUT_MS,
-            on_done=lambda outcome: self._pulled(chosen.name, outcome),
-        )
-
-    def _pulled(self, peer: str, outcome: Reply | Failure) -> None:
-        self._pulling = False
-        self._behind_since_ms = None
-        if isinstance(outcome, Failure) or outcome.status != 200:
-            code = outcome.code if isinstance(outcome, Failure) else f"status-{outcome.status}"
-            log_event("peer-pull-failed", level="warning", peer=peer, code=code)
-            return
-        try:
-            snapshot = decode_state(outcome.body).state
-        except StateError as error:
-            log_event("peer-pull-failed", level="error", peer=peer, code=error.code)
-            return
-        log_event(
-            "peer-pulled",
-            peer=peer,
-            revision=snapshot.revision,
-            before=self._follower.revision,
-            age_ms=round(snapshot.age_ms),
+            MEMBERS_PATH,
+            timeout_ms=LIST_TIMEOUT_MS,
+            on_done=lambda outcome: self._fetched_members(ip, outcome),
         )
-        self._follower.offer(snapshot)
 
-    def _request(self, request: Request, responder: Responder) -> None:
-        if request.path == STATE_PATH:
-            responder.answer(self._state(self._follower.snapshot()))
-        elif request.path == CHANGES_PATH:
-            self._asked_for_changes(request, responder)
+    def _fetched_members(self, ip: str, outcome: Reply | Failure) -> None:
+        fault = ""
+        if isinstance(outcome, Failure):
+            fault = outcome.code
+        elif outcome.status != 200:
+            fault = f"status-{outcome.status}"
         else:
-            responder.answer(
-                error_response(404, "no-such-path", "Only entries call here.", "Use another port.")
-            )
-
-    def _state(self, state: Snapshot | Changes) -> Response:
-        log = self._follower.log
-        return Response(200, encode_state(state, log.id, log.position))
-
-    def _asked_for_changes(self, request: Request, responder: Responder) -> None:
-        if not self._reads_platform() or self._leaving:
-            message = "This entry does not read the platform itself."
-            responder.answer(error_response(503, "no-reader", message, "Ask the platform."))
-            return
-        log = self._follower.log
-        after = request.query.get("after", "")
-        position = int(after) if after.isdigit() else -1
-        waiting = _Waiting(responder, request.query.get("log", ""), position)
-        if waiting.log_id == log.id and waiting.position == log.position:
-            self._waiting.append(waiting)
-            self._timers.after(CHANGES_WAIT_MS, lambda: self._tell_changes(waiting))
-        else:
-            self._answer_changes(waiting)
-
-    def _grown(self) -> None:
-        """Tell those that wait, once for all changes of this turn."""
-        if self._waiting and not self._telling:
-            self._telling = True
-            self._timers.after(0, self._tell_all)
-
-    def _tell_all(self) -> None:
-        self._telling = False
-        for waiting in list(self._waiting):
-            self._tell_changes(waiting)
-
-    def _tell_changes(self, waiting: "_Waiting") -> None:
-        if waiting in self._waiting:
-            self._waiting.remove(waiting)
-            self._answer_changes(waiting)
-
-    def _answer_changes(self, waiting: "_Waiting") -> None:
-        state = self._follower.changes_since(waiting.log_id, waiting.position)
-        waiting.responder.answer(self._state(state))
-
-
-@dataclass(frozen=True, slots=True, eq=False)
-class _Waiting:
-    """An entry that waits for changes."""
-
-    responder: Responder
-    log_id: str
-    position: int
+            try:
+                self.membership.on_members(decode_members(outcome.body))
+            except MembersError as error:
+                fault = error.code
+        if fault:
+            log_event("members-not-fetched", level="warning", ip=ip, code=fault)
+        self._sync.fetched(not fault)
+
+    def _note(self) -> None:
+        self._pull.look()
+        live = {member.name for member in self.membership.all_live()}
+        for name in sorted(live - self._live):
+            log_event("peer-regained", peer=name, peers=len(live))
+        for name in sorted(self._live - live):
+            log_event("peer-lost", level="warning", peer=name, peers=len(live))
+        self._live = live
--- /dev/null
+++ b/rhubarbhinge/peers/_reports.py
@@ -0,0 +1,60 @@
+"""What other entries told last of the published state."""
+
+from dataclasses import dataclass
+
+from rhubarbhinge.members import Member
+
+FRESH_MS = 3_500.0
+"""A report is of use for so long; three heartbeats of an entry that sends each second."""
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What an entry told last of the published state.
+
+    :param member: the entry.
+    :param revision: the revision that it knows.
+    :param age_ms: how long before that was confirmed; -1 if it never was.
+    :param at_ms: when it told this.
+    """
+
+    member: Member
+    revision: int
+    age_ms: float
+    at_ms: float
+
+
+class Reports:
+    """What other entries told last of the published state."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, Report] = {}
+
+    def add(self, report: Report) -> None:
+        """Take a report.
+
+        :param report: the report.
+        """
+        self._by_name[report.member.name] = report
+
+    def get(self, name: str, now_ms: float) -> Report | None:
+        """Give an entry's report.
+
+        :param name: the entry's name.
+        :param now_ms: the time.
+        :returns: the report, or None if there is no fresh one.
+        """
+        report = self._by_name.get(name)
+        return None if report is None or now_ms - report.at_ms > FRESH_MS else report
+
+    def ahead(self, revision: int, now_ms: float) -> list[Report]:
+        """Give the reports of entries that are further, and forget old ones.
+
+        :param revision: the revision that is known here.
+        :param now_ms: the time.
+        :returns: fresh reports of a higher revision.
+        """
+        for name, report in list(self._by_name.items()):
+            if now_ms - report.at_ms > FRESH_MS:
+                del self._by_name[name]
+        return [report for report in self._by_name.values() if report.revision > revision]
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from rhubarbhinge.peers._heartbeat import Heartbeat
-from rhubarbhinge.peers._peer_table import PeerTable
-from rhubarbhinge.peers._peers import CHANGES_PATH, CHANGES_WAIT_MS
+from rhubarbhinge.members import Member, Membership
+from rhubarbhinge.peers._paths import CHANGES_PATH, CHANGES_WAIT_MS
+from rhubarbhinge.peers._reports import Reports
 from rhubarbhinge.peers._state_codec import StateError, decode_state
 from rhubarbhinge.published import Changes, ReadFault, Snapshot, Source
 from rhubarbhinge.telemetry import log_event
@@ -17,6 +17,9 @@
 """A reader that failed is not asked for so long; by then its heartbeats tell whether it lives."""
 MOST_AGE_MS = 6_000.0
 """An entry whose own state was not confirmed for so long is no reader."""
+SETTLED_MS = 3_000.0
+"""An entry that was not heard from directly counts as a reader once it is known for so long; one
+that has just started would send its followers to the platform."""
 
 OnTold = Callable[[Changes | Snapshot | ReadFault], None]
 
@@ -53,7 +56,8 @@
         self._name = name
         self._failure_domain = failure_domain
         self._port = port
-        self._peers: PeerTable | None = None
+        self._membership: Membership | None = None
+        self._reports = Reports()
         self._bad_until_ms: dict[str, float] = {}
         self._place: tuple[str, int] | None = None
         self._told_by = ""
@@ -67,12 +71,14 @@
         """Whether this entry reads the platform itself, with success."""
         return self._reading and not self._failing
 
-    def know(self, peers: PeerTable) -> None:
+    def know(self, membership: Membership, reports: Reports) -> None:
         """Choose readers from now on.
 
-        :param peers: the other entries.
+        :param membership: which entries there are.
+        :param reports: what they told last of the published state.
         """
-        self._peers = peers
+        self._membership = membership
+        self._reports = reports
 
     def read_all(self, on_done: Callable[[Snapshot | ReadFault], None]) -> None:
         """Read everything from the platform.
@@ -126,26 +132,24 @@
 
         self._store.wait_for_changes(after_revision, done)
 
-    def _reader(self) -> Heartbeat | None:
+    def _reader(self) -> Member | None:
         """Choose the reader; None when this entry is to read."""
-        if self._peers is None:
+        if self._membership is None:
             return None
         now_ms = self._timers.now_ms()
-        others = [
-            beat
-            for beat in self._peers.live(now_ms)
-            if beat.failure_domain == self._failure_domain
-            and not beat.leaving
-            and 0 <= beat.age_ms <= MOST_AGE_MS
-            and self._bad_until_ms.get(beat.ip, 0.0) <= now_ms
-        ]
-        if not others:
-            return None
-        least = min(others, key=lambda beat: beat.name)
-        return least if self._failing or least.name < self._name else None
+        for member in self._membership.live(self._failure_domain):
+            if self._bad_until_ms.get(member.ip, 0.0) <= now_ms and self._may_read(member, now_ms):
+                return member if self._failing or member.name < self._name else None
+        return None
+
+    def _may_read(self, member: Member, now_ms: float) -> bool:
+        report = self._reports.get(member.name, now_ms)
+        if report is None:
+            return self._membership.known_for_ms(member.name) >= SETTLED_MS
+        return 0 <= report.age_ms <= MOST_AGE_MS
 
     def _asked(
-        self, reader: Heartbeat, outcome: Reply | Failure, after_revision: int, on_done: OnTold
+        self, reader: Member, outcome: Reply | Failure, after_revision: int, on_done: OnTold
     ) -> None:
         fault = _fault(outcome)
         told = None
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -6,14 +6,16 @@
 
 from circuits import BaseComponent
 
-from rhubarbhinge.peers import Heartbeat, Peers, encode_heartbeat, encode_state
+from rhubarbhinge.members import Heartbeat, Member, encode_heartbeat, encode_members
+from rhubarbhinge.peers import Peers, encode_state
 from rhubarbhinge.published import ChangeLog, Snapshot
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 from rhubarbhinge.web import Reply
 from standins.fleet import free_ports
 
-BEAT = Heartbeat("vm-2", "127.0.0.2", "hall-b", 51, 12.0, False, False, ())
+BEAT = Heartbeat("vm-2", "hall-b", 7, 0, False, False, 51, 12.0, 0)
+MEMBER = Member("vm-7", "127.0.0.7", "hall-b", 3)
 
 
 class FakeFollower:
@@ -41,8 +43,13 @@
 class FakeClient:
     def __init__(self):
         self.asked: list[str] = []
+        self.lists: list[str] = []
 
     def call(self, ip, port, method, path, timeout_ms, on_done) -> None:
+        if path == "/v1/members":
+            self.lists.append(ip)
+            on_done(Reply(200, {}, encode_members([MEMBER])))
+            return
         self.asked.append(ip)
         on_done(Reply(200, {}, encode_state(Snapshot(51, None, (), 5.0), "log", 1)))
 
@@ -67,9 +74,23 @@
         ).register(self.root)
         self.addCleanup(stop_tree, self.root)
 
-    def hear(self, **changes: object) -> None:
+    def hear(self, ip: str = "127.0.0.2", **changes: object) -> None:
         beat = replace(BEAT, **changes)
-        self.peers._datagram(beat.ip, self.port, encode_heartbeat(beat))
+        self.peers._datagram(ip, self.port, encode_heartbeat(beat))
+
+    def test_the_first_that_is_heard_gives_its_list_of_entries(self):
+        self.hear()
+        self.hear(name="vm-3", ip="127.0.0.3")
+        self.assertEqual(self.client.lists, ["127.0.0.2"])
+        self.assertEqual(
+            {member.name for member in self.peers.membership.live("hall-b")},
+            {"vm-2", "vm-3", "vm-7"},
+        )
+
+    def test_datagrams_that_are_no_heartbeats_change_nothing(self):
+        for data in (b"", b"[]", b'["vm-2"]', b"\xff" * 20_000):
+            self.peers._datagram("127.0.0.9", self.port, data)
+        self.assertEqual(self.peers.membership.processes(), 1)
 
     def test_an_entry_whose_watch_is_silent_takes_what_a_peer_knows(self):
         self.hear()
--- a/rhubarbhinge/peers/tests/test_shared_source.py
+++ b/rhubarbhinge/peers/tests/test_shared_source.py
@@ -1,14 +1,16 @@
 """One reader of the platform in each failure domain."""
 
+import random
 import unittest
 from dataclasses import replace
 
-from rhubarbhinge.peers import Heartbeat, PeerTable, SharedSource, encode_state
+from rhubarbhinge.members import Member, Membership, MemberState, Published
+from rhubarbhinge.peers import Report, Reports, SharedSource, encode_state
 from rhubarbhinge.published import Changes, ReadFault, Snapshot
 from rhubarbhinge.utils.fake_timers import FakeTimers
 from rhubarbhinge.web import Failure, Reply
 
-BEAT = Heartbeat("vm-1", "10.0.0.1", "hall-a", 40, 12.0, False, False, ())
+READER = Member("vm-1", "10.0.0.1", "hall-a", 7)
 
 
 class FakeStore:
@@ -38,13 +40,23 @@
     def setUp(self):
         self.timers = FakeTimers()
         self.client, self.store = FakeClient(), FakeStore()
-        self.table = PeerTable("10.0.0.2", ())
+        self.membership = Membership(
+            self.timers,
+            Member("vm-2", "10.0.0.2", "hall-a", 8),
+            (),
+            random.Random(1),
+            lambda ip, heartbeat: None,
+            lambda: Published(40, 0.0),
+        )
+        self.reports = Reports()
         self.source = SharedSource(self.timers, self.client, self.store, "vm-2", "hall-a", 7380)
-        self.source.know(self.table)
+        self.source.know(self.membership, self.reports)
         self.told = []
 
-    def hear(self, **changes: object) -> None:
-        self.table.on_heartbeat(replace(BEAT, **changes), self.timers.now_ms())
+    def hear(self, age_ms: float = 12.0, **changes: object) -> None:
+        member = replace(READER, **changes)
+        self.membership.on_members([member])
+        self.reports.add(Report(member, 40, age_ms, self.timers.now_ms()))
 
     def wait(self, after: int = 40) -> None:
         self.source.wait_for_changes(after, self.told.append)
@@ -72,15 +84,30 @@
         for changes in (
             {"name": "vm-3"},
             {"failure_domain": "hall-b"},
-            {"leaving": True},
+            {"state": MemberState.LEFT},
             {"age_ms": 9_000.0},
             {"age_ms": -1.0},
+            {"state": MemberState.SUSPECT},
+            {"state": MemberState.LOST},
         ):
+            self.setUp()
+            self.hear(**{"state": MemberState.ALIVE})
             self.hear(**changes)
+            if changes.get("name") or changes.get("failure_domain"):
+                self.setUp()
+                self.hear(**changes)
             self.wait()
-        self.timers.advance(4_000.0)
+            with self.subTest(changes):
+                self.assertEqual((len(self.store.waits), self.client.paths), (1, []))
+
+    def test_one_that_was_not_heard_directly_is_a_reader_once_it_is_settled(self):
+        self.membership.on_members([READER])
+        self.wait()
+        self.assertEqual(self.client.paths, [])
+        self.timers.advance(3_000.0)
+        self.tells(Snapshot(41, None, (), 5.0))
         self.wait()
-        self.assertEqual((len(self.store.waits), self.client.paths), (6, []))
+        self.assertEqual(self.client.paths, ["10.0.0.1/v1/published-changes"])
 
     def test_a_reader_that_fails_is_left_alone_and_the_platform_asked_at_once(self):
         self.hear()
