gateway: an answer is begun the time sooner that it takes here and on the link

An answer has 3 KB of signatures, 3 ms on a link of 7 Mbit/s, and its merge and write take more than the constant 2 ms where the processor is short. Ruled out: the caller's round trip (tcp_info told 2.2 ms throughout, queues of the link don't show in it). Change: AnswerLead learns the delay between the time to answer and the write (nine tenths of the last 64) and takes the last answer's size over the link's rate, which the platform's settings tell.

--- a/rhubarbhinge/gateway/__init__.py
+++ b/rhubarbhinge/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The program that answers callers from published plans."""
 
 from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gateway._entry import Entry, run_entry
 from rhubarbhinge.gateway._entry_settings import EntrySettings, SettingsError
 from rhubarbhinge.gateway._gateway import Gateway
@@ -9,6 +10,7 @@
 
 __all__ = [
     "Address",
+    "AnswerLead",
     "Entry",
     "EntrySettings",
     "Gateway",
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -12,6 +12,7 @@
 from rhubarbhinge.fleet import Delays, DomainReach, Fleet, ObservedSearcher, expected_cost
 from rhubarbhinge.forward import CallTerms, ConnectionPool, Dialect, Surroundings
 from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gateway._call_terms import call_terms
 from rhubarbhinge.gateway._connection_shares import connection_shares
 from rhubarbhinge.gateway._entry_settings import EntrySettings
@@ -139,6 +140,7 @@
             self._metrics,
             self._rng,
             far,
+            AnswerLead(lambda: self._settings.now.link_bits_per_ms),
             lambda: self._serving.moving_ms(),
         )
         self._gateway = Gateway(parts)
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -32,6 +32,7 @@
     :param store: address of the platform's store.
     :param stop_grace_ms: time between the signal to stop and being killed.
     :param retry_budget: what all entries together may send beyond the first time.
+    :param link_bits_per_ms: rate of the VM's network link; 0 when it is not known.
     """
 
     name: str
@@ -47,6 +48,7 @@
     store: Address
     stop_grace_ms: float
     retry_budget: BudgetRule
+    link_bits_per_ms: float = 0.0
 
 
 def changed_fields(old: EntrySettings, new: EntrySettings) -> list[str]:
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -39,6 +39,7 @@
         """
         names = {route.name for route in plan.routes}
         self._splitter.keep(names)
+        self._parts.lead.keep(names)
         for name in self._delays.keys() - names:
             del self._delays[name]
 
--- a/rhubarbhinge/gateway/_gateway_parts.py
+++ b/rhubarbhinge/gateway/_gateway_parts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from rhubarbhinge.forward import Dialect, Surroundings
+from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.published import Follower
 from rhubarbhinge.telemetry import Metrics
@@ -20,6 +21,7 @@
     :param metrics: counts.
     :param rng: spreads what is said to callers.
     :param far: how other entries are asked for the shards near them.
+    :param lead: how long before they are due answers have to be begun.
     :param moving_ms: gives the time until callers are sent to other entries, 0 when they aren't.
     """
 
@@ -29,4 +31,5 @@
     metrics: Metrics
     rng: random.Random
     far: FarSearch
+    lead: AnswerLead
     moving_ms: Callable[[], float]
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -23,10 +23,10 @@
 from rhubarbhinge.web import Responder, Response
 
 ANSWER_SHARE = 0.96
-"""Part of the latency objective after which a search is answered with what there is; the rest is
-for delays of this process and for what the round trip varies."""
+"""Part of the latency objective after which a search is answered with what there is, less the round
+trips and what answers take here; the rest is for what the round trip varies."""
 WRITE_MARGIN_MS = 2.0
-"""Taken off besides the round trips: merging and writing an answer takes a millisecond or two."""
+"""A deadline is over so much sooner here: writing an answer takes a millisecond or two."""
 RETRY_AFTER_SHARE = 0.25
 """Callers come back after this part of the latency objective."""
 LEAST_RETRY_AFTER_MS = 50.0
@@ -74,6 +74,7 @@
             wait_ms = min(wait_ms, asked.wait_ms - transit_ms - WRITE_MARGIN_MS)
         self._deadline_ms = self._started_ms + max(1.0, wait_ms)
         self._transit_ms = transit_ms
+        self._answer_by_ms = self._deadline_ms
         self._missing: tuple[str, ...] = ()
         self._story = Story(asked.id, self._around.timers.now_ms)
         self._timer: Subscription | None = None
@@ -98,8 +99,9 @@
         :param delays: the usual delays of such requests at one shard.
         """
         route = self._route
-        own_ms = ANSWER_SHARE * route.target_latency_ms - self._transit_ms - WRITE_MARGIN_MS
-        answer_by_ms = self._started_ms + own_ms
+        lead_ms = self._transit_ms + self._parts.lead.lead_ms(route.name)
+        answer_by_ms = self._started_ms + ANSWER_SHARE * route.target_latency_ms - lead_ms
+        self._answer_by_ms = answer_by_ms
         terms = GatherTerms(
             route.name,
             route.shards,
@@ -176,6 +178,9 @@
         if isinstance(result, Gathered):
             answer = self._parts.dialect.merged(result.signatures, missing, result.body)
             self._answer(answer, "gathered", missing)
+            self._parts.lead.on_answered(self._route.name, answer)
+            if result.by_time:
+                self._parts.lead.on_delay(self._around.timers.now_ms() - self._answer_by_ms)
         elif result.timed_out:
             self._answer(timed_out(), "timeout", missing)
         elif result.may_have_run:
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 from rhubarbhinge.forward import CallerRequest, Lost, NotRun, SearcherReply, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
-from rhubarbhinge.gateway import Gateway, GatewayParts
+from rhubarbhinge.gateway import AnswerLead, Gateway, GatewayParts
 from rhubarbhinge.gateway._handling import SAMPLED_ONE_IN
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
@@ -59,6 +59,7 @@
         self.answers: list[Response] = []
         far = FarSearch(lambda request, terms, served: {}, None)
         self.moving_ms = 0.0
+        self.link_bits_per_ms = 0.0
         self.metrics = self.world.metrics
         parts = GatewayParts(
             self.world.around,
@@ -67,6 +68,7 @@
             self.metrics,
             random.Random(1),
             far,
+            AnswerLead(lambda: self.link_bits_per_ms),
             lambda: self.moving_ms,
         )
         self.gateway = Gateway(parts)
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -162,13 +162,13 @@
     def _time_to_answer(self) -> None:
         self._late = True
         if not self._over and self._terms.shards.is_enough(len(self._signatures)):
-            self._answer()
+            self._answer(by_time=True)
 
-    def _answer(self) -> None:
+    def _answer(self, by_time: bool = False) -> None:
         body = merge_greatest(self._bodies, self._terms.shards.top_k)
         missing = self._missing()
         self.cancel()
-        self._on_end(Gathered(tuple(self._signatures.values()), missing, body))
+        self._on_end(Gathered(tuple(self._signatures.values()), missing, body, by_time))
 
     def _fail(self, timed_out: bool = False) -> None:
         if self._over:
--- a/rhubarbhinge/gather/_results.py
+++ b/rhubarbhinge/gather/_results.py
@@ -10,11 +10,13 @@
     :param signatures: those of the replies that are in it.
     :param missing: names of the shards that are not.
     :param body: the merged records.
+    :param by_time: whether the time to answer has decided, and not that all had ended.
     """
 
     signatures: tuple[str, ...]
     missing: tuple[str, ...]
     body: bytes
+    by_time: bool = False
 
 
 @dataclass(frozen=True, slots=True)
