--- a/standins/fleet/_ports.py
+++ b/standins/fleet/_ports.py
@@ -34,6 +34,8 @@
     while len(ports) < number:
         if not _mine:
             _mine.extend(_lock_block())
+            # In random order: some callers need ports that are not next to each other.
+            random.SystemRandom().shuffle(_mine)
         port = _mine.pop()
         if _is_free(port):
             ports.append(port)
--- a/standins/tests/test_ports.py
+++ b/standins/tests/test_ports.py
@@ -17,6 +17,11 @@
         given = [port for _ in range(20) for port in free_ports(200)]
         self.assertEqual(len(set(given)), len(given))
 
+    def test_ports_are_not_given_in_a_row(self):
+        for _ in range(20):
+            ports = free_ports(50)
+            self.assertTrue(any(abs(b - a) > 1 for a, b in zip(ports, ports[1:], strict=False)))
+
     def test_processes_that_ask_at_the_same_time_get_different_ports(self):
         command = [sys.executable, "-c", _GIVE]
         pipe = subprocess.PIPE
