delegation: a failed ask may cancel others of its link

A closing link fails its asks one by one; since single sends are asks, one search has several on a link, and its failure with the first cancels the others. Ruled out: a link told twice (the trace shows _closed once). Change: an ask that is gone by then is passed over. Test: failed before.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -244,7 +244,10 @@
             self._fail(number, reason.value)
 
     def _fail(self, number: int, code: str) -> None:
-        asking = self._asking.pop(number)
+        asking = self._asking.pop(number, None)
+        if asking is None:
+            # The search that one ask belonged to has failed with another one, and cancelled it.
+            return
         asking.timer.cancel()
         self._bad(asking.ip)
         log_event(
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -211,6 +211,24 @@
         self.assertEqual([len(found) for found in chosen], [6, 6, 6])
         self.assertEqual(len(set(chosen)), 3)
 
+    def test_a_search_that_fails_with_its_first_ask_cancels_its_others_on_the_same_link(self):
+        delegates = self.delegates(self.server._links.bound_port)
+        address = self.open(delegates)
+        asks = []
+
+        def failed(answer: Answer | None) -> None:
+            self.answers.append(answer)
+            for ask in asks:
+                ask.cancel()
+
+        asks += [delegates.ask(address, ASK, failed, self.more) for _ in range(3)]
+        self.wait(lambda: len(self.world.attempts) == 6)
+        for link in list(self.server._by_link):
+            self.server._links.abort(link)
+        self.wait(lambda: self.answers)
+        run_until(self.root, lambda: False, 0.1)
+        self.assertEqual(self.answers, [None])
+
     def test_an_entry_that_leaves_is_not_asked(self):
         delegates = self.delegates(self.server._links.bound_port)
         self.open(delegates)
