members, forward, delegation: split by job, one margin

Change: who gets heartbeats, and how long ago domains were heard, are modules of their own; fields of outcomes stand with the outcomes. No change of behaviour.

--- a/rhubarbhinge/delegation/__init__.py
+++ b/rhubarbhinge/delegation/__init__.py
@@ -4,7 +4,7 @@
 reply for each shard, and a searcher has fewer callers, which know more of its load.
 """
 
-from rhubarbhinge.delegation._delegates import Delegate, Delegates
+from rhubarbhinge.delegation._delegates import ANSWER_MARGIN_MS, Delegate, Delegates
 from rhubarbhinge.delegation._far_sends import FarSends
 from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
@@ -20,6 +20,7 @@
 from rhubarbhinge.delegation._serving import AskServer
 
 __all__ = [
+    "ANSWER_MARGIN_MS",
     "Answer",
     "Ask",
     "AskServer",
--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -27,6 +27,9 @@
 
 TAKEN_MS = 30.0
 """An ask that has not been taken by then is lost; taking one needs a round trip of 2 to 3 ms."""
+ANSWER_MARGIN_MS = 6.0
+"""Another entry is to answer so much sooner than its answer is needed, which may cross the domains
+and takes both some processor time."""
 CONNECT_TIMEOUT_MS = 350.0
 """Longest wait for a connection to an entry, the same as to a searcher."""
 BAD_MS = 1_500.0
--- a/rhubarbhinge/delegation/_far_sends.py
+++ b/rhubarbhinge/delegation/_far_sends.py
@@ -3,7 +3,7 @@
 import itertools
 from collections.abc import Callable
 
-from rhubarbhinge.delegation._delegates import Delegate, Delegates
+from rhubarbhinge.delegation._delegates import ANSWER_MARGIN_MS, Delegate, Delegates
 from rhubarbhinge.delegation._messages import Answer, Ask
 from rhubarbhinge.forward import (
     Attempt,
@@ -18,9 +18,6 @@
 )
 from rhubarbhinge.timing import TimerService
 
-MARGIN_MS = 6.0
-"""The other entry answers so much sooner: its reply crosses the domains, and both take some CPU."""
-
 
 class FarSends:
     """Sends shards to searchers of other failure domains by an entry near them.
@@ -78,7 +75,7 @@
 
 def _ask(exchange: Exchange, now_ms: float) -> Ask:
     left_ms = max(0.0, exchange.deadline_ms - now_ms)
-    answer_in_ms = exchange.due_ms - now_ms - MARGIN_MS
+    answer_in_ms = exchange.due_ms - now_ms - ANSWER_MARGIN_MS
     request = exchange.request
     return Ask(
         number=0,
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -58,3 +58,18 @@
 
 
 Outcome = Replied | NotRun | Lost
+
+
+def outcome_fields(outcome: Outcome) -> dict:
+    """Give what the log says of an outcome.
+
+    :param outcome: the outcome.
+    :returns: fields of an event.
+    """
+    if isinstance(outcome, Replied):
+        delay_ms = round(outcome.delay_ms, 1)
+        return {"outcome": "replied", "status": outcome.reply.status, "delay_ms": delay_ms}
+    return {
+        "outcome": "not-run" if isinstance(outcome, NotRun) else "lost",
+        "why": outcome.why.value,
+    }
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -6,7 +6,7 @@
 from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._exchange import Attempt, Exchange
-from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
+from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why, outcome_fields
 from rhubarbhinge.forward._result import Failed, Passed, Refused, Result
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 from rhubarbhinge.forward._story import Story
@@ -215,7 +215,7 @@
     def _ended(self, incarnation: str, outcome: Outcome) -> None:
         if self.over:
             return
-        self._story.note("attempt-ended", self.service, incarnation, **_outcome_fields(outcome))
+        self._story.note("attempt-ended", self.service, incarnation, **outcome_fields(outcome))
         self._open.pop(incarnation, None)
         if isinstance(outcome, Replied):
             self._replied(outcome.reply)
@@ -307,13 +307,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _outcome_fields(outcome: Outcome) -> dict:
-    if isinstance(outcome, Replied):
-        delay_ms = round(outcome.delay_ms, 1)
-        return {"outcome": "replied", "status": outcome.reply.status, "delay_ms": delay_ms}
-    return {
-        "outcome": "not-run" if isinstance(outcome, NotRun) else "lost",
-        "why": outcome.why.value,
-    }
--- a/rhubarbhinge/gateway/_far_search.py
+++ b/rhubarbhinge/gateway/_far_search.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from rhubarbhinge.delegation import Answer, Ask, Delegate, Delegates
+from rhubarbhinge.delegation import ANSWER_MARGIN_MS, Answer, Ask, Delegate, Delegates
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import CallerRequest, Surroundings
 from rhubarbhinge.gather import FarPart, FarSearch, GatherTerms, GrantAttempts
@@ -19,8 +19,6 @@
 """One entry asks so many shards of a search; more are split among others. A sub-query takes 240 us
 of a core and some 800 bytes of the link: 30 of them 14 ms on half a core and 27 ms at 7 Mbit/s, of
 a latency objective that may be 95 ms."""
-FAR_MARGIN_MS = 6.0
-"""Another entry answers so much sooner: its reply crosses the domains, and both take some CPU."""
 
 
 def far_search(
@@ -77,7 +75,7 @@
             priority=terms.call.priority,
             max_attempts=terms.call.max_attempts,
             target_latency_ms=terms.target_latency_ms,
-            answer_in_ms=max(0.0, terms.answer_by_ms - now_ms - FAR_MARGIN_MS),
+            answer_in_ms=max(0.0, terms.answer_by_ms - now_ms - ANSWER_MARGIN_MS),
             left_ms=max(0.0, terms.call.deadline_ms - now_ms),
         )
         return delegates.ask(address, message, lambda answer: on_part(_part(answer)), grant)
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -5,22 +5,19 @@
 from dataclasses import replace
 from typing import NamedTuple, Protocol
 
+from rhubarbhinge.members._domain_hearing import DomainHearing
 from rhubarbhinge.members._gossip import Gossip
 from rhubarbhinge.members._heartbeat import Heartbeat
 from rhubarbhinge.members._member import Member, MemberState, supersedes
 from rhubarbhinge.members._member_table import MemberTable, digest_of
+from rhubarbhinge.members._receivers import far_speakers, followers, predecessors, speaker_rank
 from rhubarbhinge.timing import Subscription
 
 BEAT_MS = 1_000.0
 """Period of heartbeats. The balancer looks as often, so that callers notice a death no sooner."""
-RING = 2
-"""Entries that follow in the ring and get each heartbeat; the second one stands in for the first
-while that one is itself gone or held up."""
 RANDOM_TARGETS = 1
 """Entries drawn at random that get it besides, so that what rides on heartbeats reaches everyone in
 a number of periods that grows with the logarithm of the failure domain only."""
-SPEAKERS = 2
-"""Entries of a failure domain, those with the least names, that speak with other domains."""
 FANOUT = 3
 """Entries of the own failure domain that get each round of news."""
 FIRST_ROUND_MS = 20.0
@@ -112,7 +109,7 @@
         self._heard_ms: dict[str, float] = {}
         self._watched_ms: dict[str, float] = {}
         self._known_ms: dict[str, float] = {}
-        self._domain_heard_ms: dict[str, float] = {}
+        self._hearing = DomainHearing(me.failure_domain)
 
     # What others ask.
 
@@ -174,14 +171,6 @@
         since_ms = self._known_ms.get(name)
         return 0.0 if since_ms is None else self._timers.now_ms() - since_ms
 
-    def heard_domains_ms(self) -> dict[str, float]:
-        """Tell how long ago other failure domains were heard from.
-
-        :returns: times by failure domain.
-        """
-        now_ms = self._timers.now_ms()
-        return {domain: now_ms - heard for domain, heard in self._domain_heard_ms.items()}
-
     # Inputs.
 
     def start(self) -> None:
@@ -230,7 +219,7 @@
 
         :param failure_domain: where it runs.
         """
-        self._domain_heard_ms[failure_domain] = self._timers.now_ms()
+        self._hearing.hear(failure_domain, self._timers.now_ms())
 
     def on_pause(self) -> None:
         """Begin all waits anew: silence while this process was held up proves nothing."""
@@ -241,7 +230,7 @@
         """Send heartbeats now, as what they carry has changed."""
         updates, _ = self._gossip.next_round()
         near = self.table.present(self.me.failure_domain)
-        receivers = self._neighbours(1)
+        receivers = followers(self.me, self.table)
         receivers += self._rng.sample(near, min(RANDOM_TARGETS, len(near)))
         for ip in dict.fromkeys(member.ip for member in receivers):
             self._send(ip, updates)
@@ -274,7 +263,7 @@
         if self.me.state is MemberState.LEFT:
             return
         now_ms = self._timers.now_ms()
-        watched = self._neighbours(-1)
+        watched = predecessors(self.me, self.table)
         self._watched_ms = {one.name: self._watched_ms.get(one.name, now_ms) for one in watched}
         for member in watched:
             heard_ms = max(self._heard_ms.get(member.name, 0.0), self._watched_ms[member.name])
@@ -285,7 +274,7 @@
 
     def _look_further(self) -> None:
         """Ask seeds and members of silent domains, whom no heartbeat goes to otherwise."""
-        if self._rank() is None:
+        if speaker_rank(self.me, self.table) is None:
             return
         asked = set()
         for domain in self.table.domains():
@@ -302,15 +291,11 @@
     def _hear(self, sender: Member, heartbeat: Heartbeat) -> None:
         now_ms = self._timers.now_ms()
         self._heard_ms[sender.name] = now_ms
-        if sender.failure_domain != self.me.failure_domain:
-            # One that leaves watches nobody, and is no sign that others of its domain live.
-            if sender.is_present:
-                self._domain_heard_ms[sender.failure_domain] = now_ms
-        else:
-            for domain, age_ms in heartbeat.heard_ms.items():
-                if domain != self.me.failure_domain:
-                    heard_ms = self._domain_heard_ms.get(domain, float("-inf"))
-                    self._domain_heard_ms[domain] = max(heard_ms, now_ms - age_ms)
+        # One that leaves watches nobody, and is no sign that others of its domain live.
+        if sender.is_present:
+            self._hearing.hear(sender.failure_domain, now_ms)
+        if sender.failure_domain == self.me.failure_domain:
+            self._hearing.hear_of(heartbeat.heard_ms, now_ms)
         self._take(sender)
 
     def _take(self, claim: Member) -> None:
@@ -329,7 +314,7 @@
             self._watched_ms[claim.name] = now_ms
         elif claim.state is MemberState.SUSPECT:
             self._timers.after(SUSPICION_MS, lambda: self._end_suspicion(claim))
-        self._domain_heard_ms.setdefault(claim.failure_domain, now_ms)
+        self._hearing.know(claim.failure_domain, now_ms)
         self._spread(claim)
 
     def _contradict(self, claim: Member) -> None:
@@ -374,38 +359,8 @@
     def _tell_far(self, updates: tuple[Member, ...]) -> None:
         """Tell the speakers of other domains the news of this one, if this entry is a speaker."""
         own = tuple(one for one in updates if one.failure_domain == self.me.failure_domain)
-        for ip in self._far_targets():
-            self._send(ip, own)
-
-    # Receivers.
-
-    def _neighbours(self, step: int) -> list[Member]:
-        """Give the entries next to this one in the ring: after it for 1, before it for -1."""
-        near = self.table.present(self.me.failure_domain)
-        after = sum(member.name < self.me.name for member in near)
-        order = near[after:] + near[:after]
-        return order[:RING] if step > 0 else order[::-1][:RING]
-
-    def _far_targets(self) -> list[str]:
-        """Give the speakers of other domains that this entry speaks with, if it is a speaker."""
-        rank = self._rank()
-        if rank is None:
-            return []
-        targets = []
-        for domain in sorted(self.table.domains()):
-            if domain != self.me.failure_domain:
-                speakers = self._alive(domain)[:SPEAKERS] or self.table.present(domain)
-                targets.append(speakers[rank % len(speakers)].ip)
-        return targets
-
-    def _rank(self) -> int | None:
-        """Tell this entry's place among the speakers of its domain; None if it is none."""
-        before = sum(one.name < self.me.name for one in self._alive(self.me.failure_domain))
-        return before if before < SPEAKERS else None
-
-    def _alive(self, domain: str) -> list[Member]:
-        present = self.table.present(domain)
-        return [member for member in present if member.state is MemberState.ALIVE]
+        for speaker in far_speakers(self.me, self.table):
+            self._send(speaker.ip, own)
 
     def _send(self, ip: str, updates: tuple[Member, ...] = (), asks: bool = False) -> None:
         me, published = self.me, self._published()
@@ -420,13 +375,10 @@
             revision=published.revision,
             age_ms=published.age_ms,
             members_digest=self.digest,
-            heard_ms=self.heard_domains_ms() if near else {},
+            heard_ms=self._hearing.ages_ms(self._timers.now_ms()) if near else {},
             updates=updates,
         )
         self._send_heartbeat(ip, heartbeat)
 
     def _is_heard(self, failure_domain: str, within_ms: float) -> bool:
-        if failure_domain == self.me.failure_domain:
-            return True
-        heard_ms = self._domain_heard_ms.get(failure_domain, float("-inf"))
-        return self._timers.now_ms() - heard_ms <= within_ms
+        return self._hearing.is_heard(failure_domain, within_ms, self._timers.now_ms())
