--- a/standins/tests/test_live_operators.py
+++ b/standins/tests/test_live_operators.py
@@ -175,6 +175,20 @@
         third = self.deployment.start_entry(store_up=False)
         self.assertTrue(wait_until(third.is_ready), third.log())
 
+    def test_entries_of_two_domains_know_each_other_and_lose_a_killed_one(self):
+        zones = ("hall-a", "hall-a", "hall-b", "hall-b")
+        entries = [self.deployment.start_entry(zone=zone) for zone in zones]
+        for entry in entries:
+            for other in entries:
+                if other is not entry:
+                    known = f"event=peer-regained peer={other.name} "
+                    self.assertTrue(entry.wait_log(known), entry.log())
+        killed, *others = entries
+        killed.popen.kill()
+        for entry in others:
+            self.assertTrue(entry.wait_log(f"event=peer-lost peer={killed.name} "), entry.log())
+            self.assertNotIn("event=bad-heartbeat", entry.log())
+
     def test_settings_are_read_again_and_faulty_ones_are_refused(self):
         (entry,) = self.start()
         entry.write_settings(ratio=0.3)
