delegation: a single send is counted by the entry that asks only

Cause: read in the diff: the first send of a shard to a far searcher was counted in the retry budget by both entries, as only hedges were told to be extra; both would have allowed a fifth of it as extra sends. Change: an ask that names its searcher is never counted where it is served; the field that told extra sends is gone. Test: test_a_single_send_is_no_new_request_in_the_counts_of_the_budget failed before.

--- a/rhubarbhinge/delegation/_far_sends.py
+++ b/rhubarbhinge/delegation/_far_sends.py
@@ -91,7 +91,6 @@
         # What is late already is answered once it is there.
         answer_in_ms=answer_in_ms if answer_in_ms > 0 else left_ms,
         left_ms=left_ms,
-        is_extra=exchange.is_extra,
         searcher=exchange.searcher.searcher.incarnation,
     )
 
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -29,9 +29,8 @@
     :param target_latency_ms: the route's latency objective.
     :param answer_in_ms: answer with what there is after so long.
     :param left_ms: time until the caller stops waiting.
-    :param is_extra: whether the shards may have had the request before, so that it is no new one
-        in the counts of the retry budget.
-    :param searcher: incarnation of the only searcher that may get it; empty for any of a shard's.
+    :param searcher: incarnation of the only searcher that may get it, in one attempt that the entry
+        that asks has counted in the retry budget; empty for any searchers of the shards.
     """
 
     number: int
@@ -46,7 +45,6 @@
     target_latency_ms: float
     answer_in_ms: float
     left_ms: float
-    is_extra: bool = False
     searcher: str = ""
 
 
@@ -139,7 +137,6 @@
             message.target_latency_ms,
             round(message.answer_in_ms, 1),
             round(message.left_ms, 1),
-            int(message.is_extra),
             message.searcher,
         ]
         return _join(fields, message.head + message.body)
@@ -200,15 +197,10 @@
         float(target_latency_ms),
         float(answer_in_ms),
         float(left_ms),
-        *_later(*later),
+        str(later[0]) if later else "",
     )
 
 
-def _later(is_extra: int = 0, searcher: str = "", *_: object) -> tuple[bool, str]:
-    """Read the fields that asks have had since they came to serve single sends too."""
-    return bool(is_extra), str(searcher)
-
-
 def _answer(number: int, fields: list, body: bytes) -> Answer:
     services, signatures, untried, may_have_run, *later = fields
     # Entries of a release before 2026-12 don't say which shards they still search.
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -167,7 +167,7 @@
 
     def start(self) -> None:
         """Send to the shards."""
-        if not self._ask.is_extra:
+        if not self._ask.searcher:
             self._around.budget.on_request(self._ask.services)
         self._calls.start(self._ask.services)
 
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -188,6 +188,18 @@
         self.assertEqual(len(self.answers), 1)
         self.assertEqual(set(self.answers[0].pending), {"s0", "s1"})
 
+    def test_a_single_send_is_no_new_request_in_the_counts_of_the_budget(self):
+        # The entry that asks has counted it; twice counted it would allow more extra sends.
+        counted = []
+        self.world.budget.on_request = counted.append
+        delegates = self.delegates(self.server._links.bound_port)
+        address = self.open(delegates)
+        single = replace(ASK, services=("s0",), searcher="s0-1")
+        for ask in (single, ASK):
+            delegates.ask(address, ask, self.answers.append, self.more)
+        self.wait(lambda: len(self.world.attempts) == 3)
+        self.assertEqual(counted, [("s0", "s1")])
+
     def test_an_entry_that_goes_away_has_failed_and_its_searchers_stop(self):
         delegates = self.asked()
         for link in list(self.server._by_link):
--- a/rhubarbhinge/delegation/tests/test_far_sends.py
+++ b/rhubarbhinge/delegation/tests/test_far_sends.py
@@ -44,7 +44,7 @@
         self.direct.append(FakeAttempt(exchange, tell))
         return self.direct[-1]
 
-    def send(self, name: str = "far", search: SearchTerms | None = SEARCH, extra: bool = True):
+    def send(self, name: str = "far", search: SearchTerms | None = SEARCH):
         now_ms = self.world.timers.now_ms()
         exchange = Exchange(
             self.world.observed(name),
@@ -55,7 +55,6 @@
             now_ms + 90.0,
             "scan",
             search,
-            extra,
         )
         return self.sends.send(exchange, self.outcomes.append)
 
@@ -68,7 +67,7 @@
         (ask,) = self.delegates.asks
         self.assertEqual((ask.services, ask.max_attempts, ask.top_k), (("s0",), 1, 5))
         self.assertEqual(ask.searcher, "far")
-        self.assertEqual((ask.answer_in_ms, ask.left_ms, ask.is_extra), (84.0, 1_000.0, True))
+        self.assertEqual((ask.answer_in_ms, ask.left_ms), (84.0, 1_000.0))
         self.assertEqual(self.delegates.grant(("s0",)), ())
         self.assertEqual(len(self.far.started_ms), 1)
         self.world.timers.advance(25.0)
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -27,7 +27,7 @@
     @given(st.binary(max_size=60), st.binary(max_size=60), NAMES)
     def test_an_ask_reads_back(self, head, body, services):
         ask = Ask(7, "r1", head, body, "route", services, 5, 1, 2, 95.0, 80.5, 990.0)
-        for one in (ask, replace(ask, is_extra=True, searcher="i-1")):
+        for one in (ask, replace(ask, searcher="i-1")):
             self.assertEqual(decode_message(encode_message(one)), one)
 
     @given(st.binary(max_size=200), NAMES)
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -23,7 +23,6 @@
         what is still in time.
     :param route_name: the route.
     :param search: set for a shard of a search, which another entry may search as well.
-    :param is_extra: whether the service may have had the request before.
     """
 
     searcher: ObservedSearcher
@@ -34,7 +33,6 @@
     due_ms: float = float("inf")
     route_name: str = ""
     search: SearchTerms | None = None
-    is_extra: bool = False
 
 
 class Attempt(Protocol):
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -170,7 +170,6 @@
             terms.due_ms,
             terms.route_name,
             terms.search,
-            self.arrived,
         )
         self._open[incarnation] = self._around.send(
             exchange, lambda outcome: self._ended(incarnation, outcome)
