--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -8,7 +8,7 @@
 
 from rhubarbhinge.delegation import Answer, Ask, AskServer, Delegates
 from rhubarbhinge.fleet import Delays, DomainReach
-from rhubarbhinge.forward import Surroundings
+from rhubarbhinge.forward import Lost, Surroundings, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
 from rhubarbhinge.members import Member, Membership, MemberState, Published
 from rhubarbhinge.net import Links
@@ -200,6 +200,18 @@
         self.wait(lambda: len(self.world.attempts) == 3)
         self.assertEqual(counted, [("s0", "s1")])
 
+    def test_leave_that_is_wanted_after_the_ask_was_due_fails_nothing(self):
+        delegates = self.delegates(self.server._links.bound_port)
+        ask = replace(ASK, answer_in_ms=20.0)
+        delegates.ask(self.open(delegates), ask, self.answers.append, self.more)
+        self.wait(lambda: self.answers)
+        self.assertEqual(set(self.answers[0].pending), {"s0", "s1"})
+        run_until(self.root, lambda: False, 0.1)
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.wait(lambda: len(self.world.attempts) == 3)
+        run_until(self.root, lambda: False, 0.1)
+        self.assertEqual(len(self.answers), 1)
+
     def test_an_entry_that_goes_away_has_failed_and_its_searchers_stop(self):
         delegates = self.asked()
         for link in list(self.server._by_link):
