gateway, delegation, peers: what fills a VM's link is counted and logged

Cause: in an incident at size, searches waited 346 ms in one queue, and no log or metric tells what else stood in it. Of the last 33 KB that the collector keeps of each process half were lines on one peer each. Ruled out: counting in the kernel (TIOCOUTQ a link), a call a link and period. Change: bytes sent by kind as counters, 'link-busy' with what of each kind in a period of 250 ms, 'delegate-failed' with its delay and what had not left, one line for many peers. Conclusion: the hypotheses on the link and on asks can be told apart from now on.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -70,6 +70,7 @@
     on_answer: OnAnswer
     grant: GrantAttempts
     timer: Subscription
+    sent_ms: float
     due_ms: float
 
 
@@ -126,6 +127,11 @@
             self._opened, self._received, self._closed, notice_silence=True
         ).register(self)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of asks since the start."""
+        return self._links.sent_bytes
+
     def choose(self, failure_domain: str, count: int) -> list[str]:
         """Choose entries of a failure domain, and make links to more of them ready.
 
@@ -160,8 +166,11 @@
         number = next(self._numbers)
         link = self._by_ip[ip]
         timer = self._timers.after(TAKEN_MS, lambda: self._silent(number, "not-taken"))
-        due_ms = self._timers.now_ms() + ask.answer_in_ms + SILENT_MS
-        self._asking[number] = _Asking(link, ip, ask.request_id, on_answer, grant, timer, due_ms)
+        now_ms = self._timers.now_ms()
+        due_ms = now_ms + ask.answer_in_ms + SILENT_MS
+        self._asking[number] = _Asking(
+            link, ip, ask.request_id, on_answer, grant, timer, now_ms, due_ms
+        )
         self._send(link, replace(ask, number=number))
         return Delegate(self, number)
 
@@ -254,7 +263,13 @@
         asking.timer.cancel()
         self._bad(asking.ip)
         log_event(
-            "delegate-failed", level="warning", request=asking.request_id, ip=asking.ip, code=code
+            "delegate-failed",
+            level="warning",
+            request=asking.request_id,
+            ip=asking.ip,
+            code=code,
+            after_ms=round(self._timers.now_ms() - asking.sent_ms, 1),
+            unsent_bytes=self._links.unsent_bytes(asking.link),
         )
         asking.on_answer(None)
 
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -68,6 +68,11 @@
         """How many asks are being worked on; a graceful stop waits for them."""
         return sum(len(link.searches) for link in self._by_link.values())
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of answers since the start."""
+        return self._links.sent_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers not written yet."""
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -65,6 +65,11 @@
         """How many connections are open or being opened."""
         return len(self._conns)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of requests to searchers since the start."""
+        return self._links.sent_bytes
+
     @property
     def waiting(self) -> int:
         """How many requests wait for a connection."""
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -20,6 +20,7 @@
 from rhubarbhinge.gateway._figures import EntryFigures
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_parts import GatewayParts
+from rhubarbhinge.gateway._link_use import LinkUse
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
 from rhubarbhinge.gateway._pages import metrics_page, readiness_page
 from rhubarbhinge.gateway._serving import Serving
@@ -130,9 +131,6 @@
         ).register(self)
         membership = self._peers.membership
         source.know(membership, self._peers.reports)
-        figures = EntryFigures(
-            self._follower, self._peers, source, self._fleet, self._pool, self._budget, event_log
-        )
         self._share = connection_shares(self._follower, membership, self._processes)
         delegates = Delegates(
             self.timers, membership, settings.ask_port, self._rng, self._reach
@@ -165,6 +163,27 @@
             self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
         )
         self._accepting = False
+        self._link_use = LinkUse(
+            {
+                "callers": lambda: self._callers.sent_bytes,
+                "searchers": lambda: self._pool.sent_bytes,
+                "asks": lambda: delegates.sent_bytes,
+                "parts": lambda: self._asks.sent_bytes,
+                "state": lambda: self._peers.sent_bytes,
+            },
+            lambda: self._settings.now.link_bits_per_ms,
+            self.timers.now_ms,
+        )
+        figures = EntryFigures(
+            self._follower,
+            self._peers,
+            source,
+            self._fleet,
+            self._pool,
+            self._budget,
+            self._link_use,
+            event_log,
+        )
         self._shutdown = Shutdown(self.timers, self._callers, self._asks, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
         readiness = readiness_page(lambda: self._settings.now.readiness_path, lambda: self.ready)
@@ -229,6 +248,7 @@
         self._pool.close_idle()
         self._reach_again()
         self._serving.check()
+        self._link_use.check()
         now_ms = self.timers.now_ms()
         self._metrics.observe_loop_lag(max(0.0, now_ms - self._house_due_ms))
         self._house_due_ms = now_ms + HOUSEKEEPING_MS
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._link_use import LinkUse
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
 from rhubarbhinge.retries import RetryBudget
@@ -15,6 +16,14 @@
 BUDGET_LEFT = Figure("extra_sends_left", "Extra sends left for the service that has least")
 STORE_CALLS = Figure("platform_calls_total", "Reads and watches of the platform's store", True)
 READER_CALLS = Figure("reader_calls_total", "Waits for changes at another entry", True)
+LINK_BYTES = {
+    "callers": Figure("sent_to_callers_bytes_total", "Bytes of answers to callers", True),
+    "searchers": Figure("sent_to_searchers_bytes_total", "Bytes of requests to searchers", True),
+    "asks": Figure("sent_asks_bytes_total", "Bytes of asks to other entries", True),
+    "parts": Figure("sent_parts_bytes_total", "Bytes of parts for other entries", True),
+    "state": Figure("sent_state_bytes_total", "Bytes of published state for others", True),
+}
+"""What this entry sends, by kind."""
 LINES_DROPPED = Figure("log_lines_dropped_total", "Lines above the log's budget, or unread", True)
 
 
@@ -27,6 +36,7 @@
     :param fleet: the searchers.
     :param pool: connections to them.
     :param budget: the retry budget.
+    :param link_use: what fills the VM's link.
     :param event_log: where events go; None when they go elsewhere.
     """
 
@@ -38,6 +48,7 @@
         fleet: Fleet,
         pool: ConnectionPool,
         budget: RetryBudget,
+        link_use: LinkUse,
         event_log: EventLog | None,
     ):
         self._follower = follower
@@ -46,6 +57,7 @@
         self._fleet = fleet
         self._pool = pool
         self._budget = budget
+        self._link_use = link_use
         self._event_log = event_log
 
     def show(self, metrics: Metrics) -> None:
@@ -66,5 +78,7 @@
         metrics.show(BUDGET_LEFT, self._budget.least_left())
         metrics.show(STORE_CALLS, self._source.platform_calls)
         metrics.show(READER_CALLS, self._source.reader_calls)
+        for kind, total in self._link_use.totals().items():
+            metrics.show(LINK_BYTES[kind], total)
         if self._event_log is not None:
             metrics.show(LINES_DROPPED, self._event_log.dropped)
--- /dev/null
+++ b/rhubarbhinge/gateway/tests/test_link_use.py
@@ -0,0 +1,48 @@
+"""What fills a VM's link."""
+
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+from rhubarbhinge.gateway import _link_use
+from rhubarbhinge.gateway._link_use import LinkUse
+
+PERIOD_MS = 250.0
+LINK_BITS_PER_MS = 8_400.0
+
+
+class LinkUseTest(unittest.TestCase):
+    def setUp(self):
+        self.now_ms = 0.0
+        self.sent = {"callers": 0, "state": 0}
+        self.link_bits_per_ms = LINK_BITS_PER_MS
+        counts = {kind: lambda kind=kind: self.sent[kind] for kind in self.sent}
+        self.use = LinkUse(counts, lambda: self.link_bits_per_ms, lambda: self.now_ms)
+
+    @contextmanager
+    def period(self, callers: int, state: int) -> Iterator[list]:
+        self.sent["callers"] += callers
+        self.sent["state"] += state
+        self.now_ms += PERIOD_MS
+        with mock.patch.object(_link_use, "log_event") as log_event:
+            self.use.check()
+        yield log_event.mock_calls
+
+    def test_a_period_that_fills_the_link_is_logged_with_what_filled_it(self):
+        with self.period(2_000, 200_000) as calls:
+            expected = mock.call(
+                "link-busy", period_ms=250, callers_bytes=2_000, state_bytes=200_000
+            )
+            self.assertEqual(calls, [expected])
+
+    def test_a_calm_period_is_not_logged_whatever_was_sent_before(self):
+        with self.period(2_000, 200_000):
+            pass
+        with self.period(2_000, 10_000) as calls:
+            self.assertEqual(calls, [])
+
+    def test_nothing_is_concluded_where_the_rate_is_not_known(self):
+        self.link_bits_per_ms = 0.0
+        with self.period(2_000, 200_000) as calls:
+            self.assertEqual(calls, [])
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -62,6 +62,7 @@
     :param notice_silence: whether links that it opens end when the peer's host is silent.
     :param channel: the circuits channel, unique by default.
     :raises OSError: when the port can not be bound.
+    :ivar sent_bytes: bytes handed over to be sent since the start.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self._on_close = on_close
         self._max_pending_bytes = max_pending_bytes
         self._notice_silence = notice_silence
+        self.sent_bytes = 0
         self._numbers = itertools.count(1)
         self._links: dict[int, Link] = {}
         self._by_sock: dict[socket.socket, Link] = {}
@@ -129,6 +131,7 @@
             return
         found.pending.append(data)
         found.pending_bytes += len(data)
+        self.sent_bytes += len(data)
         if found.pending_bytes > self._max_pending_bytes:
             self._end(found, CloseReason.OVERFLOW)
         elif not found.dirty:
@@ -178,6 +181,15 @@
         """Bytes sent on all links that the kernel has not taken yet."""
         return sum(link.pending_bytes for link in self._links.values())
 
+    def unsent_bytes(self, link: int) -> int:
+        """Tell how much of what was sent on a link the kernel has not taken yet.
+
+        :param link: the link.
+        :returns: the bytes; 0 when the link is closed.
+        """
+        found = self._links.get(link)
+        return 0 if found is None else found.pending_bytes
+
     def is_quiet(self, link: int) -> bool:
         """Tell whether a link is open and has neither data nor its end waiting to be read.
 
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -31,6 +31,9 @@
 """Longest that a peer may take to give its list of entries; usually some milliseconds."""
 NOTE_MS = 1_000.0
 """How often the log notes which entries came and went."""
+MOST_NOTED_ALONE = 5
+"""More entries that come or go within a second share a line of the log: a fleet of 60 that starts
+would write 60 lines at each of them, half of the last 33 KB that a collector may keep."""
 START_ID_BITS = 32
 """Bits of the random number that tells one start of an entry from the others."""
 
@@ -81,11 +84,16 @@
         self._pull = StatePull(timers, client, follower, self.reports, port, failure_domain, rng)
         self._service = StateService(timers, follower, self.membership, reads_platform)
         self._datagrams = Datagrams(self._datagram, (ip, port)).register(self)
-        HttpServer(timers, self._service.answer, (ip, port)).register(self)
+        self._server = HttpServer(timers, self._service.answer, (ip, port)).register(self)
         timers.on_pause(lambda late_ms: self.membership.on_pause())
         timers.every(NOTE_MS, self._note)
         self.membership.start()
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of published state and lists of entries given to others since the start."""
+        return self._server.sent_bytes
+
     def tell_plan(self) -> None:
         """Tell the others at the end of this turn that there is something new."""
         self._timers.after(0, self.membership.tell)
@@ -147,8 +155,13 @@
     def _note(self) -> None:
         self._pull.look()
         live = {member.name for member in self.membership.all_live()}
-        for name in sorted(live - self._live):
-            log_event("peer-regained", peer=name, peers=len(live))
-        for name in sorted(self._live - live):
-            log_event("peer-lost", level="warning", peer=name, peers=len(live))
+        self._note_each("peer-regained", "info", sorted(live - self._live), len(live))
+        self._note_each("peer-lost", "warning", sorted(self._live - live), len(live))
         self._live = live
+
+    def _note_each(self, event: str, level: str, names: list[str], peers: int) -> None:
+        if len(names) <= MOST_NOTED_ALONE:
+            for name in names:
+                log_event(event, level=level, peer=name, peers=peers)
+        else:
+            log_event(event, level=level, peer=",".join(names), count=len(names), peers=peers)
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -72,6 +72,11 @@
         """How many requests have been handed over and not answered or abandoned."""
         return self._open_requests
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of answers since the start."""
+        return self._links.sent_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers not written yet; a graceful stop waits until there are none."""
