forward, delegation: a reply that names another request says nothing of this one; leave after the due time fails no ask

Cause: the pool told late replies by their id, but for those that refuse, which it took whatever request they named. So an attempt that ran was taken back and one more sent: three searchers of two, and twice for what must not repeat. Ruled out: refusals without an id are still believed, as a searcher may refuse before it has read the id. Change: one rule for all replies, '_is_about'; the wait for silence ends with the first answer.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -72,6 +72,7 @@
     timer: Subscription
     sent_ms: float
     due_ms: float
+    answered: bool = False
 
 
 class Delegate:
@@ -224,6 +225,7 @@
             return
         asking.timer.cancel()
         if isinstance(message, Answer):
+            asking.answered = True
             if not message.pending:
                 del self._asking[message.number]
             asking.on_answer(message)
@@ -233,7 +235,7 @@
                 self._send(asking.link, Leave(message.number, granted))
         elif not isinstance(message, Taken):
             raise FrameError("malformed", "entries that are asked answer only")
-        if not isinstance(message, Answer):
+        if not asking.answered:
             left_ms = asking.due_ms - self._timers.now_ms()
             number = message.number
             asking.timer = self._timers.after(left_ms, lambda: self._silent(number, "silent"))
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -13,6 +13,7 @@
 from rhubarbhinge.forward._lane import Connection, Lane
 from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
+from rhubarbhinge.forward._searcher_reply import SearcherReply
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
@@ -204,8 +205,7 @@
     def _replied(self, conn: Connection, raw: RawReply, last: bool) -> None:
         exchanging = conn.exchanging
         reply = self._dialect.searcher_reply(raw)
-        wanted_id = exchanging.exchange.request.id
-        if reply.request_id != wanted_id and not reply.not_run and not reply.wrong_searcher:
+        if not _is_about(reply, exchanging.exchange.request.id):
             self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
@@ -240,7 +240,9 @@
         if not more_may_come or conn.skipped > SKIPPED_REPLIES:
             self._fail(conn, Lost(Why.MALFORMED), "other-request")
 
-    def _observe(self, exchanging: Exchanging, reply, delay_ms: float, now_ms: float) -> None:
+    def _observe(
+        self, exchanging: Exchanging, reply: SearcherReply, delay_ms: float, now_ms: float
+    ) -> None:
         observed, number = exchanging.exchange.searcher, exchanging.number
         if reply.not_run or reply.wrong_searcher:
             observed.on_refused(number, now_ms)
@@ -382,3 +384,14 @@
             self._open(observed, lane, waiting)
         elif not lane.count:
             del self._lanes[observed.searcher.incarnation]
+
+
+def _is_about(reply: SearcherReply, request_id: str) -> bool:
+    """Tell whether a reply is to a request.
+
+    A reply that names another request says nothing of this one, least of all that it was not run:
+    an attempt that runs would be taken back, and the request sent once more than allowed. One that
+    names none is believed when it refuses, as a searcher may do before it has read the request.
+    """
+    refuses = reply.not_run or reply.wrong_searcher
+    return reply.request_id == request_id or (not reply.request_id and refuses)
