web, peers: published state is compressed between entries, and made once for all that wait

Cause: a reader's link was full for half a second after each configuration, in which its asks, sends and answers waited. Ruled out: pacing, which spreads 780 KB over seconds in which a configuration has to be in force; a tree, which has each entry hand it on and takes two hops more (it is left for domains of a thousand). Change: a client may take gzip, which the server has written for callers all along; the last compressed body is kept.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -86,7 +86,8 @@
         self._metrics = Metrics()
         self.timers = TimerService().register(self)
         self._settled_at_ms = self.timers.now_ms() + SETTLE_MS
-        client = HttpClient(self.timers).register(self)
+        store_client = HttpClient(self.timers).register(self)
+        peer_client = HttpClient(self.timers, takes_gzip=True).register(self)
         self._fleet = Fleet(self.timers.now_ms, self._searcher_left)
         self._reach = DomainReach(self.timers.now_ms, self._verify_domain)
         self._pool = ConnectionPool(
@@ -104,8 +105,8 @@
         )
         source = SharedSource(
             self.timers,
-            client,
-            make_source(client, lambda: self._settings.now.store),
+            peer_client,
+            make_source(store_client, lambda: self._settings.now.store),
             settings.name,
             settings.failure_domain,
             settings.peer_port,
@@ -119,7 +120,7 @@
         )
         self._peers = Peers(
             self.timers,
-            client,
+            peer_client,
             self._follower,
             settings.name,
             settings.ip,
--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -81,7 +81,7 @@
             self._waiting.append(waiting)
             self._timers.after(CHANGES_WAIT_MS, lambda: self._tell_changes(waiting))
         else:
-            self._answer_changes(waiting)
+            responder.answer(self._changes(waiting.log_id, waiting.position))
 
     def _grown(self) -> None:
         """Tell those that wait, once for all changes of this turn."""
@@ -90,15 +90,20 @@
             self._timers.after(0, self._tell_all)
 
     def _tell_all(self) -> None:
+        """Tell all that wait; most are at the same place, for which the answer is made once."""
         self._telling = False
-        for waiting in list(self._waiting):
-            self._tell_changes(waiting)
+        all_waiting, self._waiting = self._waiting, []
+        answers: dict[tuple[str, int], Response] = {}
+        for waiting in all_waiting:
+            place = (waiting.log_id, waiting.position)
+            if place not in answers:
+                answers[place] = self._changes(*place)
+            waiting.responder.answer(answers[place])
 
     def _tell_changes(self, waiting: _Waiting) -> None:
         if waiting in self._waiting:
             self._waiting.remove(waiting)
-            self._answer_changes(waiting)
+            waiting.responder.answer(self._changes(waiting.log_id, waiting.position))
 
-    def _answer_changes(self, waiting: _Waiting) -> None:
-        state = self._follower.changes_since(waiting.log_id, waiting.position)
-        waiting.responder.answer(self._state(state))
+    def _changes(self, log_id: str, position: int) -> Response:
+        return self._state(self._follower.changes_since(log_id, position))
--- a/rhubarbhinge/peers/tests/telling.py
+++ b/rhubarbhinge/peers/tests/telling.py
@@ -83,7 +83,7 @@
 
     def __init__(self, root: BaseComponent, timers: TimerService, name: str, reader: Reader):
         self.store = ToldSource()
-        client = HttpClient(timers).register(root)
+        client = HttpClient(timers, takes_gzip=True).register(root)
         self.source = SharedSource(timers, client, self.store, name, "hall-a", reader.port)
         self.source.know(OneReader(Member("vm-1", "127.0.0.1", "hall-a", 1)), Reports())
         fleet = Fleet(timers.now_ms, lambda observed: None)
--- a/rhubarbhinge/web/_client.py
+++ b/rhubarbhinge/web/_client.py
@@ -6,7 +6,8 @@
 from circuits import BaseComponent
 
 from rhubarbhinge.timing import Subscription, TimerService
-from rhubarbhinge.web._connections import TIMEOUT, HttpConnections
+from rhubarbhinge.web._coding import ACCEPT_GZIP, decoded
+from rhubarbhinge.web._connections import MALFORMED, TIMEOUT, HttpConnections
 from rhubarbhinge.web._failure import Failure
 from rhubarbhinge.web._reply import Reply
 
@@ -45,13 +46,15 @@
     """Makes calls to any address; nothing is sent twice.
 
     :param timers: the timer service.
+    :param takes_gzip: whether servers may compress their replies, which are decoded here.
     """
 
     channel = "http-client"
 
-    def __init__(self, timers: TimerService):
+    def __init__(self, timers: TimerService, takes_gzip: bool = False):
         super().__init__()
         self._timers = timers
+        self._takes_gzip = takes_gzip
         self._numbers = itertools.count(1)
         self._calls: dict[int, _Call] = {}
         self._by_conn: dict[int, int] = {}
@@ -121,6 +124,8 @@
     def _send(self, conn: int, call: _Call) -> None:
         call.conn = conn
         method, path, body, headers = call.arguments
+        if self._takes_gzip:
+            headers += ACCEPT_GZIP
         left_ms = call.end_ms - self._timers.now_ms()
         call.sent = self._connections.request(conn, method, path, body, headers, left_ms)
 
@@ -132,7 +137,8 @@
     def _replied(self, conn: int, reply: Reply) -> None:
         number = self._by_conn.pop(conn)
         self._keep(conn)
-        self._finish(number, reply)
+        plain = decoded(reply) if self._takes_gzip else reply
+        self._finish(number, Failure(MALFORMED, True) if plain is None else plain)
 
     def _closed(self, conn: int, reason: str) -> None:
         address = self._addresses.pop(conn)
--- a/rhubarbhinge/web/_response_writing.py
+++ b/rhubarbhinge/web/_response_writing.py
@@ -33,8 +33,8 @@
     :raises ValueError: when the answer's headers are not well-formed.
     """
     body, headers = response.body, response.headers
-    if request and len(body) >= gzip_least_bytes and _accepts_gzip(request):
-        body = gzip.compress(body, GZIP_LEVEL, mtime=0)
+    if request and len(body) >= gzip_least_bytes and _may_compress(request, response):
+        body = _compressed(body)
         headers += GZIP_HEADERS
     start = _head_start(response.status, response.content_type, headers, closes)
     if response.status in WITHOUT_BODY:
@@ -45,6 +45,12 @@
     return head + body
 
 
+@lru_cache(1)
+def _compressed(body: bytes) -> bytes:
+    """Compress a body; one that goes to many at once, as published state does, costs that once."""
+    return gzip.compress(body, GZIP_LEVEL, mtime=0)
+
+
 @lru_cache(FORMS_KEPT)
 def _head_start(
     status: int, content_type: str, headers: tuple[tuple[str, str], ...], closes: bool
@@ -70,6 +76,11 @@
         return b"Unknown"
 
 
+def _may_compress(request: Request, response: Response) -> bool:
+    is_coded = any(name.lower() == "content-encoding" for name, _ in response.headers)
+    return not is_coded and _accepts_gzip(request)
+
+
 def _accepts_gzip(request: Request) -> bool:
     for choice in request.headers.get("accept-encoding", "").split(","):
         coding, _, quality = choice.partition(";")
