peers, plans, published: of published state others are told what they lack

Cause: a configuration was told whole to each follower, and everything to all of them whenever another entry became the reader, as logs of changes are each entry's own. Ruled out: logs that all entries number alike, as searchers that lapse go at times of an entry's own; asking again with more after a miss, a round trip more when the reader has just gone. Change: who asks names the version of its configuration and a digest of its searchers. The answer has the routes and services that changed, and no searchers where the digest is the same. Mixed releases: who names nothing gets everything.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -25,7 +25,7 @@
 from rhubarbhinge.gateway._pages import metrics_page, readiness_page
 from rhubarbhinge.gateway._serving import Serving
 from rhubarbhinge.gateway._shutdown import Shutdown
-from rhubarbhinge.peers import Peers, SharedSource
+from rhubarbhinge.peers import KnownState, Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
 from rhubarbhinge.retries import RetryBudget
@@ -131,7 +131,7 @@
             lambda: source.reads_platform,
         ).register(self)
         membership = self._peers.membership
-        source.know(membership, self._peers.reports)
+        source.know(membership, self._peers.reports, lambda: KnownState.of(self._follower))
         self._share = connection_shares(self._follower, membership, self._processes)
         delegates = Delegates(
             self.timers, membership, settings.ask_port, self._rng, self._reach
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from rhubarbhinge.members import Member, Membership
-from rhubarbhinge.peers._paths import CHANGES_PATH, CHANGES_WAIT_MS
+from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
+from rhubarbhinge.peers._paths import CHANGES_PATH, CHANGES_WAIT_MS, with_query
 from rhubarbhinge.peers._reports import Reports
 from rhubarbhinge.peers._state_codec import StateError, decode_state
 from rhubarbhinge.published import Changes, ReadFault, Snapshot, Source
@@ -58,6 +59,7 @@
         self._port = port
         self._membership: Membership | None = None
         self._reports = Reports()
+        self._known: Callable[[], KnownState] = lambda: NOTHING_KNOWN
         self._bad_until_ms: dict[str, float] = {}
         self._place: tuple[str, int] | None = None
         self._told_by = ""
@@ -71,14 +73,21 @@
         """Whether this entry reads the platform itself, with success."""
         return self._reading and not self._failing
 
-    def know(self, membership: Membership, reports: Reports) -> None:
+    def know(
+        self,
+        membership: Membership,
+        reports: Reports,
+        known: Callable[[], KnownState] = lambda: NOTHING_KNOWN,
+    ) -> None:
         """Choose readers from now on.
 
         :param membership: which entries there are.
         :param reports: what they told last of the published state.
+        :param known: gives what this entry has, which a reader need not tell.
         """
         self._membership = membership
         self._reports = reports
+        self._known = known
 
     def read_all(self, on_done: Callable[[Snapshot | ReadFault], None]) -> None:
         """Read everything from the platform.
@@ -110,14 +119,15 @@
             log_event("reader-chosen", reader=reader.name)
         self._reading = False
         self.reader_calls += 1
-        query = "?log={}&after={}".format(*self._place) if self._place else ""
+        known = self._known()
+        place = [] if self._place is None else ["log={}&after={}".format(*self._place)]
         self._client.call(
             reader.ip,
             self._port,
             "GET",
-            CHANGES_PATH + query,
+            with_query(CHANGES_PATH, place + known.parameters()),
             timeout_ms=CHANGES_WAIT_MS + MARGIN_MS,
-            on_done=lambda outcome: self._asked(reader, outcome, after_revision, on_done),
+            on_done=lambda outcome: self._asked(reader, outcome, after_revision, known, on_done),
         )
 
     def _wait_at_platform(self, after_revision: int, on_done: OnTold) -> None:
@@ -149,13 +159,18 @@
         return 0 <= report.age_ms <= MOST_AGE_MS
 
     def _asked(
-        self, reader: Member, outcome: Reply | Failure, after_revision: int, on_done: OnTold
+        self,
+        reader: Member,
+        outcome: Reply | Failure,
+        after_revision: int,
+        known: KnownState,
+        on_done: OnTold,
     ) -> None:
         fault = _fault(outcome)
         told = None
         if not fault:
             try:
-                told = decode_state(outcome.body)
+                told = decode_state(outcome.body, known)
             except StateError as error:
                 fault = error.code
         if told is not None and told.state.revision < after_revision:
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -5,8 +5,11 @@
 import orjson
 
 from rhubarbhinge.fleet import Searcher
+from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
 from rhubarbhinge.plans import (
     CallerLimits,
+    KeptRoutes,
+    PlanChange,
     Route,
     Service,
     ServingPlan,
@@ -25,23 +28,35 @@
     code = "bad-state"
 
 
-def encode_state(state: Snapshot | Changes, log_id: str, position: int) -> bytes:
+def encode_state(
+    state: Snapshot | Changes,
+    log_id: str,
+    position: int,
+    base_plan: ServingPlan | None = None,
+    same_searchers: bool = False,
+) -> bytes:
     """Encode published state, or changes of it.
 
     :param state: the state.
     :param log_id: the log of changes of who tells it.
     :param position: up to where in the log it is told.
+    :param base_plan: a configuration that the receiver has, and of which only changes are told.
+    :param same_searchers: whether the receiver has just these searchers, which are then not told.
     :returns: the bytes.
     """
     plan = state.plan
+    by_change = plan is not None and base_plan is not None
+    change = PlanChange.between(base_plan, plan) if by_change else None
     return orjson.dumps(
         {
             "revision": state.revision,
             "age_ms": state.age_ms,
             "log": log_id,
             "position": position,
-            "plan": None if plan is None else _plan_fields(plan),
-            "searchers": state.searchers,
+            "plan": None if plan is None or by_change else _plan_fields(plan),
+            "plan_change": change,
+            "searchers": () if same_searchers else state.searchers,
+            "same_searchers": same_searchers,
             "removed": state.removed if isinstance(state, Changes) else None,
             "lapsed_ms": state.lapsed_ms,
         }
@@ -62,17 +77,22 @@
     position: int
 
 
-def decode_state(data: bytes) -> ToldState:
+def decode_state(data: bytes, known: KnownState = NOTHING_KNOWN) -> ToldState:
     """Decode published state.
 
     :param data: the bytes.
+    :param known: what the receiver has told that it has, to which the bytes may refer.
     :returns: what the peer told.
-    :raises StateError: when they are none.
+    :raises StateError: when they are none, or refer to something else.
     """
     try:
         fields = orjson.loads(data)
         plan = None if fields["plan"] is None else _plan(fields["plan"])
+        if fields.get("plan_change") is not None:
+            plan = _plan_change(fields["plan_change"]).apply(known.plan)
         searchers = tuple(Searcher(**_known(Searcher, one)) for one in fields["searchers"])
+        if fields.get("same_searchers"):
+            searchers = known.searchers
         revision, age_ms = int(fields["revision"]), float(fields["age_ms"])
         lapsed_ms = {str(k): float(v) for k, v in fields.get("lapsed_ms", {}).items()}
         state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms, lapsed_ms)
@@ -103,6 +123,21 @@
     )
 
 
+def _plan_change(entry: dict) -> PlanChange:
+    routes = (
+        KeptRoutes(one["start"], one["count"]) if "start" in one else _route(one)
+        for one in entry["routes"]
+    )
+    return PlanChange(
+        base_version=int(entry["base_version"]),
+        version=int(entry["version"]),
+        routes=tuple(routes),
+        services=tuple(Service(**_known(Service, one)) for one in entry["services"]),
+        gone=tuple(str(name) for name in entry["gone"]),
+        limits=CallerLimits(**_known(CallerLimits, entry["limits"])),
+    )
+
+
 def _route(entry: dict) -> Route:
     shards = entry["shards"]
     shard_set = None
--- a/rhubarbhinge/peers/_state_pull.py
+++ b/rhubarbhinge/peers/_state_pull.py
@@ -2,7 +2,8 @@
 
 import random
 
-from rhubarbhinge.peers._paths import STATE_PATH
+from rhubarbhinge.peers._known_state import KnownState
+from rhubarbhinge.peers._paths import STATE_PATH, with_query
 from rhubarbhinge.peers._reports import Report, Reports
 from rhubarbhinge.peers._state_codec import StateError, decode_state
 from rhubarbhinge.published import Follower
@@ -74,16 +75,17 @@
 
     def _pull(self, report: Report) -> None:
         self._pulling = True
+        known = KnownState.of(self._follower)
         self._client.call(
             report.member.ip,
             self._port,
             "GET",
-            STATE_PATH,
+            with_query(STATE_PATH, known.parameters()),
             timeout_ms=PULL_TIMEOUT_MS,
-            on_done=lambda outcome: self._pulled(report.member.name, outcome),
+            on_done=lambda outcome: self._pulled(report.member.name, outcome, known),
         )
 
-    def _pulled(self, peer: str, outcome: Reply | Failure) -> None:
+    def _pulled(self, peer: str, outcome: Reply | Failure, known: KnownState) -> None:
         self._pulling = False
         self._behind_since_ms = None
         if isinstance(outcome, Failure) or outcome.status != 200:
@@ -91,7 +93,7 @@
             log_event("peer-pull-failed", level="warning", peer=peer, code=code)
             return
         try:
-            snapshot = decode_state(outcome.body).state
+            snapshot = decode_state(outcome.body, known).state
         except StateError as error:
             log_event("peer-pull-failed", level="error", peer=peer, code=error.code)
             return
--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from rhubarbhinge.members import Membership, encode_members
+from rhubarbhinge.peers._known_state import PLAN_PARAMETER, SEARCHERS_PARAMETER
 from rhubarbhinge.peers._paths import CHANGES_PATH, CHANGES_WAIT_MS, MEMBERS_PATH, STATE_PATH
 from rhubarbhinge.peers._state_codec import encode_state
 from rhubarbhinge.published import Changes, Follower, Snapshot
@@ -11,13 +12,28 @@
 from rhubarbhinge.web import Request, Responder, Response, error_response
 
 
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """What an entry that asks has already.
+
+    :param log_id: the log whose changes it follows; empty for none.
+    :param position: up to where in the log it knows them.
+    :param plan_version: version of its configuration; -1 for none.
+    :param searchers: digest of its searchers; empty when it did not tell.
+    """
+
+    log_id: str
+    position: int
+    plan_version: int
+    searchers: str
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class _Waiting:
     """An entry that waits for changes."""
 
     responder: Responder
-    log_id: str
-    position: int
+    place: _Place
 
 
 class StateService:
@@ -53,7 +69,7 @@
         :param responder: answers it.
         """
         if request.path == STATE_PATH:
-            responder.answer(self._state(self._follower.snapshot()))
+            responder.answer(self._state(self._follower.snapshot(), _place(request)))
         elif request.path == CHANGES_PATH:
             self._asked_for_changes(request, responder)
         elif request.path == MEMBERS_PATH:
@@ -64,9 +80,13 @@
                 error_response(404, "no-such-path", "Only entries call here.", "Use another port.")
             )
 
-    def _state(self, state: Snapshot | Changes) -> Response:
+    def _state(self, state: Snapshot | Changes, place: _Place) -> Response:
+        """Tell state to an entry, without what it has already."""
         log = self._follower.log
-        return Response(200, encode_state(state, log.id, log.position))
+        whole = isinstance(state, Snapshot)
+        same_searchers = whole and place.searchers == self._follower.searchers_digest() != ""
+        base_plan = log.plan(place.plan_version)
+        return Response(200, encode_state(state, log.id, log.position, base_plan, same_searchers))
 
     def _asked_for_changes(self, request: Request, responder: Responder) -> None:
         if not self._reads_platform() or self.leaving:
@@ -74,14 +94,13 @@
             responder.answer(error_response(503, "no-reader", message, "Ask the platform."))
             return
         log = self._follower.log
-        after = request.query.get("after", "")
-        position = int(after) if after.isdigit() else -1
-        waiting = _Waiting(responder, request.query.get("log", ""), position)
-        if waiting.log_id == log.id and waiting.position == log.position:
+        place = _place(request)
+        if (place.log_id, place.position) == (log.id, log.position):
+            waiting = _Waiting(responder, place)
             self._waiting.append(waiting)
             self._timers.after(CHANGES_WAIT_MS, lambda: self._tell_changes(waiting))
         else:
-            responder.answer(self._changes(waiting.log_id, waiting.position))
+            responder.answer(self._changes(place))
 
     def _grown(self) -> None:
         """Tell those that wait, once for all changes of this turn."""
@@ -93,17 +112,31 @@
         """Tell all that wait; most are at the same place, for which the answer is made once."""
         self._telling = False
         all_waiting, self._waiting = self._waiting, []
-        answers: dict[tuple[str, int], Response] = {}
+        answers: dict[_Place, Response] = {}
         for waiting in all_waiting:
-            place = (waiting.log_id, waiting.position)
-            if place not in answers:
-                answers[place] = self._changes(*place)
-            waiting.responder.answer(answers[place])
+            if waiting.place not in answers:
+                answers[waiting.place] = self._changes(waiting.place)
+            waiting.responder.answer(answers[waiting.place])
 
     def _tell_changes(self, waiting: _Waiting) -> None:
         if waiting in self._waiting:
             self._waiting.remove(waiting)
-            waiting.responder.answer(self._changes(waiting.log_id, waiting.position))
+            waiting.responder.answer(self._changes(waiting.place))
+
+    def _changes(self, place: _Place) -> Response:
+        return self._state(self._follower.changes_since(place.log_id, place.position), place)
+
+
+def _place(request: Request) -> _Place:
+    query = request.query
+    return _Place(
+        query.get("log", ""),
+        _number(query.get("after", "")),
+        _number(query.get(PLAN_PARAMETER, "")),
+        query.get(SEARCHERS_PARAMETER, ""),
+    )
+
 
-    def _changes(self, log_id: str, position: int) -> Response:
-        return self._state(self._follower.changes_since(log_id, position))
+def _number(text: str) -> int:
+    """Read a number of a query, -1 for none."""
+    return int(text) if text.isascii() and text.isdigit() else -1
--- a/rhubarbhinge/peers/tests/telling.py
+++ b/rhubarbhinge/peers/tests/telling.py
@@ -6,7 +6,7 @@
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.members import Member
-from rhubarbhinge.peers import Reports, SharedSource
+from rhubarbhinge.peers import KnownState, Reports, SharedSource
 from rhubarbhinge.peers._state_service import StateService
 from rhubarbhinge.plans import CallerLimits, Route, Service, ServingPlan, ShardSet
 from rhubarbhinge.published import Changes, Follower, Snapshot
@@ -85,7 +85,11 @@
         self.store = ToldSource()
         client = HttpClient(timers, takes_gzip=True).register(root)
         self.source = SharedSource(timers, client, self.store, name, "hall-a", reader.port)
-        self.source.know(OneReader(Member("vm-1", "127.0.0.1", "hall-a", 1)), Reports())
+        self.source.know(
+            OneReader(Member("vm-1", "127.0.0.1", "hall-a", 1)),
+            Reports(),
+            lambda: KnownState.of(self.follower),
+        )
         fleet = Fleet(timers.now_ms, lambda observed: None)
         self.follower = Follower(timers, self.source, fleet, random.Random(1), lambda plan: None)
 
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -33,6 +33,9 @@
     def on_peer_revision(self, revision: int, age_ms: float) -> None:
         pass
 
+    def searchers_digest(self) -> str:
+        return ""
+
     def snapshot(self) -> Snapshot:
         return Snapshot(self.revision, None, ())
 
--- a/rhubarbhinge/peers/tests/test_state_codec.py
+++ b/rhubarbhinge/peers/tests/test_state_codec.py
@@ -1,12 +1,13 @@
 """State that is handed on."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from rhubarbhinge.fleet import Searcher
-from rhubarbhinge.peers import StateError, ToldState, decode_state, encode_state
+from rhubarbhinge.peers import KnownState, StateError, ToldState, decode_state, encode_state
 from rhubarbhinge.plans import (
     CallerLimits,
     Route,
@@ -36,6 +37,32 @@
             told = decode_state(encode_state(state, "log", 4))
             self.assertEqual(told, ToldState(state, "log", 4))
 
+    def test_what_the_receiver_has_is_not_told_and_reads_back_all_the_same(self):
+        shards = ShardSet(tuple(f"shard-{n}" for n in range(90)), 5, 0.75)
+        routes = tuple(
+            Route(f"r{n}", "a", f"/{n}/", True, 1e3, 95.0, 2, 2, (), shards) for n in range(9)
+        )
+        base = ServingPlan(7, routes, {"s": Service("s", "/health", 26)}, CallerLimits())
+        later = replace(base, version=9, routes=(*routes[:4], *routes[5:]))
+        searchers = tuple(Searcher(f"i-{n}", "s", "10.0.0.9", 80, "hall-a", 2) for n in range(9))
+        known = KnownState(base, searchers, "digest")
+        for plan in (base, later):
+            state = Snapshot(12, plan, searchers, 5.0, {"i-3": 700.0})
+            whole, short = (
+                encode_state(state, "log", 4, base_plan, same)
+                for base_plan, same in ((None, False), (base, True))
+            )
+            self.assertLess(10 * len(short), len(whole))
+            self.assertEqual(decode_state(short, known), ToldState(state, "log", 4))
+            self.assertEqual(decode_state(whole, known), ToldState(state, "log", 4))
+
+    def test_what_refers_to_a_configuration_that_the_receiver_lacks_is_a_coded_error(self):
+        base = ServingPlan(7, (), {}, CallerLimits())
+        data = encode_state(Changes(13, replace(base, version=9)), "log", 4, base)
+        for plan in (None, replace(base, version=8)):
+            with self.assertRaises(StateError):
+                decode_state(data, KnownState(plan))
+
     @given(st.binary(max_size=100))
     def test_other_bytes_are_a_coded_error(self, data):
         with self.assertRaises(StateError):
--- a/rhubarbhinge/peers/tests/test_telling.py
+++ b/rhubarbhinge/peers/tests/test_telling.py
@@ -67,3 +67,26 @@
         ):
             with self.subTest(what):
                 self.assertLessEqual(self.told_bytes(changes), MOST_BYTES)
+
+    def test_another_reader_tells_those_who_know_all_next_to_nothing(self):
+        # The entry that read the platform stops, or its process starts again: its log is gone.
+        for changed in (False, True):
+            reader = Reader(self.root, self.timers, seed=2 + changed)
+            reader.tell(self.state)
+            if changed:
+                reader.tell(Changes(101, replace(self.state.plan, version=8)))
+            for entry in self.entries:
+                entry.source._port = reader.port
+            with self.subTest(changed=changed):
+                self.wait_until_told(reader)
+                self.assertLessEqual(reader.server.sent_bytes, MOST_BYTES)
+
+    def test_one_who_lacks_a_searcher_gets_all_of_them_from_another_reader(self):
+        reader = Reader(self.root, self.timers, seed=2)
+        came = replace(self.state.searchers[0], incarnation="i-new")
+        gone = self.state.searchers[1].incarnation
+        reader.tell(self.state)
+        reader.tell(Changes(101, None, (came,), (gone,)))
+        for entry in self.entries:
+            entry.source._port = reader.port
+        self.wait_until_told(reader)
--- a/rhubarbhinge/plans/__init__.py
+++ b/rhubarbhinge/plans/__init__.py
@@ -1,10 +1,20 @@
 """What is served: routes, services, shard sets and limits of one configuration version."""
 
 from rhubarbhinge.plans._caller_limits import CallerLimits
+from rhubarbhinge.plans._plan_change import KeptRoutes, PlanChange
 from rhubarbhinge.plans._route import Route
 from rhubarbhinge.plans._service import Service
 from rhubarbhinge.plans._serving_plan import ServingPlan
 from rhubarbhinge.plans._shard_set import ShardSet
 from rhubarbhinge.plans._weighted_service import WeightedService
 
-__all__ = ["CallerLimits", "Route", "Service", "ServingPlan", "ShardSet", "WeightedService"]
+__all__ = [
+    "CallerLimits",
+    "KeptRoutes",
+    "PlanChange",
+    "Route",
+    "Service",
+    "ServingPlan",
+    "ShardSet",
+    "WeightedService",
+]
--- a/rhubarbhinge/published/_change_log.py
+++ b/rhubarbhinge/published/_change_log.py
@@ -44,3 +44,12 @@
         if log_id != self.id or not 0 <= missing <= len(self._changes):
             return None
         return list(self._changes)[len(self._changes) - missing :]
+
+    def plan(self, version: int) -> ServingPlan | None:
+        """Give a configuration that was taken over lately.
+
+        :param version: its version.
+        :returns: the configuration; None when it is not known any more.
+        """
+        plans = (change for change in self._changes if isinstance(change, ServingPlan))
+        return next((plan for plan in plans if plan.version == version), None)
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.published._changes import Changes
 from rhubarbhinge.published._lapsed import LapsedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._searchers_digest import searchers_digest
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
 from rhubarbhinge.telemetry import log_event
@@ -76,6 +77,7 @@
         self._silence_ms = 0.0
         self._lapsed = LapsedSearchers(timers, self._remove)
         self.log = ChangeLog(rng)
+        self._digest_at = (self.log.position, "")
         self.on_changed: Callable[[], None] = _nothing
 
     def start(self) -> None:
@@ -120,6 +122,17 @@
         searchers = tuple(self._searchers.values())
         return Snapshot(self.revision, self.plan, searchers, self.age_ms(), self._lapsed.left_ms())
 
+    def searchers_digest(self) -> str:
+        """Give a digest of all searchers that are known, worked out anew after changes only.
+
+        :returns: the digest.
+        """
+        position, digest = self._digest_at
+        if position != self.log.position:
+            digest = searchers_digest(self._searchers.values())
+            self._digest_at = (self.log.position, digest)
+        return digest
+
     def changes_since(self, log_id: str, position: int) -> Changes | Snapshot:
         """Give what was taken over here since a position of the log.
 
--- /dev/null
+++ b/rhubarbhinge/published/_searchers_digest.py
@@ -0,0 +1,23 @@
+"""A digest by which two entries find that they know the same searchers."""
+
+import hashlib
+from collections.abc import Iterable
+
+import orjson
+
+from rhubarbhinge.fleet import Searcher
+
+DIGEST_BYTES = 8
+"""Two sets of searchers that differ have the same digest once in 10^19 comparisons."""
+
+
+def searchers_digest(searchers: Iterable[Searcher]) -> str:
+    """Work out a digest of searchers, which does not depend on their order.
+
+    :param searchers: the searchers.
+    :returns: the digest; empty for none.
+    """
+    lines = sorted(orjson.dumps(searcher) for searcher in searchers)
+    if not lines:
+        return ""
+    return hashlib.blake2b(b"\n".join(lines), digest_size=DIGEST_BYTES).hexdigest()
