--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -1,12 +1,14 @@
 """Asks between two entries, on real sockets."""
 
 import random
+import time
 import unittest
 from dataclasses import replace
 
 from circuits import BaseComponent
 
 from rhubarbhinge.delegation import Answer, Ask, AskServer, Delegates
+from rhubarbhinge.delegation._delegates import TAKEN_MS
 from rhubarbhinge.fleet import Delays, DomainReach
 from rhubarbhinge.forward import Lost, Surroundings, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
@@ -169,6 +171,29 @@
         self.assertEqual(self.answers, [None])
         self.assertEqual(delegates.choose("hall-b", 1), [])
 
+    def test_an_entry_that_was_held_up_itself_gives_no_ask_up_before_it_has_read(self):
+        # Opening connections to the searchers of a part takes an entry with half a core some 20 ms.
+        # What the other entry said meanwhile has come, and has not been read.
+        self.world.on_send = lambda: time.sleep(TAKEN_MS / 1e3)
+        self.asked()
+        run_until(self.root, lambda: False, 0.1)
+        self.assertEqual(self.answers, [])
+
+    def test_an_ask_is_taken_before_its_searchers_are_asked(self):
+        # Else whoever asked waits for all that work, and takes the entry for one that has failed.
+        unsent_bytes = []
+        self.world.on_send = lambda: unsent_bytes.append(self.server.unsent_bytes)
+        self.asked()
+        self.assertEqual(unsent_bytes, [0, 0])
+
+    def test_an_ask_that_is_cancelled_before_it_was_begun_asks_no_searcher(self):
+        delegates = self.delegates(self.server._links.bound_port)
+        ask = delegates.ask(self.open(delegates), ASK, self.answers.append, self.more)
+        ask.cancel()
+        run_until(self.root, lambda: False, 0.1)
+        running = [attempt for attempt in self.world.attempts if not attempt.cancelled]
+        self.assertEqual((running, self.answers, self.server.open_asks), ([], [], 0))
+
     def test_an_entry_that_took_the_ask_and_says_nothing_when_it_is_due_has_failed(self):
         # As one that is frozen, or out of processor time: its kernel goes on acknowledging.
         self.server._answer = lambda link, found, answer: None
--- a/rhubarbhinge/forward/tests/fakes.py
+++ b/rhubarbhinge/forward/tests/fakes.py
@@ -69,6 +69,7 @@
                 self.fleet.put(Searcher(name, service, "10.0.0.1", 80, "hall-a", 2))
         self.attempts: list[FakeAttempt] = []
         self.unsent_next = False
+        self.on_send: Callable[[], None] = lambda: None
         rule = BudgetRule(0.0, slack, 10_000.0)
         self.budget = RetryBudget(rule, self.timers.now_ms, lambda: 1)
         self.delays = Delays(20.0)
@@ -79,6 +80,7 @@
         )
 
     def _send(self, exchange: Exchange, tell: Callable[[Outcome], None]) -> FakeAttempt:
+        self.on_send()
         attempt = FakeAttempt(exchange, tell)
         attempt.sent = not self.unsent_next
         self.attempts.append(attempt)
