--- a/standins/operators/__init__.py
+++ b/standins/operators/__init__.py
@@ -1,12 +1,13 @@
 """Stand-ins of the operators' platform: its store, its searchers, and a deployment of entries."""
 
 from standins.operators._configuration import HOST, configuration
-from standins.operators._deployment import Deployment, EntryProcess
+from standins.operators._deployment import Answer, Deployment, EntryProcess
 from standins.operators._model import CompactedError, StoreModel
 from standins.operators._searcher import Searcher
 from standins.operators._store import Store
 
 __all__ = [
+    "Answer",
     "CompactedError",
     "Deployment",
     "EntryProcess",
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -25,6 +25,7 @@
     :ivar slots: how many requests it executes at a time.
     :ivar refuses: whether it has no room.
     :ivar arrivals: ids of the requests that it got, in order.
+    :ivar begun: ids of those that it began to execute.
     :ivar ran: ids of those that it executed to the end.
     :ivar left: ids of those whose caller left first.
     """
@@ -38,6 +39,7 @@
         self.slots = SLOTS
         self.refuses = False
         self.arrivals: list[str] = []
+        self.begun: list[str] = []
         self.ran: list[str] = []
         self.left: list[str] = []
         self.port = 0
@@ -56,7 +58,13 @@
 
     def close(self) -> None:
         """Refuse new connections."""
-        self._server.stop_listening()
+        if self._server.is_listening:
+            self._server.stop_listening()
+
+    def crash(self) -> None:
+        """Refuse new connections and break all others off, as a process that ends."""
+        self.close()
+        self._server.abort_all()
 
     def break_off_next(self) -> None:
         """End the connection of the next request in place of an answer."""
@@ -121,6 +129,7 @@
             loop = asyncio.get_running_loop()
             timer = loop.call_later(self.work_ms(path) / 1e3, self._done, connection, request_id)
             self._open[connection] = (request_id, timer)
+            self.begun.append(request_id)
 
     def _done(self, connection: Connection, request_id: str) -> None:
         del self._open[connection]
