gather, web: an answer is written before anything else is done

Change: a search tells its answer and then cancels what is open; the server writes an answer at once. No call more: what is written at once is not written at the end of the turn. Ruled out: a larger lead of answers, which costs shards; it works out by itself from the delays that are seen, now of less.

--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -166,9 +166,11 @@
 
     def _answer(self, by_time: bool = False) -> None:
         body = merge_greatest(self._bodies, self._terms.shards.top_k)
-        missing = self._missing()
+        signatures = tuple(self._signatures.values())
+        self._over = True
+        # The caller comes first: to cancel what is open takes milliseconds when many are missing.
+        self._on_end(Gathered(signatures, self._missing(), body, by_time))
         self.cancel()
-        self._on_end(Gathered(tuple(self._signatures.values()), missing, body, by_time))
 
     def _fail(self, timed_out: bool = False) -> None:
         if self._over:
--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -168,6 +168,8 @@
             response, caller.request, not reusable, self._limits.gzip_least_bytes
         )
         self._links.send(caller.link, sent)
+        # At the end of the loop turn it would be late by all that else is done in it.
+        self._links.flush(caller.link)
         caller.responder = None
         caller.request = None
         if not reusable:
