--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -36,7 +36,7 @@
 """An entry that failed is not asked for so long; a restart takes about a second."""
 
 LINKS_PER_DOMAIN = 6
-"""Entries of a failure domain that this one asks: as many as 150 shards are split among, and one to
+"""Entries of a failure domain that this one asks: as many as 90 shards are split among, and one to
 spare. Each entry asks others, so that the load is even; the links don't grow with the fleet."""
 SILENT_MS = 25.0
 """An entry that has taken an ask says what there is when it is due. One that says nothing for so
