--- a/rhubarbhinge/gateway/_call_terms.py
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -1,5 +1,6 @@
 """What is granted to the calls of one request."""
 
+from rhubarbhinge.delegation import Ask
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallTerms, SearchTerms
 
@@ -57,3 +58,26 @@
         None if top_k is None else SearchTerms(top_k, target_latency_ms),
         searcher,
     )
+
+
+def ask_terms(ask: Ask, delays: Delays, now_ms: float) -> CallTerms:
+    """Work out what is granted to each call of an ask of another entry.
+
+    :param ask: the ask.
+    :param delays: the usual delays of such requests.
+    :param now_ms: the time, when it has come.
+    :returns: the terms.
+    """
+    return call_terms(
+        ask.route,
+        ask.target_latency_ms,
+        True,
+        ask.max_attempts,
+        ask.priority,
+        now_ms,
+        now_ms + ask.left_ms,
+        delays,
+        now_ms + ask.answer_in_ms,
+        ask.top_k,
+        ask.searcher,
+    )
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -13,7 +13,7 @@
 from rhubarbhinge.forward import CallTerms, ConnectionPool, Dialect, Surroundings
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._answer_lead import AnswerLead
-from rhubarbhinge.gateway._call_terms import call_terms
+from rhubarbhinge.gateway._call_terms import ask_terms
 from rhubarbhinge.gateway._connection_shares import connection_shares
 from rhubarbhinge.gateway._entry_settings import EntrySettings
 from rhubarbhinge.gateway._far_search import far_search
@@ -218,20 +218,7 @@
         self._peers.membership.follow_seeds(settings.seed_ips)
 
     def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
-        now_ms = self.timers.now_ms()
-        return call_terms(
-            ask.route,
-            ask.target_latency_ms,
-            True,
-            ask.max_attempts,
-            ask.priority,
-            now_ms,
-            now_ms + ask.left_ms,
-            delays,
-            now_ms + ask.answer_in_ms,
-            ask.top_k,
-            ask.searcher,
-        )
+        return ask_terms(ask, delays, self.timers.now_ms())
 
     def _processes(self) -> int:
         now_ms = self.timers.now_ms()
--- a/rhubarbhinge/gateway/tests/simulated_attempts.py
+++ b/rhubarbhinge/gateway/tests/simulated_attempts.py
@@ -27,7 +27,7 @@
     Why,
 )
 from rhubarbhinge.gateway import _far_search
-from rhubarbhinge.gateway._call_terms import call_terms
+from rhubarbhinge.gateway._call_terms import ask_terms, call_terms
 from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.members import Member
 from rhubarbhinge.net import CloseReason
@@ -362,20 +362,7 @@
         return SimulatedAttempt(self.world.searchers, self.timers, exchange, tell)
 
     def _ask_terms(self, ask: Ask, delays: Delays) -> CallTerms:
-        now_ms = self.timers.now_ms()
-        return call_terms(
-            ask.route,
-            ask.target_latency_ms,
-            True,
-            ask.max_attempts,
-            ask.priority,
-            now_ms,
-            now_ms + ask.left_ms,
-            delays,
-            now_ms + ask.answer_in_ms,
-            ask.top_k,
-            ask.searcher,
-        )
+        return ask_terms(ask, delays, self.timers.now_ms())
 
     def search(
         self, request_id: str, shards: ShardSet, max_attempts: int, on_end: Callable
