--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -243,15 +243,21 @@
 
         return asyncio.run_coroutine_threadsafe(calling(), self._loop).result(10.0)
 
-    def add_searcher(self, incarnation: str, service: str, zone: str = "hall-a") -> Searcher:
-        """Start a searcher and publish it.
+    def add_searcher(
+        self, incarnation: str, service: str, zone: str = "hall-a", born: int | None = None
+    ) -> Searcher:
+        """Start a searcher and publish it; one that had this id has ended.
 
         :param incarnation: its id.
         :param service: its service.
         :param zone: its failure domain.
+        :param born: Unix time of its start, in ms; None for one that doesn't tell it.
         :returns: the searcher.
         """
-        searcher = Searcher(incarnation, service, zone)
+        before = self.searchers.get(incarnation)
+        if before is not None:
+            self.run(before.crash)
+        searcher = Searcher(incarnation, service, zone, born)
         self.searchers[incarnation] = searcher
         self.run(searcher.listen)
         self.put(f"servers/{incarnation}", searcher.entry())
--- a/standins/operators/_model.py
+++ b/standins/operators/_model.py
@@ -23,13 +23,14 @@
         """Write an item.
 
         :param key: its key.
-        :param value: its value, as JSON.
+        :param value: its value, written as JSON; bytes are written as they are.
         """
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
         self.revision += 1
         old = self._items.get(key)
         item = {
             "key": key,
-            "value": base64.b64encode(orjson.dumps(value)).decode(),
+            "value": base64.b64encode(data).decode(),
             "revision": self.revision,
             "create_revision": old["create_revision"] if old else self.revision,
             "lease": 0,
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -20,6 +20,7 @@
     :param incarnation: its id.
     :param service: its service.
     :param zone: its failure domain.
+    :param born: Unix time of its start, in ms; None for one that doesn't tell it.
     :ivar delay_ms: how long a request takes.
     :ivar work_ms: gives how long a request with a path takes, in place of ``delay_ms``.
     :ivar slots: how many requests it executes at a time.
@@ -30,8 +31,11 @@
     :ivar left: ids of those whose caller left first.
     """
 
-    def __init__(self, incarnation: str, service: str, zone: str = "hall-a") -> None:
+    def __init__(
+        self, incarnation: str, service: str, zone: str = "hall-a", born: int | None = None
+    ) -> None:
         self.incarnation = incarnation
+        self.born = born
         self.service = service
         self.zone = zone
         self.delay_ms = 2.0
@@ -76,7 +80,9 @@
         :param draining: whether it is about to leave.
         :returns: the entry.
         """
+        born = {} if self.born is None else {"born": self.born}
         return {
+            **born,
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
