--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -173,6 +173,9 @@
             link, ip, ask.request_id, on_answer, grant, timer, now_ms, due_ms
         )
         self._send(link, replace(ask, number=number))
+        # Now, and not after connections to searchers of this entry's own part are opened, which
+        # takes most of the time within which the ask is to be taken.
+        self._links.flush(link)
         return Delegate(self, number)
 
     def cancel(self, number: int) -> None:
