--- a/rhubarbhinge/delegation/_far_sends.py
+++ b/rhubarbhinge/delegation/_far_sends.py
@@ -92,6 +92,7 @@
         answer_in_ms=answer_in_ms if answer_in_ms > 0 else left_ms,
         left_ms=left_ms,
         searcher=exchange.searcher.searcher.incarnation,
+        searcher_started_unix_ms=exchange.searcher.searcher.started_unix_ms,
     )
 
 
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -1,11 +1,12 @@
 """What entries say to each other about parts of searches."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
-import orjson
+import msgspec
 
 from rhubarbhinge.net import FrameError
+from rhubarbhinge.utils.bounded_types import Count, FieldValue, Milliseconds, Rank
+from rhubarbhinge.utils.strict_json import json_reader
 
 ASK, TAKEN, ANSWER, CANCEL, LEAVE_WANTED, LEAVE = range(6)
 """Kinds of messages on the wire; short, as each byte between failure domains is paid for."""
@@ -31,6 +32,7 @@
     :param left_ms: time until the caller stops waiting.
     :param searcher: incarnation of the only searcher that may get it, in one attempt that the entry
         that asks has counted in the retry budget; empty for any searchers of the shards.
+    :param searcher_started_unix_ms: the only start of that searcher that may get it; None for any.
     """
 
     number: int
@@ -46,6 +48,7 @@
     answer_in_ms: float
     left_ms: float
     searcher: str = ""
+    searcher_started_unix_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,15 +120,90 @@
 Message = Ask | Taken | Answer | Cancel | LeaveWanted | Leave
 
 
+class _SentAsk(msgspec.Struct, frozen=True, array_like=True, tag=ASK):
+    """The head of an ask; its body is the request's head and body."""
+
+    number: Count
+    request_id: str
+    head_bytes: Count
+    route: str
+    services: tuple[str, ...]
+    top_k: Count
+    priority: Rank
+    max_attempts: Count
+    target_latency_ms: Milliseconds
+    answer_in_ms: Milliseconds
+    left_ms: Milliseconds
+    searcher: str = ""
+    searcher_started_unix_ms: Count | None = None
+
+
+class _SentAnswer(msgspec.Struct, frozen=True, array_like=True, tag=ANSWER):
+    """The head of an answer; earlier releases leave out ``pending``, as they tell all at once."""
+
+    number: Count
+    services: tuple[str, ...]
+    signatures: tuple[FieldValue, ...]
+    untried: tuple[str, ...]
+    may_have_run: bool
+    pending: tuple[str, ...] = ()
+
+
+class _SentTaken(msgspec.Struct, frozen=True, array_like=True, tag=TAKEN):
+    number: Count
+
+
+class _SentCancel(msgspec.Struct, frozen=True, array_like=True, tag=CANCEL):
+    number: Count
+
+
+class _SentLeaveWanted(msgspec.Struct, frozen=True, array_like=True, tag=LEAVE_WANTED):
+    number: Count
+    services: tuple[str, ...]
+
+
+class _SentLeave(msgspec.Struct, frozen=True, array_like=True, tag=LEAVE):
+    number: Count
+    services: tuple[str, ...]
+
+
+_Sent = _SentAsk | _SentAnswer | _SentTaken | _SentCancel | _SentLeaveWanted | _SentLeave
+_read_head = json_reader(_Sent)
+
+
 def encode_message(message: Message) -> bytes:
     """Encode a message.
 
     :param message: the message.
     :returns: the payload of a frame.
     """
+    body = b""
+    if isinstance(message, Ask):
+        body = message.head + message.body
+    elif isinstance(message, Answer):
+        body = message.body
+    head = msgspec.json.encode(_sent(message))
+    return len(head).to_bytes(HEAD_LENGTH_BYTES, "little") + head + body
+
+
+def decode_message(data: bytes) -> Message:
+    """Decode a message.
+
+    :param data: the payload of a frame.
+    :returns: the message.
+    :raises FrameError: with code ``malformed``, when it is none.
+    """
+    end = HEAD_LENGTH_BYTES + int.from_bytes(data[:HEAD_LENGTH_BYTES], "little")
+    try:
+        return _message(_read_head(data[HEAD_LENGTH_BYTES:end]), data[end:])
+    except ValueError as error:
+        raise FrameError("malformed", f"no message between entries: {error}") from error
+
+
+def _sent(message: Message) -> _Sent:
+    """Give a message's head the form in which it is sent."""
     if isinstance(message, Ask):
-        fields = [
-            ASK,
+        return _SentAsk(
             message.number,
             message.request_id,
             len(message.head),
@@ -138,91 +216,57 @@
             round(message.answer_in_ms, 1),
             round(message.left_ms, 1),
             message.searcher,
-        ]
-        return _join(fields, message.head + message.body)
+            message.searcher_started_unix_ms,
+        )
     if isinstance(message, Answer):
-        fields = [
-            ANSWER,
+        return _SentAnswer(
             message.number,
             message.services,
             message.signatures,
             message.untried,
             message.may_have_run,
             message.pending,
-        ]
-        return _join(fields, message.body)
-    if isinstance(message, LeaveWanted | Leave):
-        kind = LEAVE if isinstance(message, Leave) else LEAVE_WANTED
-        return _join([kind, message.number, message.services], b"")
-    return _join([TAKEN if isinstance(message, Taken) else CANCEL, message.number], b"")
-
-
-def decode_message(data: bytes) -> Message:
-    """Decode a message.
-
-    :param data: the payload of a frame.
-    :returns: the message.
-    :raises FrameError: with code ``malformed``, when it is none.
-    """
-    try:
-        end = HEAD_LENGTH_BYTES + int.from_bytes(data[:HEAD_LENGTH_BYTES], "little")
-        kind, number, *fields = orjson.loads(data[HEAD_LENGTH_BYTES:end])
-        return _DECODERS[kind](int(number), fields, data[end:])
-    except (IndexError, KeyError, TypeError, ValueError) as error:
-        raise FrameError("malformed", f"no message between entries: {error}") from error
-
-
-def _join(fields: list, body: bytes) -> bytes:
-    head = orjson.dumps(fields)
-    return len(head).to_bytes(HEAD_LENGTH_BYTES, "little") + head + body
-
-
-def _names(listed: list) -> tuple[str, ...]:
-    return tuple(str(name) for name in listed)
-
-
-def _ask(number: int, fields: list, body: bytes) -> Ask:
-    request_id, head_bytes, route, services, *rest = fields
-    top_k, priority, max_attempts, target_latency_ms, answer_in_ms, left_ms, *later = rest
-    return Ask(
-        number,
-        str(request_id),
-        body[:head_bytes],
-        body[head_bytes:],
-        str(route),
-        _names(services),
-        int(top_k),
-        int(priority),
-        int(max_attempts),
-        float(target_latency_ms),
-        float(answer_in_ms),
-        float(left_ms),
-        str(later[0]) if later else "",
-    )
-
-
-def _answer(number: int, fields: list, body: bytes) -> Answer:
-    services, signatures, untried, may_have_run, *later = fields
-    # Entries of a release before 2026-12 don't say which shards they still search.
-    pending = later[0] if later else ()
-    if len(services) != len(signatures):
-        raise ValueError("a signature for each shard is needed")
-    return Answer(
-        number,
-        _names(services),
-        _names(signatures),
-        _names(untried),
-        _names(pending),
-        bool(may_have_run),
-        body,
-    )
-
-
-_DECODERS: dict[int, Callable[[int, list, bytes], Message]] = {
-    ASK: _ask,
-    ANSWER: _answer,
-    TAKEN: lambda number, fields, body: Taken(number),
-    CANCEL: lambda number, fields, body: Cancel(number),
-    LEAVE_WANTED: lambda number, fields, body: LeaveWanted(number, _names(fields[0])),
-    LEAVE: lambda number, fields, body: Leave(number, _names(fields[0])),
-}
+        )
+    if isinstance(message, LeaveWanted):
+        return _SentLeaveWanted(message.number, message.services)
+    if isinstance(message, Leave):
+        return _SentLeave(message.number, message.services)
+    sent = _SentTaken if isinstance(message, Taken) else _SentCancel
+    return sent(message.number)
+
+
+def _message(sent: _Sent, body: bytes) -> Message:
+    if isinstance(sent, _SentAsk):
+        return Ask(
+            sent.number,
+            sent.request_id,
+            body[: sent.head_bytes],
+            body[sent.head_bytes :],
+            sent.route,
+            sent.services,
+            sent.top_k,
+            sent.priority,
+            sent.max_attempts,
+            sent.target_latency_ms,
+            sent.answer_in_ms,
+            sent.left_ms,
+            sent.searcher,
+            sent.searcher_started_unix_ms,
+        )
+    if isinstance(sent, _SentAnswer):
+        if len(sent.services) != len(sent.signatures):
+            raise ValueError("a signature for each shard is needed")
+        return Answer(
+            sent.number,
+            sent.services,
+            sent.signatures,
+            sent.untried,
+            sent.pending,
+            sent.may_have_run,
+            body,
+        )
+    if isinstance(sent, _SentLeaveWanted):
+        return LeaveWanted(sent.number, sent.services)
+    if isinstance(sent, _SentLeave):
+        return Leave(sent.number, sent.services)
+    return Taken(sent.number) if isinstance(sent, _SentTaken) else Cancel(sent.number)
--- a/rhubarbhinge/fleet/__init__.py
+++ b/rhubarbhinge/fleet/__init__.py
@@ -5,7 +5,7 @@
 from rhubarbhinge.fleet._domain_reach import DomainReach
 from rhubarbhinge.fleet._fleet import Fleet
 from rhubarbhinge.fleet._observed import ObservedSearcher
-from rhubarbhinge.fleet._searcher import Searcher
+from rhubarbhinge.fleet._searcher import Searcher, SearcherStart
 
 __all__ = [
     "Delays",
@@ -14,6 +14,7 @@
     "ObservedSearcher",
     "Preference",
     "Searcher",
+    "SearcherStart",
     "best_searcher",
     "expected_cost",
 ]
--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from rhubarbhinge.fleet._observed import ObservedSearcher
+from rhubarbhinge.fleet._searcher import SearcherStart
 
 FAR_HANDICAP_MS = 8.0
 """Cost of another failure domain: two crossings of about 1 ms, and the bytes that are paid for."""
@@ -64,7 +65,7 @@
     preference: Preference,
     typical_ms: float,
     now_ms: float,
-    tried: Collection[str] = (),
+    tried: Collection[SearcherStart] = (),
 ) -> ObservedSearcher | None:
     """Choose the searcher with the least cost among those that can be reached.
 
@@ -72,12 +73,12 @@
     :param preference: gives the cost of each.
     :param typical_ms: the usual delay of such requests.
     :param now_ms: the time.
-    :param tried: incarnations that are left out.
+    :param tried: starts of searchers that are left out.
     :returns: the searcher, or None when there is none.
     """
     best, least = None, float("inf")
     for observed in candidates:
-        if not observed.usable or observed.is_down or observed.searcher.incarnation in tried:
+        if not observed.usable or observed.is_down or observed.start in tried:
             continue
         cost = preference(observed, typical_ms, now_ms)
         if cost < least:
--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -9,8 +9,9 @@
 class Fleet:
     """All searchers that this process knows, by service.
 
-    Leaving is final for an incarnation: what was published as draining, or was found to have left,
-    gets no new request whatever is published later.
+    Leaving is final for a start of a searcher: what was published as draining, or was found to have
+    left, gets no new request whatever is published of this start later. A later start under the
+    same id is another searcher: nothing that was learned of the one before holds for it.
 
     :param now_ms: gives the time.
     :param on_left: told each searcher that may get no new request any more.
@@ -56,9 +57,12 @@
     def put(self, searcher: Searcher) -> None:
         """Take what is published about a searcher.
 
-        :param searcher: what is published.
+        :param searcher: what is published; if it is another start than the known one, a later one.
         """
         known = self._by_incarnation.get(searcher.incarnation)
+        if known is not None and not known.searcher.is_same_start(searcher):
+            self.remove(searcher.incarnation)
+            known = None
         if known is None:
             known = ObservedSearcher(searcher, self._now_ms())
             self._by_incarnation[searcher.incarnation] = known
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -21,14 +21,16 @@
 
 
 class ObservedSearcher:
-    """A searcher as this process observes it.
+    """A start of a searcher as this process observes it.
 
     :param searcher: what is published about it.
     :param now_ms: the time.
+    :ivar start: tells it from other starts, also of the same id; it never changes.
     """
 
     __slots__ = (
         "searcher",
+        "start",
         "warm_at_ms",
         "started_ms",
         "gone",
@@ -43,6 +45,7 @@
 
     def __init__(self, searcher: Searcher, now_ms: float):
         self.searcher = searcher
+        self.start = searcher.start
         self.warm_at_ms = now_ms + searcher.warmup_ms
         self.started_ms: dict[int, float] = {}
         self.gone = False
--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from rhubarbhinge.fleet import Delays, Fleet, Searcher, best_searcher, expected_cost
+from rhubarbhinge.fleet import Delays, Fleet, Searcher, SearcherStart, best_searcher, expected_cost
 
 ONE = Searcher("i-1", "shard", "10.0.0.1", 80, "hall-a", 2)
 TWO = Searcher("i-2", "shard", "10.0.0.2", 80, "hall-a", 2)
@@ -62,7 +62,7 @@
         self.one, self.two = self.fleet.of("shard")
         self.cost = expected_cost("hall-a", random.Random(1))
 
-    def chosen(self, now_ms: float = 1_000.0, tried: tuple[str, ...] = ()) -> str | None:
+    def chosen(self, now_ms: float = 1_000.0, tried: tuple[SearcherStart, ...] = ()) -> str | None:
         found = best_searcher(self.fleet.of("shard"), self.cost, 40.0, now_ms, tried)
         return found.searcher.incarnation if found else None
 
@@ -95,7 +95,7 @@
     def test_down_draining_and_tried_ones_are_left_out(self):
         self.one.on_unreachable()
         self.assertEqual(self.chosen(), "i-2")
-        self.assertIsNone(self.chosen(tried=("i-2",)))
+        self.assertIsNone(self.chosen(tried=(TWO.start,)))
         self.fleet.put(replace(TWO, draining=True))
         self.assertIsNone(self.chosen())
 
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -25,6 +25,7 @@
         what is still in time.
     :param search: set for a shard of a search, which another entry may search as well.
     :param searcher: incarnation of the only searcher that may get it; empty for any of the service.
+    :param searcher_started_unix_ms: the only start of that searcher that may get it; None for any.
     :param claim: asked before an attempt beyond the first, where attempts are shared with another
         entry; None where ``max_attempts`` alone decides.
     """
@@ -39,4 +40,5 @@
     due_ms: float = float("inf")
     search: SearchTerms | None = None
     searcher: str = ""
+    searcher_started_unix_ms: int | None = None
     claim: ClaimAttempt | None = None
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -6,7 +6,7 @@
 
 from circuits import BaseComponent
 
-from rhubarbhinge.fleet import DomainReach, ObservedSearcher
+from rhubarbhinge.fleet import DomainReach, ObservedSearcher, SearcherStart
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._exchanging import Exchanging
@@ -56,7 +56,7 @@
         self._reach = reach
         self._numbers = itertools.count(1)
         self._conns: dict[int, Connection] = {}
-        self._lanes: dict[str, Lane] = {}
+        self._lanes: dict[SearcherStart, Lane] = {}
         self._links = Links(
             self._opened, self._received, self._closed, notice_silence=True
         ).register(self)
@@ -113,17 +113,24 @@
 
         :param observed: a searcher that may be out of reach.
         """
-        self._set_down(observed, "domain-suspected")
-        for conn in list(self._lane(observed).idle):
-            self._drop(conn)
+        self._set_aside(observed, "domain-suspected")
         self.open_ahead(observed)
 
+    def set_aside(self, observed: ObservedSearcher) -> None:
+        """Give a searcher no more requests until it is told that it can be reached.
+
+        Requests that were sent to it are waited for; those that were not go elsewhere.
+
+        :param observed: a searcher that is out of reach.
+        """
+        self._set_aside(observed, "domain-unreachable")
+
     def forget(self, observed: ObservedSearcher) -> None:
         """Close the idle connections to a searcher that gets no more requests.
 
         :param observed: the searcher.
         """
-        lane = self._lanes.get(observed.searcher.incarnation)
+        lane = self._lanes.get(observed.start)
         if lane is None:
             return
         for conn in list(lane.idle):
@@ -138,7 +145,7 @@
                 self._drop(conn)
 
     def _lane(self, observed: ObservedSearcher) -> Lane:
-        return self._lanes.setdefault(observed.searcher.incarnation, Lane())
+        return self._lanes.setdefault(observed.start, Lane())
 
     def _take_idle(self, lane: Lane, now_ms: float) -> Connection | None:
         while lane.idle:
@@ -339,6 +346,12 @@
         self._set_down(conn.searcher, code, but=conn)
         self._reach.on_unreachable(searcher.failure_domain, searcher.ip)
 
+    def _set_aside(self, observed: ObservedSearcher, code: str) -> None:
+        """Give up what is idle as well: it may stay silent when new connections work again."""
+        self._set_down(observed, code)
+        for conn in list(self._lane(observed).idle):
+            self._drop(conn)
+
     def _set_down(
         self, observed: ObservedSearcher, code: str, but: Connection | None = None
     ) -> None:
@@ -383,7 +396,7 @@
         if waiting is not None:
             self._open(observed, lane, waiting)
         elif not lane.count:
-            del self._lanes[observed.searcher.incarnation]
+            del self._lanes[observed.start]
 
 
 def _is_about(reply: SearcherReply, request_id: str) -> bool:
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from rhubarbhinge.fleet import Delays, ObservedSearcher, best_searcher
+from rhubarbhinge.fleet import Delays, ObservedSearcher, SearcherStart, best_searcher
 from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._exchange import Attempt, Exchange
@@ -81,8 +81,8 @@
         self._delays = delays
         self._on_result = on_result
         self._story = story
-        self._open: dict[str, Attempt] = {}
-        self._tried: set[str] = set()
+        self._open: dict[SearcherStart, Attempt] = {}
+        self._tried: set[SearcherStart] = set()
         self._ran = ran
         self._refusals = 0
         self._arrived = ran > 0
@@ -126,10 +126,15 @@
             attempt.cancel()
 
     def _choose(self) -> ObservedSearcher | None:
-        around, only = self._around, self._terms.searcher
+        around, terms = self._around, self._terms
         searchers = around.fleet.of(self.service)
-        if only:
-            searchers = [one for one in searchers if one.searcher.incarnation == only]
+        if terms.searcher:
+            searchers = [
+                one
+                for one in searchers
+                if one.searcher.incarnation == terms.searcher
+                and one.searcher.may_have_started_at(terms.searcher_started_unix_ms)
+            ]
         return best_searcher(
             searchers,
             around.preference,
@@ -145,20 +150,20 @@
         return {"why": "no-budget", "budget_left": round(self._around.budget.left(self.service), 1)}
 
     def _send(self, observed: ObservedSearcher, why: str) -> None:
-        incarnation = observed.searcher.incarnation
+        start = observed.start
         now_ms = self._around.timers.now_ms()
         kind = SEND_KINDS[why]
         self._around.metrics.count_sub_queries(self._terms.route_name, kind)
         self._story.note(
             "attempt-sent",
             self.service,
-            incarnation,
+            start.incarnation,
             why=why,
             in_flight=len(observed.started_ms),
             slowness=round(observed.slowness(now_ms), 2),
             left_ms=round(self._terms.deadline_ms - now_ms),
         )
-        self._tried.add(incarnation)
+        self._tried.add(start)
         self._ran += 1
         terms = self._terms
         exchange = Exchange(
@@ -171,9 +176,7 @@
             terms.route_name,
             terms.search,
         )
-        self._open[incarnation] = self._around.send(
-            exchange, lambda outcome: self._ended(incarnation, outcome)
-        )
+        self._open[start] = self._around.send(exchange, lambda outcome: self._ended(start, outcome))
 
     def _hedge(self) -> None:
         if self.over:
@@ -182,15 +185,15 @@
         if chosen is None or chosen.is_avoided(self._around.timers.now_ms()):
             self._story.note("hedge-not-sent", self.service, why="no-searcher")
             return
-        unsent = [name for name, attempt in self._open.items() if not attempt.sent]
+        unsent = [start for start, attempt in self._open.items() if not attempt.sent]
         if not self._has_attempt(self._ran - len(unsent), self._hedge):
             return
         if not self._may_send():
             self._story.note("hedge-not-sent", self.service, **self._shortage(chosen))
             return
-        for name in unsent:
+        for start in unsent:
             # What still waits for a connection moves, which costs no searcher anything.
-            self._open.pop(name).cancel()
+            self._open.pop(start).cancel()
             self._ran -= 1
         if unsent:
             self._wait(self._terms.hedge_ms, self._hedge)
@@ -211,11 +214,13 @@
         """Ask the budget, which counts what arrives at a service beyond the first time."""
         return not self.arrived or self._around.budget.take(self.service)
 
-    def _ended(self, incarnation: str, outcome: Outcome) -> None:
+    def _ended(self, start: SearcherStart, outcome: Outcome) -> None:
         if self.over:
             return
-        self._story.note("attempt-ended", self.service, incarnation, **outcome_fields(outcome))
-        self._open.pop(incarnation, None)
+        self._story.note(
+            "attempt-ended", self.service, start.incarnation, **outcome_fields(outcome)
+        )
+        self._open.pop(start, None)
         if isinstance(outcome, Replied):
             self._replied(outcome.reply)
         elif isinstance(outcome, NotRun):
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from dataclasses import replace
 
 from circuits import BaseComponent
 
@@ -94,6 +95,22 @@
             self.assertEqual(self.outcome(name).reply.body, name.encode())
         self.assertEqual(len(self.searcher.accepted), 1)
 
+    def test_connections_to_an_earlier_start_are_not_used_for_the_next_one(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r1"))
+        self.outcome("r1")
+        again = replace(self.searcher.searcher(), started_unix_ms=2_000)
+        self.fleet.put(replace(again, started_unix_ms=1_000))
+        self.fleet.put(again)
+        self.send("r2", self.add(again))
+        self.received(2)
+        self.assertNotEqual(self.requests[0][0], self.requests[1][0])
+        self.answer(1, reply("r2", b"own"))
+        self.assertEqual(self.outcome("r2").reply.body, b"own")
+        # Each start has the connections that a searcher takes, whatever the one before held.
+        self.assertEqual(len(self.pool._lanes), 2)
+
     def test_a_late_reply_to_another_request_is_passed_over(self):
         self.send("r1")
         self.received(1)
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -108,6 +108,48 @@
             self.world.timers.advance(500.0)
             self.assertEqual((self.sent(), self.results), (1, [Refused(Why.NO_ROOM)]))
 
+    def start_again(self, born: int) -> FakeWorld:
+        """Have both searchers start again, in a world of their own the first time."""
+        self.world = FakeWorld() if born == 1_000 else self.world
+        for name in ("shard-1", "shard-2"):
+            started = Searcher(name, "shard", "10.0.0.1", 80, "hall-a", 2, started_unix_ms=born)
+            self.world.fleet.put(started)
+        return self.world
+
+    def test_a_call_that_is_for_one_start_of_a_searcher_does_not_go_to_the_next_one(self):
+        for born, sent in ((1_000, 1), (2_000, 0), (None, 1)):
+            world = self.start_again(1_000)
+            self.start(world, searcher="shard-1", searcher_started_unix_ms=born)
+            self.assertEqual(self.sent(), sent)
+
+    def test_searchers_that_start_again_buy_no_further_attempts(self):
+        self.start(self.start_again(1_000), hedge_ms=None)
+        self.start_again(2_000)
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.start_again(3_000)
+        self.world.attempts[1].end(Lost(Why.BROKEN))
+        self.world.timers.advance(500.0)
+        self.assertEqual((self.sent(), self.results), (2, [Failed(Why.BROKEN)]))
+
+    def test_a_searcher_that_started_again_may_be_the_second_one(self):
+        # All that is left is a new start under the id that has had the request.
+        self.start(self.start_again(1_000), hedge_ms=None)
+        first = self.world.attempts[0].name
+        self.start_again(2_000)
+        other = ({"shard-1", "shard-2"} - {first}).pop()
+        self.world.fleet.remove(other)
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.assertEqual([attempt.name for attempt in self.world.attempts], [first, first])
+        self.world.attempts[1].end(replied(body=b"two"))
+        self.assertEqual(self.results[0].reply.body, b"two")
+
+    def test_what_must_not_repeat_is_not_sent_again_to_the_next_start(self):
+        self.start(self.start_again(1_000), idempotent=False)
+        self.start_again(2_000)
+        self.world.attempts[0].end(Lost(Why.BROKEN))
+        self.world.timers.advance(500.0)
+        self.assertEqual((self.sent(), self.results), (1, [Failed(Why.BROKEN)]))
+
     def test_no_more_searchers_than_allowed(self):
         self.start(FakeWorld(), max_attempts=1)
         self.world.timers.advance(500.0)
--- a/rhubarbhinge/gateway/_call_terms.py
+++ b/rhubarbhinge/gateway/_call_terms.py
@@ -26,6 +26,7 @@
     due_ms: float,
     top_k: int | None = None,
     searcher: str = "",
+    searcher_started_unix_ms: int | None = None,
 ) -> CallTerms:
     """Work out what is granted to each call of a request.
 
@@ -40,6 +41,7 @@
     :param due_ms: when a reply is due for the latency objective.
     :param top_k: most records of an answer, for the calls of a search.
     :param searcher: the only searcher that may get it; empty for any. Its refusal is told at once.
+    :param searcher_started_unix_ms: the only start of that searcher that may get it; None for any.
     :returns: the terms.
     """
     hedge_ms = min(
@@ -57,6 +59,7 @@
         due_ms,
         None if top_k is None else SearchTerms(top_k, target_latency_ms),
         searcher,
+        searcher_started_unix_ms,
     )
 
 
@@ -80,4 +83,5 @@
         now_ms + ask.answer_in_ms,
         ask.top_k,
         ask.searcher,
+        ask.searcher_started_unix_ms,
     )
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -16,6 +16,8 @@
 BUDGET_LEFT = Figure("extra_sends_left", "Extra sends left for the service that has least")
 STORE_CALLS = Figure("platform_calls_total", "Reads and watches of the platform's store", True)
 READER_CALLS = Figure("reader_calls_total", "Waits for changes at another entry", True)
+UNUSABLE = Figure("unusable_entries", "Keys of the store that hold what can't be used")
+UNUSABLE_FOUND = Figure("unusable_entries_total", "Such values read since the start", True)
 LINK_BYTES = {
     "callers": Figure("sent_to_callers_bytes_total", "Bytes of answers to callers", True),
     "searchers": Figure("sent_to_searchers_bytes_total", "Bytes of requests to searchers", True),
@@ -78,6 +80,8 @@
         metrics.show(BUDGET_LEFT, self._budget.least_left())
         metrics.show(STORE_CALLS, self._source.platform_calls)
         metrics.show(READER_CALLS, self._source.reader_calls)
+        metrics.show(UNUSABLE, len(self._follower.unusable))
+        metrics.show(UNUSABLE_FOUND, self._follower.unusable.found)
         for kind, total in self._link_use.totals().items():
             metrics.show(LINK_BYTES[kind], total)
         if self._event_log is not None:
--- a/rhubarbhinge/members/_heartbeat.py
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Annotated, Literal
 
-import orjson
+import msgspec
 
 from rhubarbhinge.members._member import Member, MemberState
-from rhubarbhinge.members._members_codec import member_fields, read_member, read_name, read_number
+from rhubarbhinge.members._members_codec import Claim
+from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds, Name
+from rhubarbhinge.utils.strict_json import json_reader
 
 VERSION = 2
 """Version of the format; entries of another one are not understood and not counted."""
@@ -16,6 +19,8 @@
 """Most claims in one heartbeat: with some 65 bytes each they fit into one packet of 1,400."""
 MOST_DOMAINS = 64
 """Most failure domains in a heartbeat; seven are planned for."""
+LEAVING, ASKS = 1, 2
+"""Bits of a heartbeat's flags."""
 
 
 class HeartbeatError(ValueError):
@@ -66,26 +71,45 @@
         return Member(self.name, ip, self.failure_domain, self.start_id, self.counter, state)
 
 
+class _Sent(msgspec.Struct, frozen=True, array_like=True):
+    """A heartbeat as it is sent: its fields in this order, without names; later ones may follow."""
+
+    version: Literal[VERSION]
+    name: Name
+    failure_domain: Name
+    start_id: Count
+    counter: Count
+    flags: Count
+    revision: Count
+    age_ms: AgeMs
+    members_digest: Count
+    heard_ms: Annotated[dict[Name, Milliseconds], msgspec.Meta(max_length=MOST_DOMAINS)]
+    updates: Annotated[list[Claim], msgspec.Meta(max_length=MOST_UPDATES)]
+
+
+_read = json_reader(_Sent)
+
+
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat.
 
     :param heartbeat: the heartbeat.
     :returns: a datagram.
     """
-    return orjson.dumps(
-        [
+    return msgspec.json.encode(
+        _Sent(
             VERSION,
             heartbeat.name,
             heartbeat.failure_domain,
             heartbeat.start_id,
             heartbeat.counter,
-            int(heartbeat.leaving) + 2 * int(heartbeat.asks),
+            LEAVING * heartbeat.leaving + ASKS * heartbeat.asks,
             heartbeat.revision,
             round(heartbeat.age_ms),
             heartbeat.members_digest,
             {name: round(age_ms) for name, age_ms in heartbeat.heard_ms.items()},
-            [member_fields(member) for member in heartbeat.updates[:MOST_UPDATES]],
-        ]
+            [Claim.of(member) for member in heartbeat.updates[:MOST_UPDATES]],
+        )
     )
 
 
@@ -99,24 +123,19 @@
     if len(data) > MOST_BYTES:
         raise HeartbeatError(f"a heartbeat of {len(data)} bytes is too long")
     try:
-        version, name, failure_domain, start_id, counter, flags, *rest = orjson.loads(data)
-        if version != VERSION:
-            raise ValueError(f"version {version!r} is not spoken here")
-        revision, age_ms, members_digest, heard, listed, *_ = rest
-        if len(heard) > MOST_DOMAINS or len(listed) > MOST_UPDATES:
-            raise ValueError("too many failure domains or claims")
-        return Heartbeat(
-            name=read_name(name),
-            failure_domain=read_name(failure_domain),
-            start_id=read_number(start_id),
-            counter=read_number(counter),
-            leaving=bool(flags & 1),
-            asks=bool(flags & 2),
-            revision=read_number(revision),
-            age_ms=float(age_ms),
-            members_digest=read_number(members_digest),
-            heard_ms={read_name(one): float(read_number(ms)) for one, ms in heard.items()},
-            updates=tuple(read_member(fields) for fields in listed),
-        )
-    except (AttributeError, TypeError, ValueError) as error:
+        sent = _read(data)
+    except ValueError as error:
         raise HeartbeatError(f"a datagram is no heartbeat: {error}") from error
+    return Heartbeat(
+        name=sent.name,
+        failure_domain=sent.failure_domain,
+        start_id=sent.start_id,
+        counter=sent.counter,
+        leaving=bool(sent.flags & LEAVING),
+        asks=bool(sent.flags & ASKS),
+        revision=sent.revision,
+        age_ms=sent.age_ms,
+        members_digest=sent.members_digest,
+        heard_ms=sent.heard_ms,
+        updates=tuple(claim.member() for claim in sent.updates),
+    )
--- a/rhubarbhinge/members/tests/test_codec.py
+++ b/rhubarbhinge/members/tests/test_codec.py
@@ -3,6 +3,8 @@
 import unittest
 from dataclasses import replace
 
+import msgspec
+import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -17,6 +19,7 @@
     encode_heartbeat,
     encode_members,
 )
+from rhubarbhinge.utils.testing_values import FUZZ, JSON_VALUES, mutated
 
 SETTINGS = settings(derandomize=True, deadline=None, database=None)
 MEMBER = Member("vm-3", "10.0.0.3", "hall-b", 77, 4, MemberState.SUSPECT)
@@ -68,6 +71,15 @@
         data = encode_heartbeat(BEAT)[:-1] + b',"more"]'
         self.assertEqual(decode_heartbeat(data), BEAT)
 
+    @FUZZ
+    @given(JSON_VALUES | mutated(orjson.loads(encode_heartbeat(BEAT))))
+    def test_a_heartbeat_with_a_fault_is_a_heartbeat_or_a_coded_error(self, value):
+        try:
+            beat = decode_heartbeat(msgspec.json.encode(value))
+        except HeartbeatError:
+            return
+        decode_heartbeat(encode_heartbeat(beat))
+
 
 class MembersTest(unittest.TestCase):
     @SETTINGS
@@ -95,3 +107,16 @@
             self.assertEqual(decode_members(data), [])
         except MembersError as error:
             self.assertEqual(error.code, "bad-members")
+
+    @FUZZ
+    @given(JSON_VALUES | mutated(orjson.loads(encode_members([MEMBER, MEMBER]))))
+    def test_a_list_with_a_fault_is_a_list_or_a_coded_error(self, value):
+        try:
+            members = decode_members(msgspec.json.encode(value))
+        except MembersError:
+            return
+        self.assertEqual(decode_members(encode_members(members)), members)
+
+    def test_lists_that_are_nested_too_deeply_are_a_coded_error(self):
+        with self.assertRaises(MembersError):
+            decode_members(b"[" * 100_000)
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -1,8 +1,9 @@
 """Published state as entries hand it on."""
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
+from typing import Any
 
-import orjson
+import msgspec
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
@@ -13,10 +14,10 @@
     Route,
     Service,
     ServingPlan,
-    ShardSet,
-    WeightedService,
 )
 from rhubarbhinge.published import Changes, Snapshot
+from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds
+from rhubarbhinge.utils.strict_json import convert, json_reader
 
 
 class StateError(ValueError):
@@ -28,6 +29,47 @@
     code = "bad-state"
 
 
+class _SentPlan(msgspec.Struct, frozen=True):
+    """A configuration as it is sent."""
+
+    version: Count
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: CallerLimits
+
+
+class _SentPlanChange(msgspec.Struct, frozen=True):
+    """What changed of a configuration, as it is sent; see :class:`PlanChange`."""
+
+    base_version: Count
+    version: Count
+    routes: tuple[dict[str, Any], ...]
+    services: tuple[Service, ...]
+    gone: tuple[str, ...]
+    limits: CallerLimits
+
+
+class _SentState(msgspec.Struct, frozen=True):
+    """Published state, or changes of it, as they are sent.
+
+    Changes are those with ``removed``. Releases may differ by the fields that have a default.
+    """
+
+    revision: Count
+    age_ms: AgeMs
+    log: str
+    position: Count
+    plan: _SentPlan | None
+    searchers: tuple[Searcher, ...]
+    removed: tuple[str, ...] | None
+    plan_change: _SentPlanChange | None = None
+    same_searchers: bool = False
+    lapsed_ms: dict[str, Milliseconds] = {}
+
+
+_read = json_reader(_SentState)
+
+
 def encode_state(
     state: Snapshot | Changes,
     log_id: str,
@@ -47,18 +89,18 @@
     plan = state.plan
     by_change = plan is not None and base_plan is not None
     change = PlanChange.between(base_plan, plan) if by_change else None
-    return orjson.dumps(
+    return msgspec.json.encode(
         {
             "revision": state.revision,
             "age_ms": state.age_ms,
             "log": log_id,
             "position": position,
-            "plan": None if plan is None or by_change else _plan_fields(plan),
+            "plan": None if plan is None or by_change else _sent_plan(plan),
             "plan_change": change,
             "searchers": () if same_searchers else state.searchers,
             "same_searchers": same_searchers,
             "removed": state.removed if isinstance(state, Changes) else None,
-            "lapsed_ms": state.lapsed_ms,
+            "lapsed_ms": dict(state.lapsed_ms),
         }
     )
 
@@ -86,68 +128,43 @@
     :raises StateError: when they are none, or refer to something else.
     """
     try:
-        fields = orjson.loads(data)
-        plan = None if fields["plan"] is None else _plan(fields["plan"])
-        if fields.get("plan_change") is not None:
-            plan = _plan_change(fields["plan_change"]).apply(known.plan)
-        searchers = tuple(Searcher(**_known(Searcher, one)) for one in fields["searchers"])
-        if fields.get("same_searchers"):
-            searchers = known.searchers
-        revision, age_ms = int(fields["revision"]), float(fields["age_ms"])
-        lapsed_ms = {str(k): float(v) for k, v in fields.get("lapsed_ms", {}).items()}
-        state: Snapshot | Changes = Snapshot(revision, plan, searchers, age_ms, lapsed_ms)
-        if fields["removed"] is not None:
-            removed = tuple(str(name) for name in fields["removed"])
-            state = Changes(revision, plan, searchers, removed, age_ms, True, lapsed_ms)
-        return ToldState(state, str(fields["log"]), int(fields["position"]))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        sent = _read(data)
+        plan = _plan(sent, known.plan)
+    except ValueError as error:
         raise StateError(f"a peer's bytes are no published state: {error}") from error
+    searchers = known.searchers if sent.same_searchers else sent.searchers
+    state: Snapshot | Changes
+    if sent.removed is None:
+        state = Snapshot(sent.revision, plan, searchers, sent.age_ms, sent.lapsed_ms)
+    else:
+        state = Changes(
+            sent.revision, plan, searchers, sent.removed, sent.age_ms, True, sent.lapsed_ms
+        )
+    return ToldState(state, sent.log, sent.position)
 
 
-def _plan_fields(plan: ServingPlan) -> dict:
-    return {
-        "version": plan.version,
-        "routes": plan.routes,
-        "services": list(plan.services.values()),
-        "limits": plan.limits,
-    }
+def _sent_plan(plan: ServingPlan) -> _SentPlan:
+    return _SentPlan(plan.version, plan.routes, tuple(plan.services.values()), plan.limits)
 
 
-def _plan(entry: dict) -> ServingPlan:
-    services = (Service(**_known(Service, one)) for one in entry["services"])
-    return ServingPlan(
-        version=int(entry["version"]),
-        routes=tuple(_route(one) for one in entry["routes"]),
-        services={service.name: service for service in services},
-        limits=CallerLimits(**_known(CallerLimits, entry["limits"])),
-    )
+def _plan(sent: _SentState, base: ServingPlan | None) -> ServingPlan | None:
+    if sent.plan_change is not None:
+        if base is None:
+            raise ValueError("a change of a configuration that is not known here")
+        return _plan_change(sent.plan_change).apply(base)
+    if sent.plan is None:
+        return None
+    services = {service.name: service for service in sent.plan.services}
+    return ServingPlan(sent.plan.version, sent.plan.routes, services, sent.plan.limits)
 
 
-def _plan_change(entry: dict) -> PlanChange:
-    routes = (
-        KeptRoutes(one["start"], one["count"]) if "start" in one else _route(one)
-        for one in entry["routes"]
-    )
+def _plan_change(sent: _SentPlanChange) -> PlanChange:
+    routes = (convert(one, KeptRoutes if "start" in one else Route) for one in sent.routes)
     return PlanChange(
-        base_version=int(entry["base_version"]),
-        version=int(entry["version"]),
+        base_version=sent.base_version,
+        version=sent.version,
         routes=tuple(routes),
-        services=tuple(Service(**_known(Service, one)) for one in entry["services"]),
-        gone=tuple(str(name) for name in entry["gone"]),
-        limits=CallerLimits(**_known(CallerLimits, entry["limits"])),
+        services=sent.services,
+        gone=sent.gone,
+        limits=sent.limits,
     )
-
-
-def _route(entry: dict) -> Route:
-    shards = entry["shards"]
-    shard_set = None
-    if shards is not None:
-        shard_set = ShardSet(tuple(shards["services"]), shards["top_k"], shards["least_share"])
-    parts = tuple(WeightedService(**part) for part in entry["services"])
-    return Route(**{**_known(Route, entry), "shards": shard_set, "services": parts})
-
-
-def _known(kind: type, entry: dict) -> dict:
-    """Leave out what a newer release added."""
-    names = {field.name for field in fields(kind) if field.init}
-    return {name: value for name, value in entry.items() if name in names}
--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -11,6 +11,9 @@
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import Request, Responder, Response, error_response
 
+MOST_DIGITS = 18
+"""Longest number in a query; a text of thousands of digits is refused by ``int`` with an error."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Place:
@@ -139,4 +142,5 @@
 
 def _number(text: str) -> int:
     """Read a number of a query, -1 for none."""
-    return int(text) if text.isascii() and text.isdigit() else -1
+    is_number = text.isascii() and text.isdigit() and len(text) <= MOST_DIGITS
+    return int(text) if is_number else -1
--- a/rhubarbhinge/peers/tests/test_state_codec.py
+++ b/rhubarbhinge/peers/tests/test_state_codec.py
@@ -1,12 +1,16 @@
 """State that is handed on."""
 
+import random
 import unittest
 from dataclasses import replace
 
+import msgspec
+import orjson
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rhubarbhinge.fleet import Searcher
+from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.gateway import Splitter
 from rhubarbhinge.peers import KnownState, StateError, ToldState, decode_state, encode_state
 from rhubarbhinge.plans import (
     CallerLimits,
@@ -16,7 +20,20 @@
     ShardSet,
     WeightedService,
 )
-from rhubarbhinge.published import Changes, Snapshot
+from rhubarbhinge.published import Changes, Follower, Snapshot
+from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.testing_values import FUZZ, JSON_VALUES, mutated
+
+ROUTES = (
+    Route("r", "a", "/x/", True, 1e3, 95.0, 2, 2, (), ShardSet(("s", "t"), 5, 0.75)),
+    Route("q", "a", "/y/", False, 1e3, 9.0, 1, 2, (WeightedService("s", 0.5),)),
+)
+PLAN = ServingPlan(7, ROUTES, {"s": Service("s", "/health", 26)}, CallerLimits())
+SEARCHER = Searcher("i-1", "s", "10.0.0.9", 80, "hall-a", 2, False, 700.0, 1_764_720_000_000)
+STATES = (
+    encode_state(Snapshot(12, PLAN, (SEARCHER,), 5.0, {"i-1": 700.0}), "log", 4),
+    encode_state(Changes(13, replace(PLAN, version=9), (SEARCHER,), ("i-2",), 7.0), "log", 4, PLAN),
+)
 
 
 class StateTest(unittest.TestCase):
@@ -67,3 +84,48 @@
     def test_other_bytes_are_a_coded_error(self, data):
         with self.assertRaises(StateError):
             decode_state(data)
+
+    def test_when_a_searcher_started_is_told_and_releases_before_pass_over_it(self):
+        told = decode_state(STATES[0]).state.searchers[0]
+        self.assertEqual(told, SEARCHER)
+        sent = orjson.loads(STATES[0])
+        del sent["searchers"][0]["started_unix_ms"]
+        told = decode_state(orjson.dumps(sent)).state.searchers[0]
+        self.assertEqual(told, replace(SEARCHER, started_unix_ms=None))
+        sent["searchers"][0]["of_a_later_release"] = 5
+        self.assertEqual(decode_state(orjson.dumps(sent)).state.searchers[0], told)
+
+    @FUZZ
+    @given(JSON_VALUES | st.sampled_from(STATES).flatmap(lambda data: mutated(orjson.loads(data))))
+    def test_a_state_with_a_fault_is_one_that_can_be_held_or_a_coded_error(self, value):
+        try:
+            told = decode_state(msgspec.json.encode(value), KnownState(PLAN, (SEARCHER,), "d"))
+        except StateError:
+            return
+        timers = FakeTimers()
+        fleet = Fleet(timers.now_ms, lambda observed: None)
+        follower = Follower(timers, _NoSource(), fleet, random.Random(1), _use)
+        follower.offer(Snapshot(5, PLAN, (SEARCHER,)))
+        if isinstance(told.state, Snapshot):
+            follower.offer(told.state)
+        else:
+            follower._apply(told.state)
+        timers.advance(5_000.0)
+        encode_state(follower.snapshot(), "log", 1)
+
+
+class _NoSource:
+    """A source that never answers."""
+
+    def read_all(self, on_done) -> None:
+        pass
+
+    def wait_for_changes(self, after_revision, on_done) -> None:
+        pass
+
+
+def _use(plan: ServingPlan) -> None:
+    for route in plan.routes:
+        plan.find(route.host, route.path_prefix)
+        if route.shards is None:
+            Splitter().next(route)
--- a/rhubarbhinge/plans/_caller_limits.py
+++ b/rhubarbhinge/plans/_caller_limits.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from rhubarbhinge.utils.bounded_types import Count, Milliseconds
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -13,7 +15,7 @@
     :param idle_timeout_ms: longest that a connection is kept between two requests.
     """
 
-    header_bytes: int = 16_384
-    body_bytes: int = 1_048_576
-    header_timeout_ms: float = 5_000.0
-    idle_timeout_ms: float = 60_000.0
+    header_bytes: Count = 16_384
+    body_bytes: Count = 1_048_576
+    header_timeout_ms: Milliseconds = 5_000.0
+    idle_timeout_ms: Milliseconds = 60_000.0
--- a/rhubarbhinge/plans/_plan_change.py
+++ b/rhubarbhinge/plans/_plan_change.py
@@ -7,6 +7,7 @@
 from rhubarbhinge.plans._route import Route
 from rhubarbhinge.plans._service import Service
 from rhubarbhinge.plans._serving_plan import ServingPlan
+from rhubarbhinge.utils.bounded_types import Count
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,8 +18,8 @@
     :param count: how many.
     """
 
-    start: int
-    count: int
+    start: Count
+    count: Count
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhinge/plans/_route.py
+++ b/rhubarbhinge/plans/_route.py
@@ -4,6 +4,7 @@
 
 from rhubarbhinge.plans._shard_set import ShardSet
 from rhubarbhinge.plans._weighted_service import WeightedService
+from rhubarbhinge.utils.bounded_types import Count, Milliseconds, Name, Rank
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,15 +21,20 @@
     :param max_attempts: most searchers that may execute one request, for each shard.
     :param services: where a request goes, one of these by weight; empty for a search.
     :param shards: the shards of a search, to all of which it is sent; None otherwise.
+    :raises ValueError: when it has neither services nor shards.
     """
 
-    name: str
-    host: str
+    name: Name
+    host: Name
     path_prefix: str
     idempotent: bool
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int
-    max_attempts: int
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds
+    priority: Rank
+    max_attempts: Count
     services: tuple[WeightedService, ...] = ()
     shards: ShardSet | None = None
+
+    def __post_init__(self) -> None:
+        if not self.services and self.shards is None:
+            raise ValueError(f"the route {self.name} names neither services nor shards")
--- a/rhubarbhinge/plans/_service.py
+++ b/rhubarbhinge/plans/_service.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from rhubarbhinge.utils.bounded_types import Count, Name
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -12,6 +14,6 @@
     :param max_connections: most connections that one searcher takes from all callers together.
     """
 
-    name: str
+    name: Name
     health_path: str
-    max_connections: int
+    max_connections: Count
--- a/rhubarbhinge/plans/_shard_set.py
+++ b/rhubarbhinge/plans/_shard_set.py
@@ -1,6 +1,11 @@
 """The shards that a search is sent to."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from rhubarbhinge.utils.bounded_types import Count, Name, Share
 
 
 @dataclass(frozen=True, slots=True)
@@ -10,11 +15,16 @@
     :param services: names of the shards.
     :param top_k: how many of the greatest records the answer holds.
     :param least_share: smallest share of shards, 0 to 1, that makes an answer a success.
+    :raises ValueError: when a shard is named twice.
     """
 
-    services: tuple[str, ...]
-    top_k: int
-    least_share: float
+    services: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    top_k: Count
+    least_share: Share
+
+    def __post_init__(self) -> None:
+        if len(set(self.services)) != len(self.services):
+            raise ValueError("a search names a shard twice")
 
     def is_enough(self, parts: int) -> bool:
         """Tell whether so many parts make an answer.
--- a/rhubarbhinge/plans/_weighted_service.py
+++ b/rhubarbhinge/plans/_weighted_service.py
@@ -1,6 +1,14 @@
 """A service with its share of a route's requests."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from rhubarbhinge.utils.bounded_types import Name
+
+MOST_WEIGHT = 1e9
+"""Greatest weight; sums of a route's weights and claims keep their fractions."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,5 +19,5 @@
     :param weight: its share, relative to the other services of the route.
     """
 
-    name: str
-    weight: float
+    name: Name
+    weight: Annotated[float, Meta(ge=0, le=MOST_WEIGHT)]
--- a/rhubarbhinge/published/__init__.py
+++ b/rhubarbhinge/published/__init__.py
@@ -6,5 +6,16 @@
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
+from rhubarbhinge.published._unusable_entries import UnusableEntries
+from rhubarbhinge.published._unusable_entry import UnusableEntry
 
-__all__ = ["ChangeLog", "Changes", "Follower", "ReadFault", "Snapshot", "Source"]
+__all__ = [
+    "ChangeLog",
+    "Changes",
+    "Follower",
+    "ReadFault",
+    "Snapshot",
+    "Source",
+    "UnusableEntries",
+    "UnusableEntry",
+]
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -5,6 +5,7 @@
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._unusable_entry import UnusableEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +20,7 @@
     :param by_peer: whether a peer told it, which costs the platform no call.
     :param lapsed_ms: which searchers are no longer published, and how long the peer that tells it
         still keeps them; the revision covers their removal, so it is not told again.
+    :param unusable: what the platform holds that can't be used; peers tell nothing of it.
     """
 
     revision: int
@@ -28,3 +30,4 @@
     age_ms: float = 0.0
     by_peer: bool = False
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
+    unusable: tuple[UnusableEntry, ...] = ()
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -7,11 +7,15 @@
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._gone_starts import GoneStarts
 from rhubarbhinge.published._lapsed import LapsedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._searcher_notes import SearcherNotes
 from rhubarbhinge.published._searchers_digest import searchers_digest
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
+from rhubarbhinge.published._unusable_entries import UnusableEntries
+from rhubarbhinge.published._unusable_entry import UnusableEntry
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 
@@ -51,6 +55,7 @@
     :param rng: spreads the pauses.
     :param on_plan: told each new configuration.
     :ivar log: the latest changes, for entries that follow this one.
+    :ivar unusable: what the platform holds that names no searcher to use, or is no configuration.
     :ivar on_changed: called when the log has grown.
     """
 
@@ -76,6 +81,9 @@
         self._told_ms = float("-inf")
         self._silence_ms = 0.0
         self._lapsed = LapsedSearchers(timers, self._remove)
+        self._gone_starts = GoneStarts()
+        self._notes = SearcherNotes(timers)
+        self.unusable = UnusableEntries(timers.now_ms)
         self.log = ChangeLog(rng)
         self._digest_at = (self.log.position, "")
         self.on_changed: Callable[[], None] = _nothing
@@ -193,6 +201,9 @@
 
     def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
         if snapshot.revision >= self.revision:
+            if not by_peer:
+                self.unusable.replace(snapshot.unusable)
+            self._withdraw(snapshot.unusable)
             self._take_plan(snapshot.plan)
             self._replace(snapshot, by_peer)
 
@@ -251,9 +262,8 @@
         listed = {searcher.incarnation for searcher in snapshot.searchers}
         first = not self._searchers
         for searcher in snapshot.searchers:
-            if searcher.incarnation not in snapshot.lapsed_ms:
-                self._came_back(searcher)
-            self._put(searcher, logged=not first)
+            lapsed = searcher.incarnation in snapshot.lapsed_ms
+            self._take_searcher(searcher, lapsed, logged=not first)
         self._keep_as_told(snapshot.lapsed_ms)
         if first:
             # One line: callers wait while a process starts.
@@ -265,9 +275,9 @@
         if changes.revision < self.revision:
             return
         self._take_plan(changes.plan)
+        self._note_unusable(changes)
         for searcher in changes.searchers:
-            self._came_back(searcher)
-            self._put(searcher)
+            self._take_searcher(searcher)
         self._keep_as_told(changes.lapsed_ms)
         self._vanish(changes.removed, changes.by_peer)
         self.revision = changes.revision
@@ -283,21 +293,33 @@
             if incarnation in self._searchers:
                 self._lapsed.keep(incarnation, left_ms)
 
-    def _put(self, searcher: Searcher, logged: bool = True) -> None:
+    def _take_searcher(self, searcher: Searcher, lapsed: bool = False, logged: bool = True) -> None:
+        """Take what is told of a searcher, unless it is about an earlier start than the known one.
+
+        Such an entry was written late, by a start that is over or on its behalf; nothing says that
+        the later one has left.
+        """
+        known = self._searchers.get(searcher.incarnation)
+        if self._gone_starts.has_later(searcher):
+            return
+        if known is not None and searcher.started_before(known):
+            return
+        if known is not None and known.is_same_start(searcher):
+            searcher = known.updated_by(searcher)
+        if not lapsed:
+            self._came_back(searcher)
+        self._put(searcher, logged)
+
+    def _put(self, searcher: Searcher, logged: bool) -> None:
         known = self._searchers.get(searcher.incarnation)
         if known == searcher:
             return
         self._searchers[searcher.incarnation] = searcher
         self._changed(searcher)
         self._fleet.put(searcher)
-        if logged and (known is None or known.draining != searcher.draining):
-            log_event(
-                "searcher-published",
-                searcher=searcher.incarnation,
-                service=searcher.service,
-                address=f"{searcher.ip}:{searcher.port}",
-                draining=searcher.draining,
-            )
+        same = known is not None and known.is_same_start(searcher)
+        if logged and not (same and known.draining == searcher.draining):
+            self._notes.published(searcher)
 
     def _vanish(self, incarnations: Iterable[str], by_peer: bool) -> None:
         """Take out entries that are no longer published.
@@ -316,6 +338,18 @@
             else:
                 self._lapsed.keep(incarnation, left_ms)
 
+    def _note_unusable(self, changes: Changes) -> None:
+        self.unusable.forget(searcher.incarnation for searcher in changes.searchers)
+        self.unusable.forget(changes.removed)
+        self.unusable.add(changes.unusable)
+        self._withdraw(changes.unusable)
+
+    def _withdraw(self, unusable: Iterable[UnusableEntry]) -> None:
+        """Take out searchers whose entries were overwritten by what names no searcher to use."""
+        for entry in unusable:
+            if entry.incarnation in self._searchers:
+                self._remove(entry.incarnation)
+
     def _note_lapse(self, gone: list[str]) -> None:
         """Keep what vanishes from now on for a while, if too many vanish together to have left."""
         silent = [name for name in gone if not self._searchers[name].draining]
@@ -331,9 +365,11 @@
 
     def _remove(self, incarnation: str) -> None:
         self._lapsed.discard(incarnation)
-        self._searchers.pop(incarnation, None)
+        removed = self._searchers.pop(incarnation, None)
+        if removed is not None:
+            self._gone_starts.add(removed)
         self._changed(incarnation)
-        log_event("searcher-gone", searcher=incarnation, revision=self.revision)
+        self._notes.gone(incarnation, self.revision)
         self._fleet.remove(incarnation)
 
 
--- a/rhubarbhinge/published/_searchers_digest.py
+++ b/rhubarbhinge/published/_searchers_digest.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Iterable
 
-import orjson
+import msgspec
 
 from rhubarbhinge.fleet import Searcher
 
@@ -17,7 +17,7 @@
     :param searchers: the searchers.
     :returns: the digest; empty for none.
     """
-    lines = sorted(orjson.dumps(searcher) for searcher in searchers)
+    lines = sorted(msgspec.json.encode(searcher) for searcher in searchers)
     if not lines:
         return ""
     return hashlib.blake2b(b"\n".join(lines), digest_size=DIGEST_BYTES).hexdigest()
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -5,6 +5,7 @@
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._unusable_entry import UnusableEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,7 @@
     :param age_ms: time since the platform confirmed this, when a peer tells it.
     :param lapsed_ms: which of the searchers are no longer published, and how long the peer that
         tells it still keeps them.
+    :param unusable: what the platform holds that can't be used; peers tell nothing of it.
     """
 
     revision: int
@@ -24,3 +26,4 @@
     searchers: tuple[Searcher, ...]
     age_ms: float = 0.0
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
+    unusable: tuple[UnusableEntry, ...] = ()
--- a/rhubarbhinge/web/_errors.py
+++ b/rhubarbhinge/web/_errors.py
@@ -1,6 +1,6 @@
 """Errors as coded JSON."""
 
-import orjson
+import msgspec
 
 from rhubarbhinge.web._response import Response
 
@@ -22,7 +22,7 @@
     :returns: the answer.
     """
     error = {"code": code, "message": message, "todo": todo}
-    return Response(status, orjson.dumps({"error": error}), headers)
+    return Response(status, msgspec.json.encode({"error": error}), headers)
 
 
 def malformed() -> Response:
--- a/rhubarbhinge/web/_response_writing.py
+++ b/rhubarbhinge/web/_response_writing.py
@@ -60,7 +60,9 @@
         fields.append(("Content-Type", content_type))
     fields += [*headers, ("Content-Length", "0")]
     try:
-        response = h11.Response(status_code=status, headers=fields, reason=_reason(status))
+        # Values that are passed on may hold any byte above 127 (RFC 9110, 5.5).
+        raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
+        response = h11.Response(status_code=status, headers=raw, reason=_reason(status))
         head = h11.Connection(h11.SERVER).send(response)
     except h11.LocalProtocolError as error:
         raise ValueError(f"an answer's head is not well-formed: {error}") from error
