--- a/rhubarbhinge/fleet/_domain_reach.py
+++ b/rhubarbhinge/fleet/_domain_reach.py
@@ -19,11 +19,18 @@
 
     :param now_ms: gives the time.
     :param on_suspect: told a failure domain that may be out of reach; whoever is told verifies it.
+    :param on_heard: told a failure domain each time that it is heard from.
     """
 
-    def __init__(self, now_ms: Callable[[], float], on_suspect: Callable[[str], None]):
+    def __init__(
+        self,
+        now_ms: Callable[[], float],
+        on_suspect: Callable[[str], None],
+        on_heard: Callable[[str], None] = lambda failure_domain: None,
+    ):
         self._now_ms = now_ms
         self._on_suspect = on_suspect
+        self._on_heard = on_heard
         self._heard_ms: dict[str, float] = {}
         self._silent_ms: dict[str, dict[str, float]] = {}
 
@@ -33,6 +40,16 @@
         :param failure_domain: where it runs.
         """
         self._heard_ms[failure_domain] = self._now_ms()
+        self._on_heard(failure_domain)
+
+    def heard_since(self, failure_domain: str, at_ms: float) -> bool:
+        """Tell whether any host of a domain has sent something since a time.
+
+        :param failure_domain: the domain.
+        :param at_ms: the time.
+        :returns: whether one has.
+        """
+        return self._heard_ms.get(failure_domain, float("-inf")) > at_ms
 
     def on_unreachable(self, failure_domain: str, ip: str) -> None:
         """Note that a host can't be reached.
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -15,6 +15,7 @@
 from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gateway._call_terms import ask_terms
 from rhubarbhinge.gateway._connection_shares import connection_shares
+from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._entry_settings import EntrySettings
 from rhubarbhinge.gateway._far_search import far_search
 from rhubarbhinge.gateway._figures import EntryFigures
@@ -89,10 +90,22 @@
         store_client = HttpClient(self.timers).register(self)
         peer_client = HttpClient(self.timers, takes_gzip=True).register(self)
         self._fleet = Fleet(self.timers.now_ms, self._searcher_left)
-        self._reach = DomainReach(self.timers.now_ms, self._verify_domain)
+        self._reach = DomainReach(
+            self.timers.now_ms,
+            lambda failure_domain: self._domain_checks.suspect(failure_domain),
+            lambda failure_domain: self._domain_checks.heard(failure_domain),
+        )
         self._pool = ConnectionPool(
             self.timers, dialect, self._most_connections, self._fleet.mark_gone, self._reach
         ).register(self)
+        self._domain_checks = DomainChecks(
+            self.timers,
+            self._fleet,
+            self._pool,
+            self._reach,
+            self._rng,
+            lambda: self._serving.check(),
+        )
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         preference = expected_cost(settings.failure_domain, self._rng)
         around = Surroundings(
@@ -234,7 +247,7 @@
 
     def _keep_house(self) -> None:
         self._pool.close_idle()
-        self._reach_again()
+        self._domain_checks.probe()
         self._serving.check()
         self._link_use.check()
         now_ms = self.timers.now_ms()
@@ -243,32 +256,6 @@
         if self._event_log is not None:
             self._event_log.flush()
 
-    def _reach_again(self) -> None:
-        for observed in self._fleet.all():
-            if observed.is_down and observed.usable:
-                self._pool.open_ahead(observed)
-
-    def _verify_domain(self, failure_domain: str) -> None:
-        """Use no searcher of a failure domain before it is reached again."""
-        suspects = [
-            observed
-            for observed in self._fleet.all()
-            if observed.searcher.failure_domain == failure_domain
-            and observed.usable
-            and not observed.is_down
-        ]
-        if not suspects:
-            return
-        log_event(
-            "domain-suspected",
-            level="warning",
-            failure_domain=failure_domain,
-            searchers=len(suspects),
-        )
-        for observed in suspects:
-            self._pool.verify(observed)
-        self._serving.check()
-
     def _serving_changed(self, serving: bool) -> None:
         self._callers.close_after_answers(not serving)
 
