--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -130,7 +130,8 @@
         :param value: its value.
         """
         if not self._head_done:
-            self._headers.append((name.lower(), value))
+            # The parser leaves white space at the end, which no value has (RFC 9110, 5.5).
+            self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Find out how the reply ends."""
--- a/rhubarbhinge/plans/tests/test_serving_plan.py
+++ b/rhubarbhinge/plans/tests/test_serving_plan.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet
+from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
 
 
 def route(name: str, host: str, prefix: str) -> Route:
-    return Route(name, host, prefix, True, 1_000.0, 100.0, 1, 2)
+    return Route(name, host, prefix, True, 1_000.0, 100.0, 1, 2, (WeightedService("s", 1.0),))
 
 
 class FindTest(unittest.TestCase):
