--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -182,14 +182,14 @@
             self._parts.lead.on_answered(self._route.name, answer)
             if result.by_time:
                 self._parts.lead.on_delay(self._around.timers.now_ms() - self._answer_by_ms)
+        elif not result.may_have_run:
+            answer = self._refusal("too-few-shards", "Too few shards can answer.")
+            self._answer(answer, "timeout" if result.timed_out else "no-shards", missing)
         elif result.timed_out:
             self._answer(timed_out(), "timeout", missing)
-        elif result.may_have_run:
+        else:
             answer = failed("too-few-shards", "Too few shards answered.")
             self._answer(answer, "too-few-shards", missing)
-        else:
-            answer = self._refusal("too-few-shards", "Too few shards can answer.")
-            self._answer(answer, "no-shards", missing)
 
     def _refusal(self, code: str, message: str) -> Response:
         pause_ms = max(
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -182,6 +182,19 @@
         self.world.timers.advance(501.0)
         self.assertEqual(self.status(), 503)
 
+    def test_a_search_that_was_never_sent_is_refused_when_its_time_is_over(self):
+        # Half of the searchers are away and the others busy: it waited for connections only.
+        self.world.on_send = lambda: setattr(self.world, "unsent_next", True)
+        self.ask("/all/x")
+        self.world.timers.advance(600.0)
+        self.assertEqual(self.status(), 503)
+        self.assertGreater(self.retry_after(), 0.0)
+
+    def test_a_search_that_may_have_run_is_not_refused_when_its_time_is_over(self):
+        self.ask("/all/x")
+        self.world.timers.advance(600.0)
+        self.assertEqual(self.status(), 504)
+
     def test_a_caller_that_leaves_stops_the_searchers(self):
         for path in ("/one/x", "/all/x"):
             self.world.attempts.clear()
