--- /dev/null
+++ b/rhubarbhinge/peers/tests/test_state_service.py
@@ -0,0 +1,70 @@
+"""What an entry answers at the port between entries, to whoever asks."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.members import Member, Membership, Published
+from rhubarbhinge.peers import decode_state
+from rhubarbhinge.peers._known_state import PLAN_PARAMETER, SEARCHERS_PARAMETER
+from rhubarbhinge.peers._paths import CHANGES_PATH, MEMBERS_PATH, STATE_PATH
+from rhubarbhinge.peers._state_service import StateService
+from rhubarbhinge.peers.tests.telling import ToldSource
+from rhubarbhinge.plans import CallerLimits, ServingPlan
+from rhubarbhinge.published import Follower, Snapshot
+from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.testing_values import FUZZ
+from rhubarbhinge.web import Request, Responder, Response
+
+ODD_NUMBERS = st.sampled_from(
+    ["", "-1", "0", "1", "\u00b2", "\u0661", "9" * 18, "9" * 5_000, "1e3"]
+)
+PARAMETERS = ("log", "after", PLAN_PARAMETER, SEARCHERS_PARAMETER)
+
+
+class StateServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = FakeTimers()
+        source = ToldSource()
+        fleet = Fleet(self.timers.now_ms, lambda observed: None)
+        self.follower = Follower(self.timers, source, fleet, random.Random(1), lambda plan: None)
+        membership = Membership(
+            self.timers,
+            Member("vm-1", "10.0.0.1", "hall-a", 1),
+            (),
+            random.Random(1),
+            lambda ip, heartbeat: None,
+            lambda: Published(0, -1.0),
+        )
+        self.service = StateService(self.timers, self.follower, membership, lambda: True)
+        self.follower.start()
+        plan = ServingPlan(7, (), {}, CallerLimits())
+        source.answer(Snapshot(5, plan, (Searcher("i-1", "s", "10.0.0.9", 80, "hall-a", 2),)))
+
+    def ask(self, path: str, query: dict[str, str]) -> Response:
+        answers: list[Response] = []
+        request = Request("GET", path, query, {}, b"", "10.0.0.2", path, ())
+        self.service.answer(request, Responder(answers.append))
+        self.timers.advance(5_000.0)
+        (answer,) = answers
+        return answer
+
+    @FUZZ
+    @given(
+        st.sampled_from([STATE_PATH, CHANGES_PATH, MEMBERS_PATH, "/other"]),
+        st.dictionaries(st.sampled_from(PARAMETERS), ODD_NUMBERS | st.text(max_size=6)),
+    )
+    def test_any_query_is_answered(self, path, query):
+        answer = self.ask(path, query)
+        self.assertEqual(answer.status, 404 if path == "/other" else 200)
+        if path in (STATE_PATH, CHANGES_PATH):
+            self.assertEqual(decode_state(answer.body).state.revision, 5)
+
+    def test_who_is_at_the_newest_place_waits_and_is_told_that_nothing_changed(self):
+        log = self.follower.log
+        query = {"log": log.id, "after": str(log.position)}
+        told = decode_state(self.ask(CHANGES_PATH, query).body)
+        self.assertEqual((told.state.searchers, told.position), ((), log.position))
