--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -4,9 +4,10 @@
 import random
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 
 from circuits import BaseComponent
+from msgspec import Struct
+from msgspec.structs import replace
 
 from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
@@ -50,8 +51,7 @@
 shards that are left have to be asked otherwise."""
 
 
-@dataclass(slots=True, eq=False)
-class _Link:
+class _Link(Struct, eq=False):
     """State of one link."""
 
     ip: str
@@ -60,8 +60,7 @@
     is_open: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class _Asking:
+class _Asking(Struct, eq=False):
     """State of one ask."""
 
     link: int
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -1,8 +1,7 @@
 """What entries say to each other about parts of searches."""
 
-from dataclasses import dataclass
-
 import msgspec
+from msgspec import Struct
 
 from rhubarbhinge.net import FrameError
 from rhubarbhinge.utils.bounded_types import Count, FieldValue, Milliseconds, Rank
@@ -14,8 +13,7 @@
 """Bytes of the length of a message's head; the body follows the head."""
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(Struct, frozen=True):
     """Search some shards.
 
     :param number: identifies the ask on its link.
@@ -51,8 +49,7 @@
     searcher_started_unix_ms: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Taken:
+class Taken(Struct, frozen=True):
     """An ask has come and is being worked on.
 
     :param number: the ask.
@@ -61,8 +58,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(Struct, frozen=True):
     """What came of an ask, or of the part of it that was told of before as pending.
 
     :param number: the ask.
@@ -83,8 +79,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(Struct, frozen=True):
     """Stop working on an ask.
 
     :param number: the ask.
@@ -93,8 +88,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeaveWanted:
+class LeaveWanted(Struct, frozen=True):
     """Shards of an ask that are to be sent to one more searcher, beyond the first.
 
     :param number: the ask.
@@ -105,8 +99,7 @@
     services: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Leave:
+class Leave(Struct, frozen=True):
     """Shards that may be sent to one more searcher.
 
     :param number: the ask.
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -1,9 +1,10 @@
 """Asks of entries of other failure domains."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 
 from circuits import BaseComponent
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from rhubarbhinge.delegation._attempt_leave import AttemptLeave
 from rhubarbhinge.delegation._link_codec import LinkCodec
@@ -26,8 +27,7 @@
 """Gives what is granted to the calls of an ask."""
 
 
-@dataclass(slots=True, eq=False)
-class _Link:
+class _Link(Struct, eq=False):
     """State of one link."""
 
     codec: LinkCodec = field(default_factory=LinkCodec)
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -3,9 +3,9 @@
 import random
 import time
 import unittest
-from dataclasses import replace
 
 from circuits import BaseComponent
+from msgspec.structs import replace
 
 from rhubarbhinge.delegation import Answer, Ask, AskServer, Delegates
 from rhubarbhinge.delegation._delegates import TAKEN_MS
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -1,12 +1,12 @@
 """Messages between entries."""
 
 import unittest
-from dataclasses import replace
 
 import msgspec
 import orjson
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from rhubarbhinge.delegation import (
     Answer,
--- a/rhubarbhinge/fleet/_searcher.py
+++ b/rhubarbhinge/fleet/_searcher.py
@@ -1,8 +1,10 @@
 """A searcher as it is published."""
 
-from dataclasses import dataclass, replace
 from typing import NamedTuple
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from rhubarbhinge.utils.bounded_types import (
     Capacity,
     Count,
@@ -31,8 +33,7 @@
     port: int
 
 
-@dataclass(frozen=True, slots=True)
-class Searcher:
+class Searcher(Struct, frozen=True):
     """One start of a searcher, as it is published.
 
     A searcher may start again under its id, and then holds and knows nothing of before. What tells
--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -2,7 +2,8 @@
 
 import random
 import unittest
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from rhubarbhinge.fleet import Delays, Fleet, Searcher, SearcherStart, best_searcher, expected_cost
 
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -1,7 +1,8 @@
 """What is granted to one call."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from rhubarbhinge.forward._search_terms import SearchTerms
 
@@ -10,8 +11,7 @@
 the callback is called once it may."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallTerms:
+class CallTerms(Struct, frozen=True):
     """What is granted to one call.
 
     :param route_name: the route, for counts.
--- a/rhubarbhinge/forward/_caller_request.py
+++ b/rhubarbhinge/forward/_caller_request.py
@@ -1,10 +1,9 @@
 """A caller's request on its way to searchers."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
+class CallerRequest(Struct, frozen=True):
     """A caller's request on its way to searchers.
 
     :param id: identifies this attempt of the caller; empty when it gave none.
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -1,17 +1,17 @@
 """One request to one searcher."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from rhubarbhinge.fleet import Delays, ObservedSearcher
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._outcome import Outcome
 from rhubarbhinge.forward._search_terms import SearchTerms
 
 
-@dataclass(frozen=True, slots=True)
-class Exchange:
+class Exchange(Struct, frozen=True):
     """One request to one searcher.
 
     :param searcher: who shall execute it.
--- a/rhubarbhinge/forward/_lane.py
+++ b/rhubarbhinge/forward/_lane.py
@@ -1,7 +1,8 @@
 """Connections to one searcher, and what waits for one."""
 
 import heapq
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from rhubarbhinge.fleet import ObservedSearcher
 from rhubarbhinge.forward._exchanging import Exchanging
@@ -11,8 +12,7 @@
 """With less than this part of the usual delay left a request would mostly be run in vain."""
 
 
-@dataclass(slots=True, eq=False)
-class Connection:
+class Connection(Struct, eq=False):
     """State of one connection."""
 
     link: int
@@ -24,8 +24,7 @@
     skipped: int = 0
 
 
-@dataclass(slots=True)
-class Lane:
+class Lane(Struct):
     """Connections to one searcher, and what waits for one; the idle one used last is next."""
 
     idle: list[Connection] = field(default_factory=list)
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -1,8 +1,9 @@
 """How one attempt at one searcher came out."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 
 
@@ -25,8 +26,7 @@
     """What came was no reply to this request."""
 
 
-@dataclass(frozen=True, slots=True)
-class Replied:
+class Replied(Struct, frozen=True):
     """The searcher executed the request and replied, with a success or a failure.
 
     :param reply: its whole reply.
@@ -37,8 +37,7 @@
     delay_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(Struct, frozen=True):
     """The request was certainly not executed.
 
     :param why: the cause.
@@ -47,8 +46,7 @@
     why: Why
 
 
-@dataclass(frozen=True, slots=True)
-class Lost:
+class Lost(Struct, frozen=True):
     """The request was sent, and it is not known whether it was executed.
 
     :param why: the cause.
--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -1,8 +1,8 @@
 """Replies out of the bytes of one connection."""
 
-from dataclasses import dataclass, replace
-
 import httptools
+from msgspec import Struct
+from msgspec.structs import replace
 
 HEAD_BYTES = 64 * 1024
 """Most bytes of a reply's status line and headers; far above what searchers send."""
@@ -23,8 +23,7 @@
         self.code = code
 
 
-@dataclass(frozen=True, slots=True)
-class RawReply:
+class RawReply(Struct, frozen=True):
     """A whole reply as it was read.
 
     :param status: the status code.
--- a/rhubarbhinge/forward/_result.py
+++ b/rhubarbhinge/forward/_result.py
@@ -1,13 +1,12 @@
 """How a request to one of several searchers came out."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.forward._outcome import Why
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 
 
-@dataclass(frozen=True, slots=True)
-class Passed:
+class Passed(Struct, frozen=True):
     """A searcher's reply, to be passed on as it is.
 
     :param reply: the reply.
@@ -16,8 +15,7 @@
     reply: SearcherReply
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """The request was executed by no searcher and will not be.
 
     :param why: the last cause, None when no searcher could be asked.
@@ -26,8 +24,7 @@
     why: Why | None
 
 
-@dataclass(frozen=True, slots=True)
-class Failed:
+class Failed(Struct, frozen=True):
     """No reply came, and a searcher may have executed the request.
 
     :param why: the last cause, None when the time was over.
--- a/rhubarbhinge/forward/_search_terms.py
+++ b/rhubarbhinge/forward/_search_terms.py
@@ -1,10 +1,9 @@
 """What another entry has to know to search a shard in this one's place."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class SearchTerms:
+class SearchTerms(Struct, frozen=True):
     """What another entry has to know to search a shard in this one's place.
 
     :param top_k: most records that the answer takes of a shard.
--- a/rhubarbhinge/forward/_searcher_reply.py
+++ b/rhubarbhinge/forward/_searcher_reply.py
@@ -1,10 +1,9 @@
 """A searcher's whole reply."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class SearcherReply:
+class SearcherReply(Struct, frozen=True):
     """A searcher's whole reply, decoded.
 
     :param status: the status code.
--- a/rhubarbhinge/forward/_surroundings.py
+++ b/rhubarbhinge/forward/_surroundings.py
@@ -1,6 +1,6 @@
 """What requests under way share."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.fleet import Fleet, Preference
 from rhubarbhinge.forward._exchange import SendAttempt
@@ -9,8 +9,7 @@
 from rhubarbhinge.timing import TimerService
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
+class Surroundings(Struct, frozen=True):
     """What requests under way share.
 
     :param timers: the timer service.
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -2,9 +2,9 @@
 
 import socket
 import unittest
-from dataclasses import replace
 
 from circuits import BaseComponent
+from msgspec.structs import replace
 
 from rhubarbhinge.fleet import Delays, DomainReach, Fleet, ObservedSearcher, Searcher
 from rhubarbhinge.forward import (
--- a/rhubarbhinge/gateway/_gateway_parts.py
+++ b/rhubarbhinge/gateway/_gateway_parts.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from rhubarbhinge.forward import Dialect, Surroundings
 from rhubarbhinge.gateway._answer_lead import AnswerLead
@@ -11,8 +12,7 @@
 from rhubarbhinge.telemetry import Metrics
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayParts:
+class GatewayParts(Struct, frozen=True):
     """What the requests of a gateway share.
 
     :param surroundings: timers, searchers, budget and connections.
--- a/rhubarbhinge/gather/_far_search.py
+++ b/rhubarbhinge/gather/_far_search.py
@@ -1,15 +1,15 @@
 """How other entries are asked for the shards near them."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from rhubarbhinge.forward import CallerRequest
 from rhubarbhinge.gather._gather_terms import GatherTerms
 
 
-@dataclass(frozen=True, slots=True)
-class FarPart:
+class FarPart(Struct, frozen=True):
     """What another entry found in the shards near it.
 
     :param services: shards whose records are in the body.
@@ -46,8 +46,7 @@
 """Asks the entry at an address to search shards, at one searcher each until more is granted."""
 
 
-@dataclass(frozen=True, slots=True)
-class FarSearch:
+class FarSearch(Struct, frozen=True):
     """How other entries are asked.
 
     :param shards_for: tells which shards to leave to which entry.
--- a/rhubarbhinge/gather/_gather_terms.py
+++ b/rhubarbhinge/gather/_gather_terms.py
@@ -1,13 +1,12 @@
 """What is granted to one search."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.forward import CallTerms
 from rhubarbhinge.plans import ShardSet
 
 
-@dataclass(frozen=True, slots=True)
-class GatherTerms:
+class GatherTerms(Struct, frozen=True):
     """What is granted to one search.
 
     :param route_name: name of its route.
--- a/rhubarbhinge/gather/_results.py
+++ b/rhubarbhinge/gather/_results.py
@@ -1,10 +1,9 @@
 """How a search came out."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class Gathered:
+class Gathered(Struct, frozen=True):
     """A success.
 
     :param signatures: those of the replies that are in it.
@@ -19,8 +18,7 @@
     by_time: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class NotEnough:
+class NotEnough(Struct, frozen=True):
     """Too few shards answered, or can.
 
     :param missing: names of the shards that did not answer.
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -1,9 +1,10 @@
 """One request to each of some shards."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from types import MappingProxyType
 
+from msgspec import Struct
+
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import (
     CallerRequest,
@@ -20,8 +21,7 @@
 """No searcher has had the request before."""
 
 
-@dataclass(frozen=True, slots=True)
-class ShardEnd:
+class ShardEnd(Struct, frozen=True):
     """How the call to one shard came out.
 
     :param service: the shard.
--- a/rhubarbhinge/members/_heartbeat.py
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -1,10 +1,10 @@
 """What entries tell each other now and then."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Struct, field
 
 from rhubarbhinge.members._member import Member, MemberState
 from rhubarbhinge.members._members_codec import Claim
@@ -32,8 +32,7 @@
     code = "bad-heartbeat"
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Struct, frozen=True):
     """What an entry tells another one. Its IP address is the one that it sends from.
 
     :param name: name of its VM.
--- a/rhubarbhinge/members/_member.py
+++ b/rhubarbhinge/members/_member.py
@@ -1,7 +1,8 @@
 """One entry, as it is known."""
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 
 class MemberState(enum.IntEnum):
@@ -13,8 +14,7 @@
     LEFT = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(Struct, frozen=True):
     """One entry, as it is known.
 
     :param name: name of its VM, which a replacement of the process keeps.
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -2,9 +2,10 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import NamedTuple, Protocol
 
+from msgspec.structs import replace
+
 from rhubarbhinge.members._domain_hearing import DomainHearing
 from rhubarbhinge.members._gossip import Gossip
 from rhubarbhinge.members._heartbeat import Heartbeat
--- a/rhubarbhinge/members/tests/test_codec.py
+++ b/rhubarbhinge/members/tests/test_codec.py
@@ -1,12 +1,12 @@
 """Heartbeats and lists of entries, as bytes from anyone."""
 
 import unittest
-from dataclasses import replace
 
 import msgspec
 import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from rhubarbhinge.members import (
     Heartbeat,
--- a/rhubarbhinge/peers/_known_state.py
+++ b/rhubarbhinge/peers/_known_state.py
@@ -1,6 +1,6 @@
 """What an entry has, so that others tell it no more than what it lacks."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
@@ -12,8 +12,7 @@
 """Parameter that tells the digest of the searchers."""
 
 
-@dataclass(frozen=True, slots=True)
-class KnownState:
+class KnownState(Struct, frozen=True):
     """What an entry has of the published state.
 
     :param plan: its configuration; None when it has none.
--- a/rhubarbhinge/peers/_reports.py
+++ b/rhubarbhinge/peers/_reports.py
@@ -1,6 +1,6 @@
 """What other entries told last of the published state."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.members import Member
 
@@ -8,8 +8,7 @@
 """A report is of use for so long; three heartbeats of an entry that sends each second."""
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(Struct, frozen=True):
     """What an entry told last of the published state.
 
     :param member: the entry.
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -1,9 +1,9 @@
 """Published state as entries hand it on."""
 
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
@@ -105,8 +105,7 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class ToldState:
+class ToldState(Struct, frozen=True):
     """What a peer told.
 
     :param state: its state, or what changed since a position of its log.
--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -1,7 +1,8 @@
 """Answers to other entries: published state, its changes, and the list of entries."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from rhubarbhinge.members import Membership, encode_members
 from rhubarbhinge.peers._known_state import PLAN_PARAMETER, SEARCHERS_PARAMETER
@@ -15,8 +16,7 @@
 """Longest number in a query; a text of thousands of digits is refused by ``int`` with an error."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Place:
+class _Place(Struct, frozen=True):
     """What an entry that asks has already.
 
     :param log_id: the log whose changes it follows; empty for none.
@@ -31,8 +31,7 @@
     searchers: str
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class _Waiting:
+class _Waiting(Struct, frozen=True, eq=False):
     """An entry that waits for changes."""
 
     responder: Responder
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -2,9 +2,9 @@
 
 import random
 import unittest
-from dataclasses import replace
 
 from circuits import BaseComponent
+from msgspec.structs import replace
 
 from rhubarbhinge.members import Heartbeat, Member, encode_heartbeat, encode_members
 from rhubarbhinge.peers import Peers, encode_state
--- a/rhubarbhinge/peers/tests/test_shared_source.py
+++ b/rhubarbhinge/peers/tests/test_shared_source.py
@@ -2,7 +2,8 @@
 
 import random
 import unittest
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from rhubarbhinge.members import Member, Membership, MemberState, Published
 from rhubarbhinge.peers import Report, Reports, SharedSource, encode_state
--- a/rhubarbhinge/peers/tests/test_state_codec.py
+++ b/rhubarbhinge/peers/tests/test_state_codec.py
@@ -2,12 +2,12 @@
 
 import random
 import unittest
-from dataclasses import replace
 
 import msgspec
 import orjson
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.gateway import Splitter
--- a/rhubarbhinge/peers/tests/test_telling.py
+++ b/rhubarbhinge/peers/tests/test_telling.py
@@ -9,9 +9,9 @@
 """
 
 import unittest
-from dataclasses import replace
 
 from circuits import BaseComponent
+from msgspec.structs import replace
 
 from rhubarbhinge.peers.tests.telling import FollowingEntry, Reader, large_state
 from rhubarbhinge.published import Changes
--- a/rhubarbhinge/plans/_caller_limits.py
+++ b/rhubarbhinge/plans/_caller_limits.py
@@ -1,12 +1,11 @@
 """Limits on what callers may send."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.utils.bounded_types import Count, Milliseconds
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(Struct, frozen=True):
     """Limits on what callers may send, and on how long they may take.
 
     :param header_bytes: most bytes of a request's line and headers.
--- a/rhubarbhinge/plans/_plan_change.py
+++ b/rhubarbhinge/plans/_plan_change.py
@@ -1,7 +1,8 @@
 """What changed from one version of the configuration to another."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from rhubarbhinge.plans._caller_limits import CallerLimits
 from rhubarbhinge.plans._route import Route
@@ -10,8 +11,7 @@
 from rhubarbhinge.utils.bounded_types import Count
 
 
-@dataclass(frozen=True, slots=True)
-class KeptRoutes:
+class KeptRoutes(Struct, frozen=True):
     """Routes in a row that stay as they were.
 
     :param start: place of the first among the routes before.
@@ -22,8 +22,7 @@
     count: Count
 
 
-@dataclass(frozen=True, slots=True)
-class PlanChange:
+class PlanChange(Struct, frozen=True):
     """What makes one version of the configuration out of another.
 
     :param base_version: the version that it starts from.
--- a/rhubarbhinge/plans/_route.py
+++ b/rhubarbhinge/plans/_route.py
@@ -1,14 +1,13 @@
 """Where requests of one kind go."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.plans._shard_set import ShardSet
 from rhubarbhinge.plans._weighted_service import WeightedService
 from rhubarbhinge.utils.bounded_types import Count, Milliseconds, Name, Rank
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Where requests of one kind go, and what is promised for them.
 
     :param name: the route's name.
--- a/rhubarbhinge/plans/_service.py
+++ b/rhubarbhinge/plans/_service.py
@@ -1,12 +1,11 @@
 """A group of searchers that answer alike."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from rhubarbhinge.utils.bounded_types import Count, Name
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """A group of searchers that answer alike: all replicas of one shard, or of one record store.
 
     :param name: the service's name.
--- a/rhubarbhinge/plans/_serving_plan.py
+++ b/rhubarbhinge/plans/_serving_plan.py
@@ -1,15 +1,16 @@
 """One version of the configuration, as the deciding parts know it."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from functools import cached_property
+
+from msgspec import Struct
 
 from rhubarbhinge.plans._caller_limits import CallerLimits
 from rhubarbhinge.plans._route import Route
 from rhubarbhinge.plans._service import Service
 
 
-@dataclass(frozen=True, slots=True)
-class ServingPlan:
+class ServingPlan(Struct, frozen=True, dict=True):
     """One version of the configuration; a request keeps to the plan it was read under.
 
     :param version: grows with each change.
@@ -22,11 +23,10 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits
-    _by_prefix: dict[tuple[str, str], Route] = field(init=False, repr=False, compare=False)
 
-    def __post_init__(self) -> None:
-        index = {(route.host, route.path_prefix): route for route in self.routes}
-        object.__setattr__(self, "_by_prefix", index)
+    @cached_property
+    def _by_prefix(self) -> dict[tuple[str, str], Route]:
+        return {(route.host, route.path_prefix): route for route in self.routes}
 
     def find(self, host: str, path: str) -> Route | None:
         """Find the route of a request: that of its host with the longest matching prefix.
--- a/rhubarbhinge/plans/_shard_set.py
+++ b/rhubarbhinge/plans/_shard_set.py
@@ -1,15 +1,13 @@
 """The shards that a search is sent to."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, Struct
 
 from rhubarbhinge.utils.bounded_types import Count, Name, Share
 
 
-@dataclass(frozen=True, slots=True)
-class ShardSet:
+class ShardSet(Struct, frozen=True):
     """The shards that a search is sent to, each a service, and how its answer is put together.
 
     :param services: names of the shards.
--- a/rhubarbhinge/plans/_weighted_service.py
+++ b/rhubarbhinge/plans/_weighted_service.py
@@ -1,9 +1,8 @@
 """A service with its share of a route's requests."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, Struct
 
 from rhubarbhinge.utils.bounded_types import Name
 
@@ -11,8 +10,7 @@
 """Greatest weight; sums of a route's weights and claims keep their fractions."""
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(Struct, frozen=True):
     """A service with its share of a route's requests.
 
     :param name: the service's name.
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -1,15 +1,15 @@
 """What changed since a revision."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._unusable_entry import UnusableEntry
 
 
-@dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(Struct, frozen=True):
     """What changed since a revision, the newest of each thing.
 
     :param revision: up to which it is told.
--- a/rhubarbhinge/published/_read_fault.py
+++ b/rhubarbhinge/published/_read_fault.py
@@ -1,10 +1,9 @@
 """Why a read brought nothing."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class ReadFault:
+class ReadFault(Struct, frozen=True):
     """Why a read brought nothing.
 
     :param code: the cause, for logs.
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -1,15 +1,15 @@
 """All that is published at one time."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._unusable_entry import UnusableEntry
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """All that is published, as of a revision or later.
 
     :param revision: changes after it may be missing here.
--- a/rhubarbhinge/published/_unusable_entry.py
+++ b/rhubarbhinge/published/_unusable_entry.py
@@ -1,10 +1,9 @@
 """Something published that can't be used."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class UnusableEntry:
+class UnusableEntry(Struct, frozen=True):
     """Something published that can't be used.
 
     :param key: where it is published.
--- a/rhubarbhinge/published/tests/test_starts.py
+++ b/rhubarbhinge/published/tests/test_starts.py
@@ -8,10 +8,10 @@
 
 import random
 import unittest
-from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from rhubarbhinge.fleet import Fleet, ObservedSearcher, Searcher
 from rhubarbhinge.published import Changes, Follower, ReadFault, Snapshot, UnusableEntry
--- a/rhubarbhinge/retries/_budget.py
+++ b/rhubarbhinge/retries/_budget.py
@@ -2,14 +2,14 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 BUCKET_MS = 500.0
 """Counts are kept by half seconds; the window is off by one such span at most, on the safe side."""
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetRule:
+class BudgetRule(Struct, frozen=True):
     """How much may be sent beyond the first time, by all processes together and to each service.
 
     :param ratio: extra sends for each request, such as 0.2.
--- a/rhubarbhinge/web/_coding.py
+++ b/rhubarbhinge/web/_coding.py
@@ -1,7 +1,8 @@
 """Bodies of replies without their content coding."""
 
 import zlib
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from rhubarbhinge.web._reply import Reply
 
--- a/rhubarbhinge/web/_failure.py
+++ b/rhubarbhinge/web/_failure.py
@@ -1,10 +1,9 @@
 """The outcome of a call that got no reply."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(Struct, frozen=True):
     """The outcome of a call that got no reply.
 
     :param code: why, such as ``timeout`` or ``refused``.
--- a/rhubarbhinge/web/_limits.py
+++ b/rhubarbhinge/web/_limits.py
@@ -1,10 +1,9 @@
 """What the server grants its callers."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
+class HttpLimits(Struct, frozen=True):
     """What the server grants its callers.
 
     :param header_bytes: most bytes of a request's line and headers.
--- a/rhubarbhinge/web/_parser.py
+++ b/rhubarbhinge/web/_parser.py
@@ -1,9 +1,10 @@
 """Requests out of the bytes of one connection."""
 
-from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import h11
+from msgspec import Struct
+from msgspec.structs import replace
 
 from rhubarbhinge.web._errors import body_too_large, header_too_large, malformed, unsupported_coding
 from rhubarbhinge.web._heads import HEAD_END, has_bare_line_end, has_odd_length, stated_lengths
@@ -16,8 +17,7 @@
 """Round trips that a caller sees for a connection's first request: the handshake's and its own."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """Why a connection's bytes are not a request that the server takes.
 
     :param response: the answer to send before closing.
--- a/rhubarbhinge/web/_reply.py
+++ b/rhubarbhinge/web/_reply.py
@@ -1,10 +1,9 @@
 """An upstream's answer to a request of ours."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Struct, frozen=True):
     """An upstream's answer to a request of ours.
 
     :param status: the status code.
--- a/rhubarbhinge/web/_reply_head.py
+++ b/rhubarbhinge/web/_reply_head.py
@@ -1,9 +1,9 @@
 """Reply heads, judged by h11 once for each form."""
 
-from dataclasses import dataclass
 from functools import lru_cache
 
 import h11
+from msgspec import Struct
 
 from rhubarbhinge.web._heads import (
     FORMS_KEPT,
@@ -18,8 +18,7 @@
 """Most bytes of a reply's status line and headers."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyHead:
+class ReplyHead(Struct, frozen=True):
     """What a head says, but for the body's length.
 
     :param status: the status code.
--- a/rhubarbhinge/web/_request.py
+++ b/rhubarbhinge/web/_request.py
@@ -1,10 +1,9 @@
 """A request that a caller has made."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """A request that a caller has made.
 
     :param method: the method, such as ``GET``.
--- a/rhubarbhinge/web/_request_reading.py
+++ b/rhubarbhinge/web/_request_reading.py
@@ -1,10 +1,10 @@
 """Request heads of callers, judged by h11 once for each form."""
 
-from dataclasses import dataclass
 from functools import lru_cache
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
+from msgspec import Struct
 
 from rhubarbhinge.web._heads import (
     FORMS_KEPT,
@@ -17,8 +17,7 @@
 LENGTH_NAME = b"content-length"
 
 
-@dataclass(frozen=True, slots=True)
-class RequestHead:
+class RequestHead(Struct, frozen=True):
     """What a request's head says, but for the body's length.
 
     :param method: the method.
--- a/rhubarbhinge/web/_response.py
+++ b/rhubarbhinge/web/_response.py
@@ -1,12 +1,11 @@
 """An answer to a caller's request."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 JSON_TYPE = "application/json"
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """An answer to a caller's request.
 
     :param status: the status code.
