--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -35,6 +35,9 @@
 """A reader whose watch was cut counts as one for so long, and those that wait at it go on: else
 each cut watch would send all entries of the domain to the platform at once."""
 
+OLD_LIST = ReadFault("old-list", history_lost=True)
+"""Told where all has to be listed again, as the first list may have been old."""
+
 OnTold = Callable[[Changes | Snapshot | ReadFault], None]
 
 
@@ -140,7 +143,7 @@
             return
         if reader is None and self._list_is_old:
             # Who is to read for others needs the newest state, and changes are told from there.
-            on_done(ReadFault("old-list", history_lost=True))
+            self._timers.after(0, lambda: on_done(OLD_LIST))
             return
         if reader is None:
             self._wait_at_platform(after_revision, on_done)
