--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -1,21 +1,17 @@
 """Follows what is published, and never goes back."""
 
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
-from rhubarbhinge.published._gone_starts import GoneStarts
-from rhubarbhinge.published._lapsed import LapsedSearchers
+from rhubarbhinge.published._published_searchers import PublishedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
-from rhubarbhinge.published._searcher_notes import SearcherNotes
-from rhubarbhinge.published._searchers_digest import searchers_digest
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
 from rhubarbhinge.published._unusable_entries import UnusableEntries
-from rhubarbhinge.published._unusable_entry import UnusableEntry
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 
@@ -27,17 +23,6 @@
 """Least pause after the platform asked for fewer calls."""
 WATCH_PAUSE_MS = 300.0
 """Pause between two watches, so that changes that come in series cost one call together."""
-LAPSE_GRACE_MS = 2_000.0
-"""Entries that lapsed while the platform was away are back within this time, or gone."""
-LAPSE_COUNT = 5
-LAPSE_SHARE = 0.1
-"""When so many entries, and this part of all, vanish with one answer of the platform, their leases
-ran out while it was away unnoticed; searchers leave one by one, or say before that they drain."""
-LAPSE_SILENCE_MS = 2_000.0
-"""They count as lapsed only when the platform has told nothing for so long; a lease runs longer."""
-LAPSE_HOLD_MS = 1_500.0
-"""How long these are kept. They came back within 1.3 s where this was seen; a searcher that has
-left serves for at least another three seconds, so that no request comes to it too late."""
 CURRENT_MS = 7_000.0
 """Without an answer for so long, a change may have been missed: one watch and its timeout."""
 
@@ -45,9 +30,8 @@
 class Follower:
     """Follows what is published.
 
-    The configuration's version only grows. A failed read changes nothing. Entries that are missing
-    after the platform was away are kept for ``LAPSE_GRACE_MS``, those that vanish with many others
-    for ``LAPSE_HOLD_MS``; then they count as gone.
+    The configuration's version only grows. A failed read changes nothing. What becomes of entries
+    that vanish is told in :class:`PublishedSearchers`.
 
     :param timers: the timer service.
     :param source: reads the platform.
@@ -69,20 +53,13 @@
     ):
         self._timers = timers
         self._source = source
-        self._fleet = fleet
         self._rng = rng
         self._on_plan = on_plan
         self.plan: ServingPlan | None = None
         self.revision = 0
-        self._searchers: dict[str, Searcher] = {}
+        self._searchers = PublishedSearchers(timers, fleet, lambda: self.revision, self._changed)
         self._confirmed_ms: float | None = None
         self._failures = 0
-        self._keep_until_ms = float("-inf")
-        self._told_ms = float("-inf")
-        self._silence_ms = 0.0
-        self._lapsed = LapsedSearchers(timers, self._remove)
-        self._gone_starts = GoneStarts()
-        self._notes = SearcherNotes(timers)
         self.unusable = UnusableEntries(timers.now_ms)
         self.log = ChangeLog(rng)
         self._digest_at = (self.log.position, "")
@@ -127,8 +104,13 @@
 
         :returns: the state.
         """
-        searchers = tuple(self._searchers.values())
-        return Snapshot(self.revision, self.plan, searchers, self.age_ms(), self._lapsed.left_ms())
+        return Snapshot(
+            self.revision,
+            self.plan,
+            self._searchers.all(),
+            self.age_ms(),
+            self._searchers.lapsed_ms(),
+        )
 
     def searchers_digest(self) -> str:
         """Give a digest of all searchers that are known, worked out anew after changes only.
@@ -137,7 +119,7 @@
         """
         position, digest = self._digest_at
         if position != self.log.position:
-            digest = searchers_digest(self._searchers.values())
+            digest = self._searchers.digest()
             self._digest_at = (self.log.position, digest)
         return digest
 
@@ -165,7 +147,7 @@
             tuple(name for name, searcher in newest.items() if searcher is None),
             self.age_ms(),
             True,
-            self._lapsed.left_ms(),
+            self._searchers.lapsed_ms(),
         )
 
     def _changed(self, change: ServingPlan | Searcher | str) -> None:
@@ -202,12 +184,14 @@
         self._watch()
 
     def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
-        if snapshot.revision >= self.revision:
-            if not by_peer:
-                self.unusable.replace(snapshot.unusable)
-            self._withdraw(snapshot.unusable)
-            self._take_plan(snapshot.plan)
-            self._replace(snapshot, by_peer)
+        if snapshot.revision < self.revision:
+            return
+        if not by_peer:
+            self.unusable.replace(snapshot.unusable)
+        self._searchers.withdraw(entry.incarnation for entry in snapshot.unusable)
+        self._take_plan(snapshot.plan)
+        self._searchers.replace(snapshot.searchers, snapshot.lapsed_ms, by_peer)
+        self.revision = snapshot.revision
 
     def _watch(self) -> None:
         self._source.wait_for_changes(self.revision, self._told)
@@ -241,13 +225,11 @@
     def _answered(self, age_ms: float, by_peer: bool) -> None:
         self._confirm(age_ms)
         if not by_peer:
-            now_ms = self._timers.now_ms()
-            self._silence_ms = now_ms - self._told_ms
-            self._told_ms = now_ms
+            self._searchers.on_platform_heard()
         if self._failures:
             log_event("platform-regained", failures=self._failures, revision=self.revision)
             self._failures = 0
-            self._keep_vanished(LAPSE_GRACE_MS)
+            self._searchers.on_platform_back()
 
     # Taking over.
 
@@ -260,119 +242,19 @@
         self._changed(plan)
         self._on_plan(plan)
 
-    def _replace(self, snapshot: Snapshot, by_peer: bool) -> None:
-        listed = {searcher.incarnation for searcher in snapshot.searchers}
-        first = not self._searchers
-        for searcher in snapshot.searchers:
-            lapsed = searcher.incarnation in snapshot.lapsed_ms
-            self._take_searcher(searcher, lapsed, logged=not first)
-        self._keep_as_told(snapshot.lapsed_ms)
-        if first:
-            # One line: callers wait while a process starts.
-            log_event("searchers-listed", searchers=len(listed), revision=snapshot.revision)
-        self._vanish([name for name in self._searchers if name not in listed], by_peer)
-        self.revision = snapshot.revision
-
     def _apply(self, changes: Changes) -> None:
         if changes.revision < self.revision:
             return
         self._take_plan(changes.plan)
-        self._note_unusable(changes)
-        for searcher in changes.searchers:
-            self._take_searcher(searcher)
-        self._keep_as_told(changes.lapsed_ms)
-        self._vanish(changes.removed, changes.by_peer)
-        self.revision = changes.revision
-
-    def _came_back(self, searcher: Searcher) -> None:
-        """Note that a searcher is published, which those who follow this entry have to hear too."""
-        if searcher.incarnation in self._lapsed:
-            self._lapsed.discard(searcher.incarnation)
-            self._changed(searcher)
-
-    def _keep_as_told(self, lapsed_ms: Mapping[str, float]) -> None:
-        for incarnation, left_ms in lapsed_ms.items():
-            if incarnation in self._searchers:
-                self._lapsed.keep(incarnation, left_ms)
-
-    def _take_searcher(self, searcher: Searcher, lapsed: bool = False, logged: bool = True) -> None:
-        """Take what is told of a searcher, unless it is about an earlier start than the known one.
-
-        Such an entry was written late, by a start that is over or on its behalf; nothing says that
-        the later one has left.
-        """
-        known = self._searchers.get(searcher.incarnation)
-        if self._gone_starts.has_later(searcher):
-            return
-        if known is not None and searcher.started_before(known):
-            return
-        if known is not None and known.is_same_start(searcher):
-            searcher = known.updated_by(searcher)
-        if not lapsed:
-            self._came_back(searcher)
-        self._put(searcher, logged)
-
-    def _put(self, searcher: Searcher, logged: bool) -> None:
-        known = self._searchers.get(searcher.incarnation)
-        if known == searcher:
-            return
-        self._searchers[searcher.incarnation] = searcher
-        self._changed(searcher)
-        self._fleet.put(searcher)
-        same = known is not None and known.is_same_start(searcher)
-        if logged and not (same and known.draining == searcher.draining):
-            self._notes.published(searcher)
-
-    def _vanish(self, incarnations: Iterable[str], by_peer: bool) -> None:
-        """Take out entries that are no longer published.
-
-        :param incarnations: the searchers.
-        :param by_peer: whether a peer tells it, which has kept them long enough itself.
-        """
-        gone = [name for name in incarnations if name in self._searchers]
-        if not by_peer:
-            gone = [name for name in gone if name not in self._lapsed]
-            self._note_lapse(gone)
-        left_ms = self._keep_until_ms - self._timers.now_ms()
-        for incarnation in gone:
-            if by_peer or left_ms <= 0 or self._searchers[incarnation].draining:
-                self._remove(incarnation)
-            else:
-                self._lapsed.keep(incarnation, left_ms)
-
-    def _note_unusable(self, changes: Changes) -> None:
         self.unusable.forget(searcher.incarnation for searcher in changes.searchers)
         self.unusable.forget(changes.removed)
         self.unusable.add(changes.unusable)
-        self._withdraw(changes.unusable)
-
-    def _withdraw(self, unusable: Iterable[UnusableEntry]) -> None:
-        """Take out searchers whose entries were overwritten by what names no searcher to use."""
-        for entry in unusable:
-            if entry.incarnation in self._searchers:
-                self._remove(entry.incarnation)
-
-    def _note_lapse(self, gone: list[str]) -> None:
-        """Keep what vanishes from now on for a while, if too many vanish together to have left."""
-        silent = [name for name in gone if not self._searchers[name].draining]
-        if self._silence_ms < LAPSE_SILENCE_MS:
-            return
-        if len(silent) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._searchers)):
-            log_event("searchers-lapsed", level="warning", searchers=len(silent))
-            self._keep_vanished(LAPSE_HOLD_MS)
-
-    def _keep_vanished(self, period_ms: float) -> None:
-        until_ms = self._timers.now_ms() + period_ms
-        self._keep_until_ms = max(self._keep_until_ms, until_ms)
-
-    def _remove(self, incarnation: str) -> None:
-        self._lapsed.discard(incarnation)
-        removed = self._searchers.pop(incarnation, None)
-        if removed is not None:
-            self._gone_starts.add(removed)
-        self._changed(incarnation)
-        self._notes.gone(incarnation, self.revision)
-        self._fleet.remove(incarnation)
+        self._searchers.withdraw(entry.incarnation for entry in changes.unusable)
+        for searcher in changes.searchers:
+            self._searchers.take(searcher)
+        self._searchers.keep(changes.lapsed_ms)
+        self._searchers.vanish(changes.removed, changes.by_peer)
+        self.revision = changes.revision
 
 
 def _nothing() -> None:
--- a/rhubarbhinge/published/tests/test_starts.py
+++ b/rhubarbhinge/published/tests/test_starts.py
@@ -129,7 +129,8 @@
         for one in (*self.drained, *self.left):
             assert not one.usable, "what has left is used"
         known = {one.searcher.incarnation for one in self.fleet.all()}
-        assert known == set(self.follower._searchers), "fleet and published state differ"
+        published = {one.incarnation for one in self.follower.snapshot().searchers}
+        assert known == published, "fleet and published state differ"
 
 
 STEPS = st.lists(
