--- a/standins/tests/test_live_leaving.py
+++ b/standins/tests/test_live_leaving.py
@@ -5,6 +5,7 @@
 from rhubarbhinge.history import drain_bound, no_cut
 from rhubarbhinge.once import OutcomeKind
 from standins.deployment import BY_DOMAIN, Size
+from standins.fleet import wait_until
 from standins.history import monotonic_ms
 from standins.tests._checks import search_violations
 from standins.tests._live import ACTION, LiveCase, in_background
@@ -47,7 +48,7 @@
         leaving = [_BY_REGISTER, _BY_HEADER, _BY_HEALTH, *by_list, _BY_POLLS_HEADER]
         self.addCleanup(self._come_back, leaving)
         with self.load():
-            time.sleep(_UNDER_LOAD_S)
+            self._wait_used(leaving[:-1])
             since_ms = monotonic_ms()
             self._set_leaving({_BY_REGISTER})
             self.live.publish_vms([_LISTED_INSTANCE])
@@ -68,6 +69,14 @@
             self._check_finished(events, name, since_ms)
         self._check_searches()
 
+    def _wait_used(self, names):
+        """Wait until each searcher has got work: one that is passed over for good is a fault."""
+
+        def unused():
+            return set(names) - {each.get("searcher") for each in self.history()}
+
+        self.assertTrue(wait_until(lambda: not unused()), f"unused: {unused()}")
+
     def _searchers_of(self, instance):
         upstreams = self.live.register["upstreams"]
         return [each["name"] for each in upstreams if each["instance"] == instance]
