--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -27,9 +27,9 @@
 """Within so long after its start an entry has heard of most others of its domain, also when all
 start within 300 ms of each other; who has the least name then reads the platform."""
 JOIN_MS = 3_000.0
-"""How long a starting entry looks for the reader before it waits for changes at the platform. Of 195
-entries that start together, some have heard of the least name of their domain after 2 s only. Who
-stays behind a peer takes that peer's state meanwhile."""
+"""How long a starting entry looks for the reader before it waits for changes at the platform. Of
+195 entries that start together, some have heard of the least name of their domain after 2 s only.
+Who stays behind a peer takes that peer's state meanwhile."""
 JOIN_POLL_MS = 50.0
 """How often it looks meanwhile."""
 JOIN_RETRY_MS = 250.0
@@ -215,8 +215,8 @@
     def _may_read(self, member: Member, now_ms: float) -> bool:
         report = self._reports.get(member.name, now_ms)
         if self._up_ms() < JOIN_MS:
-            # Of a fleet that starts as a whole nobody is settled, and the least name reads. An entry
-            # that does not read says so at once.
+            # Of a fleet that starts as a whole nobody is settled, and the least name reads. An
+            # entry that does not read says so at once.
             return self._up_ms() >= KNOW_MS or (report is not None and report.age_ms >= 0)
         if report is None:
             return self._membership.known_for_ms(member.name) >= SETTLED_MS
