--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -10,10 +10,11 @@
 from rhubarbhinge.peers._state_codec import encode_state
 from rhubarbhinge.published import Changes, Follower, Snapshot
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.whole_number import whole_number
 from rhubarbhinge.web import Request, Responder, Response, error_response
 
 MOST_DIGITS = 18
-"""Longest number in a query; a text of thousands of digits is refused by ``int`` with an error."""
+"""Longest number in a query; places in the log and versions have fewer."""
 
 
 class _Place(Struct, frozen=True):
@@ -141,5 +142,5 @@
 
 def _number(text: str) -> int:
     """Read a number of a query, -1 for none."""
-    is_number = text.isascii() and text.isdigit() and len(text) <= MOST_DIGITS
-    return int(text) if is_number else -1
+    number = whole_number(text, MOST_DIGITS)
+    return -1 if number is None else number
--- a/rhubarbhinge/published/_published_searchers.py
+++ b/rhubarbhinge/published/_published_searchers.py
@@ -56,9 +56,6 @@
         self._told_ms = float("-inf")
         self._silence_ms = 0.0
 
-    def __len__(self) -> int:
-        return len(self._by_incarnation)
-
     def all(self) -> tuple[Searcher, ...]:
         """Give all that are known, those that are kept for a while included.
 
