forward, gateway: a line at a request's end tells its fingerprint

Cause: logs name one attempt of a caller, so that they can't show whether requests under which searchers end are one request that comes again.

--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -4,6 +4,7 @@
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
+from rhubarbhinge.forward._fingerprint import fingerprint
 from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
 from rhubarbhinge.forward._pool import ConnectionPool
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyReader
@@ -39,4 +40,5 @@
     "Story",
     "Surroundings",
     "Why",
+    "fingerprint",
 ]
--- a/rhubarbhinge/forward/_caller_request.py
+++ b/rhubarbhinge/forward/_caller_request.py
@@ -10,12 +10,15 @@
     :param head: request line and headers that are passed on, without those set for each searcher.
     :param body: the whole body.
     :param wait_ms: how long the caller said that it waits; None when it did not say.
+    :param fingerprint: equal for all attempts at the same request, by any entry; empty when it is
+        not known.
     """
 
     id: str
     head: bytes
     body: bytes
     wait_ms: float | None
+    fingerprint: str = ""
 
     @property
     def wants_body(self) -> bool:
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -223,6 +223,7 @@
         log_event(
             "request-ended",
             request=self._asked.id,
+            fingerprint=self._asked.fingerprint,
             route=self._route.name,
             priority=self._route.priority,
             plan=self._plan.version,
