--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -1,6 +1,7 @@
 """A deployment on loopback: store and searchers in a thread, entries as processes."""
 
 import asyncio
+import functools
 import http.client
 import itertools
 import os
@@ -9,6 +10,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -263,6 +265,42 @@
         self.put(f"servers/{incarnation}", searcher.entry())
         return searcher
 
+    def end_on(self, path: str, back_after_s: float, ended: list[float]) -> None:
+        """Let a request end each searcher that begins it; it starts again under its id.
+
+        :param path: a part of the request's path.
+        :param back_after_s: when a searcher that has ended starts again.
+        :param ended: gets the time of each end, on the steady clock.
+        """
+
+        def ends(searcher: Searcher) -> None:
+            ended.append(time.monotonic())
+            self._loop.call_later(back_after_s, self._start_again, searcher)
+
+        for searcher in self.searchers.values():
+            searcher.on_ended = functools.partial(ends, searcher)
+            searcher.ends_on = path
+
+    def end(self, searchers: list[Searcher], back_after_s: float) -> None:
+        """End searchers at once; they start again under their ids.
+
+        :param searchers: the searchers.
+        :param back_after_s: when they start again.
+        """
+
+        def ending() -> None:
+            for searcher in searchers:
+                searcher.crash()
+                self._loop.call_later(back_after_s, self._start_again, searcher)
+
+        self.run(ending)
+
+    def _start_again(self, searcher: Searcher) -> None:
+        searcher.start_again(int(time.time() * 1e3))
+        self.model.put(f"servers/{searcher.incarnation}", searcher.entry())
+        for store in self.stores.values():
+            store.changed()
+
     def put(self, key: str, value: object) -> None:
         """Write to the store.
 
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -10,6 +10,8 @@
 RECORD_BYTES = 16
 SLOTS = 4
 """Requests that a searcher executes at a time, as its entry in the store says."""
+ENDS_AFTER_MS = 8.0
+"""So long after a request that ends it was begun a searcher is gone."""
 QUEUE = 12
 """Requests that wait for a slot; further ones are refused."""
 
@@ -25,6 +27,8 @@
     :ivar work_ms: gives how long a request with a path takes, in place of ``delay_ms``.
     :ivar slots: how many requests it executes at a time.
     :ivar refuses: whether it has no room.
+    :ivar ends_on: a part of the paths of requests that end it, some time after it began them.
+    :ivar on_ended: told when a request has ended it.
     :ivar arrivals: ids of the requests that it got, in order.
     :ivar begun: ids of those that it began to execute.
     :ivar ran: ids of those that it executed to the end.
@@ -42,6 +46,8 @@
         self.work_ms: Callable[[str], float] = lambda path: self.delay_ms
         self.slots = SLOTS
         self.refuses = False
+        self.ends_on = ""
+        self.on_ended: Callable[[], None] = lambda: None
         self.arrivals: list[str] = []
         self.begun: list[str] = []
         self.ran: list[str] = []
@@ -65,6 +71,17 @@
         if self._server.is_listening:
             self._server.stop_listening()
 
+    def start_again(self, born: int) -> None:
+        """Start again under the same id and address, knowing nothing of before.
+
+        :param born: Unix time of its start, in ms.
+        """
+        self.born = born
+        self._server = Server(self._requested, self._gone, lambda count: 0.0)
+        self._open.clear()
+        self._waiting.clear()
+        self._server.listen("127.0.0.1", self.port)
+
     def crash(self) -> None:
         """Refuse new connections and break all others off, as a process that ends."""
         self.close()
@@ -133,10 +150,17 @@
         while self._waiting and len(self._open) < self.slots:
             connection, request_id, path = self._waiting.popleft()
             loop = asyncio.get_running_loop()
+            if self.ends_on and self.ends_on in path:
+                loop.call_later(ENDS_AFTER_MS / 1e3, self._end)
             timer = loop.call_later(self.work_ms(path) / 1e3, self._done, connection, request_id)
             self._open[connection] = (request_id, timer)
             self.begun.append(request_id)
 
+    def _end(self) -> None:
+        if self._server.is_listening:
+            self.crash()
+            self.on_ended()
+
     def _done(self, connection: Connection, request_id: str) -> None:
         del self._open[connection]
         self._execute_next()
