quarantine: a request that ends the searchers that execute it is recognized, stopped, refused, tried again

Cause: nothing knew a request beyond one attempt of its caller. Retries, hedges, asks and the caller's next attempt each took one more searcher; a loss said nothing of the next send. Class: a fault of the input taken for a fault of the replica. Ruled out: leaving out searchers that broke off (they are not at fault), a lower attempt limit (good requests pay for it), a canary before every search (one reply later for all). Change: * a search without any reply whose searchers end sends its further attempts one at a time; when that one's searcher ends, too, the search is stopped and answered. Any reply lets all go on. That a searcher ended is found out by a connection (refused: gone); entries that are asked tell their losses and replies with the leave that they want. * what is known of a request (fingerprint, marks of the searchers that ended) joins in any order (later round, cleared, union); told at once to 8 entries of the domain and 2 of each other one, passed on once, and carried by heartbeats while it holds. * refused with 503 and the time of the next trial; one entry by rendezvous hashing tries it at one searcher, after 60 s, then five times as long each. A reply clears it everywhere. Three such requests of one route make its other searches go to one searcher first.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -20,7 +20,7 @@
     Taken,
 )
 from rhubarbhinge.fleet import DomainReach
-from rhubarbhinge.gather import GrantAttempts
+from rhubarbhinge.gather import FarNews, GrantAttempts
 from rhubarbhinge.members import Member, Membership
 from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
@@ -91,6 +91,13 @@
         """Give the ask up; the other entry stops its searchers."""
         self._delegates.cancel(self._number)
 
+    def grant(self, services: tuple[str, ...]) -> None:
+        """Let shards go to one more searcher.
+
+        :param services: the shards.
+        """
+        self._delegates.grant(self._number, services)
+
 
 class Delegates(BaseComponent):
     """Asks entries of other failure domains, one link to each.
@@ -187,6 +194,16 @@
             asking.timer.cancel()
             self._send(asking.link, Cancel(number))
 
+    def grant(self, number: int, services: tuple[str, ...]) -> None:
+        """Let shards of an ask go to one more searcher.
+
+        :param number: the ask.
+        :param services: the shards.
+        """
+        asking = self._asking.get(number)
+        if asking is not None:
+            self._send(asking.link, Leave(number, services))
+
     def _rank(self, member: Member) -> int:
         """Order entries differently for each entry that asks."""
         return zlib.crc32(f"{self._membership.me.name} {member.name}".encode())
@@ -232,7 +249,8 @@
                 del self._asking[message.number]
             asking.on_answer(message)
         elif isinstance(message, LeaveWanted):
-            granted = asking.grant(message.services)
+            news = FarNews(message.ended, message.replied)
+            granted = asking.grant(message.services, news)
             if granted:
                 self._send(asking.link, Leave(message.number, granted))
         elif not isinstance(message, Taken):
--- a/rhubarbhinge/delegation/_far_sends.py
+++ b/rhubarbhinge/delegation/_far_sends.py
@@ -16,6 +16,7 @@
     SendAttempt,
     Why,
 )
+from rhubarbhinge.gather import FarNews
 from rhubarbhinge.timing import TimerService
 
 
@@ -64,15 +65,10 @@
             return self._direct(exchange, tell)
         attempt = _AskedAttempt(self._timers, next(self._numbers), exchange, tell)
         ask = _ask(exchange, self._timers.now_ms())
-        attempt.ask = self._delegates.ask(addresses[0], ask, attempt.take, _grant_nothing)
+        attempt.ask = self._delegates.ask(addresses[0], ask, attempt.take, attempt.grant_nothing)
         return attempt
 
 
-def _grant_nothing(services: tuple[str, ...]) -> tuple[str, ...]:
-    """Agree to no second attempt of the other entry: this one is the call's own."""
-    return ()
-
-
 def _ask(exchange: Exchange, now_ms: float) -> Ask:
     left_ms = max(0.0, exchange.deadline_ms - now_ms)
     answer_in_ms = exchange.due_ms - now_ms - ANSWER_MARGIN_MS
@@ -106,7 +102,16 @@
     :ivar ask: the ask under way.
     """
 
-    __slots__ = ("_timers", "_number", "_exchange", "_tell", "_sent_ms", "_over", "ask")
+    __slots__ = (
+        "_timers",
+        "_number",
+        "_exchange",
+        "_tell",
+        "_sent_ms",
+        "_over",
+        "_searcher_ended",
+        "ask",
+    )
 
     sent = True
 
@@ -123,6 +128,7 @@
         self._tell = tell
         self._sent_ms = timers.now_ms()
         self._over = False
+        self._searcher_ended = False
         self.ask: Delegate | None = None
         exchange.searcher.on_sent(number, self._sent_ms)
 
@@ -137,6 +143,16 @@
         typical_ms = self._exchange.delays.quantile(0.5)
         self._exchange.searcher.on_cancelled(self._number, waited_ms, typical_ms, now_ms)
 
+    def grant_nothing(self, services: tuple[str, ...], news: FarNews) -> tuple[str, ...]:
+        """Agree to no second attempt of the other entry, as this one is the call's own.
+
+        :param services: shards for which it wants one.
+        :param news: how its attempt fares.
+        :returns: none of them.
+        """
+        self._searcher_ended = self._searcher_ended or bool(news.ended)
+        return ()
+
     def take(self, answer: Answer | None) -> None:
         """Take what the other entry says.
 
@@ -161,7 +177,7 @@
             searcher.on_refused(self._number, now_ms)
             return NotRun(Why.NO_ROOM)
         searcher.on_withdrawn(self._number)
-        return Lost(Why.BROKEN)
+        return Lost(Why.BROKEN, self._searcher_ended)
 
 
 def _reply(request_id: str, answer: Answer) -> SearcherReply:
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 from msgspec import Struct
 
+from rhubarbhinge.gather import EndedSearcher
 from rhubarbhinge.net import FrameError
 from rhubarbhinge.utils.bounded_types import Count, FieldValue, Milliseconds, Rank
 from rhubarbhinge.utils.strict_json import json_reader
@@ -92,11 +93,15 @@
     """Shards of an ask that are to be sent to one more searcher, beyond the first.
 
     :param number: the ask.
-    :param services: the shards.
+    :param services: the shards; none where only the rest is told.
+    :param ended: searchers that ended while they had the request.
+    :param replied: whether any searcher has executed the request and replied.
     """
 
     number: int
     services: tuple[str, ...]
+    ended: tuple[EndedSearcher, ...] = ()
+    replied: bool = False
 
 
 class Leave(Struct, frozen=True):
@@ -151,8 +156,12 @@
 
 
 class _SentLeaveWanted(msgspec.Struct, frozen=True, array_like=True, tag=LEAVE_WANTED):
+    """Earlier releases leave out what follows the services, and pass over it."""
+
     number: Count
     services: tuple[str, ...]
+    ended: tuple[tuple[str, Count], ...] = ()
+    replied: bool = False
 
 
 class _SentLeave(msgspec.Struct, frozen=True, array_like=True, tag=LEAVE):
@@ -221,7 +230,8 @@
             message.pending,
         )
     if isinstance(message, LeaveWanted):
-        return _SentLeaveWanted(message.number, message.services)
+        ended = tuple((one.service, one.mark) for one in message.ended)
+        return _SentLeaveWanted(message.number, message.services, ended, message.replied)
     if isinstance(message, Leave):
         return _SentLeave(message.number, message.services)
     sent = _SentTaken if isinstance(message, Taken) else _SentCancel
@@ -259,7 +269,8 @@
             body,
         )
     if isinstance(sent, _SentLeaveWanted):
-        return LeaveWanted(sent.number, sent.services)
+        ended = tuple(EndedSearcher(service, mark) for service, mark in sent.ended)
+        return LeaveWanted(sent.number, sent.services, ended, sent.replied)
     if isinstance(sent, _SentLeave):
         return Leave(sent.number, sent.services)
     return Taken(sent.number) if isinstance(sent, _SentTaken) else Cancel(sent.number)
--- a/rhubarbhinge/delegation/_serving.py
+++ b/rhubarbhinge/delegation/_serving.py
@@ -18,7 +18,7 @@
 )
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest, CallTerms, SearcherReply, Story, Surroundings
-from rhubarbhinge.gather import ShardCalls, ShardEnd, merge_greatest
+from rhubarbhinge.gather import FarNews, ShardCalls, ShardEnd, merge_greatest
 from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import Subscription, TimerService
@@ -107,7 +107,9 @@
                 self._terms_of(message, delays),
                 delays,
                 lambda answer: self._answer(link, found, answer),
-                lambda services: self._send(link, LeaveWanted(message.number, services)),
+                lambda services, news: self._send(
+                    link, LeaveWanted(message.number, services, news.ended, news.replied)
+                ),
             )
             found.searches[message.number] = search
             # All that came with it is read first: opening connections takes up to 20 ms an ask, in
@@ -144,7 +146,7 @@
     :param terms: what is granted to the call to each shard.
     :param delays: the usual delays of such requests at one shard.
     :param on_answer: told what was found when the answer is due, and what is found after that.
-    :param want_leave: told for which shards one more attempt is wanted.
+    :param want_leave: told for which shards one more attempt is wanted, and how those before fared.
     :ivar leave: the asking entry's leave to send shards to further searchers.
     """
 
@@ -155,7 +157,7 @@
         terms: CallTerms,
         delays: Delays,
         on_answer: Callable[[Answer], None],
-        want_leave: Callable[[tuple[str, ...]], None],
+        want_leave: Callable[[tuple[str, ...], FarNews], None],
     ):
         self._around = surroundings
         self._ask = ask
@@ -170,7 +172,7 @@
         request = CallerRequest(ask.request_id, ask.head, ask.body, ask.left_ms)
         self._story = Story(ask.request_id, surroundings.timers.now_ms)
         self.leave = AttemptLeave(surroundings.timers, want_leave)
-        terms = replace(terms, claim=self.leave.claim)
+        terms = replace(terms, control=self.leave)
         self._calls = ShardCalls(surroundings, request, terms, delays, self._ended, self._story)
         self._due_ms = surroundings.timers.now_ms() + ask.answer_in_ms
         self._timer: Subscription | None = None
@@ -209,6 +211,7 @@
 
     def _answer(self) -> None:
         """Tell what was found and has not been told yet."""
+        self.leave.say_now()
         parts, self._parts = self._parts, {}
         untried, self._untried = self._untried, []
         failed, self._failed = self._failed, []
--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -12,6 +12,7 @@
 from rhubarbhinge.fleet import Delays, DomainReach
 from rhubarbhinge.forward import Lost, Surroundings, Why
 from rhubarbhinge.forward.tests.fakes import FakeWorld, replied
+from rhubarbhinge.gather import FarNews
 from rhubarbhinge.members import Member, Membership, MemberState, Published
 from rhubarbhinge.net import Links
 from rhubarbhinge.timing import TimerService
@@ -62,7 +63,7 @@
             self.root
         )
 
-    def more(self, services: tuple[str, ...]) -> tuple[str, ...]:
+    def more(self, services: tuple[str, ...], news: FarNews) -> tuple[str, ...]:
         return self.leave(services)
 
     def wait(self, condition) -> None:
--- a/rhubarbhinge/fleet/_searcher.py
+++ b/rhubarbhinge/fleet/_searcher.py
@@ -1,5 +1,6 @@
 """A searcher as it is published."""
 
+import zlib
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -32,6 +33,11 @@
     ip: str
     port: int
 
+    @property
+    def mark(self) -> int:
+        """A number of 32 bits that is the same for this start at all entries."""
+        return zlib.crc32(repr(tuple(self)).encode())
+
 
 class Searcher(Struct, frozen=True):
     """One start of a searcher, as it is published.
--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -1,6 +1,7 @@
 """Requests to single searchers: connections, replies, retries and hedges."""
 
-from rhubarbhinge.forward._call_terms import CallTerms, ClaimAttempt
+from rhubarbhinge.forward._attempt_control import UNLIMITED, AttemptControl, Unlimited
+from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
@@ -17,9 +18,9 @@
 
 __all__ = [
     "Attempt",
+    "AttemptControl",
     "CallTerms",
     "CallerRequest",
-    "ClaimAttempt",
     "ConnectionPool",
     "Dialect",
     "Exchange",
@@ -39,6 +40,8 @@
     "ServiceCall",
     "Story",
     "Surroundings",
+    "UNLIMITED",
+    "Unlimited",
     "Why",
     "fingerprint",
 ]
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -1,15 +1,10 @@
 """What is granted to one call."""
 
-from collections.abc import Callable
-
 from msgspec import Struct
 
+from rhubarbhinge.forward._attempt_control import UNLIMITED, AttemptControl
 from rhubarbhinge.forward._search_terms import SearchTerms
 
-ClaimAttempt = Callable[[str, int, Callable[[], None]], bool]
-"""Asks whether the attempt of this number, counted from 1, may be sent to a service; if not yet,
-the callback is called once it may."""
-
 
 class CallTerms(Struct, frozen=True):
     """What is granted to one call.
@@ -26,8 +21,8 @@
     :param search: set for a shard of a search, which another entry may search as well.
     :param searcher: incarnation of the only searcher that may get it; empty for any of the service.
     :param searcher_started_unix_ms: the only start of that searcher that may get it; None for any.
-    :param claim: asked before an attempt beyond the first, where attempts are shared with another
-        entry; None where ``max_attempts`` alone decides.
+    :param control: asked before each attempt, besides ``max_attempts``: attempts may be shared with
+        another entry, or end the searchers that make them.
     """
 
     route_name: str
@@ -41,4 +36,4 @@
     search: SearchTerms | None = None
     searcher: str = ""
     searcher_started_unix_ms: int | None = None
-    claim: ClaimAttempt | None = None
+    control: AttemptControl = UNLIMITED
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -50,9 +50,11 @@
     """The request was sent, and it is not known whether it was executed.
 
     :param why: the cause.
+    :param searcher_ended: whether the searcher's process has ended, as nothing listens at its port.
     """
 
     why: Why
+    searcher_ended: bool = False
 
 
 Outcome = Replied | NotRun | Lost
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -8,6 +8,7 @@
 
 from rhubarbhinge.fleet import DomainReach, ObservedSearcher, SearcherStart
 from rhubarbhinge.forward._dialect import Dialect
+from rhubarbhinge.forward._ended_checks import EndedChecks
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._exchanging import Exchanging
 from rhubarbhinge.forward._lane import Connection, Lane
@@ -57,6 +58,7 @@
         self._numbers = itertools.count(1)
         self._conns: dict[int, Connection] = {}
         self._lanes: dict[SearcherStart, Lane] = {}
+        self._ended_checks = EndedChecks(timers, self.open_ahead)
         self._links = Links(
             self._opened, self._received, self._closed, notice_silence=True
         ).register(self)
@@ -105,6 +107,8 @@
         lane = self._lane(observed)
         if not lane.opening and lane.count < self._most_connections(observed):
             self._open(observed, lane, None)
+        elif not lane.count:
+            del self._lanes[observed.start]
 
     def verify(self, observed: ObservedSearcher) -> None:
         """Give a searcher no more requests until a new connection to it is open.
@@ -184,6 +188,7 @@
         conn.is_open = True
         self._lane(conn.searcher).opening -= 1
         conn.searcher.on_connected()
+        self._ended_checks.found(conn.searcher.start, ended=False)
         self._reach.on_heard(conn.searcher.searcher.failure_domain)
         if conn.exchanging is not None:
             self._write(conn, conn.exchanging, self._timers.now_ms())
@@ -307,14 +312,18 @@
                 self._replied(conn, raw, last=True)
         if reason is CloseReason.SILENT or not conn.is_open:
             self._unreachable(conn, reason.value)
+        if reason is CloseReason.REFUSED:
+            self._ended_checks.found(conn.searcher.start, ended=True)
         if conn.exchanging is None:
             self._drop(conn)
         elif conn.is_open:
-            self._fail(conn, Lost(Why.BROKEN), reason.value)
+            by_peer = reason in (CloseReason.PEER, CloseReason.RESET)
+            unanswered = by_peer and not conn.reader.begun
+            self._fail(conn, Lost(Why.BROKEN), reason.value, check_end=unanswered)
         else:
             self._fail(conn, NotRun(Why.UNREACHABLE), reason.value)
 
-    def _fail(self, conn: Connection, outcome: Outcome, code: str) -> None:
+    def _fail(self, conn: Connection, outcome: Outcome, code: str, check_end: bool = False) -> None:
         exchanging, conn.exchanging = conn.exchanging, None
         observed = conn.searcher
         now_ms = self._timers.now_ms()
@@ -332,7 +341,12 @@
             may_have_run=isinstance(outcome, Lost),
         )
         self._drop(conn)
-        self._tell(exchanging, outcome)
+        if check_end:
+            self._ended_checks.check(
+                observed, lambda ended: self._tell(exchanging, Lost(outcome.why, ended))
+            )
+        else:
+            self._tell(exchanging, outcome)
 
     def _unreachable(self, conn: Connection, code: str) -> None:
         searcher = conn.searcher.searcher
--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -66,6 +66,11 @@
         self._replies: list[RawReply] = []
         self._begin()
 
+    @property
+    def begun(self) -> bool:
+        """Whether any byte of the reply that is due has come."""
+        return self._in_message or self._head_bytes > 0
+
     def feed(self, data: bytes) -> list[RawReply]:
         """Take in bytes of the connection.
 
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -108,6 +108,8 @@
             self._story.note("attempt-not-sent", self.service, why="no-attempts")
             self._around.timers.after(0, self._end)
             return
+        if not self._has_attempt(self._ran, self._retry):
+            return
         chosen = self._choose()
         if chosen is None or not self._may_send():
             self._story.note("attempt-not-sent", self.service, **self._shortage(chosen))
@@ -208,7 +210,7 @@
         terms = self._terms
         if ran >= terms.max_attempts:
             return False
-        return ran == 0 or terms.claim is None or terms.claim(self.service, ran + 1, again)
+        return terms.control.claim(self.service, ran + 1, again)
 
     def _may_send(self) -> bool:
         """Ask the budget, which counts what arrives at a service beyond the first time."""
@@ -226,21 +228,26 @@
         elif isinstance(outcome, NotRun):
             self._not_run(outcome.why)
         else:
-            self._lost(outcome)
+            self._lost(start, outcome)
 
     def _replied(self, reply: SearcherReply) -> None:
         self._arrived = True
         self._may_have_run = True
+        self._terms.control.on_replied(self.service)
         if reply.status < 500 or not self._terms.idempotent:
             self._finish(Passed(reply))
             return
         self._failure = reply
         self._retry()
 
-    def _lost(self, outcome: Lost) -> None:
+    def _lost(self, start: SearcherStart, outcome: Lost) -> None:
         self._arrived = True
         self._may_have_run = True
         self._why = outcome.why
+        if outcome.searcher_ended:
+            self._terms.control.on_ended(self.service, start.mark)
+        if self.over:
+            return
         if self._terms.idempotent:
             self._retry()
         else:
@@ -301,6 +308,7 @@
 
     def _finish(self, result: Result) -> None:
         self.cancel()
+        self._terms.control.on_over(self.service)
         self._on_result(self, result)
 
     def _wait(self, delay_ms: float, callback: Callable[[], None]) -> None:
--- a/rhubarbhinge/forward/tests/fakes.py
+++ b/rhubarbhinge/forward/tests/fakes.py
@@ -35,6 +35,7 @@
         self.exchange = exchange
         self.sent = True
         self.cancelled = False
+        self.ended = False
         self._tell = tell
 
     @property
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -177,6 +177,33 @@
         self.searcher.links.abort(self.requests[0][0])
         self.assertEqual(self.outcome("r1"), Lost(Why.BROKEN))
 
+    def test_a_searcher_that_lives_has_not_ended_when_it_breaks_off(self):
+        self.send("r1")
+        self.received(1)
+        self.searcher.links.abort(self.requests[0][0])
+        self.assertEqual(self.outcome("r1"), Lost(Why.BROKEN, searcher_ended=False))
+        self.assertEqual(len(self.searcher.accepted), 2)
+
+    def test_a_searcher_at_whose_port_nothing_listens_any_more_has_ended(self):
+        self.most = 3
+        for name in ("r1", "r2"):
+            self.send(name)
+        self.received(2)
+        self.searcher.links.stop_listening()
+        for link, _ in self.requests:
+            self.searcher.links.abort(link)
+        for name in ("r1", "r2"):
+            self.assertEqual(self.outcome(name), Lost(Why.BROKEN, searcher_ended=True))
+        self.assertTrue(self.observed.is_down)
+
+    def test_a_reply_that_was_begun_is_no_sign_that_the_searcher_ended(self):
+        self.send("r1")
+        self.received(1)
+        self.searcher.links.send(self.requests[0][0], b"HTTP/1.1 200 OK\r\n")
+        self.searcher.links.close(self.requests[0][0])
+        self.assertEqual(self.outcome("r1"), Lost(Why.BROKEN, searcher_ended=False))
+        self.assertEqual(len(self.searcher.accepted), 1)
+
     def test_a_reply_that_ends_with_its_connection_is_whole(self):
         self.send("r1")
         self.received(1)
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -12,13 +12,14 @@
     Result,
     ServiceCall,
     Story,
+    Unlimited,
     Why,
 )
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
 
 
-class FakeLeave:
-    """Leave for further attempts, given when a test says so."""
+class FakeLeave(Unlimited):
+    """Leave for attempts beyond the first, given when a test says so."""
 
     def __init__(self):
         self.numbers: list[int] = []
@@ -26,6 +27,8 @@
         self._waiting = []
 
     def claim(self, service: str, number: int, on_granted) -> bool:
+        if number == 1:
+            return True
         if not self._granted:
             self.numbers.append(number)
             self._waiting.append(on_granted)
@@ -76,7 +79,7 @@
 
     def test_a_hedge_that_needs_leave_is_sent_once_there_is_leave(self):
         leave = FakeLeave()
-        self.start(FakeWorld(), claim=leave.claim)
+        self.start(FakeWorld(), control=leave)
         self.world.timers.advance(500.0)
         self.assertEqual((self.sent(), leave.numbers), (1, [2]))
         leave.grant()
@@ -84,7 +87,7 @@
 
     def test_a_retry_that_needs_leave_is_sent_once_there_is_leave(self):
         leave = FakeLeave()
-        self.start(FakeWorld(), claim=leave.claim)
+        self.start(FakeWorld(), control=leave)
         self.world.attempts[0].end(Lost(Why.BROKEN))
         self.assertEqual((self.sent(), self.results), (1, []))
         leave.grant()
@@ -93,7 +96,7 @@
 
     def test_leave_that_comes_after_the_reply_sends_nothing(self):
         leave = FakeLeave()
-        self.start(FakeWorld(), claim=leave.claim)
+        self.start(FakeWorld(), control=leave)
         self.world.timers.advance(30.0)
         self.world.attempts[0].end(replied())
         leave.grant()
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -29,6 +29,7 @@
 from rhubarbhinge.peers import KnownState, Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Follower, Source
+from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.retries import RetryBudget
 from rhubarbhinge.telemetry import EventLog, Metrics, log_event, use_event_log
 from rhubarbhinge.timing import TimerService
@@ -116,6 +117,12 @@
             lambda exchange, tell: self._far_sends.send(exchange, tell),
             self._metrics,
         )
+        quarantine = Quarantine(
+            self.timers.now_ms,
+            lambda fingerprint: self._peers.quarantine_news.may_try(fingerprint),
+            lambda: self._peers.quarantine_news.tell(),
+            self._rng,
+        )
         source = SharedSource(
             self.timers,
             peer_client,
@@ -142,6 +149,7 @@
             settings.seed_ips,
             self._rng,
             lambda: source.reads_platform,
+            quarantine,
         ).register(self)
         membership = self._peers.membership
         source.know(membership, self._peers.reports, lambda: KnownState.of(self._follower))
@@ -160,6 +168,7 @@
             far,
             AnswerLead(lambda: self._settings.now.link_bits_per_ms),
             lambda: self._serving.moving_ms(),
+            quarantine,
         )
         self._gateway = Gateway(parts)
         self._serving = Serving(
@@ -196,6 +205,7 @@
             self._pool,
             self._budget,
             self._link_use,
+            quarantine,
             event_log,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._asks, self.stop)
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -5,12 +5,17 @@
 from rhubarbhinge.gateway._link_use import LinkUse
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
+from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.retries import RetryBudget
 from rhubarbhinge.telemetry import EventLog, Figure, Metrics
 
 CONNECTIONS = Figure("searcher_connections", "Connections to searchers, open or being opened")
 WAITING = Figure("requests_waiting", "Requests that wait for a connection to a searcher")
 UNREACHABLE = Figure("searchers_unreachable", "Searchers to which no connection can be made")
+QUARANTINED = Figure("quarantined_requests", "Requests refused as they end searchers")
+QUARANTINE_REFUSED = Figure(
+    "quarantine_refused_total", "Attempts at quarantined requests that were refused", True
+)
 EXTRA_SENDS = Figure("extra_sends_total", "Hedges and retries that the budget granted", True)
 EXTRA_REFUSED = Figure("extra_sends_refused_total", "Hedges and retries that it did not", True)
 BUDGET_LEFT = Figure("extra_sends_left", "Extra sends left for the service that has least")
@@ -39,6 +44,7 @@
     :param pool: connections to them.
     :param budget: the retry budget.
     :param link_use: what fills the VM's link.
+    :param quarantine: which requests end the searchers that execute them.
     :param event_log: where events go; None when they go elsewhere.
     """
 
@@ -51,6 +57,7 @@
         pool: ConnectionPool,
         budget: RetryBudget,
         link_use: LinkUse,
+        quarantine: Quarantine,
         event_log: EventLog | None,
     ):
         self._follower = follower
@@ -60,6 +67,7 @@
         self._pool = pool
         self._budget = budget
         self._link_use = link_use
+        self._quarantine = quarantine
         self._event_log = event_log
 
     def show(self, metrics: Metrics) -> None:
@@ -82,6 +90,8 @@
         metrics.show(READER_CALLS, self._source.reader_calls)
         metrics.show(UNUSABLE, len(self._follower.unusable))
         metrics.show(UNUSABLE_FOUND, self._follower.unusable.found)
+        metrics.show(QUARANTINED, self._quarantine.convicted)
+        metrics.show(QUARANTINE_REFUSED, self._quarantine.refused)
         for kind, total in self._link_use.totals().items():
             metrics.show(LINK_BYTES[kind], total)
         if self._event_log is not None:
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from rhubarbhinge.gateway._recent_routes import RecentRoutes
 from rhubarbhinge.gateway._split import Splitter
 from rhubarbhinge.plans import Route, ServingPlan
+from rhubarbhinge.quarantine import ONE_FIRST, Quarantined
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.web import Request, Responder, Response
 
@@ -40,6 +41,7 @@
         names = {route.name for route in plan.routes}
         self._splitter.keep(names)
         self._parts.lead.keep(names)
+        self._parts.quarantine.on_routes(names)
         for name in self._delays.keys() - names:
             del self._delays[name]
 
@@ -84,6 +86,13 @@
             return
         self._recent.add(route.name)
         handling = Handling(self._parts, asked, plan, route, responder, request.transit_ms)
+        verdict = self._parts.quarantine.verdict(
+            asked.fingerprint, route.name, spreads=route.shards is not None
+        )
+        if isinstance(verdict, Quarantined):
+            handling.refuse(verdict)
+            return
+        handling.watch(verdict == ONE_FIRST)
         if route.shards is not None:
             handling.gather(self.delays_of(route.name, route.target_latency_ms))
         else:
--- a/rhubarbhinge/gateway/_gateway_parts.py
+++ b/rhubarbhinge/gateway/_gateway_parts.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.published import Follower
+from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.telemetry import Metrics
 
 
@@ -23,6 +24,7 @@
     :param far: how other entries are asked for the shards near them.
     :param lead: how long before they are due answers have to be begun.
     :param moving_ms: gives the time until callers are sent to other entries, 0 when they aren't.
+    :param quarantine: which requests end the searchers that execute them.
     """
 
     surroundings: Surroundings
@@ -33,3 +35,4 @@
     far: FarSearch
     lead: AnswerLead
     moving_ms: Callable[[], float]
+    quarantine: Quarantine
--- a/rhubarbhinge/gateway/_handling.py
+++ b/rhubarbhinge/gateway/_handling.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import (
     CallerRequest,
@@ -18,6 +20,7 @@
 from rhubarbhinge.gateway._gateway_parts import GatewayParts
 from rhubarbhinge.gather import Gathered, Gathering, GatherTerms, NotEnough
 from rhubarbhinge.plans import Route, ServingPlan
+from rhubarbhinge.quarantine import Quarantined, RequestWatch
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import Subscription
 from rhubarbhinge.web import Responder, Response
@@ -79,6 +82,25 @@
         self._story = Story(asked.id, self._around.timers.now_ms)
         self._timer: Subscription | None = None
         self._cancel: Callable[[], None] | None = None
+        self._watch: RequestWatch | None = None
+
+    def refuse(self, verdict: Quarantined) -> None:
+        """Refuse the request, as it ends the searchers that execute it.
+
+        :param verdict: what is known of it.
+        """
+        message = "Searchers end that execute this request."
+        answer = refused("quarantined", message, verdict.retry_after_ms)
+        self._answer(answer, "quarantined")
+
+    def watch(self, one_first: bool) -> None:
+        """Watch it for searchers that end under it.
+
+        :param one_first: whether it goes to one searcher first.
+        """
+        self._watch = self._parts.quarantine.watch(
+            self._asked.fingerprint, self._route.name, one_first, self._stopped
+        )
 
     def forward(self, service: str, delays: Delays) -> None:
         """Have one searcher of a service answer.
@@ -89,6 +111,8 @@
         around = self._around
         around.budget.on_request((service,))
         terms = self._terms(delays, self._deadline_ms)
+        if self._watch.one_first:
+            terms = replace(terms, max_attempts=1, hedge_ms=None)
         call = ServiceCall(around, self._asked, service, terms, delays, self._called, self._story)
         self._begin(call.cancel, lambda: self._expired(call))
         call.start()
@@ -123,7 +147,7 @@
 
     def _terms(self, delays: Delays, due_ms: float, top_k: int | None = None) -> CallTerms:
         route = self._route
-        return call_terms(
+        terms = call_terms(
             route.name,
             route.target_latency_ms,
             route.idempotent,
@@ -135,6 +159,7 @@
             due_ms,
             top_k,
         )
+        return replace(terms, control=self._watch)
 
     def _begin(self, cancel: Callable[[], None], on_timeout: Callable[[], None]) -> None:
         self._cancel = cancel
@@ -145,8 +170,15 @@
     def _abandoned(self) -> None:
         self._timer.cancel()
         self._cancel()
+        self._watch.close()
         self._log("caller-gone", CALLER_GONE)
 
+    def _stopped(self) -> None:
+        """Answer at once: no searcher that is still asked would live to reply."""
+        self._cancel()
+        message = "The searchers that executed this request ended."
+        self._answer(failed("ends-searchers", message), "ends-searchers")
+
     def _expired(self, call: ServiceCall) -> None:
         may_have_run = call.may_have_run
         call.cancel()
@@ -200,8 +232,11 @@
         return refused(code, message, pause_ms * self._parts.rng.uniform(0.8, 1.2))
 
     def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         self._responder.answer(answer)
+        if self._watch is not None:
+            self._watch.close()
         took_ms = self._around.timers.now_ms() - self._started_ms
         self._parts.metrics.observe_latency(self._route.host, self._route.name, took_ms)
         succeeded = _is_success(answer.status)
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.gateway._handling import SAMPLED_ONE_IN
 from rhubarbhinge.gather import FarSearch
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, ShardSet, WeightedService
+from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.telemetry import use_event_log
 from rhubarbhinge.web import Request, Responder, Response
 
@@ -70,6 +71,7 @@
             far,
             AnswerLead(lambda: self.link_bits_per_ms),
             lambda: self.moving_ms,
+            Quarantine(self.world.timers.now_ms, lambda name: True, lambda: None, random.Random(1)),
         )
         self.gateway = Gateway(parts)
 
--- a/rhubarbhinge/gather/_far_search.py
+++ b/rhubarbhinge/gather/_far_search.py
@@ -28,9 +28,37 @@
     body: bytes
 
 
+class EndedSearcher(Struct, frozen=True):
+    """A searcher whose process ended while it had a request.
+
+    :param service: its service.
+    :param mark: :attr:`rhubarbhinge.fleet.SearcherStart.mark` of it.
+    """
+
+    service: str
+    mark: int
+
+
+class FarNews(Struct, frozen=True):
+    """How the attempts of another entry fare.
+
+    :param ended: searchers that ended while they had the request, and were not told of before.
+    :param replied: whether any searcher has executed the request and replied.
+    """
+
+    ended: tuple[EndedSearcher, ...] = ()
+    replied: bool = False
+
+
 class FarAsk(Protocol):
     """Handle of an ask to another entry."""
 
+    def grant(self, services: tuple[str, ...]) -> None:
+        """Let shards go to one more searcher, for which that was not granted when it was wanted.
+
+        :param services: the shards.
+        """
+
     def cancel(self) -> None:
         """Give the ask up."""
 
@@ -39,9 +67,9 @@
 """Tells which of some shards to leave to which other entry: lists of shards by its address."""
 OnFarPart = Callable[[FarPart | None], None]
 """Told each part, the last one without pending shards; or None when the entry failed."""
-GrantAttempts = Callable[[tuple[str, ...]], tuple[str, ...]]
-"""Given the shards that the other entry wants to send to one more searcher, tells for which of them
-it may."""
+GrantAttempts = Callable[[tuple[str, ...], FarNews], tuple[str, ...]]
+"""Given the shards that the other entry wants to send to one more searcher, and how its attempts
+fare, tells for which of them it may now."""
 AskFar = Callable[[str, CallerRequest, GatherTerms, list[str], OnFarPart, GrantAttempts], FarAsk]
 """Asks the entry at an address to search shards, at one searcher each until more is granted."""
 
--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -5,7 +5,7 @@
 
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest, Story, Surroundings
-from rhubarbhinge.gather._far_search import FarAsk, FarPart, FarSearch
+from rhubarbhinge.gather._far_search import FarAsk, FarNews, FarPart, FarSearch
 from rhubarbhinge.gather._gather_terms import GatherTerms
 from rhubarbhinge.gather._merge import merge_greatest
 from rhubarbhinge.gather._results import Gathered, NotEnough
@@ -37,12 +37,14 @@
         self._around = surroundings
         self._request = request
         self._terms = terms
+        self._control = terms.call.control
         self._far = far
         self._on_end = on_end
         self._story = story
         self._calls = ShardCalls(
             surroundings, request, terms.call, delays, self._shard_ended, story
         )
+        self._not_begun: list[str] = []
         self._signatures: dict[str, str] = {}
         self._bodies: list[bytes] = []
         self._asks: dict[str, tuple[FarAsk, list[str]]] = {}
@@ -59,6 +61,22 @@
         if not shards.is_enough(len(served)):
             around.timers.after(0, self._fail)
             return
+        wait_ms = self._terms.answer_by_ms - around.timers.now_ms()
+        self._timer = around.timers.after(max(0.0, wait_ms), self._time_to_answer)
+        if self._control.one_first:
+            self._not_begun = served
+            self._begin_one()
+        else:
+            self._begin(served)
+
+    def _begin_one(self) -> None:
+        """Send to one shard, before any other gets a request that may end its searchers."""
+        service = self._not_begun.pop(0)
+        self._around.budget.on_request((service,))
+        self._calls.start((service,))
+
+    def _begin(self, served: list[str]) -> None:
+        around = self._around
         by_address = self._far.shards_for(self._request, self._terms, served)
         for address, services in by_address.items():
             self._ask(address, services)
@@ -66,8 +84,6 @@
         near = [name for name in served if name not in left]
         around.budget.on_request(near)
         self._calls.start(near)
-        wait_ms = self._terms.answer_by_ms - around.timers.now_ms()
-        self._timer = around.timers.after(max(0.0, wait_ms), self._time_to_answer)
 
     def cancel(self) -> None:
         """Give the search up; its result is not told."""
@@ -97,23 +113,36 @@
             self._terms,
             services,
             lambda part: self._far_ended(address, part),
-            lambda wanted: self._grant(address, wanted),
+            lambda wanted, news: self._grant(address, wanted, news),
         )
         self._asks[address] = (ask, services)
         self._far_attempts.update(services)
 
-    def _grant(self, address: str, wanted: tuple[str, ...]) -> tuple[str, ...]:
+    def _grant(self, address: str, wanted: tuple[str, ...], news: FarNews) -> tuple[str, ...]:
         """Let another entry send shards to one more searcher, as far as the route has attempts.
 
         What is granted counts as executed from then on, also if the entry is never heard again.
         """
+        for ended in news.ended:
+            self._control.on_ended(ended.service, ended.mark)
+        if news.replied:
+            self._control.on_replied("")
         _, services = self._asks.get(address, (None, ()))
-        most = self._terms.call.max_attempts
-        granted = tuple(
-            name for name in wanted if name in services and self._far_attempts[name] < most
-        )
-        self._far_attempts.update(granted)
-        return granted
+        return tuple(name for name in wanted if name in services and self._claim(address, name))
+
+    def _claim(self, address: str, service: str) -> bool:
+        number = self._far_attempts[service] + 1
+        if number > self._terms.call.max_attempts:
+            return False
+        if not self._control.claim(service, number, lambda: self._grant_later(address, service)):
+            return False
+        self._far_attempts[service] = number
+        return True
+
+    def _grant_later(self, address: str, service: str) -> None:
+        ask, services = self._asks.get(address, (None, ()))
+        if service in services and self._claim(address, service):
+            ask.grant((service,))
 
     def _far_ended(self, address: str, part: FarPart | None) -> None:
         if self._over:
@@ -121,6 +150,9 @@
         ask, services = self._asks.pop(address)
         in_time = "none" if part is None else len(part.services)
         self._story.note("ask-ended", ",".join(services), entry=address, parts=in_time)
+        for name in services:
+            if part is None or name not in part.pending:
+                self._control.on_over(name)
         if part is None or not _is_sound(part, services):
             # Records of other shards can't be taken out of a part again.
             ask.cancel()
@@ -145,8 +177,18 @@
         if end.reply is not None:
             self._signatures[end.service] = end.reply.signature
             self._bodies.append(end.reply.body)
+        if self._not_begun:
+            self._go_on()
         self._look()
 
+    def _go_on(self) -> None:
+        """Send to the other shards once a searcher has replied; try another one if none could."""
+        if self._control.one_first:
+            self._begin_one()
+        else:
+            not_begun, self._not_begun = self._not_begun, []
+            self._begin(not_begun)
+
     def _look(self) -> None:
         """Finish if all has ended, if it is late and there is enough, or if there can't be."""
         shards = self._terms.shards
@@ -157,7 +199,8 @@
             self._answer()
 
     def _open_shards(self) -> int:
-        return self._calls.open + sum(len(services) for _, services in self._asks.values())
+        asked = sum(len(services) for _, services in self._asks.values())
+        return self._calls.open + asked + len(self._not_begun)
 
     def _time_to_answer(self) -> None:
         self._late = True
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -42,7 +42,7 @@
 SEED_AGAIN_MS = 100.0
 """An entry that nobody has answered asks its seeds again after so long, and after twice as long
 each time. A fleet starts within 300 ms, so that a seed may listen a moment later than it is asked;
-heartbeats would find it after a second, in which neither news nor the retry budget's share is right."""
+heartbeats would find it after a second, without news and with a wrong share of the retry budget."""
 SEED_EVERY = 5
 """One in so many heartbeats looks at the seeds again, which may have been replaced meanwhile."""
 
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from circuits import Component
+from msgspec.structs import replace
 
 from rhubarbhinge.members import (
     Heartbeat,
@@ -19,10 +20,12 @@
 )
 from rhubarbhinge.net import Datagrams
 from rhubarbhinge.peers._paths import MEMBERS_PATH
+from rhubarbhinge.peers._quarantine_news import QuarantineNews
 from rhubarbhinge.peers._reports import Report, Reports
 from rhubarbhinge.peers._state_pull import StatePull
 from rhubarbhinge.peers._state_service import StateService
 from rhubarbhinge.published import Follower
+from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import Failure, HttpClient, HttpServer, Reply
@@ -51,9 +54,11 @@
     :param seed_ips: addresses of some other VMs.
     :param rng: spreads heartbeats and choices.
     :param reads_platform: tells whether this entry reads the platform itself, with success.
+    :param quarantine: what is known of requests that end searchers, told by heartbeats.
     :raises OSError: when the port can not be bound.
     :ivar membership: which entries there are.
     :ivar reports: what they told last of the published state.
+    :ivar quarantine_news: tells them of requests that end searchers.
     """
 
     channel = "peers"
@@ -70,6 +75,7 @@
         seed_ips: tuple[str, ...],
         rng: random.Random,
         reads_platform: Callable[[], bool],
+        quarantine: Quarantine,
     ):
         super().__init__()
         self._timers = timers
@@ -80,6 +86,7 @@
         self.reports = Reports()
         me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS))
         self.membership = Membership(timers, me, seed_ips, rng, self._send, self._published)
+        self.quarantine_news = QuarantineNews(timers, self.membership, quarantine, rng)
         self._sync = TableSync(timers.now_ms, self._fetch_members)
         self._pull = StatePull(timers, client, follower, self.reports, port, failure_domain, rng)
         self._service = StateService(timers, follower, self.membership, reads_platform)
@@ -107,6 +114,9 @@
         return Published(self._follower.revision, self._follower.age_ms())
 
     def _send(self, ip: str, heartbeat: Heartbeat) -> None:
+        suspicions = self.quarantine_news.carried()
+        if suspicions:
+            heartbeat = replace(heartbeat, suspicions=suspicions)
         self._datagrams.send(ip, self._port, encode_heartbeat(heartbeat))
 
     def _datagram(self, ip: str, port: int, data: bytes) -> None:
@@ -119,6 +129,8 @@
         membership.on_heartbeat(heartbeat, ip)
         if heartbeat.name == membership.me.name:
             return
+        if heartbeat.suspicions:
+            self.quarantine_news.take(heartbeat.suspicions)
         equal = heartbeat.members_digest == membership.digest
         self._sync.on_digest(ip, heartbeat.failure_domain, equal)
         revision, age_ms = heartbeat.revision, heartbeat.age_ms
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -6,9 +6,16 @@
 from circuits import BaseComponent
 from msgspec.structs import replace
 
-from rhubarbhinge.members import Heartbeat, Member, encode_heartbeat, encode_members
+from rhubarbhinge.members import (
+    Heartbeat,
+    Member,
+    decode_heartbeat,
+    encode_heartbeat,
+    encode_members,
+)
 from rhubarbhinge.peers import Peers, encode_state
 from rhubarbhinge.published import ChangeLog, Snapshot
+from rhubarbhinge.quarantine import Quarantine, Quarantined, ToldSuspicion
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 from rhubarbhinge.web import Reply
@@ -63,6 +70,9 @@
         timers = TimerService().register(self.root)
         self.client, self.follower = FakeClient(), FakeFollower()
         (self.port,) = free_ports(1)
+        self.quarantine = Quarantine(
+            timers.now_ms, lambda fingerprint: True, lambda: None, random.Random(1)
+        )
         self.peers = Peers(
             timers,
             self.client,
@@ -74,6 +84,7 @@
             (),
             random.Random(1),
             lambda: True,
+            self.quarantine,
         ).register(self.root)
         self.addCleanup(stop_tree, self.root)
 
@@ -118,3 +129,23 @@
         self.hear(name="vm-3", ip="127.0.0.3", failure_domain="hall-a")
         self.assertTrue(run_until(self.root, lambda: self.client.asked))
         self.assertEqual(self.client.asked, ["127.0.0.3"])
+
+    def test_what_a_heartbeat_carries_is_taken_and_passed_on_once(self):
+        told = ToldSuspicion("f" * 32, "search", 1, False, [1, 2, 3], 5.0)
+        sent: list[tuple[str, bytes]] = []
+        self.peers._datagrams.send = lambda ip, port, data: sent.append((ip, data))
+        self.hear()
+        self.assertEqual(decode_heartbeat(encode_heartbeat(BEAT)).suspicions, ())
+        del sent[:]
+        self.hear(suspicions=(told,))
+        self.assertIsInstance(self.quarantine.verdict("f" * 32, "search"), Quarantined)
+        self.assertTrue(sent)
+        self.assertEqual(decode_heartbeat(sent[0][1]).suspicions[0].marks, [1, 2, 3])
+        del sent[:]
+        self.hear(suspicions=(told,))
+        self.assertEqual(sent, [])
+
+    def test_one_entry_of_a_fleet_tries_a_request_again(self):
+        self.hear()
+        mine = sum(self.peers.quarantine_news.may_try(f"{n:032x}") for n in range(400))
+        self.assertTrue(60 <= mine <= 200, mine)
--- /dev/null
+++ b/rhubarbhinge/quarantine/__init__.py
@@ -0,0 +1,18 @@
+"""Requests that end the searchers that execute them: recognized, refused, tried again."""
+
+from rhubarbhinge.quarantine._quarantine import Quarantine
+from rhubarbhinge.quarantine._request_watch import RequestWatch
+from rhubarbhinge.quarantine._suspicion import Suspicion
+from rhubarbhinge.quarantine._told_suspicion import ToldSuspicion
+from rhubarbhinge.quarantine._verdict import ALLOWED, ONE_FIRST, Quarantined, Verdict
+
+__all__ = [
+    "ALLOWED",
+    "ONE_FIRST",
+    "Quarantine",
+    "Quarantined",
+    "RequestWatch",
+    "Suspicion",
+    "ToldSuspicion",
+    "Verdict",
+]
--- a/tools/tests/test_events_documented.py
+++ b/tools/tests/test_events_documented.py
@@ -15,6 +15,7 @@
     "rhubarbhinge/gather",
     "rhubarbhinge/peers",
     "rhubarbhinge/published",
+    "rhubarbhinge/quarantine",
     "platform/rhubarbhinge_platform",
 )
 PASSED_ON = frozenset(("level", "services"))
