--- a/rhubarbhinge/gather/tests/test_gathering.py
+++ b/rhubarbhinge/gather/tests/test_gathering.py
@@ -389,3 +389,20 @@
         self.assertEqual({one.service for one in self.world.attempts}, {"s0", "s1"})
         self.answer("s1")
         self.assertEqual({one.service for one in self.world.attempts}, set(SHARDS))
+
+    def test_shards_that_are_lost_while_a_trial_runs_are_left_out(self):
+        asked = []
+        self.start(one_first=True)
+        shards_for = self.far.search.shards_for
+
+        def noting(request, terms, served):
+            asked.extend(served)
+            return shards_for(request, terms, served)
+
+        self.gathering._far = FarSearch(noting, self.far.search.ask)
+        for name in ("s3-1", "s3-2"):
+            self.world.observed(name).on_unreachable()
+        self.answer("s0")
+        self.assertEqual(asked, ["s1", "s2"])
+        self.answer("s1", "s2")
+        self.assertEqual(self.ends[0].missing, ("s3",))
--- a/rhubarbhinge/quarantine/tests/test_quarantine.py
+++ b/rhubarbhinge/quarantine/tests/test_quarantine.py
@@ -232,6 +232,16 @@
         # Three heartbeats a second leave half of the 5 KB a second for all of control.
         self.assertLess(3 * len(sent), 2_560)
 
+    def test_what_is_told_can_be_read_after_many_trials(self):
+        self.assertTrue(self.run_at(self.first, FATAL, *range(1, 12)))
+        for number in range(5):
+            self.fleet.now_ms += 2.0 * FIRST_REST_MS * REST_FACTOR**number
+            self.first.verdict(FATAL, ROUTE)
+            self.run_at(self.first, FATAL, 1_000 + number, trial=True)
+            told = [ToldSuspicion.of(one, self.fleet.now_ms) for one in self.first.told()]
+            read = json_reader(list[ToldSuspicion])
+            self.assertEqual(read(msgspec.json.encode(told)), told)
+
     def test_accounts_do_not_grow_younger_on_their_way(self):
         self.convict(self.first)
         for _ in range(500):
--- a/rhubarbhinge/quarantine/tests/test_request_watch.py
+++ b/rhubarbhinge/quarantine/tests/test_request_watch.py
@@ -142,3 +142,20 @@
         self.watch.on_replied("s0")
         self.watch.stop()
         self.assertEqual(self.stopped, 0)
+
+    def test_hundreds_of_shards_that_wait_and_come_to_nothing_are_passed_over(self):
+        for mark in range(2):
+            self.watch.on_ended(f"s{mark}", mark)
+        self.assertTrue(self.claim("first"))
+        passed = []
+
+        def come_to_nothing(service: str) -> None:
+            if self.claim(service):
+                passed.append(service)
+                self.watch.on_over(service)
+
+        for number in range(600):
+            service = f"w{number}"
+            self.watch.claim(service, 2, lambda service=service: come_to_nothing(service))
+        self.watch.on_over("first")
+        self.assertEqual(len(passed), 600)
