quarantine, gather: a trial leaves out what became unreachable; news stays readable; held shards are passed over in a loop

Cause: a search that was held back for its trial asked for the shards that could be reached before it; the choice of entries has none for a shard without searchers (ValueError, the process ends). A failed trial named up to 16 searchers where heartbeats take 8, so that others refused the whole heartbeat. Each held shard that comes to nothing let the next one go from within (RecursionError from some 150 on). Change: shards are looked up anew after the trial; marks are cut to the bound; a loop in place of the nesting.

--- a/rhubarbhinge/gather/_gathering.py
+++ b/rhubarbhinge/gather/_gathering.py
@@ -187,7 +187,8 @@
             self._begin_one()
         else:
             not_begun, self._not_begun = self._not_begun, []
-            self._begin(not_begun)
+            is_reachable = self._around.fleet.is_reachable
+            self._begin([name for name in not_begun if is_reachable(name)])
 
     def _look(self) -> None:
         """Finish if all has ended, if it is late and there is enough, or if there can't be."""
--- a/rhubarbhinge/quarantine/_quarantine.py
+++ b/rhubarbhinge/quarantine/_quarantine.py
@@ -182,7 +182,7 @@
             failed_trial = known.convicts and now_ms - known.since_ms >= _rest_ms(known.round)
             round_ = known.round + (known.cleared or failed_trial)
             if failed_trial:
-                found |= known.marks
+                found = frozenset(sorted(found | known.marks)[:MOST_MARKS])
         self._join(Suspicion(fingerprint, route, round_, False, found, now_ms), "here")
         if len(self._known[fingerprint].marks) > 1:
             # One end alone may be chance, and is told by heartbeats: a crash of many searchers
--- a/rhubarbhinge/quarantine/_request_watch.py
+++ b/rhubarbhinge/quarantine/_request_watch.py
@@ -40,6 +40,7 @@
         self._marks: dict[int, str] = {}
         self._further: set[str] = set()
         self._held: deque[Callable[[], None]] = deque()
+        self._is_passing = False
         self._cleared = False
         self._closed = False
 
@@ -105,8 +106,13 @@
         :param service: the service.
         """
         self._further.discard(service)
+        if self._is_passing:
+            # The loop below goes on; hundreds of shards would nest too deeply otherwise.
+            return
+        self._is_passing = True
         while self._held and not self._further and not self._closed:
             self._held.popleft()()
+        self._is_passing = False
 
     def stop(self) -> None:
         """Stop the request, as other entries have found out what it does."""
--- a/standins/tests/test_live_fatal_requests.py
+++ b/standins/tests/test_live_fatal_requests.py
@@ -78,6 +78,8 @@
             thread.start()
         for thread in threads:
             thread.join()
+        for entry in self.entries:
+            self.assertIsNone(entry.popen.poll(), entry.log())
         return fatal, others
 
     def share_served(self, asked: dict[str, tuple[float, Answer]]) -> float:
