standins: a searcher that crashes forgets what it had begun

Cause: timers of requests that a crashed searcher had begun fired after its new start (KeyError in the stand-in's log). Change: they are cancelled with the crash.

--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -78,13 +78,15 @@
         """
         self.born = born
         self._server = Server(self._requested, self._gone, lambda count: 0.0)
-        self._open.clear()
-        self._waiting.clear()
         self._server.listen("127.0.0.1", self.port)
 
     def crash(self) -> None:
         """Refuse new connections and break all others off, as a process that ends."""
         self.close()
+        self._waiting.clear()
+        for _, timer in self._open.values():
+            timer.cancel()
+        self._open.clear()
         self._server.abort_all()
 
     def break_off_next(self) -> None:
@@ -177,6 +179,9 @@
                 self._waiting.remove(waiting)
                 self.left.append(waiting[1])
                 return
+        if connection not in self._open:
+            # It was open when this searcher crashed.
+            return
         request_id, timer = self._open.pop(connection)
         timer.cancel()
         self.left.append(request_id)
