--- a/standins/tests/test_live_fatal_requests.py
+++ b/standins/tests/test_live_fatal_requests.py
@@ -42,7 +42,10 @@
         self.addCleanup(folder.cleanup)
         self.deployment = Deployment(Path(folder.name))
         self.addCleanup(self.deployment.close)
-        self.deployment.put("op/config", configuration(3, SHARDS, {}, {}, TARGET_MS))
+        self.deployment.put(
+            "op/config",
+            configuration(3, SHARDS, {"once": SHARDS[0]}, {"any": SHARDS[1]}, TARGET_MS),
+        )
         now_ms = int(time.time() * 1e3)
         for shard in SHARDS:
             for place, zone in enumerate(ZONES):
@@ -64,13 +67,15 @@
             number += 1
             time.sleep(max(0.0, pause_s - (time.monotonic() - sent_s)))
 
-    def play(self) -> tuple[dict[str, tuple[float, Answer]], dict[str, tuple[float, Answer]]]:
+    def play(
+        self, fatal_path: str = "/search/fatal"
+    ) -> tuple[dict[str, tuple[float, Answer]], dict[str, tuple[float, Answer]]]:
         until_s = time.monotonic() + PLAY_S
         fatal, others = {}, {}
         threads = [
             threading.Thread(target=self.ask, args=args)
             for args in (
-                ("/search/fatal", FATAL_PAUSE_S, until_s, fatal),
+                (fatal_path, FATAL_PAUSE_S, until_s, fatal),
                 ("/search/x", OTHERS_PAUSE_S, until_s, others),
             )
         ]
@@ -86,9 +91,18 @@
         return sum(answer.status == 200 for _, answer in asked.values()) / len(asked)
 
     def test_a_request_that_ends_its_searchers_is_not_sent_on_for_ever(self):
+        self.check("/search/fatal")
+
+    def test_nor_is_one_that_goes_to_a_single_searcher(self):
+        self.check("/any/fatal")
+
+    def test_nor_is_one_that_must_not_repeat(self):
+        self.check("/once/fatal")
+
+    def check(self, fatal_path: str) -> None:
         ended: list[float] = []
         self.deployment.end_on("fatal", BACK_AFTER_S, ended)
-        fatal, others = self.play()
+        fatal, others = self.play(fatal_path)
         self.assertGreaterEqual(len(ended), ENDED)
         since_s = sorted(ended)[ENDED - 1] + SETTLED_S
         arrived = set()
