--- a/rhubarbhinge/quarantine/_quarantine.py
+++ b/rhubarbhinge/quarantine/_quarantine.py
@@ -140,14 +140,15 @@
         """Take what another entry tells.
 
         :param accounts: its accounts.
-        :returns: whether anything of it was new.
+        :returns: whether anything of it was new that others should hear at once.
         """
-        before = [self._known.get(account.fingerprint) for account in accounts]
+        before = {account.fingerprint: self._known.get(account.fingerprint) for account in accounts}
         for account in accounts:
             self._join(account, "peer")
         return any(
-            _differs(known, self._known.get(account.fingerprint))
-            for known, account in zip(before, accounts, strict=True)
+            _differs(known, self._known.get(fingerprint))
+            and _is_urgent(self._known.get(fingerprint))
+            for fingerprint, known in before.items()
         )
 
     def told(self) -> tuple[Suspicion, ...]:
@@ -184,9 +185,7 @@
             if failed_trial:
                 found = frozenset(sorted(found | known.marks)[:MOST_MARKS])
         self._join(Suspicion(fingerprint, route, round_, False, found, now_ms), "here")
-        if len(self._known[fingerprint].marks) > 1:
-            # One end alone may be chance, and is told by heartbeats: a crash of many searchers
-            # would set off a burst of news otherwise.
+        if _is_urgent(self._known[fingerprint]):
             self._on_news()
 
     def _join(self, account: Suspicion, source: str) -> None:
@@ -272,6 +271,15 @@
     return FORGOTTEN_AFTER_RESTS * _rest_ms(known.round)
 
 
+def _is_urgent(known: Suspicion | None) -> bool:
+    """Tell whether others should hear it at once.
+
+    One end alone may be chance, and is left to heartbeats: a crash of many searchers would set off
+    a burst of news otherwise.
+    """
+    return known is not None and (known.cleared or len(known.marks) > 1)
+
+
 def _log(known: Suspicion, source: str) -> None:
     if known.cleared:
         log_event(
--- a/rhubarbhinge/quarantine/tests/test_quarantine.py
+++ b/rhubarbhinge/quarantine/tests/test_quarantine.py
@@ -121,6 +121,15 @@
         for verdict in self.verdicts():
             self.assert_refused(verdict)
 
+    def test_one_end_alone_sets_off_no_burst_of_news(self):
+        self.run_at(self.first, FATAL, 1)
+        self.assertEqual(self.fleet.news, 0)
+        self.assertFalse(self.second.take(self.first.told()))
+        self.run_at(self.first, FATAL, 2)
+        self.assertEqual(self.fleet.news, 1)
+        self.assertTrue(self.second.take(self.first.told()))
+        self.assertFalse(self.second.take(self.first.told()))
+
     def test_the_same_end_seen_by_two_entries_counts_once(self):
         for entry in (self.first, self.second):
             self.run_at(entry, FATAL, 1, 2)
