--- a/rhubarbhinge/gateway/tests/simulated_attempts.py
+++ b/rhubarbhinge/gateway/tests/simulated_attempts.py
@@ -81,6 +81,7 @@
         self._timers = timers
         self.paused_until_ms = 0.0
         self.now_ms = timers.now_ms
+        self._held: deque[Subscription] = deque()
 
     def after(self, delay_ms: float, callback: Callable[[], None]) -> Subscription:
         subscription = Subscription(callback, None, lambda: None)
@@ -91,12 +92,26 @@
         if not subscription.active:
             return
         left_ms = self.paused_until_ms - self.now_ms()
-        if left_ms > 0:
-            self._timers.after(left_ms, lambda: self._run(subscription))
+        if self._held or left_ms > 0:
+            # What comes in a pause is taken in its order when the pause is over.
+            if not self._held:
+                self._timers.after(left_ms, self._resume)
+            self._held.append(subscription)
             return
         subscription.active = False
         subscription.callback()
 
+    def _resume(self) -> None:
+        left_ms = self.paused_until_ms - self.now_ms()
+        if left_ms > 0:
+            self._timers.after(left_ms, self._resume)
+            return
+        while self._held:
+            subscription = self._held.popleft()
+            if subscription.active:
+                subscription.active = False
+                subscription.callback()
+
 
 class _Connection:
     """One connection between two entries."""
@@ -407,6 +422,8 @@
     :param seed: draws everything.
     """
 
+    entry_type = SimulatedEntry
+
     def __init__(self, seed: int):
         self.rng = random.Random(seed)
         self.timers = FakeTimers()
@@ -420,7 +437,7 @@
             for shard in self.shards.services
             for place in range(self.rng.choice((2, 3, 4)))
         ]
-        self.entries = {name: SimulatedEntry(self, name) for name in ENTRIES}
+        self.entries = {name: self.entry_type(self, name) for name in ENTRIES}
         self.ends: list[Gathered | NotEnough] = []
 
     def play(self, searches: int = 6) -> None:
