tools: a soak of entries as processes under drawn faults, checked from what callers and searchers see

Seeded faults at entries (killed, stopped, frozen, settings, a domain, the fleet), store, searchers, links to them, routes, a fatal request; callers that keep connections, leave, repeat at once.

--- a/standins/operators/__init__.py
+++ b/standins/operators/__init__.py
@@ -3,6 +3,7 @@
 from standins.operators._configuration import HOST, configuration
 from standins.operators._deployment import Answer, Deployment, EntryProcess
 from standins.operators._model import CompactedError, StoreModel
+from standins.operators._proxy import Proxy
 from standins.operators._searcher import Searcher
 from standins.operators._store import Store
 
@@ -12,6 +13,7 @@
     "Deployment",
     "EntryProcess",
     "HOST",
+    "Proxy",
     "Searcher",
     "Store",
     "StoreModel",
--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -11,7 +11,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TypeVar
@@ -87,18 +87,28 @@
         self._fields = {"name": name, "ratio": 0.2, "zone": "hall-a", **fields}
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
+        self._root = root
+        self._read_log = read_log
         self.write_settings()
+        self.popen = self._start()
+
+    def start_again(self) -> None:
+        """Start it anew after its process has ended, as the platform does."""
+        self.popen.wait()
+        self.popen = self._start()
+
+    def _start(self) -> subprocess.Popen:
         environment = {
             **os.environ,
             "RHUBARBHINGE_NODE_FILE": str(self._settings_path),
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
         with self._log_path.open("ab") as log:
-            self.popen = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "deploy/entry.py"],
-                cwd=root,
+                cwd=self._root,
                 env=environment,
-                stdout=log if read_log else subprocess.PIPE,
+                stdout=log if self._read_log else subprocess.PIPE,
                 stderr=log,
             )
 
@@ -245,6 +255,14 @@
 
         return asyncio.run_coroutine_threadsafe(calling(), self._loop).result(10.0)
 
+    def run_async(self, coroutine: Coroutine[object, object, T]) -> T:
+        """Run a coroutine in the thread of store and searchers.
+
+        :param coroutine: the coroutine.
+        :returns: what it returns.
+        """
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10.0)
+
     def add_searcher(
         self, incarnation: str, service: str, zone: str = "hall-a", born: int | None = None
     ) -> Searcher:
@@ -265,16 +283,16 @@
         self.put(f"servers/{incarnation}", searcher.entry())
         return searcher
 
-    def end_on(self, path: str, back_after_s: float, ended: list[float]) -> None:
+    def end_on(self, path: str, back_after_s: float, ended: dict[str, list[float]]) -> None:
         """Let a request end each searcher that begins it; it starts again under its id.
 
         :param path: a part of the request's path.
         :param back_after_s: when a searcher that has ended starts again.
-        :param ended: gets the time of each end, on the steady clock.
+        :param ended: gets the time of each end, on the steady clock, by the path of the request.
         """
 
-        def ends(searcher: Searcher) -> None:
-            ended.append(time.monotonic())
+        def ends(searcher: Searcher, ended_by: str) -> None:
+            ended.setdefault(ended_by, []).append(time.monotonic())
             self._loop.call_later(back_after_s, self._start_again, searcher)
 
         for searcher in self.searchers.values():
@@ -296,6 +314,8 @@
         self.run(ending)
 
     def _start_again(self, searcher: Searcher) -> None:
+        if searcher.gone or searcher.is_listening:
+            return
         searcher.start_again(int(time.time() * 1e3))
         self.model.put(f"servers/{searcher.incarnation}", searcher.entry())
         for store in self.stores.values():
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -28,8 +29,11 @@
     :ivar slots: how many requests it executes at a time.
     :ivar refuses: whether it has no room.
     :ivar ends_on: a part of the paths of requests that end it, some time after it began them.
-    :ivar on_ended: told when a request has ended it.
+    :ivar on_ended: told the path of the request that has ended it.
+    :ivar gone: whether it has left for good, and is not to start again.
     :ivar arrivals: ids of the requests that it got, in order.
+    :ivar arrived_s: when each of them came, on the steady clock.
+    :ivar published_port: the port that its entry in the store names; its own if 0.
     :ivar begun: ids of those that it began to execute.
     :ivar ran: ids of those that it executed to the end.
     :ivar left: ids of those whose caller left first.
@@ -47,8 +51,11 @@
         self.slots = SLOTS
         self.refuses = False
         self.ends_on = ""
-        self.on_ended: Callable[[], None] = lambda: None
+        self.on_ended: Callable[[str], None] = lambda path: None
+        self.gone = False
         self.arrivals: list[str] = []
+        self.arrived_s: list[float] = []
+        self.published_port = 0
         self.begun: list[str] = []
         self.ran: list[str] = []
         self.left: list[str] = []
@@ -58,6 +65,11 @@
         self._open: dict[Connection, tuple[str, asyncio.TimerHandle]] = {}
         self._waiting: deque[tuple[Connection, str, str]] = deque()
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it runs."""
+        return self._server.is_listening
+
     def listen(self) -> int:
         """Start.
 
@@ -103,7 +115,7 @@
         return {
             **born,
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.published_port or self.port}",
             "zone": self.zone,
             "version": "v1",
             "capacity": self.slots,
@@ -138,6 +150,7 @@
             return
         request_id = request.headers.get("x-request-id", "")
         self.arrivals.append(request_id)
+        self.arrived_s.append(time.monotonic())
         if self._breaks_off:
             self._breaks_off = False
             connection.reply(Reply(200, delivery=Delivery.LOST))
@@ -153,15 +166,15 @@
             connection, request_id, path = self._waiting.popleft()
             loop = asyncio.get_running_loop()
             if self.ends_on and self.ends_on in path:
-                loop.call_later(ENDS_AFTER_MS / 1e3, self._end)
+                loop.call_later(ENDS_AFTER_MS / 1e3, self._end, path)
             timer = loop.call_later(self.work_ms(path) / 1e3, self._done, connection, request_id)
             self._open[connection] = (request_id, timer)
             self.begun.append(request_id)
 
-    def _end(self) -> None:
-        if self._server.is_listening:
+    def _end(self, path: str) -> None:
+        if self.is_listening:
             self.crash()
-            self.on_ended()
+            self.on_ended(path)
 
     def _done(self, connection: Connection, request_id: str) -> None:
         del self._open[connection]
--- a/standins/tests/test_live_fatal_requests.py
+++ b/standins/tests/test_live_fatal_requests.py
@@ -100,9 +100,10 @@
         self.check("/once/fatal")
 
     def check(self, fatal_path: str) -> None:
-        ended: list[float] = []
-        self.deployment.end_on("fatal", BACK_AFTER_S, ended)
+        by_path: dict[str, list[float]] = {}
+        self.deployment.end_on("fatal", BACK_AFTER_S, by_path)
         fatal, others = self.play(fatal_path)
+        ended = by_path[fatal_path]
         self.assertGreaterEqual(len(ended), ENDED)
         since_s = sorted(ended)[ENDED - 1] + SETTLED_S
         arrived = set()
--- a/standins/tests/test_live_suspension.py
+++ b/standins/tests/test_live_suspension.py
@@ -44,11 +44,11 @@
 
     def test_it_serves_by_what_holds_when_it_goes_on(self):
         awake, _, held_up = self.entries
-        ended: list[float] = []
+        ended: dict[str, list[float]] = {}
         self.deployment.end_on("fatal", 60.0, ended)
         held_up.signal(signal.SIGSTOP)
         self.assertEqual(awake.ask("/search/fatal", "fatal-1").status, 502)
-        self.assertGreaterEqual(len(ended), 3)
+        self.assertGreaterEqual(len(ended["/search/fatal"]), 3)
         leaving = next(one for one in self.deployment.searchers.values() if not one.begun)
         self.deployment.delete(f"servers/{leaving.incarnation}")
         self.deployment.put("op/config", configuration(4, SHARDS, {}, {"new": "a"}, 500))
--- /dev/null
+++ b/tools/soak/_plan.py
@@ -0,0 +1,121 @@
+"""What a soak does, drawn from its seed: faults and requests with their times."""
+
+import random
+from dataclasses import dataclass
+
+FAULT_GAP_S = 0.8
+"""Mean time between faults; most last longer, so that they overlap."""
+CALM_BEFORE_S, CALM_AFTER_S = 2.0, 8.0
+"""Without faults at the start, and at the end for what has to come back by itself."""
+WEIGHTS = {
+    "entry-killed": 3,
+    "entry-stopped": 3,
+    "entry-frozen": 3,
+    "settings-read-again": 1,
+    "domain-killed": 1,
+    "fleet-killed": 1,
+    "store-refuses": 2,
+    "store-forgets": 1,
+    "route-added": 2,
+    "searchers-crash": 3,
+    "searchers-slow": 2,
+    "searchers-refuse": 2,
+    "answers-lost": 2,
+    "searcher-leaves": 2,
+    "links-reset": 2,
+    "links-slow": 1,
+    "links-silent": 1,
+    "fatal-request": 1,
+}
+"""How often each kind of fault is drawn, in relation to the others."""
+SECONDS = {
+    "entry-frozen": (0.2, 4.0),
+    "entry-killed": (0.1, 1.0),
+    "domain-killed": (0.1, 1.0),
+    "fleet-killed": (0.1, 1.0),
+    "store-refuses": (0.5, 4.0),
+    "searchers-crash": (0.5, 3.0),
+    "searchers-slow": (0.5, 3.0),
+    "searchers-refuse": (0.2, 2.0),
+    "links-slow": (0.5, 2.0),
+    "links-silent": (0.3, 1.5),
+}
+"""How long those last that are taken back."""
+LEAVES_SHARE, AT_ONCE_SHARE = 0.05, 0.1
+"""Parts of the callers' requests whose caller leaves early, or repeats at once after a failure."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault.
+
+    :param at_s: when, from the start of the traffic.
+    :param kind: a key of ``WEIGHTS``.
+    :param for_s: how long; 0 for what is not taken back.
+    :param draw: a number between 0 and 1 by which its targets are chosen.
+    """
+
+    at_s: float
+    kind: str
+    for_s: float
+    draw: float
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A caller's request.
+
+    :param at_s: when it is due, from the start of the traffic.
+    :param id: its id.
+    :param path: its path.
+    :param leave_s: when its caller leaves; None if it waits.
+    :param at_once: whether it is sent again at once, with another id, when it fails.
+    """
+
+    at_s: float
+    id: str
+    path: str
+    leave_s: float | None
+    at_once: bool
+
+
+def draw_faults(seed: int, seconds: float) -> tuple[Fault, ...]:
+    """Draw the faults of a run.
+
+    :param seed: the seed.
+    :param seconds: length of the traffic.
+    :returns: the faults, by time.
+    """
+    rng = random.Random(f"faults {seed}")
+    faults = []
+    at_s = CALM_BEFORE_S
+    while True:
+        at_s += rng.expovariate(1.0 / FAULT_GAP_S)
+        if at_s > seconds - CALM_AFTER_S:
+            return tuple(faults)
+        (kind,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+        for_s = rng.uniform(*SECONDS.get(kind, (0.0, 0.0)))
+        faults.append(Fault(round(at_s, 3), kind, round(for_s, 3), rng.random()))
+
+
+def draw_requests(seed: int, caller: int, seconds: float, rate: float) -> tuple[Asked, ...]:
+    """Draw the requests of a caller.
+
+    :param seed: the seed.
+    :param caller: the caller's number.
+    :param seconds: length of the traffic.
+    :param rate: its requests a second.
+    :returns: the requests, by time.
+    """
+    rng = random.Random(f"requests {seed} {caller}")
+    asked = []
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(rate)
+        if at_s > seconds:
+            return tuple(asked)
+        (kind,) = rng.choices(("search", "any", "once"), (7, 2, 1))
+        request_id = f"s{seed}-c{caller}-{len(asked)}"
+        leave_s = rng.uniform(0.005, 0.2) if rng.random() < LEAVES_SHARE else None
+        at_once = rng.random() < AT_ONCE_SHARE
+        asked.append(Asked(round(at_s, 3), request_id, f"/{kind}/{request_id}", leave_s, at_once))
--- /dev/null
+++ b/tools/soak/_seen.py
@@ -0,0 +1,77 @@
+"""What was seen in a run, from outside the entries."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Exchanged:
+    """A request as its caller saw it.
+
+    :param id: its id.
+    :param path: its path.
+    :param entry: name of the entry that it was sent to.
+    :param sent_s: when it was sent, on the steady clock.
+    :param ended_s: when it was over.
+    :param status: the answer's status; 0 when there was none.
+    :param headers: the answer's headers, names in lower case.
+    :param body: the answer's body.
+    :param left: whether the caller left before an answer.
+    """
+
+    id: str
+    path: str
+    entry: str
+    sent_s: float
+    ended_s: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    left: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as a searcher saw it.
+
+    :param id: the request.
+    :param service: the searcher's service.
+    :param searcher: the searcher's id.
+    :param at_s: when it arrived, on the steady clock.
+    :param begun: whether it was begun.
+    """
+
+    id: str
+    service: str
+    searcher: str
+    at_s: float
+    begun: bool
+
+
+@dataclass(slots=True)
+class Seen:
+    """What was seen in a run.
+
+    :ivar exchanged: requests as their callers saw them.
+    :ivar arrivals: requests as searchers saw them.
+    :ivar ended_by_itself: names of entries whose process ended without being told to.
+    :ivar disturbed: times (from, to) at which each entry was stopped, frozen or killed, by name.
+    :ivar stops: when entries were asked to stop, and their exit codes, by name.
+    :ivar left_s: when searchers left the store, by id.
+    :ivar store_trouble: times (from, to) of trouble at the store.
+    :ivar fatal_ends_s: when searchers ended by a fatal request, by its path.
+    :ivar calm_from_s: when all faults were over and their ends had settled.
+    :ivar paths: paths that answer at the end.
+    :ivar descriptors: open descriptors of each entry before and after, by name.
+    """
+
+    exchanged: list[Exchanged] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    ended_by_itself: list[str] = field(default_factory=list)
+    disturbed: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    stops: list[tuple[str, float, int]] = field(default_factory=list)
+    left_s: dict[str, float] = field(default_factory=dict)
+    store_trouble: list[tuple[float, float]] = field(default_factory=list)
+    fatal_ends_s: dict[str, list[float]] = field(default_factory=dict)
+    calm_from_s: float = float("inf")
+    paths: list[str] = field(default_factory=list)
+    descriptors: dict[str, tuple[int, int]] = field(default_factory=dict)
--- /dev/null
+++ b/tools/soak/_world.py
@@ -0,0 +1,306 @@
+"""A deployment under the faults of a plan."""
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from standins.fleet import wait_until
+from standins.operators import Deployment, EntryProcess, Proxy, Searcher, configuration
+from tools.soak._callers import ask_once
+from tools.soak._plan import CALM_AFTER_S, Fault
+from tools.soak._seen import Arrival, Seen
+
+SHARDS = tuple(f"shard-{number}" for number in range(8))
+ZONES = ("hall-a", "hall-b", "hall-c")
+REPLICAS = 3
+WORK_MS = 15.0
+TARGET_MS = 250
+START_S = 3.0
+"""Entries know each other so long after their start."""
+SETTLE_S = 5.0
+"""What faults leave behind is gone so long after the last of them has ended."""
+RESTART_S = 0.3
+BACK_S = 2.0
+"""Searchers that a fatal request ended are back after so long."""
+SLOW_MS, LINK_DELAY_S = 400.0, 0.1
+
+
+class World:
+    """A deployment under the faults of a plan.
+
+    :param folder: for settings and logs.
+    :param seed: the seed of the run.
+    :param entries: how many entries, spread over the failure domains.
+    :ivar deployment: the entries, searchers and the store.
+    :ivar seen: what was seen.
+    """
+
+    def __init__(self, folder: Path, seed: int, entries: int):
+        self.deployment = Deployment(folder)
+        self.seen = Seen()
+        self._rng = random.Random(f"targets {seed}")
+        self._seed = seed
+        self._version = 3
+        self._routes = {"any": SHARDS[0]}
+        self._proxies: dict[str, Proxy] = {}
+        self._lasting: list[threading.Thread] = []
+        self._guard = threading.Lock()
+        self._stopping: set[str] = set()
+        self._fatal: dict[str, threading.Thread] = {}
+        self._publish()
+        for number, shard in enumerate(SHARDS):
+            for place in range(REPLICAS):
+                self._add_searcher(shard, number, place)
+        for number in range(entries):
+            entry = self.deployment.start_entry(zone=ZONES[number % len(ZONES)])
+            self.seen.disturbed[entry.name] = []
+
+    def wait(self) -> None:
+        """Wait until the entries serve and know each other."""
+        for entry in self.deployment.entries:
+            if not wait_until(entry.is_ready):
+                raise RuntimeError(f"{entry.name} does not get ready: {entry.log()[-2_000:]}")
+        time.sleep(START_S)
+        self._before = {entry.name: _descriptors(entry) for entry in self.deployment.entries}
+
+    def play(self, faults: tuple[Fault, ...], started_s: float, seconds: float) -> None:
+        """Carry out faults.
+
+        :param faults: the faults, by time.
+        :param started_s: when the traffic starts, on the steady clock.
+        :param seconds: how long it lasts.
+        """
+        for fault in faults:
+            time.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
+            self._begin(fault)
+        for thread in self._lasting:
+            thread.join()
+        settled_s = time.monotonic() + SETTLE_S
+        self.seen.calm_from_s = max(settled_s, started_s + seconds - CALM_AFTER_S + SETTLE_S)
+        self.seen.paths = [f"/{name}/x" for name in self._routes]
+
+    def close(self) -> None:
+        """Take what is seen at the end, and end everything."""
+        for entry in self.deployment.entries:
+            if entry.popen.poll() is None:
+                after = _descriptors(entry)
+                self.seen.descriptors[entry.name] = (self._before[entry.name], after)
+            else:
+                self.seen.ended_by_itself.append(entry.name)
+        for searcher in self.deployment.searchers.values():
+            begun = set(searcher.begun)
+            for request_id, at_s in zip(searcher.arrivals, searcher.arrived_s, strict=True):
+                name, service = searcher.incarnation, searcher.service
+                begins = request_id in begun
+                self.seen.arrivals.append(Arrival(request_id, service, name, at_s, begins))
+        for proxy in self._proxies.values():
+            self.deployment.run(proxy.close)
+        self.deployment.close()
+
+    def _begin(self, fault: Fault) -> None:
+        carry_out = getattr(self, "_" + fault.kind.replace("-", "_"))
+        rng = random.Random(f"{self._seed} {fault.at_s} {fault.draw}")
+        thread = threading.Thread(target=carry_out, args=(fault, rng), daemon=True)
+        self._lasting.append(thread)
+        thread.start()
+
+    # Entries.
+
+    def _entry_killed(self, fault: Fault, rng: random.Random) -> None:
+        self._kill([rng.choice(self.deployment.entries)], fault.for_s)
+
+    def _domain_killed(self, fault: Fault, rng: random.Random) -> None:
+        first = rng.randrange(len(ZONES))
+        self._kill(self.deployment.entries[first :: len(ZONES)], fault.for_s)
+
+    def _fleet_killed(self, fault: Fault, rng: random.Random) -> None:
+        self._kill(list(self.deployment.entries), fault.for_s)
+
+    def _kill(self, entries: list[EntryProcess], for_s: float) -> None:
+        taken = [entry for entry in entries if self._take(entry)]
+        began_s = time.monotonic()
+        for entry in taken:
+            entry.signal(signal.SIGKILL)
+        time.sleep(for_s + RESTART_S)
+        for entry in taken:
+            self._start_again(entry, began_s)
+
+    def _entry_stopped(self, fault: Fault, rng: random.Random) -> None:
+        entry = rng.choice(self.deployment.entries)
+        if not self._take(entry):
+            return
+        began_s = time.monotonic()
+        entry.signal(signal.SIGTERM)
+        code = entry.popen.wait()
+        self.seen.stops.append((entry.name, time.monotonic() - began_s, code))
+        self._start_again(entry, time.monotonic())
+
+    def _entry_frozen(self, fault: Fault, rng: random.Random) -> None:
+        entry = rng.choice(self.deployment.entries)
+        if not self._take(entry):
+            return
+        began_s = time.monotonic()
+        entry.signal(signal.SIGSTOP)
+        time.sleep(fault.for_s)
+        entry.signal(signal.SIGCONT)
+        self._give_back(entry, began_s)
+
+    def _settings_read_again(self, fault: Fault, rng: random.Random) -> None:
+        entry = rng.choice(self.deployment.entries)
+        if self._take(entry):
+            entry.write_settings(ratio=rng.choice((0.1, 0.2, 0.3)))
+            entry.signal(signal.SIGHUP)
+            self._stopping.discard(entry.name)
+
+    def _take(self, entry: EntryProcess) -> bool:
+        """Take an entry for a fault, unless another one has it; see whether it ended by itself."""
+        with self._guard:
+            if entry.name in self._stopping:
+                return False
+            if entry.popen.poll() is not None:
+                self.seen.ended_by_itself.append(entry.name)
+                return False
+            self._stopping.add(entry.name)
+            return True
+
+    def _start_again(self, entry: EntryProcess, began_s: float) -> None:
+        entry.start_again()
+        wait_until(entry.is_ready)
+        self._give_back(entry, began_s)
+
+    def _give_back(self, entry: EntryProcess, began_s: float) -> None:
+        self.seen.disturbed[entry.name].append((began_s, time.monotonic()))
+        self._stopping.discard(entry.name)
+
+    # The store.
+
+    def _store_refuses(self, fault: Fault, rng: random.Random) -> None:
+        began_s = time.monotonic()
+        names = [name for name in self.deployment.stores if rng.random() < 0.7]
+        for entry in self.deployment.entries:
+            if entry.name in names:
+                self.deployment.turn_away(entry)
+        time.sleep(fault.for_s)
+        for name in names:
+            self.deployment.stores[name].down = False
+        self.seen.store_trouble.append((began_s, time.monotonic()))
+
+    def _store_forgets(self, fault: Fault, rng: random.Random) -> None:
+        began_s = time.monotonic()
+        self.deployment.forget_history()
+        self.seen.store_trouble.append((began_s, time.monotonic()))
+
+    def _route_added(self, fault: Fault, rng: random.Random) -> None:
+        with self._guard:
+            self._version += rng.choice((1, 2, 5))
+            self._routes[f"added-{self._version}"] = rng.choice(SHARDS)
+            self._publish()
+
+    def _publish(self) -> None:
+        once = {"once": SHARDS[1]}
+        wanted = configuration(self._version, SHARDS, once, self._routes, TARGET_MS)
+        self.deployment.put("op/config", wanted)
+
+    # Searchers.
+
+    def _add_searcher(self, shard: str, number: int, place: int) -> None:
+        zone = ZONES[(number + place) % len(ZONES)]
+        name = f"i-{shard}-{place}"
+        born = int(time.time() * 1e3)
+        searcher = self.deployment.add_searcher(name, shard, zone, born)
+        searcher.delay_ms = WORK_MS
+        if place == 0:
+            proxy = Proxy(lambda: searcher.port)
+            searcher.published_port = self.deployment.run_async(proxy.listen())
+            self._proxies[name] = proxy
+            self.deployment.put(f"servers/{name}", searcher.entry())
+
+    def _some(self, rng: random.Random, share: float) -> list[Searcher]:
+        """Draw searchers, at most one of each shard, none of them behind a proxy."""
+        found = []
+        for shard in SHARDS:
+            if rng.random() < share:
+                found.append(self.deployment.searchers[f"i-{shard}-{rng.choice((1, 2))}"])
+        return [one for one in found if one.incarnation not in self.seen.left_s]
+
+    def _searchers_crash(self, fault: Fault, rng: random.Random) -> None:
+        with self._guard:
+            alive = [one for one in self._some(rng, 0.4) if one.is_listening]
+            self.deployment.end(alive, fault.for_s)
+        time.sleep(fault.for_s)
+
+    def _searchers_slow(self, fault: Fault, rng: random.Random) -> None:
+        def set_work(ms: float) -> Callable[[Searcher], None]:
+            return lambda searcher: setattr(searcher, "delay_ms", ms)
+
+        self._for_a_while(fault, self._some(rng, 0.5), set_work(SLOW_MS), set_work(WORK_MS))
+
+    def _searchers_refuse(self, fault: Fault, rng: random.Random) -> None:
+        def set_refuses(refuses: bool) -> Callable[[Searcher], None]:
+            return lambda searcher: setattr(searcher, "refuses", refuses)
+
+        self._for_a_while(fault, self._some(rng, 0.5), set_refuses(True), set_refuses(False))
+
+    def _for_a_while(self, fault, searchers, harm, heal) -> None:
+        for searcher in searchers:
+            harm(searcher)
+        time.sleep(fault.for_s)
+        for searcher in searchers:
+            heal(searcher)
+
+    def _answers_lost(self, fault: Fault, rng: random.Random) -> None:
+        for searcher in self._some(rng, 0.5):
+            searcher.break_off_next()
+
+    def _searcher_leaves(self, fault: Fault, rng: random.Random) -> None:
+        with self._guard:
+            shard = rng.choice(SHARDS)
+            name = f"i-{shard}-2"
+            if name in self.seen.left_s:
+                return
+            self.deployment.searchers[name].gone = True
+            self.deployment.delete(f"servers/{name}")
+            self.seen.left_s[name] = time.monotonic()
+            zone = rng.choice(ZONES)
+            born = int(time.time() * 1e3)
+            added = self.deployment.add_searcher(f"i-{shard}-new", shard, zone, born)
+            added.delay_ms = WORK_MS
+
+    def _links_reset(self, fault: Fault, rng: random.Random) -> None:
+        for proxy in self._proxies.values():
+            self.deployment.run(lambda one=proxy: one.reset(0.5, rng))
+
+    def _links_slow(self, fault: Fault, rng: random.Random) -> None:
+        self._harm_links(fault, rng, "delay_s", LINK_DELAY_S, 0.0)
+
+    def _links_silent(self, fault: Fault, rng: random.Random) -> None:
+        self._harm_links(fault, rng, "silent", True, False)
+        for proxy in self._proxies.values():
+            # Bytes are missing on what was silent, so that it can't go on.
+            self.deployment.run(lambda one=proxy: one.reset(1.0, rng))
+
+    def _harm_links(self, fault: Fault, rng: random.Random, field: str, harm, heal) -> None:
+        chosen = [proxy for proxy in self._proxies.values() if rng.random() < 0.5]
+        for proxy in chosen:
+            setattr(proxy, field, harm)
+        time.sleep(fault.for_s)
+        for proxy in chosen:
+            setattr(proxy, field, heal)
+
+    def _fatal_request(self, fault: Fault, rng: random.Random) -> None:
+        """From now on a caller sends a request that ends the searchers that begin it."""
+        path = f"/search/fatal-{fault.at_s}"
+        with self._guard:
+            self.deployment.end_on("fatal", BACK_S, self.seen.fatal_ends_s)
+        for number in range(rng.choice((3, 6, 10))):
+            entry = rng.choice(self.deployment.entries)
+            request_id = f"fatal-{self._seed}-{fault.at_s}-{number}"
+            self.seen.exchanged.append(ask_once(entry, path, request_id))
+            time.sleep(rng.uniform(0.05, 1.0))
+
+
+def _descriptors(entry: EntryProcess) -> int:
+    return len(list(Path(f"/proc/{entry.popen.pid}/fd").iterdir()))
