--- a/tools/soak/_report.py
+++ b/tools/soak/_report.py
@@ -30,6 +30,8 @@
         "  faults: " + ", ".join(f"{kind} {n}" for kind, n in sorted(kinds.items())),
         "  checks: " + ", ".join(f"{name} {n}" for name, n in checked.counts.items()),
     ]
+    if seen.starved:
+        lines.append(f"  entries had to wait for a processor: {seen.starved} times")
     never = [name for name, n in checked.counts.items() if not n]
     if never:
         lines.append("  never exercised: " + ", ".join(never))
--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -68,7 +68,8 @@
 
 
 def _ask_new_paths(world: World) -> None:
-    """Ask each entry for what the last configuration added."""
+    """Ask each entry for what the last configuration added, once all is calm."""
+    time.sleep(max(0.0, world.seen.calm_from_s - time.monotonic()))
     for place, path in enumerate(world.seen.paths):
         for entry in world.deployment.entries:
             request_id = f"last-{entry.name}-{place}"
--- a/tools/soak/_seen.py
+++ b/tools/soak/_seen.py
@@ -61,6 +61,7 @@
     :ivar fatal_ends_s: when searchers ended by a fatal request, by its path.
     :ivar calm_from_s: when all faults were over and their ends had settled.
     :ivar paths: paths that answer at the end.
+    :ivar starved: how often an entry had to wait for a processor for long.
     :ivar descriptors: open descriptors of each entry before and after, by name.
     """
 
@@ -73,5 +74,6 @@
     store_trouble: list[tuple[float, float]] = field(default_factory=list)
     fatal_ends_s: dict[str, list[float]] = field(default_factory=dict)
     calm_from_s: float = float("inf")
+    starved: int = 0
     paths: list[str] = field(default_factory=list)
     descriptors: dict[str, tuple[int, int]] = field(default_factory=dict)
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -25,6 +25,9 @@
 RESTART_S = 0.3
 BACK_S = 2.0
 """Searchers that a fatal request ended are back after so long."""
+WATCH_S, STARVED_S = 0.5, 0.2
+"""How often it is looked at, and what an entry waits for a processor meanwhile for it to count as
+held up, as if it were frozen."""
 SLOW_MS, LINK_DELAY_S = 400.0, 0.1
 
 
@@ -49,7 +52,7 @@
         self._lasting: list[threading.Thread] = []
         self._guard = threading.Lock()
         self._stopping: set[str] = set()
-        self._fatal: dict[str, threading.Thread] = {}
+        self._over = threading.Event()
         self._publish()
         for number, shard in enumerate(SHARDS):
             for place in range(REPLICAS):
@@ -64,6 +67,7 @@
             if not wait_until(entry.is_ready):
                 raise RuntimeError(f"{entry.name} does not get ready: {entry.log()[-2_000:]}")
         time.sleep(START_S)
+        threading.Thread(target=self._watch_processors, daemon=True).start()
         self._before = {entry.name: _descriptors(entry) for entry in self.deployment.entries}
 
     def play(self, faults: tuple[Fault, ...], started_s: float, seconds: float) -> None:
@@ -83,7 +87,9 @@
         self.seen.paths = [f"/{name}/x" for name in self._routes]
 
     def close(self) -> None:
-        """Take what is seen at the end, and end everything."""
+        """Take what is seen at the end, and end everything, also what a fault is about to start."""
+        with self._guard:
+            self._over.set()
         for entry in self.deployment.entries:
             if entry.popen.poll() is None:
                 after = _descriptors(entry)
@@ -167,7 +173,10 @@
             return True
 
     def _start_again(self, entry: EntryProcess, began_s: float) -> None:
-        entry.start_again()
+        with self._guard:
+            if self._over.is_set():
+                return
+            entry.start_again()
         wait_until(entry.is_ready)
         self._give_back(entry, began_s)
 
@@ -175,6 +184,20 @@
         self.seen.disturbed[entry.name].append((began_s, time.monotonic()))
         self._stopping.discard(entry.name)
 
+    def _watch_processors(self) -> None:
+        """Note when entries wait for a processor, which other work on the machine may take."""
+        waited: dict[int, float] = {}
+        began_s = time.monotonic()
+        while not self._over.wait(WATCH_S):
+            now_s = time.monotonic()
+            for entry in self.deployment.entries:
+                pid, so_far_s = entry.popen.pid, _waited_s(entry.popen.pid)
+                if so_far_s - waited.get(pid, so_far_s) > STARVED_S:
+                    self.seen.disturbed[entry.name].append((began_s, now_s))
+                    self.seen.starved += 1
+                waited[pid] = so_far_s
+            began_s = now_s
+
     # The store.
 
     def _store_refuses(self, fault: Fault, rng: random.Random) -> None:
@@ -302,5 +325,13 @@
             time.sleep(rng.uniform(0.05, 1.0))
 
 
+def _waited_s(pid: int) -> float:
+    """Read for how long a process has been waiting for a processor while it could run."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except OSError:
+        return 0.0
+
+
 def _descriptors(entry: EntryProcess) -> int:
     return len(list(Path(f"/proc/{entry.popen.pid}/fd").iterdir()))
--- /dev/null
+++ b/tools/tests/test_soak_checks.py
@@ -0,0 +1,156 @@
+"""Each check of the soak accepts a good run and finds a planted violation."""
+
+import unittest
+from dataclasses import replace
+
+from standins.operators import Searcher
+from tools.soak._checks import CHECKS, TOP_K, check_all
+from tools.soak._plan import WEIGHTS, draw_faults, draw_requests
+from tools.soak._seen import Arrival, Exchanged, Seen
+from tools.soak._world import World
+
+SHARDS = ("a", "b")
+
+
+def search(request_id: str, entry: str = "vm-1", sent_s: float = 10.0) -> Exchanged:
+    records = [record for name in SHARDS for record in Searcher.records(name, request_id)]
+    body = b"".join(sorted(records, reverse=True)[:TOP_K])
+    headers = {"x-part-seals": ", ".join(f"{name}.{request_id}" for name in SHARDS)}
+    path = f"/search/{request_id}"
+    return Exchanged(request_id, path, entry, sent_s, sent_s + 0.05, 200, headers, body)
+
+
+def once(request_id: str, status: int = 200) -> Exchanged:
+    body = b"".join(Searcher.records("a", request_id)) if status == 200 else b""
+    headers = {"x-response-seal": f"a.{request_id}"}
+    return Exchanged(request_id, f"/once/{request_id}", "vm-1", 11.0, 11.1, status, headers, body)
+
+
+def fatal(number: int, sent_s: float) -> Exchanged:
+    return Exchanged(f"f{number}", "/search/fatal", "vm-1", sent_s, sent_s, 502, {}, b"")
+
+
+def good_run() -> Seen:
+    seen = Seen(calm_from_s=9.0, paths=["/search/x"])
+    refused = replace(once("o2", 503), sent_s=8.0)
+    seen.exchanged = [search("r1"), once("o1"), refused, fatal(1, 10.0), fatal(2, 30.0)]
+    seen.arrivals = [
+        Arrival("r1", "a", "i-a-1", 10.01, True),
+        Arrival("r1", "a", "i-a-2", 10.02, True),
+        Arrival("r1", "b", "i-b-1", 10.01, True),
+        Arrival("o1", "a", "i-a-1", 11.01, True),
+        Arrival("f1", "a", "i-a-3", 10.01, True),
+    ]
+    seen.fatal_ends_s = {"/search/fatal": [10.02, 10.02, 10.03]}
+    seen.left_s = {"i-a-9": 5.0}
+    seen.stops = [("vm-1", 3.4, 0)]
+    seen.disturbed = {"vm-1": []}
+    seen.descriptors = {"vm-1": (60, 70)}
+    return seen
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self):
+        self.seen = good_run()
+
+    def broken(self) -> set[str]:
+        return {violation.check for violation in check_all(self.seen).violations}
+
+    def answer(self, **changes: object) -> None:
+        self.seen.exchanged[0] = replace(self.seen.exchanged[0], **changes)
+
+    def test_a_good_run_is_accepted_and_all_checks_are_exercised(self):
+        checked = check_all(self.seen)
+        self.assertEqual(checked.violations, ())
+        self.assertEqual(set(checked.counts), set(CHECKS))
+        self.assertTrue(all(checked.counts.values()), checked.counts)
+
+    def test_an_answer_of_another_request_or_not_whole_is_found(self):
+        other = search("r2")
+        for changes in (
+            {"body": other.body},
+            {"headers": other.headers},
+            {"body": self.seen.exchanged[0].body[:-16]},
+            {"headers": {"x-part-seals": "a.r1, a.r1"}},
+            {"headers": {"x-part-seals": "a.r1"}},
+        ):
+            self.seen = good_run()
+            self.answer(**changes)
+            self.assertEqual(self.broken(), {"answers are whole and own"}, changes)
+        self.seen = good_run()
+        self.seen.exchanged[1] = replace(self.seen.exchanged[1], body=b"x")
+        self.assertEqual(self.broken(), {"answers are whole and own"})
+
+    def test_a_refusal_of_what_was_begun_is_found(self):
+        self.seen.arrivals.append(Arrival("o2", "a", "i-a-1", 11.0, True))
+        self.assertEqual(self.broken(), {"not run is true"})
+
+    def test_a_second_run_of_what_must_not_repeat_is_found(self):
+        self.seen.arrivals.append(Arrival("o1", "a", "i-a-2", 11.05, True))
+        self.assertEqual(self.broken(), {"at most once"})
+
+    def test_a_third_searcher_of_a_shard_is_found(self):
+        self.seen.arrivals.append(Arrival("r1", "a", "i-a-3", 10.04, True))
+        self.assertEqual(self.broken(), {"attempts"})
+
+    def test_a_request_that_nobody_sent_is_found(self):
+        self.seen.arrivals.append(Arrival("r9", "a", "i-a-3", 10.04, False))
+        self.assertEqual(self.broken(), {"nothing unasked"})
+
+    def test_a_late_arrival_at_a_searcher_that_left_is_found_in_calm_only(self):
+        self.seen.arrivals.append(Arrival("r1", "b", "i-a-9", 10.04, False))
+        self.assertEqual(self.broken(), {"drains"})
+        self.seen.store_trouble = [(5.0, 7.0)]
+        self.assertEqual(self.broken(), set())
+
+    def test_a_process_that_ends_by_itself_is_found(self):
+        self.seen.ended_by_itself.append("vm-1")
+        self.assertEqual(self.broken(), {"no process ends by itself"})
+
+    def test_a_stop_that_fails_or_takes_too_long_is_found(self):
+        for stop in (("vm-1", 7.0, 0), ("vm-1", 3.0, 70)):
+            self.seen.stops = [stop]
+            self.assertEqual(self.broken(), {"stops end in time"})
+
+    def test_a_caller_who_is_cut_off_is_found_unless_the_entry_was_killed(self):
+        self.answer(status=0)
+        self.seen.calm_from_s = 20.0
+        self.seen.exchanged.append(search("r8", sent_s=21.0))
+        self.seen.exchanged.append(replace(once("o8"), sent_s=21.0))
+        self.assertEqual(self.broken(), {"nobody is cut off"})
+        self.seen.disturbed = {"vm-1": [(10.04, 12.0)]}
+        self.assertEqual(self.broken(), set())
+
+    def test_late_attempts_at_a_fatal_request_are_found(self):
+        for number in range(3, 7):
+            self.seen.exchanged.append(fatal(number, 20.0))
+            self.seen.arrivals.append(Arrival(f"f{number}", "a", f"i-a-{number}", 20.0, True))
+        self.assertEqual(self.broken(), {"fatal requests"})
+        self.seen.disturbed = {"vm-1": [(18.0, 19.0)]}
+        self.assertEqual(self.broken(), set())
+
+    def test_what_does_not_come_back_is_found(self):
+        self.answer(status=503)
+        self.seen.arrivals = self.seen.arrivals[3:]
+        self.assertEqual(self.broken(), {"all comes back"})
+        self.seen = good_run()
+        self.seen.paths = ["/never/x"]
+        self.assertEqual(self.broken(), {"all comes back"})
+
+    def test_descriptors_that_stay_open_are_found(self):
+        self.seen.descriptors = {"vm-1": (60, 400)}
+        self.assertEqual(self.broken(), {"descriptors come back"})
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_seed_tells_the_faults_and_the_requests(self):
+        self.assertEqual(draw_faults(5, 60.0), draw_faults(5, 60.0))
+        self.assertNotEqual(draw_faults(5, 60.0), draw_faults(6, 60.0))
+        self.assertEqual(draw_requests(5, 1, 9.0, 5.0), draw_requests(5, 1, 9.0, 5.0))
+        self.assertNotEqual(draw_requests(5, 1, 9.0, 5.0), draw_requests(5, 2, 9.0, 5.0))
+
+    def test_every_kind_of_fault_can_be_carried_out(self):
+        drawn = {fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0)}
+        self.assertEqual(drawn, set(WEIGHTS))
+        for kind in WEIGHTS:
+            self.assertTrue(hasattr(World, "_" + kind.replace("-", "_")), kind)
