--- a/rhubarbhinge/quarantine/_quarantine.py
+++ b/rhubarbhinge/quarantine/_quarantine.py
@@ -39,7 +39,7 @@
 CAUTION_MS = 60_000.0
 """For so long each of them counts for that."""
 MOST_KNOWN = 256
-"""Requests that something is known against, some 150 KB; the one accused the longest ago makes
+"""Requests that something is known against, some 300 KB; the one accused the longest ago makes
 room."""
 NEWEST_TOLD = 3
 """Of what is known, the newest ride on each heartbeat, and as many others that are drawn: at most
