--- a/rhubarbhinge/quarantine/tests/test_quarantine.py
+++ b/rhubarbhinge/quarantine/tests/test_quarantine.py
@@ -171,6 +171,25 @@
         self.fleet.tell()
         self.assertEqual(self.verdicts(), [ALLOWED] * 3)
 
+    def test_an_entry_that_was_cut_off_meanwhile_brings_no_conviction_back(self):
+        self.convict(self.first)
+        self.fleet.tell()
+        cut_off = self.fleet.entries.pop("vm-3")
+        self.fleet.now_ms += FIRST_REST_MS
+        self.first.verdict(FATAL, ROUTE)
+        watch = self.first.watch(FATAL, ROUTE, True, lambda: None)
+        watch.on_replied("s0")
+        self.fleet.tell()
+        while cut_off.told():
+            self.fleet.now_ms += 10_000.0
+            self.first.take(cut_off.told())
+            self.assertEqual(self.first.verdict(FATAL, ROUTE), ALLOWED)
+            self.fleet.tell(0.0)
+
+    def test_requests_that_are_not_told_apart_accuse_none(self):
+        self.assertTrue(self.run_at(self.first, "", 1, 2, 3))
+        self.assertEqual(self.first.verdict("", ROUTE), ALLOWED)
+
     def test_a_request_that_was_cleared_can_be_convicted_again(self):
         self.test_a_trial_that_is_replied_to_clears_it_everywhere()
         self.fleet.now_ms += 2 * GOOD_MS
