quarantine: what clears a request is kept as long as a conviction; without a fingerprint nothing is accused

Cause: a clearing was forgotten after 60 s, a conviction after 480 s, so that an entry that was cut off meanwhile brought it back. Requests of an adapter that gives no fingerprint would share one account. Change: one time for both; no account without a fingerprint.

--- a/rhubarbhinge/quarantine/_quarantine.py
+++ b/rhubarbhinge/quarantine/_quarantine.py
@@ -24,8 +24,6 @@
 """So many rests after the last end nothing is known against it any more."""
 SUSPECT_KEPT_MS = 30_000.0
 """For so long a request under which one or two searchers ended goes to one searcher first."""
-CLEARED_KEPT_MS = 60_000.0
-"""For so long it is told that a request is cleared; heartbeats reach all entries much sooner."""
 TRIAL_MS = 2_000.0
 """A trial that has not come out by then is taken for lost, and another request may be one."""
 TRIAL_PAUSE_MS = 250.0
@@ -175,7 +173,7 @@
 
     def _accuse(self, fingerprint: str, route: str, marks: tuple[int, ...]) -> None:
         now_ms = self._now_ms()
-        if self._replies.has(fingerprint, now_ms):
+        if not fingerprint or self._replies.has(fingerprint, now_ms):
             return
         known = self._current(fingerprint, now_ms)
         round_, found = 1, frozenset(marks[:MOST_MARKS])
@@ -264,9 +262,9 @@
 
 
 def _kept_ms(known: Suspicion) -> float:
-    if known.cleared:
-        return CLEARED_KEPT_MS
-    if len(known.marks) < CONVICTING_ENDS:
+    # What clears a request is kept for as long as a conviction: an entry that was cut off meanwhile
+    # would bring that back.
+    if not known.cleared and len(known.marks) < CONVICTING_ENDS:
         return SUSPECT_KEPT_MS
     return FORGOTTEN_AFTER_RESTS * _rest_ms(known.round)
 
