tools: a soak that is ended at any moment leaves no process behind

Cause: ended while it was starting, or while it read an entry that was being killed, it left six entries running. Change: all that is started is ended whatever fails.

--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -44,7 +44,7 @@
     with tempfile.TemporaryDirectory() as folder:
         world = World(Path(folder), seed, entries)
         try:
-            world.wait()
+            world.start()
             callers = [
                 Caller(
                     world.deployment, f"caller {seed} {n}", draw_requests(seed, n, seconds, RATE)
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -53,16 +53,18 @@
         self._guard = threading.Lock()
         self._stopping: set[str] = set()
         self._over = threading.Event()
+        self._before: dict[str, int] = {}
+        self._entries = entries
+
+    def start(self) -> None:
+        """Start searchers and entries, and wait until the entries serve and know each other."""
         self._publish()
         for number, shard in enumerate(SHARDS):
             for place in range(REPLICAS):
                 self._add_searcher(shard, number, place)
-        for number in range(entries):
+        for number in range(self._entries):
             entry = self.deployment.start_entry(zone=ZONES[number % len(ZONES)])
             self.seen.disturbed[entry.name] = []
-
-    def wait(self) -> None:
-        """Wait until the entries serve and know each other."""
         for entry in self.deployment.entries:
             if not wait_until(entry.is_ready):
                 raise RuntimeError(f"{entry.name} does not get ready: {entry.log()[-2_000:]}")
@@ -90,10 +92,21 @@
         """Take what is seen at the end, and end everything, also what a fault is about to start."""
         with self._guard:
             self._over.set()
+        try:
+            self._take_what_is_seen()
+        finally:
+            for proxy in self._proxies.values():
+                self.deployment.run(proxy.close)
+            self.deployment.close()
+
+    def _take_what_is_seen(self) -> None:
         for entry in self.deployment.entries:
+            if entry.name in self._stopping:
+                # A fault that was cut short has it.
+                continue
             if entry.popen.poll() is None:
-                after = _descriptors(entry)
-                self.seen.descriptors[entry.name] = (self._before[entry.name], after)
+                before = self._before.get(entry.name, 0)
+                self.seen.descriptors[entry.name] = (before, _descriptors(entry))
             else:
                 self.seen.ended_by_itself.append(entry.name)
         for searcher in self.deployment.searchers.values():
@@ -102,9 +115,6 @@
                 name, service = searcher.incarnation, searcher.service
                 begins = request_id in begun
                 self.seen.arrivals.append(Arrival(request_id, service, name, at_s, begins))
-        for proxy in self._proxies.values():
-            self.deployment.run(proxy.close)
-        self.deployment.close()
 
     def _begin(self, fault: Fault) -> None:
         carry_out = getattr(self, "_" + fault.kind.replace("-", "_"))
