--- a/rhubarbhinge/gather/tests/test_ended_searchers.py
+++ b/rhubarbhinge/gather/tests/test_ended_searchers.py
@@ -1,8 +1,8 @@
 """A search whose searchers end: what is sent on, and what others get.
 
 The load: a search that ends each searcher that begins it, over shards of two searchers, some of
-them left to another entry; beside it good searches that lose half of their first searchers, or all of
-them, to a crash.
+them left to another entry. Beside it good searches that lose half of their first searchers, or all
+of them, to a crash.
 """
 
 from rhubarbhinge.forward import Lost, NotRun, Why
