--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -44,6 +44,23 @@
         self.assertEqual(self.left, ["i-1"])
         self.assertEqual(self.usable(), ["i-2"])
 
+    def test_searchers_of_an_evacuated_domain_leave_and_come_back(self):
+        self.fleet.put(replace(TWO, failure_domain="hall-b"))
+        self.fleet.set_evacuated("hall-b", True)
+        self.fleet.put(Searcher("i-3", "shard", "10.0.0.3", 80, "hall-b", 2))
+        self.assertEqual((self.usable(), self.left), (["i-1"], ["i-2"]))
+        self.fleet.set_evacuated("hall-a", True)
+        self.assertFalse(self.fleet.is_published("shard"))
+        self.fleet.set_evacuated("hall-a", False)
+        self.fleet.set_evacuated("hall-b", False)
+        self.assertEqual(self.usable(), ["i-1", "i-2", "i-3"])
+
+    def test_a_searcher_that_leaves_an_evacuated_domain_is_gone_for_good(self):
+        self.fleet.set_evacuated("hall-a", True)
+        self.fleet.put(replace(ONE, draining=True))
+        self.fleet.set_evacuated("hall-a", False)
+        self.assertEqual(self.usable(), ["i-2"])
+
     def test_a_service_is_reachable_while_one_searcher_is(self):
         one, two = self.fleet.of("shard")
         one.on_unreachable()
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -95,6 +95,31 @@
             self.assertEqual(self.outcome(name).reply.body, name.encode())
         self.assertEqual(len(self.searcher.accepted), 1)
 
+    def test_what_waits_for_a_connection_is_not_sent_once_the_domain_is_evacuated(self):
+        self.most = 1
+        for name in ("r1", "r2"):
+            self.send(name)
+        # The first waits for its connection, the second for the first one's reply.
+        self.fleet.set_evacuated("hall-a", True)
+        self.pool.forget(self.observed)
+        for name in ("r1", "r2"):
+            self.assertEqual(self.outcome(name), NotRun(Why.LEAVING))
+        self.assertEqual(self.requests, [])
+        self.fleet.set_evacuated("hall-a", False)
+        self.send("r3")
+        self.received(1)
+        self.answer(0, reply("r3"))
+        self.assertIsInstance(self.outcome("r3"), Replied)
+
+    def test_what_was_sent_before_its_domain_was_evacuated_is_answered(self):
+        self.send("r1")
+        self.received(1)
+        self.fleet.set_evacuated("hall-a", True)
+        self.pool.forget(self.observed)
+        self.answer(0, reply("r1"))
+        self.assertIsInstance(self.outcome("r1"), Replied)
+        self.wait(lambda: not self.pool.open_connections)
+
     def test_connections_to_an_earlier_start_are_not_used_for_the_next_one(self):
         self.send("r1")
         self.received(1)
--- a/rhubarbhinge/peers/tests/test_state_codec.py
+++ b/rhubarbhinge/peers/tests/test_state_codec.py
@@ -20,7 +20,7 @@
     ShardSet,
     WeightedService,
 )
-from rhubarbhinge.published import Changes, Follower, Snapshot
+from rhubarbhinge.published import Changes, Evacuation, Follower, Snapshot
 from rhubarbhinge.utils.fake_timers import FakeTimers
 from rhubarbhinge.utils.testing_values import FUZZ, JSON_VALUES, mutated
 
@@ -50,6 +50,8 @@
             Snapshot(0, None, (), -1.0),
             Changes(13, None, (searcher,), ("i-2",), 7.0, by_peer=True),
             Changes(13, None, (), (), 7.0, True, {searcher.incarnation: 700.0}),
+            Snapshot(12, plan, (searcher,), 5.0, evacuated=("hall-b", "hall-c")),
+            Changes(13, by_peer=True, evacuations=(Evacuation("hall-b", False),)),
         ):
             told = decode_state(encode_state(state, "log", 4))
             self.assertEqual(told, ToldState(state, "log", 4))
@@ -73,6 +75,11 @@
             self.assertEqual(decode_state(short, known), ToldState(state, "log", 4))
             self.assertEqual(decode_state(whole, known), ToldState(state, "log", 4))
 
+    def test_a_release_before_evacuations_tells_nothing_of_them(self):
+        sent = orjson.loads(encode_state(Snapshot(12, PLAN, (), evacuated=("hall-b",)), "log", 4))
+        del sent["evacuated"], sent["evacuations"]
+        self.assertIsNone(decode_state(orjson.dumps(sent)).state.evacuated)
+
     def test_what_refers_to_a_configuration_that_the_receiver_lacks_is_a_coded_error(self):
         base = ServingPlan(7, (), {}, CallerLimits())
         data = encode_state(Changes(13, replace(base, version=9)), "log", 4, base)
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -6,6 +6,7 @@
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import CallerLimits, ServingPlan
 from rhubarbhinge.published import Changes, Follower, ReadFault, Snapshot
+from rhubarbhinge.published.tests.fake_source import FakeSource
 from rhubarbhinge.utils.fake_timers import FakeTimers
 
 
@@ -17,22 +18,6 @@
     return Searcher(name, "shard", "10.0.0.1", 80, "hall-a", 2, draining)
 
 
-class FakeSource:
-    """Keeps what was asked, for the test to answer."""
-
-    def __init__(self):
-        self.asked: list[str] = []
-        self.answer = None
-
-    def read_all(self, on_done) -> None:
-        self.asked.append("all")
-        self.answer = on_done
-
-    def wait_for_changes(self, after_revision, on_done) -> None:
-        self.asked.append(f"after {after_revision}")
-        self.answer = on_done
-
-
 class FollowerTest(unittest.TestCase):
     def setUp(self):
         self.timers = FakeTimers()
