published, fleet: failure domains that the operators evacuate get nothing new

Cause: what the operators write of evacuations was not read at all. Ruled out: a state of each searcher, which its own entry would overwrite; a check in front of each send, which a later way of sending would miss. Change: evacuated is a state of a failure domain that is followed beside plan and searchers (list, watch, log of changes, peers by change and whole, outages, lost history), and that makes its searchers unusable until it is taken back, so that every choice passes over them. What waits for a connection or has one being opened is turned back.

--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -13,6 +13,8 @@
     left, gets no new request whatever is published of this start later. A later start under the
     same id is another searcher: nothing that was learned of the one before holds for it.
 
+    Those of a failure domain that is evacuated get no new request either, until it is no longer.
+
     :param now_ms: gives the time.
     :param on_left: told each searcher that may get no new request any more.
     """
@@ -22,6 +24,7 @@
         self._on_left = on_left
         self._by_incarnation: dict[str, ObservedSearcher] = {}
         self._by_service: dict[str, dict[str, ObservedSearcher]] = {}
+        self._evacuated: set[str] = set()
 
     def of(self, service: str) -> Iterable[ObservedSearcher]:
         """Give the searchers of a service.
@@ -65,6 +68,7 @@
             known = None
         if known is None:
             known = ObservedSearcher(searcher, self._now_ms())
+            known.evacuated = searcher.failure_domain in self._evacuated
             self._by_incarnation[searcher.incarnation] = known
             self._by_service.setdefault(searcher.service, {})[searcher.incarnation] = known
             return
@@ -77,6 +81,24 @@
         if was_usable and not known.usable:
             self._on_left(known)
 
+    def set_evacuated(self, failure_domain: str, evacuated: bool) -> None:
+        """Keep requests from the searchers of a failure domain, or let them have some again.
+
+        :param failure_domain: the domain.
+        :param evacuated: whether they get none.
+        """
+        if evacuated:
+            self._evacuated.add(failure_domain)
+        else:
+            self._evacuated.discard(failure_domain)
+        for observed in self._by_incarnation.values():
+            if observed.searcher.failure_domain != failure_domain:
+                continue
+            was_usable = observed.usable
+            observed.evacuated = evacuated
+            if was_usable and not observed.usable:
+                self._on_left(observed)
+
     def remove(self, incarnation: str) -> None:
         """Forget a searcher whose entry is gone.
 
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -26,6 +26,7 @@
     :param searcher: what is published about it.
     :param now_ms: the time.
     :ivar start: tells it from other starts, also of the same id; it never changes.
+    :ivar evacuated: whether its failure domain is to get no requests.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "warm_at_ms",
         "started_ms",
         "gone",
+        "evacuated",
         "is_down",
         "_slowness",
         "_slowness_ms",
@@ -49,6 +51,7 @@
         self.warm_at_ms = now_ms + searcher.warmup_ms
         self.started_ms: dict[int, float] = {}
         self.gone = False
+        self.evacuated = False
         self.is_down = False
         self._slowness = 1.0
         self._slowness_ms = now_ms
@@ -60,7 +63,7 @@
     @property
     def usable(self) -> bool:
         """Whether new requests may be sent to it."""
-        return not self.gone and not self.searcher.draining
+        return not self.gone and not self.evacuated and not self.searcher.draining
 
     def is_avoided(self, now_ms: float) -> bool:
         """Tell whether it refused or broke off just now, or can't be reached.
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -190,11 +190,20 @@
         conn.searcher.on_connected()
         self._ended_checks.found(conn.searcher.start, ended=False)
         self._reach.on_heard(conn.searcher.searcher.failure_domain)
-        if conn.exchanging is not None:
+        if not conn.searcher.usable:
+            self._turn_back(conn)
+        elif conn.exchanging is not None:
             self._write(conn, conn.exchanging, self._timers.now_ms())
         else:
             self._keep(conn, IDLE_MS)
 
+    def _turn_back(self, conn: Connection) -> None:
+        """Send nothing to a searcher that may get no more since this connection was begun."""
+        exchanging, conn.exchanging = conn.exchanging, None
+        if exchanging is not None:
+            self._withdraw(exchanging, Why.LEAVING)
+        self._drop(conn)
+
     def _received(self, link: int, data: bytes) -> None:
         conn = self._conns.get(link)
         if conn is None:
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -12,6 +12,7 @@
 CONNECTIONS = Figure("searcher_connections", "Connections to searchers, open or being opened")
 WAITING = Figure("requests_waiting", "Requests that wait for a connection to a searcher")
 UNREACHABLE = Figure("searchers_unreachable", "Searchers to which no connection can be made")
+EVACUATED = Figure("evacuated_domains", "Failure domains whose searchers get no requests")
 QUARANTINED = Figure("quarantined_requests", "Requests refused as they end searchers")
 QUARANTINE_REFUSED = Figure(
     "quarantine_refused_total", "Attempts at quarantined requests that were refused", True
@@ -81,6 +82,7 @@
         metrics.set_members({"alive": len(self._peers.membership.all_live())})
         metrics.set_drains(sum(not observed.usable for observed in self._fleet.all()))
         metrics.show(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
+        metrics.show(EVACUATED, len(self._follower.evacuated))
         metrics.show(CONNECTIONS, self._pool.open_connections)
         metrics.show(WAITING, self._pool.waiting)
         metrics.show(EXTRA_SENDS, self._budget.granted)
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -15,8 +15,8 @@
     Service,
     ServingPlan,
 )
-from rhubarbhinge.published import Changes, Snapshot
-from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds
+from rhubarbhinge.published import Changes, Evacuation, Snapshot
+from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds, Name
 from rhubarbhinge.utils.strict_json import convert, json_reader
 
 
@@ -65,6 +65,8 @@
     plan_change: _SentPlanChange | None = None
     same_searchers: bool = False
     lapsed_ms: dict[str, Milliseconds] = {}
+    evacuated: tuple[Name, ...] | None = None
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 _read = json_reader(_SentState)
@@ -101,6 +103,8 @@
             "same_searchers": same_searchers,
             "removed": state.removed if isinstance(state, Changes) else None,
             "lapsed_ms": dict(state.lapsed_ms),
+            "evacuated": state.evacuated if isinstance(state, Snapshot) else None,
+            "evacuations": state.evacuations if isinstance(state, Changes) else (),
         }
     )
 
@@ -134,10 +138,24 @@
     searchers = known.searchers if sent.same_searchers else sent.searchers
     state: Snapshot | Changes
     if sent.removed is None:
-        state = Snapshot(sent.revision, plan, searchers, sent.age_ms, sent.lapsed_ms)
+        state = Snapshot(
+            sent.revision,
+            plan,
+            searchers,
+            sent.age_ms,
+            sent.lapsed_ms,
+            evacuated=sent.evacuated,
+        )
     else:
         state = Changes(
-            sent.revision, plan, searchers, sent.removed, sent.age_ms, True, sent.lapsed_ms
+            sent.revision,
+            plan,
+            searchers,
+            sent.removed,
+            sent.age_ms,
+            True,
+            sent.lapsed_ms,
+            evacuations=sent.evacuations,
         )
     return ToldState(state, sent.log, sent.position)
 
--- a/rhubarbhinge/published/__init__.py
+++ b/rhubarbhinge/published/__init__.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.published._change_log import ChangeLog
 from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._evacuation import Evacuation
 from rhubarbhinge.published._follower import Follower
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
@@ -12,6 +13,7 @@
 __all__ = [
     "ChangeLog",
     "Changes",
+    "Evacuation",
     "Follower",
     "ReadFault",
     "Snapshot",
--- a/rhubarbhinge/published/_change_log.py
+++ b/rhubarbhinge/published/_change_log.py
@@ -5,7 +5,11 @@
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._evacuation import Evacuation
 
+Change = ServingPlan | Searcher | str | Evacuation
+"""A new plan, a searcher that came or changed, the incarnation of one that is gone, or a failure
+domain that is evacuated or no longer."""
 MOST_CHANGES = 1_000
 """Changes kept; an entry that is further behind takes everything anew."""
 
@@ -22,18 +26,17 @@
     def __init__(self, rng: random.Random):
         self.id = f"{rng.getrandbits(64):016x}"
         self.position = 0
-        self._changes: deque[ServingPlan | Searcher | str] = deque(maxlen=MOST_CHANGES)
+        self._changes: deque[Change] = deque(maxlen=MOST_CHANGES)
 
-    def add(self, change: ServingPlan | Searcher | str) -> None:
+    def add(self, change: Change) -> None:
         """Take a change.
 
-        :param change: a new plan, a searcher that came or changed, or the incarnation of one that
-            is gone.
+        :param change: the change.
         """
         self._changes.append(change)
         self.position += 1
 
-    def since(self, log_id: str, position: int) -> list[ServingPlan | Searcher | str] | None:
+    def since(self, log_id: str, position: int) -> list[Change] | None:
         """Give the changes after a position.
 
         :param log_id: the log that the position is of.
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -6,6 +6,7 @@
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
+from rhubarbhinge.published._evacuation import Evacuation
 from rhubarbhinge.published._unusable_entry import UnusableEntry
 
 
@@ -21,6 +22,7 @@
     :param lapsed_ms: which searchers are no longer published, and how long the peer that tells it
         still keeps them; the revision covers their removal, so it is not told again.
     :param unusable: what the platform holds that can't be used; peers tell nothing of it.
+    :param evacuations: failure domains that are evacuated, or no longer.
     """
 
     revision: int
@@ -31,3 +33,4 @@
     by_peer: bool = False
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
     unusable: tuple[UnusableEntry, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -5,8 +5,10 @@
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.plans import ServingPlan
-from rhubarbhinge.published._change_log import ChangeLog
+from rhubarbhinge.published._change_log import Change, ChangeLog
 from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._evacuated_domains import EvacuatedDomains
+from rhubarbhinge.published._evacuation import Evacuation
 from rhubarbhinge.published._published_searchers import PublishedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
@@ -58,6 +60,7 @@
         self.plan: ServingPlan | None = None
         self.revision = 0
         self._searchers = PublishedSearchers(timers, fleet, lambda: self.revision, self._changed)
+        self._evacuated = EvacuatedDomains(fleet, lambda: self.revision, self._changed)
         self._confirmed_ms: float | None = None
         self._failures = 0
         self.unusable = UnusableEntries(timers.now_ms)
@@ -110,8 +113,14 @@
             self._searchers.all(),
             self.age_ms(),
             self._searchers.lapsed_ms(),
+            evacuated=self.evacuated,
         )
 
+    @property
+    def evacuated(self) -> tuple[str, ...]:
+        """The failure domains whose searchers get no requests."""
+        return self._evacuated.all()
+
     def searchers_digest(self) -> str:
         """Give a digest of all searchers that are known, worked out anew after changes only.
 
@@ -135,11 +144,14 @@
             return self.snapshot()
         plans = [change for change in changes if isinstance(change, ServingPlan)]
         newest: dict[str, Searcher | None] = {}
+        evacuations: dict[str, Evacuation] = {}
         for change in changes:
             if isinstance(change, Searcher):
                 newest[change.incarnation] = change
             elif isinstance(change, str):
                 newest[change] = None
+            elif isinstance(change, Evacuation):
+                evacuations[change.failure_domain] = change
         return Changes(
             self.revision,
             plans[-1] if plans else None,
@@ -148,9 +160,10 @@
             self.age_ms(),
             True,
             self._searchers.lapsed_ms(),
+            evacuations=tuple(evacuations.values()),
         )
 
-    def _changed(self, change: ServingPlan | Searcher | str) -> None:
+    def _changed(self, change: Change) -> None:
         self.log.add(change)
         self.on_changed()
 
@@ -188,6 +201,8 @@
             return
         if not by_peer:
             self.unusable.replace(snapshot.unusable)
+        if snapshot.evacuated is not None:
+            self._evacuated.replace(snapshot.evacuated)
         self._searchers.withdraw(entry.incarnation for entry in snapshot.unusable)
         self._take_plan(snapshot.plan)
         self._searchers.replace(snapshot.searchers, snapshot.lapsed_ms, by_peer)
@@ -245,6 +260,7 @@
     def _apply(self, changes: Changes) -> None:
         if changes.revision < self.revision:
             return
+        self._evacuated.apply(changes.evacuations)
         self._take_plan(changes.plan)
         self.unusable.forget(searcher.incarnation for searcher in changes.searchers)
         self.unusable.forget(changes.removed)
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -20,6 +20,8 @@
     :param lapsed_ms: which of the searchers are no longer published, and how long the peer that
         tells it still keeps them.
     :param unusable: what the platform holds that can't be used; peers tell nothing of it.
+    :param evacuated: the failure domains that are evacuated; None when it is not told, as by a peer
+        of an earlier release.
     """
 
     revision: int
@@ -28,3 +30,4 @@
     age_ms: float = 0.0
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
     unusable: tuple[UnusableEntry, ...] = ()
+    evacuated: tuple[str, ...] | None = None
