--- a/rhubarbhinge/published/tests/test_evacuations.py
+++ b/rhubarbhinge/published/tests/test_evacuations.py
@@ -50,7 +50,9 @@
 
     def test_a_searcher_that_comes_to_an_evacuated_domain_is_not_used(self):
         self.listed(evacuated=("hall-b",))
-        self.source.answer(Changes(12, None, (Searcher("i-3", "shard", "10.0.0.3", 80, "hall-b", 2),)))
+        self.source.answer(
+            Changes(12, None, (Searcher("i-3", "shard", "10.0.0.3", 80, "hall-b", 2),))
+        )
         self.assertEqual(self.used(), ["hall-a"])
 
     def test_an_outage_keeps_it(self):
