--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -67,7 +67,7 @@
         self.assertTrue(self.fleet.is_reachable("shard"))
         two.on_unreachable()
         self.assertFalse(self.fleet.is_reachable("shard"))
-        two.on_connected()
+        two.on_connected(1_000.0)
         self.assertTrue(self.fleet.is_reachable("shard"))
         self.assertFalse(self.fleet.is_reachable("unknown"))
 
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -120,6 +120,21 @@
         self.assertIsInstance(self.outcome("r1"), Replied)
         self.wait(lambda: not self.pool.open_connections)
 
+    def test_what_a_cold_searcher_gets_counts_until_a_second_after_it_was_sent(self):
+        sends = self.observed.cold_sends(self.timers.now_ms())
+        waiting = self.send("r1")
+        self.assertFalse(sends.has_room(1, self.timers.now_ms() + 60_000.0))
+        waiting.cancel()
+        self.assertTrue(sends.has_room(1, self.timers.now_ms()))
+        self.send("r2")
+        self.received(1)
+        self.answer(0, reply("r2"))
+        self.outcome("r2")
+        now_ms = self.timers.now_ms()
+        self.assertFalse(sends.has_room(1, now_ms))
+        self.assertTrue(sends.has_room(2, now_ms))
+        self.assertTrue(sends.has_room(1, now_ms + 1_100.0))
+
     def test_connections_to_an_earlier_start_are_not_used_for_the_next_one(self):
         self.send("r1")
         self.received(1)
--- /dev/null
+++ b/rhubarbhinge/gateway/tests/simulated_cold.py
@@ -0,0 +1,107 @@
+"""Entries that send to cold searchers as often as they may, on a simulated fleet."""
+
+from rhubarbhinge.fleet import ColdRule, Fleet, ObservedSearcher, Searcher
+from rhubarbhinge.gateway._cold_shares import ColdShares
+from rhubarbhinge.members.tests.simulated import Fleet as Entries
+from rhubarbhinge.members.tests.simulated import Node
+from rhubarbhinge.plans import CallerLimits, Service, ServingPlan
+
+RULE = ColdRule(1.5, 5.0)
+PER_S = 12.0
+MOST = 23
+"""Requests in a second that the rule allows for that rate."""
+WARMUP_MS = 60_000.0
+"""Longer than any schedule, so that searchers that have become cold stay so."""
+TRY_MS = 7.0
+"""How often each entry has a request for each searcher; many times as often as it may send one."""
+
+
+class Plan:
+    """Knows the plan, as the follower of an entry does."""
+
+    def __init__(self, per_s: float = PER_S):
+        service = Service("shard", "/health", 51, WARMUP_MS, per_s)
+        self.plan = ServingPlan(3, (), {"shard": service}, CallerLimits())
+
+
+class Sender:
+    """One process of an entry, which sends to all searchers as often as it may.
+
+    :param world: the searchers.
+    :param node: its membership.
+    """
+
+    def __init__(self, world: "ColdWorld", node: Node):
+        self._world = world
+        self.node = node
+        self.shares = ColdShares(Plan(), node.membership, lambda: RULE, node.now_ms)
+        self.fleet = Fleet(node.now_ms, lambda observed: None)
+        for searcher in world.searchers:
+            self.fleet.put(searcher)
+        self._numbers = 0
+        node.after(TRY_MS, self._send)
+
+    def observed(self, name: str) -> ObservedSearcher:
+        return next(one for one in self.fleet.all() if one.searcher.incarnation == name)
+
+    def _send(self) -> None:
+        now_ms = self.node.now_ms()
+        for observed in self.fleet.all():
+            if self.shares.may_send(observed, now_ms):
+                self._numbers += 1
+                observed.on_sent(self._numbers, now_ms)
+                # Some wait for their connection, some are refused.
+                wait_ms = self._world.entries.rng.choice((0.0, 0.0, 6.0, 300.0))
+                self.node.after(wait_ms, lambda o=observed, n=self._numbers: self._written(o, n))
+        self.node.after(TRY_MS, self._send)
+
+    def _written(self, observed: ObservedSearcher, number: int) -> None:
+        now_ms = self.node.now_ms()
+        observed.on_written(number, now_ms)
+        observed.on_reply(number, 5.0, 5.0, now_ms)
+        self._world.note(observed.searcher.incarnation, now_ms)
+
+
+class ColdWorld:
+    """A fleet of entries beside searchers of which one in each failure domain is cold.
+
+    :param domains: names of the entries of each failure domain.
+    :param seed: of the random numbers.
+    """
+
+    def __init__(self, domains: dict[str, list[str]], seed: int = 1):
+        self.entries = Entries(domains, seed)
+        self.searchers = tuple(
+            Searcher(f"i-{name}", "shard", "10.0.0.1", 80, name, 2, warmup_ms=WARMUP_MS)
+            for name in domains
+        )
+        self.sent_ms: dict[str, list[float]] = {one.incarnation: [] for one in self.searchers}
+        self.senders: dict[str, Sender] = {}
+
+    def start(self, name: str) -> Sender:
+        sender = Sender(self, self.entries.start(name))
+        self.senders[name] = sender
+        return sender
+
+    def start_all(self) -> None:
+        for names in self.entries.domains.values():
+            for name in names:
+                delay_ms = self.entries.rng.uniform(0.0, 300.0)
+                self.entries.clock.after(delay_ms, lambda name=name: self.start(name))
+
+    def note(self, searcher: str, at_ms: float) -> None:
+        self.sent_ms[searcher].append(at_ms)
+
+    def most_in_a_second(self) -> int:
+        """Count the requests of the sliding second in which a searcher gets most."""
+        return max((_most_in_a_second(times) for times in self.sent_ms.values()), default=0)
+
+
+def _most_in_a_second(times_ms: list[float]) -> int:
+    most = first = 0
+    times_ms = sorted(times_ms)
+    for place, at_ms in enumerate(times_ms):
+        while at_ms - times_ms[first] >= 1_000.0:
+            first += 1
+        most = max(most, place - first + 1)
+    return most
