gateway, fleet: cold searchers get no more than the rate of their service, by all entries together

Cause: the plan's rate for cold searchers was not read, and each entry sends by its own view. Weighed: leaving cold searchers out (what is never sent breaks nothing, but a shard whose searchers are all cold is not served); even shares of all entries (23 requests of 58 entries are none for each); shares of the entries of the searcher's domain. Change: the last, by the members that may be sending, those not heard included; requests count from the choice until a second after they were written; who started or paused less than 6 s ago, or hears nobody, has no share; a searcher that is reached again or no longer evacuated counts as cold until it would have told. Found by the schedules and mended: entries that had not heard of each other 1.3 and 5 s after their start, one that could send and not hear. Without a rate in the plan nothing changes.

--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -24,6 +24,19 @@
 Preference = Callable[[ObservedSearcher, float, float], float]
 """Gives the cost of a searcher from the usual delay and the time; the least is chosen."""
 
+MaySend = Callable[[ObservedSearcher, float], bool]
+"""Tells whether a searcher may get a request at a time; what it refuses is passed over."""
+
+
+def always(observed: ObservedSearcher, now_ms: float) -> bool:
+    """Let every searcher get requests.
+
+    :param observed: the searcher.
+    :param now_ms: the time.
+    :returns: true.
+    """
+    return True
+
 
 def expected_cost(
     domain: str,
@@ -66,6 +79,7 @@
     typical_ms: float,
     now_ms: float,
     tried: Collection[SearcherStart] = (),
+    may_send: MaySend = always,
 ) -> ObservedSearcher | None:
     """Choose the searcher with the least cost among those that can be reached.
 
@@ -74,6 +88,7 @@
     :param typical_ms: the usual delay of such requests.
     :param now_ms: the time.
     :param tried: starts of searchers that are left out.
+    :param may_send: tells which may get a request now.
     :returns: the searcher, or None when there is none.
     """
     best, least = None, float("inf")
@@ -81,6 +96,6 @@
         if not observed.usable or observed.is_down or observed.start in tried:
             continue
         cost = preference(observed, typical_ms, now_ms)
-        if cost < least:
+        if cost < least and may_send(observed, now_ms):
             best, least = observed, cost
     return best
--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -98,6 +98,8 @@
             observed.evacuated = evacuated
             if was_usable and not observed.usable:
                 self._on_left(observed)
+            elif observed.usable and not was_usable:
+                observed.on_returned(self._now_ms())
 
     def remove(self, incarnation: str) -> None:
         """Forget a searcher whose entry is gone.
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -1,5 +1,6 @@
 """A searcher as this process observes it."""
 
+from rhubarbhinge.fleet._cold_sends import WINDOW_MS, ColdSends
 from rhubarbhinge.fleet._searcher import Searcher
 
 SMOOTHING = 0.3
@@ -27,6 +28,8 @@
     :param now_ms: the time.
     :ivar start: tells it from other starts, also of the same id; it never changes.
     :ivar evacuated: whether its failure domain is to get no requests.
+    :ivar returned_ms: when it was last reached again, or its domain was no longer evacuated; it may
+        have become cold meanwhile. Minus infinity if that never was.
     """
 
     __slots__ = (
@@ -37,6 +40,9 @@
         "gone",
         "evacuated",
         "is_down",
+        "returned_ms",
+        "_used_ms",
+        "_cold_sends",
         "_slowness",
         "_slowness_ms",
         "_avoid_until_ms",
@@ -53,6 +59,9 @@
         self.gone = False
         self.evacuated = False
         self.is_down = False
+        self.returned_ms = float("-inf")
+        self._used_ms = float("-inf")
+        self._cold_sends: ColdSends | None = None
         self._slowness = 1.0
         self._slowness_ms = now_ms
         self._avoid_until_ms = 0.0
@@ -65,6 +74,29 @@
         """Whether new requests may be sent to it."""
         return not self.gone and not self.evacuated and not self.searcher.draining
 
+    @property
+    def has_returned(self) -> bool:
+        """Whether it was out of use for a while, and is used again."""
+        return self.returned_ms > float("-inf")
+
+    def cold_sends(self, now_ms: float) -> ColdSends:
+        """Give what is counted of its requests while it is cold.
+
+        :param now_ms: the time.
+        :returns: the counts, kept from now on.
+        """
+        if self._cold_sends is None:
+            known = not self.started_ms and now_ms - self._used_ms > WINDOW_MS
+            self._cold_sends = ColdSends(now_ms, known)
+        return self._cold_sends
+
+    def on_returned(self, now_ms: float) -> None:
+        """Note that it may get requests again.
+
+        :param now_ms: the time.
+        """
+        self.returned_ms = now_ms
+
     def is_avoided(self, now_ms: float) -> bool:
         """Tell whether it refused or broke off just now, or can't be reached.
 
@@ -104,12 +136,25 @@
         return now_ms - next(iter(self.started_ms.values()))
 
     def on_sent(self, attempt: int, now_ms: float) -> None:
-        """Note a request sent to it.
+        """Note a request sent to it, which may yet wait for a connection.
 
         :param attempt: identifies the request.
         :param now_ms: the time.
         """
         self.started_ms[attempt] = now_ms
+        self._used_ms = now_ms
+        if self._cold_sends is not None:
+            self._cold_sends.on_chosen(attempt)
+
+    def on_written(self, attempt: int, now_ms: float) -> None:
+        """Note that a request was handed to a connection.
+
+        :param attempt: identifies the request.
+        :param now_ms: the time.
+        """
+        self._used_ms = now_ms
+        if self._cold_sends is not None:
+            self._cold_sends.on_sent(attempt, now_ms)
 
     def on_withdrawn(self, attempt: int) -> None:
         """Note that a request was not handed to a connection after all.
@@ -117,6 +162,8 @@
         :param attempt: identifies the request.
         """
         self.started_ms.pop(attempt, None)
+        if self._cold_sends is not None:
+            self._cold_sends.on_withdrawn(attempt)
 
     def on_reply(self, attempt: int, delay_ms: float, typical_ms: float, now_ms: float) -> None:
         """Note a reply.
@@ -128,7 +175,7 @@
         """
         self.started_ms.pop(attempt, None)
         self._losses = 0
-        self.is_down = False
+        self.on_connected(now_ms)
         self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
         if self._refusals:
             self._observe_refusal(0.0, now_ms)
@@ -157,9 +204,14 @@
         """Note that no connection could be made; it is down until one can."""
         self.is_down = True
 
-    def on_connected(self) -> None:
-        """Note that a connection was made."""
-        self.is_down = False
+    def on_connected(self, now_ms: float) -> None:
+        """Note that a connection was made.
+
+        :param now_ms: the time.
+        """
+        if self.is_down:
+            self.is_down = False
+            self.on_returned(now_ms)
 
     def on_lost(self, attempt: int, now_ms: float) -> None:
         """Note a connection that ended before the reply.
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -175,6 +175,7 @@
         conn.reader.wants_body = exchange.request.wants_body
         exchanging.link = conn.link
         exchanging.sent_ms = now_ms
+        exchange.searcher.on_written(exchanging.number, now_ms)
         left_ms = exchange.deadline_ms - now_ms
         data = self._dialect.searcher_request(
             exchange.request, exchange.searcher.searcher, max(1.0, left_ms)
@@ -186,14 +187,15 @@
         if conn is None:
             return
         conn.is_open = True
+        now_ms = self._timers.now_ms()
         self._lane(conn.searcher).opening -= 1
-        conn.searcher.on_connected()
+        conn.searcher.on_connected(now_ms)
         self._ended_checks.found(conn.searcher.start, ended=False)
         self._reach.on_heard(conn.searcher.searcher.failure_domain)
         if not conn.searcher.usable:
             self._turn_back(conn)
         elif conn.exchanging is not None:
-            self._write(conn, conn.exchanging, self._timers.now_ms())
+            self._write(conn, conn.exchanging, now_ms)
         else:
             self._keep(conn, IDLE_MS)
 
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -143,6 +143,7 @@
             self._delays.quantile(0.5),
             around.timers.now_ms(),
             self._tried,
+            around.may_send,
         )
 
     def _shortage(self, chosen: ObservedSearcher | None) -> dict:
--- a/rhubarbhinge/forward/_surroundings.py
+++ b/rhubarbhinge/forward/_surroundings.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from rhubarbhinge.fleet import Fleet, Preference
+from rhubarbhinge.fleet import Fleet, MaySend, Preference, always
 from rhubarbhinge.forward._exchange import SendAttempt
 from rhubarbhinge.retries import RetryBudget
 from rhubarbhinge.telemetry import Metrics
@@ -18,6 +18,7 @@
     :param budget: what may be sent beyond the first time.
     :param send: starts an exchange.
     :param metrics: counts what is sent.
+    :param may_send: tells which searchers may get a request now.
     """
 
     timers: TimerService
@@ -26,3 +27,4 @@
     budget: RetryBudget
     send: SendAttempt
     metrics: Metrics
+    may_send: MaySend = always
--- a/rhubarbhinge/gateway/_domain_checks.py
+++ b/rhubarbhinge/gateway/_domain_checks.py
@@ -79,8 +79,9 @@
         down = self._down.pop(failure_domain, None)
         if down is None:
             return
+        now_ms = self._timers.now_ms()
         for observed in down:
-            observed.on_connected()
+            observed.on_connected(now_ms)
         log_event("domain-regained", failure_domain=failure_domain, searchers=len(down))
         self._on_change()
 
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -14,6 +14,7 @@
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._answer_lead import AnswerLead
 from rhubarbhinge.gateway._call_terms import ask_terms
+from rhubarbhinge.gateway._cold_shares import ColdShares
 from rhubarbhinge.gateway._connection_shares import connection_shares
 from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._entry_settings import EntrySettings
@@ -116,6 +117,7 @@
             self._budget,
             lambda exchange, tell: self._far_sends.send(exchange, tell),
             self._metrics,
+            lambda observed, now_ms: self._cold_shares.may_send(observed, now_ms),
         )
         quarantine = Quarantine(
             self.timers.now_ms,
@@ -153,6 +155,10 @@
         ).register(self)
         membership = self._peers.membership
         source.know(membership, self._peers.reports, lambda: KnownState.of(self._follower))
+        self._cold_shares = ColdShares(
+            self._follower, membership, lambda: self._settings.now.cold_rule, self.timers.now_ms
+        )
+        self.timers.on_pause(lambda late_ms: self._cold_shares.on_pause())
         self._share = connection_shares(self._follower, membership, self._processes)
         delegates = Delegates(
             self.timers, membership, settings.ask_port, self._rng, self._reach
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, fields
 
+from rhubarbhinge.fleet import ColdRule
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.retries import BudgetRule
 
@@ -33,6 +34,7 @@
     :param stop_grace_ms: time between the signal to stop and being killed.
     :param retry_budget: what all entries together may send beyond the first time.
     :param link_bits_per_ms: rate of the VM's network link; 0 when it is not known.
+    :param cold_rule: what all entries together may send to a cold searcher.
     """
 
     name: str
@@ -49,6 +51,7 @@
     stop_grace_ms: float
     retry_budget: BudgetRule
     link_bits_per_ms: float = 0.0
+    cold_rule: ColdRule = ColdRule()
 
 
 def changed_fields(old: EntrySettings, new: EntrySettings) -> list[str]:
--- a/rhubarbhinge/members/_member_table.py
+++ b/rhubarbhinge/members/_member_table.py
@@ -72,16 +72,14 @@
         """
         return sum(len(in_domain) for in_domain in self._present.values())
 
-    def ended_since(self, at_ms: float) -> int:
-        """Count the entries that were lost lately and did not say that they leave.
+    def ended_since(self, at_ms: float) -> list[Member]:
+        """Give the entries that were lost lately and did not say that they leave.
 
         :param at_ms: the time.
-        :returns: how many were lost since then.
+        :returns: those that were lost since then.
         """
-        return sum(
-            ended_ms >= at_ms and not _has_left(self._by_name[name])
-            for name, ended_ms in self._ended_ms.items()
-        )
+        recent = (self._by_name[name] for name, ended in self._ended_ms.items() if ended >= at_ms)
+        return [member for member in recent if not _has_left(member)]
 
     def adopt(self, claim: Member, now_ms: float) -> bool:
         """Take a claim if it prevails over what is known.
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -165,7 +165,23 @@
             for domain in self.table.domains()
             if self._is_heard(domain, COUNTED_MS + UNHEARD_MS)
         )
-        return 1 + present + self.table.ended_since(since_ms)
+        return 1 + present + len(self.table.ended_since(since_ms))
+
+    @property
+    def hears_others(self) -> bool:
+        """Whether any other entry is known to be present."""
+        return self.table.present_count() > 0
+
+    def may_be_sending(self, failure_domain: str = "") -> list[str]:
+        """Give the entries that may be sending requests, also those that are not heard.
+
+        :param failure_domain: the failure domain; empty for all.
+        :returns: names of those that are present, or were until ``COUNTED_MS`` ago.
+        """
+        domains = (failure_domain,) if failure_domain else tuple(self.table.domains())
+        members = [member for domain in domains for member in self.table.present(domain)]
+        members += [self.me, *self.table.ended_since(self._timers.now_ms() - COUNTED_MS)]
+        return [one.name for one in members if failure_domain in ("", one.failure_domain)]
 
     def known_for_ms(self, name: str) -> float:
         """Tell how long an entry has been present without a break, as far as this one knows.
--- a/rhubarbhinge/utils/bounded_types.py
+++ b/rhubarbhinge/utils/bounded_types.py
@@ -16,6 +16,8 @@
 """Longest time, some 30 years; sums of such times keep the fraction of a millisecond."""
 MOST_CAPACITY = 1_000_000
 """Most requests that one searcher executes at a time; far above what one process can."""
+MOST_RATE = 1e9
+"""Most requests a second; far above what one process can."""
 _OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME_CHARS)]
@@ -34,4 +36,5 @@
 Milliseconds = Annotated[float, Meta(ge=0, le=MOST_MS)]
 AgeMs = Annotated[float, Meta(ge=-1, le=MOST_MS)]
 """An age; -1 for what never was."""
+Rate = Annotated[float, Meta(ge=0, le=MOST_RATE)]
 Share = Annotated[float, Meta(ge=0, le=1)]
