--- a/rhubarbhinge/gateway/tests/test_domain_checks.py
+++ b/rhubarbhinge/gateway/tests/test_domain_checks.py
@@ -44,7 +44,7 @@
             self._timers.after(8.0, lambda: self._connected(observed))
 
     def _connected(self, observed: ObservedSearcher) -> None:
-        observed.on_connected()
+        observed.on_connected(self._timers.now_ms())
         self._reach.on_heard(observed.searcher.failure_domain)
 
 
