--- a/rhubarbhinge/forward/tests/scripted.py
+++ b/rhubarbhinge/forward/tests/scripted.py
@@ -56,6 +56,7 @@
             "not-run" in headers,
             raw.status == 421,
             float(keep) if keep else None,
+            load_is_bad="bad-load" in headers,
         )
 
 
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -135,6 +135,14 @@
         self.assertTrue(sends.has_room(2, now_ms))
         self.assertTrue(sends.has_room(1, now_ms + 1_100.0))
 
+    def test_bad_loads_of_replies_are_counted(self):
+        for place, more in enumerate(("", "Bad-Load: 1\r\n")):
+            self.send(f"r{place}")
+            self.received(place + 1)
+            self.answer(place, reply(f"r{place}", more=more))
+            self.outcome(f"r{place}")
+            self.assertEqual(self.pool.bad_loads, place)
+
     def test_connections_to_an_earlier_start_are_not_used_for_the_next_one(self):
         self.send("r1")
         self.received(1)
