platform, forward: the load that searchers tell is read; what makes no sense is counted

Running, waiting, slots and how long work takes at the searcher's host, from the header of its replies; a figure that is missing, negative, too long or no number makes the whole of it count as none.

--- a/rhubarbhinge/fleet/__init__.py
+++ b/rhubarbhinge/fleet/__init__.py
@@ -8,6 +8,7 @@
 from rhubarbhinge.fleet._fleet import Fleet
 from rhubarbhinge.fleet._observed import ObservedSearcher
 from rhubarbhinge.fleet._searcher import Searcher, SearcherStart
+from rhubarbhinge.fleet._told_load import ToldLoad
 
 __all__ = [
     "ColdRule",
@@ -20,6 +21,7 @@
     "Preference",
     "Searcher",
     "SearcherStart",
+    "ToldLoad",
     "always",
     "best_searcher",
     "expected_cost",
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -37,6 +37,7 @@
     :param most_connections: gives the most connections that may be open to a searcher.
     :param on_wrong_searcher: told when another searcher answered at a searcher's address.
     :param reach: told which searchers are heard from, and which can't be reached.
+    :ivar bad_loads: replies whose load made no sense since the start.
     """
 
     channel = "connection-pool"
@@ -55,6 +56,7 @@
         self._most_connections = most_connections
         self._on_wrong_searcher = on_wrong_searcher
         self._reach = reach
+        self.bad_loads = 0
         self._numbers = itertools.count(1)
         self._conns: dict[int, Connection] = {}
         self._lanes: dict[SearcherStart, Lane] = {}
@@ -239,6 +241,7 @@
         else:
             self._drop(conn)
         delay_ms = now_ms - exchanging.sent_ms
+        self.bad_loads += reply.load_is_bad
         self._observe(exchanging, reply, delay_ms, now_ms)
         if reply.wrong_searcher:
             self._on_wrong_searcher(conn.searcher)
--- a/rhubarbhinge/forward/_searcher_reply.py
+++ b/rhubarbhinge/forward/_searcher_reply.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from rhubarbhinge.fleet import ToldLoad
+
 
 class SearcherReply(Struct, frozen=True):
     """A searcher's whole reply, decoded.
@@ -16,6 +18,8 @@
     :param wrong_searcher: whether another searcher than the intended one has replied.
     :param keep_alive_ms: how long the searcher keeps the idle connection; None if it didn't say.
     :param encoded: whether the body is compressed, so that it is not the searcher's own body.
+    :param load: how busy it says that it is; None when it does not.
+    :param load_is_bad: whether what it says of that makes no sense.
     """
 
     status: int
@@ -27,6 +31,8 @@
     wrong_searcher: bool
     keep_alive_ms: float | None
     encoded: bool = False
+    load: ToldLoad | None = None
+    load_is_bad: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -13,6 +13,7 @@
 WAITING = Figure("requests_waiting", "Requests that wait for a connection to a searcher")
 UNREACHABLE = Figure("searchers_unreachable", "Searchers to which no connection can be made")
 EVACUATED = Figure("evacuated_domains", "Failure domains whose searchers get no requests")
+BAD_LOADS = Figure("bad_loads_total", "Replies of searchers whose load made no sense", True)
 QUARANTINED = Figure("quarantined_requests", "Requests refused as they end searchers")
 QUARANTINE_REFUSED = Figure(
     "quarantine_refused_total", "Attempts at quarantined requests that were refused", True
@@ -84,6 +85,7 @@
         metrics.show(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
         metrics.show(EVACUATED, len(self._follower.evacuated))
         metrics.show(CONNECTIONS, self._pool.open_connections)
+        metrics.show(BAD_LOADS, self._pool.bad_loads)
         metrics.show(WAITING, self._pool.waiting)
         metrics.show(EXTRA_SENDS, self._budget.granted)
         metrics.show(EXTRA_REFUSED, self._budget.refused)
