--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -91,6 +91,15 @@
         self.assertEqual(answer.body, b"s1" * 8 + b"s0" * 8)
         self.assertEqual(self.server.open_asks, 0)
 
+    def test_links_that_were_made_ready_serve_the_first_search(self):
+        """Pattern: the first searches of an entry. Without links it sends to all shards itself, and
+        opens a connection to each, for which its processor has no time."""
+        delegates = self.delegates(self.server._links.bound_port)
+        delegates.prepare("hall-b")
+        self.wait(lambda: self.server._by_link)
+        run_until(self.root, lambda: False, 0.05)
+        self.assertEqual(delegates.choose("hall-b", 1), [OTHER.ip])
+
     def test_a_shard_without_searchers_comes_back_untried(self):
         for name in ("s1-1", "s1-2"):
             self.world.observed(name).on_unreachable()
