delegation, gateway: links to the other entries of a domain are open before the first search

Links to other entries were opened by the first search, which found none open, sent to all 90 shards itself and opened 90 connections on half a core. Change: the links are opened as soon as others are known, and looked after twice a second.

--- a/rhubarbhinge/delegation/_delegates.py
+++ b/rhubarbhinge/delegation/_delegates.py
@@ -148,6 +148,15 @@
         """
         if count <= 0:
             return []
+        ready = [ip for ip in self.prepare(failure_domain) if self._is_open(ip)]
+        return self._rng.sample(ready, min(count, len(ready)))
+
+    def prepare(self, failure_domain: str) -> list[str]:
+        """Open the links to entries of a failure domain, so that the first search finds them open.
+
+        :param failure_domain: the failure domain.
+        :returns: the IP addresses of all entries there that this one asks.
+        """
         now_ms = self._timers.now_ms()
         sound = [
             member
@@ -155,11 +164,10 @@
             if self._bad_until_ms.get(member.ip, 0.0) <= now_ms
         ]
         found = [member.ip for member in sorted(sound, key=self._rank)[:LINKS_PER_DOMAIN]]
-        ready = [ip for ip in found if self._is_open(ip)]
         for ip in found:
             if ip not in self._by_ip:
                 self._open(ip, failure_domain)
-        return self._rng.sample(ready, min(count, len(ready)))
+        return found
 
     def ask(self, ip: str, ask: Ask, on_answer: OnAnswer, grant: GrantAttempts) -> Delegate:
         """Ask an entry.
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -53,6 +53,9 @@
 COLLECT_AFTER = 20_000
 """Objects made before garbage is looked for; most requests leave none, and at the library's 700 the
 looking takes a twentieth of the processor time."""
+LINKS_MS = 500.0
+"""How often an entry opens the links that it lacks to others of its failure domain. Callers may
+come as soon as it has a plan, and its first searches are to be split as all others."""
 RELOAD_MS = 2_000.0
 """How often the settings are read again, as they may change without a signal."""
 
@@ -163,6 +166,8 @@
         delegates = Delegates(
             self.timers, membership, settings.ask_port, self._rng, self._reach
         ).register(self)
+        prepare = delegates.prepare
+        self.timers.every(LINKS_MS, lambda: prepare(settings.failure_domain))
         self._far_sends = FarSends(self.timers, delegates, settings.failure_domain, self._pool.send)
         far = far_search(settings.failure_domain, around, delegates, self._rng)
         parts = GatewayParts(
