--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -129,6 +129,27 @@
                 self.two.on_reply(attempt, slowness * 40.0, 40.0, 1_000.0)
             self.assertEqual({self.chosen() for _ in range(20)}, {expected})
 
+    def test_an_urgent_search_leaves_a_near_searcher_that_is_slow(self):
+        """Pattern: a seventh of all searchers slow, spread over all shards, for some seconds.
+
+        Each entry meets one of them again after two seconds or so, and then hedges; where the near
+        one stays the first choice, hedges use the retry budget up, and shards are left out.
+        """
+        self.fleet.put(replace(ONE, failure_domain="hall-b"))
+        self.two.on_sent(1, 1_000.0)
+        self.two.on_cancelled(1, 50.0, 8.0, 1_000.0)
+        found = {
+            best_searcher(self.fleet.of("shard"), self.cost, 8.0, 2_000.0).searcher.incarnation
+            for _ in range(20)
+        }
+        self.assertEqual(found, {"i-1"})
+
+    def test_a_near_searcher_that_paused_once_is_asked_again(self):
+        self.fleet.put(replace(ONE, failure_domain="hall-b"))
+        self.two.on_sent(1, 1_000.0)
+        self.two.on_cancelled(1, 30.0, 17.0, 1_000.0)
+        self.assertEqual({self.chosen() for _ in range(20)}, {"i-2"})
+
     def test_what_was_cancelled_counts_as_at_least_so_slow(self):
         self.one.on_sent(1, 1_000.0)
         self.one.on_cancelled(1, 400.0, 40.0, 1_400.0)
