quarantine, utils: one rendezvous score, one bound of marks; a property that nobody used is gone

RequestWatch.cleared had no user; the cut to MOST_MARKS stood in two places; the quarantine's score becomes utils.rendezvous, which cold shares use in place of a CRC, as it favours names that differ in their last letter. What a heartbeat carries stays worked out for each receiver: a part of it is drawn anew each time, so that a round of them tells more.

--- a/rhubarbhinge/gateway/_cold_shares.py
+++ b/rhubarbhinge/gateway/_cold_shares.py
@@ -1,12 +1,12 @@
 """Which searchers may get a request now: all that are warm, and of the cold ones a limited rate."""
 
-import zlib
 from collections.abc import Callable
 
 from rhubarbhinge.fleet import ColdRule, ObservedSearcher
 from rhubarbhinge.members import Membership
 from rhubarbhinge.plans import Service
 from rhubarbhinge.published import Follower
+from rhubarbhinge.utils import rendezvous
 
 TOLD_LATE_MS = 2_500.0
 """What a searcher publishes of itself is known here within this time: two heartbeats of it, and
@@ -82,14 +82,11 @@
             return 0
         if len(names) <= most:
             return most // len(names)
-        place = sorted(names, key=lambda name: _order(name, observed)).index(me)
-        return 1 if place < most else 0
+        incarnation = observed.searcher.incarnation
+        ranked = sorted(names, key=lambda name: rendezvous.score(incarnation, name), reverse=True)
+        return 1 if ranked.index(me) < most else 0
 
 
 def _is_cold(observed: ObservedSearcher, service: Service, now_ms: float) -> bool:
     told_by_ms = observed.returned_ms + service.warmup_ms + TOLD_LATE_MS
     return now_ms < max(observed.warm_at_ms, told_by_ms)
-
-
-def _order(name: str, observed: ObservedSearcher) -> tuple[int, str]:
-    return zlib.crc32(f"{observed.searcher.incarnation} {name}".encode()), name
--- a/rhubarbhinge/peers/_quarantine_news.py
+++ b/rhubarbhinge/peers/_quarantine_news.py
@@ -2,11 +2,11 @@
 
 import random
 from collections.abc import Iterable
-from hashlib import blake2b
 
 from rhubarbhinge.members import Membership
 from rhubarbhinge.quarantine import Quarantine, ToldSuspicion
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils import rendezvous
 
 NEAR_RECEIVERS = 8
 """Entries of the own failure domain that get news at once, from each that hears it for the first
@@ -56,7 +56,7 @@
             self._timers.after(wait_ms, self._spread)
 
     def carried(self) -> tuple[ToldSuspicion, ...]:
-        """Give what a heartbeat carries.
+        """Give what a heartbeat carries; part of it is drawn anew for each receiver.
 
         :returns: the suspicions.
         """
@@ -83,7 +83,7 @@
         """
         me = self._membership.me.name
         names = [me, *(member.name for member in self._membership.all_live())]
-        return me == max(names, key=lambda name: _score(fingerprint, name))
+        return me == max(names, key=lambda name: rendezvous.score(fingerprint, name))
 
     def _spread(self) -> None:
         self._due = False
@@ -95,8 +95,3 @@
             live = membership.live(domain)
             for member in self._rng.sample(live, min(most, len(live))):
                 membership.send_to(member.ip)
-
-
-def _score(fingerprint: str, name: str) -> bytes:
-    """Rank an entry for a request; a CRC would favour names that differ in their last letter."""
-    return blake2b(f"{fingerprint} {name}".encode(), digest_size=8).digest()
--- a/rhubarbhinge/quarantine/_quarantine.py
+++ b/rhubarbhinge/quarantine/_quarantine.py
@@ -6,7 +6,7 @@
 
 from rhubarbhinge.quarantine._recent_replies import RecentReplies
 from rhubarbhinge.quarantine._request_watch import RequestWatch
-from rhubarbhinge.quarantine._suspicion import CONVICTING_ENDS, MOST_MARKS, Suspicion
+from rhubarbhinge.quarantine._suspicion import CONVICTING_ENDS, Suspicion, bounded
 from rhubarbhinge.quarantine._verdict import ALLOWED, ONE_FIRST, Quarantined, Verdict
 from rhubarbhinge.telemetry import log_event
 
@@ -176,12 +176,12 @@
         if not fingerprint or self._replies.has(fingerprint, now_ms):
             return
         known = self._current(fingerprint, now_ms)
-        round_, found = 1, frozenset(marks[:MOST_MARKS])
+        round_, found = 1, bounded(marks)
         if known is not None:
             failed_trial = known.convicts and now_ms - known.since_ms >= _rest_ms(known.round)
             round_ = known.round + (known.cleared or failed_trial)
             if failed_trial:
-                found = frozenset(sorted(found | known.marks)[:MOST_MARKS])
+                found = bounded(found | known.marks)
         self._join(Suspicion(fingerprint, route, round_, False, found, now_ms), "here")
         if _is_urgent(self._known[fingerprint]):
             self._on_news()
--- a/rhubarbhinge/quarantine/_request_watch.py
+++ b/rhubarbhinge/quarantine/_request_watch.py
@@ -49,11 +49,6 @@
         """Whether one searcher has to reply before the request goes to the others."""
         return self.is_trial and not self._cleared
 
-    @property
-    def cleared(self) -> bool:
-        """Whether a searcher has replied."""
-        return self._cleared
-
     def claim(self, service: str, number: int, on_granted: Callable[[], None]) -> bool:
         """Claim an attempt; see :class:`rhubarbhinge.forward.AttemptControl`.
 
--- a/rhubarbhinge/quarantine/_suspicion.py
+++ b/rhubarbhinge/quarantine/_suspicion.py
@@ -1,5 +1,7 @@
 """What entries know against one request, and how two accounts of it become one."""
 
+from collections.abc import Iterable
+
 from msgspec import Struct
 from msgspec.structs import replace
 
@@ -10,6 +12,15 @@
 """Searchers that an account names, beyond which more say nothing new; 11 bytes each on the wire."""
 
 
+def bounded(marks: Iterable[int]) -> frozenset[int]:
+    """Keep as many marks as an account names, whoever joins it the same ones.
+
+    :param marks: the marks.
+    :returns: the least of them.
+    """
+    return frozenset(sorted(marks)[:MOST_MARKS])
+
+
 class Suspicion(Struct, frozen=True):
     """What is known against one request.
 
@@ -51,5 +62,5 @@
             return other
         if self.marks > other.marks:
             return self
-        marks = frozenset(sorted(self.marks | other.marks)[:MOST_MARKS])
+        marks = bounded(self.marks | other.marks)
         return replace(self, marks=marks, since_ms=max(self.since_ms, other.since_ms))
