fleet: a slow near searcher has no advantage over those of other failure domains

Hypothesis: with 15% of the searchers slow, hedges do not help as they come late. The stories of thin answers say hedge-not-sent why=no-budget, slowness near 1, and the near searcher as first choice: each entry meets it once in 2.5 s, so that its estimate stays below what another domain costs (8 ms and 1.2 usual delays, of 8 ms for the urgent class), and hedging it each time spends the budget. Change: from twice the usual delay on the near one loses that advantage. A first request needs no budget.

--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -10,8 +10,11 @@
 """Cost of another failure domain: two crossings of about 1 ms, and the bytes that are paid for."""
 FAR_HANDICAP_SHARE = 1.2
 """What it costs besides, in usual delays: what is saved below the latency objective helps nobody,
-and searchers of one service differ by as much. Of 0.6, 1.2 and 2.5 the best mean worth: 0.747,
-0.757, 0.751 on eleven days of Sedadlo; 0.6 sends a quarter more bytes between domains than 1.2."""
+and searchers of one service differ by as much."""
+SLOW_FACTOR = 2.0
+"""A near searcher that is so much slower than usual has no advantage over those of other failure
+domains: it would be hedged each time, which spends the retry budget of its shard, while the first
+request to another one is free."""
 COLD_FACTOR = 1.6
 """How much slower a searcher is just after its start, where its entry does not tell."""
 REFUSAL_FACTOR = 4.0
@@ -55,7 +58,8 @@
 
     def cost(observed: ObservedSearcher, typical_ms: float, now_ms: float) -> float:
         searcher = observed.searcher
-        own_ms = typical_ms * observed.slowness(now_ms)
+        slowness = observed.slowness(now_ms)
+        own_ms = typical_ms * slowness
         if now_ms < observed.warm_at_ms:
             own_ms *= COLD_FACTOR
         open_requests = len(observed.started_ms)
@@ -64,7 +68,7 @@
         overdue_ms = observed.oldest_ms(now_ms) - 2.0 * own_ms
         if overdue_ms > 0:
             cost_ms += overdue_ms + own_ms
-        if searcher.failure_domain != domain:
+        if searcher.failure_domain != domain or slowness >= SLOW_FACTOR:
             cost_ms += far_handicap_ms + far_handicap_share * typical_ms
         if observed.is_avoided(now_ms):
             cost_ms += SUSPECT_HANDICAP_MS
