--- a/rhubarbhinge/fleet/_delays.py
+++ b/rhubarbhinge/fleet/_delays.py
@@ -3,9 +3,9 @@
 from collections import deque
 
 WINDOW = 256
-"""Delays kept; about a minute of one VM's share of the deployments of today."""
+"""Delays kept."""
 REFRESH = 16
-"""Quantiles are worked out anew after so many delays; sorting the window costs some 20 us."""
+"""Quantiles are worked out anew after so many delays, as the window is sorted for it."""
 LEAST_SAMPLES = 24
 """Fewer delays than these say too little about a tail."""
 
--- a/rhubarbhinge/gateway/_answer_lead.py
+++ b/rhubarbhinge/gateway/_answer_lead.py
@@ -6,15 +6,13 @@
 from rhubarbhinge.web import Response
 
 USUAL_DELAY_MS = 2.0
-"""Delay between the time to answer and the answer's write, before any was seen: merging some ten
-thousand bytes and writing take a millisecond or two of a whole core."""
+"""Delay between the time to answer and the answer's write, before any was seen."""
 DELAYS_KEPT = 64
-"""Delays kept; at one search a second and entry, those of about a minute."""
 LEAST_DELAYS = 8
 """Fewer delays than these say too little."""
 DELAY_QUANTILE = 0.9
 """Of ten answers one may be written later than was allowed for. What is allowed for costs the
-shards that would have come meanwhile: 1% of an objective of 100 ms for each millisecond."""
+shards that would have come meanwhile."""
 MOST_LEAD_MS = 20.0
 """Most that is allowed for. An entry that is later than that is short of processor time, and
 answers with fewer shards would not help its callers."""
@@ -27,7 +25,7 @@
 
     Two things come between the time to answer and the caller's having the answer, besides the round
     trips: this process may be busy and has to merge and write it, and it has to pass this VM's
-    link. With signatures of 90 shards it has 3 KB, which takes 3 ms at 7 Mbit/s.
+    link, which is slow where VMs are small; the signatures alone are some kilobytes.
 
     :param link_bits_per_ms: gives the rate of this VM's link; 0 when it is not known.
     """
--- a/rhubarbhinge/gateway/_far_search.py
+++ b/rhubarbhinge/gateway/_far_search.py
@@ -16,10 +16,8 @@
 from rhubarbhinge.gather import FarPart, FarSearch, GatherTerms, GrantAttempts
 
 MOST_SHARDS = 15
-"""One entry asks so many shards of a search; more are split among others. A sub-query takes 240 us
-of a core and some 800 bytes of the link: 15 of them 7 ms on half a core and 14 ms at 7 Mbit/s, of
-a latency objective that may be 73 ms. At 59 VMs with 90 shards, 30 and 15 of them an entry: 0.484
-and 0.618 of the worth of the urgent class on a day of high load, 0.758 and 0.787 on a quiet one."""
+"""One entry asks so many shards of a search; more are split among others, so that neither processor
+nor link of one small VM takes most of a short latency objective."""
 
 
 def far_search(
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -27,9 +27,9 @@
 """Within so long after its start an entry has heard of most others of its domain, also when all
 start within 300 ms of each other; who has the least name then reads the platform."""
 JOIN_MS = 3_000.0
-"""How long a starting entry looks for the reader before it waits for changes at the platform. Of
-195 entries that start together, some have heard of the least name of their domain after 2 s only.
-Who stays behind a peer takes that peer's state meanwhile."""
+"""How long a starting entry looks for the reader before it waits for changes at the platform. Of a
+large fleet that starts as a whole some hear of the least name of their domain late. Who stays
+behind a peer takes that peer's state meanwhile."""
 JOIN_POLL_MS = 50.0
 """How often it looks meanwhile."""
 JOIN_RETRY_MS = 250.0
@@ -54,7 +54,7 @@
 
     An entry that starts lists what may be some seconds old, which costs the platform a tenth, and
     then waits for changes at the reader. So a start costs one cheap call, also when all start at
-    once; 195 entries that each listed and watched made 3.4 calls each.
+    once.
 
     :param timers: the timer service.
     :param client: calls peers.
