--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -1,6 +1,5 @@
 """The process of an entry."""
 
-import gc
 import random
 import signal
 from collections.abc import Callable
@@ -32,7 +31,7 @@
 from rhubarbhinge.published import Follower, Source
 from rhubarbhinge.quarantine import Quarantine
 from rhubarbhinge.retries import RetryBudget
-from rhubarbhinge.telemetry import EventLog, Metrics, log_event, use_event_log
+from rhubarbhinge.telemetry import EventLog, Metrics, log_event
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import HttpClient, HttpLimits, HttpServer
 
@@ -50,9 +49,6 @@
 SETTLE_MS = 3_000.0
 """Within so long after its start an entry has heard of the others: several heartbeats."""
 
-COLLECT_AFTER = 20_000
-"""Objects made before garbage is looked for; most requests leave none, and at the library's 700 the
-looking takes a twentieth of the processor time."""
 LINKS_MS = 500.0
 """How often an entry opens the links that it lacks to others of its failure domain. Callers may
 come as soon as it has a plan, and its first searches are to be split as all others."""
@@ -309,27 +305,6 @@
         self._peers.leave()
 
 
-def run_entry(read_settings: ReadSettings, dialect: Dialect, make_source: MakeSource) -> None:
-    """Run an entry until it is stopped.
-
-    :param read_settings: reads its settings.
-    :param dialect: translates messages of callers and searchers.
-    :param make_source: makes the reader of published state.
-    :raises SettingsError: when the settings can not be used.
-    :raises OSError: when a port can not be bound.
-    """
-    event_log = EventLog(read_settings().name)
-    use_event_log(event_log)
-    entry = Entry(read_settings, dialect, make_source, event_log)
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER)
-    gc.enable()
-    try:
-        entry.run()
-    finally:
-        event_log.flush()
-
-
 def _limits(limits: CallerLimits) -> HttpLimits:
     return HttpLimits(
         header_bytes=limits.header_bytes,
