--- a/rhubarbhinge/fleet/_choice.py
+++ b/rhubarbhinge/fleet/_choice.py
@@ -11,7 +11,7 @@
 FAR_HANDICAP_SHARE = 1.2
 """What it costs besides, in usual delays: what is saved below the latency objective helps nobody,
 and searchers of one service differ by as much."""
-SLOW_FACTOR = 2.0
+SLOW_FACTOR = 1.6
 """A near searcher that is so much slower than usual has no advantage over those of other failure
 domains: it would be hedged each time, which spends the retry budget of its shard, while the first
 request to another one is free."""
