--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -72,7 +72,12 @@
     @property
     def usable(self) -> bool:
         """Whether new requests may be sent to it."""
-        return not self.gone and not self.evacuated and not self.searcher.draining
+        return not self.is_leaving and not self.evacuated
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it gets no new requests for good."""
+        return self.gone or self.searcher.draining
 
     @property
     def has_returned(self) -> bool:
--- a/rhubarbhinge/fleet/tests/test_fleet.py
+++ b/rhubarbhinge/fleet/tests/test_fleet.py
@@ -49,6 +49,7 @@
         self.fleet.set_evacuated("hall-b", True)
         self.fleet.put(Searcher("i-3", "shard", "10.0.0.3", 80, "hall-b", 2))
         self.assertEqual((self.usable(), self.left), (["i-1"], ["i-2"]))
+        self.assertFalse(any(one.is_leaving for one in self.fleet.all()))
         self.fleet.set_evacuated("hall-a", True)
         self.assertFalse(self.fleet.is_published("shard"))
         self.fleet.set_evacuated("hall-a", False)
--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -81,7 +81,7 @@
         version = plan.version if plan else 0
         metrics.set_config("plan", version, self._follower.age_ms())
         metrics.set_members({"alive": len(self._peers.membership.all_live())})
-        metrics.set_drains(sum(not observed.usable for observed in self._fleet.all()))
+        metrics.set_drains(sum(observed.is_leaving for observed in self._fleet.all()))
         metrics.show(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
         metrics.show(EVACUATED, len(self._follower.evacuated))
         metrics.show(CONNECTIONS, self._pool.open_connections)
