--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -12,9 +12,9 @@
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._exchanging import Exchanging
 from rhubarbhinge.forward._lane import Connection, Lane
-from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Replied, Why
+from rhubarbhinge.forward._outcome import Lost, NotRun, Outcome, Why
+from rhubarbhinge.forward._reply_meaning import is_about, observe, outcome_of
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
-from rhubarbhinge.forward._searcher_reply import SearcherReply
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
@@ -230,7 +230,7 @@
     def _replied(self, conn: Connection, raw: RawReply, last: bool) -> None:
         exchanging = conn.exchanging
         reply = self._dialect.searcher_reply(raw)
-        if not _is_about(reply, exchanging.exchange.request.id):
+        if not is_about(reply, exchanging.exchange.request.id):
             self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
@@ -242,16 +242,10 @@
             self._drop(conn)
         delay_ms = now_ms - exchanging.sent_ms
         self.bad_loads += reply.load_is_bad
-        self._observe(exchanging, reply, delay_ms, now_ms)
+        observe(exchanging, reply, delay_ms, now_ms)
         if reply.wrong_searcher:
             self._on_wrong_searcher(conn.searcher)
-            self._tell(exchanging, NotRun(Why.WRONG_SEARCHER))
-        elif reply.not_run:
-            self._tell(exchanging, NotRun(Why.NO_ROOM))
-        elif reply.encoded:
-            self._tell(exchanging, Lost(Why.MALFORMED))
-        else:
-            self._tell(exchanging, Replied(reply, delay_ms))
+        self._tell(exchanging, outcome_of(reply, delay_ms))
 
     def _skip(self, conn: Connection, more_may_come: bool, request_id: str) -> None:
         """Pass over a late reply to an earlier request; the one that is waited for may follow."""
@@ -266,19 +260,6 @@
         if not more_may_come or conn.skipped > SKIPPED_REPLIES:
             self._fail(conn, Lost(Why.MALFORMED), "other-request")
 
-    def _observe(
-        self, exchanging: Exchanging, reply: SearcherReply, delay_ms: float, now_ms: float
-    ) -> None:
-        observed, number = exchanging.exchange.searcher, exchanging.number
-        if reply.not_run or reply.wrong_searcher:
-            observed.on_refused(number, now_ms)
-        elif not reply.succeeded:
-            observed.on_failure(number, now_ms)
-        else:
-            delays = exchanging.exchange.delays
-            observed.on_reply(number, delay_ms, delays.quantile(0.5), now_ms)
-            delays.add(delay_ms)
-
     def _keep(self, conn: Connection, keep_alive_ms: float | None) -> None:
         lane = self._lane(conn.searcher)
         now_ms = self._timers.now_ms()
@@ -425,14 +406,3 @@
             self._open(observed, lane, waiting)
         elif not lane.count:
             del self._lanes[observed.start]
-
-
-def _is_about(reply: SearcherReply, request_id: str) -> bool:
-    """Tell whether a reply is to a request.
-
-    A reply that names another request says nothing of this one, least of all that it was not run:
-    an attempt that runs would be taken back, and the request sent once more than allowed. One that
-    names none is believed when it refuses, as a searcher may do before it has read the request.
-    """
-    refuses = reply.not_run or reply.wrong_searcher
-    return reply.request_id == request_id or (not reply.request_id and refuses)
