--- a/rhubarbhinge/delegation/tests/test_far_sends.py
+++ b/rhubarbhinge/delegation/tests/test_far_sends.py
@@ -63,6 +63,13 @@
         signatures = tuple(f"sig-{name}" for name in services)
         self.delegates.answer(Answer(0, services, signatures, untried, pending, ran, b"z" * 16))
 
+    def test_a_send_by_another_entry_does_not_stay_among_those_to_come(self):
+        now_ms = self.world.timers.now_ms()
+        sends = self.far.cold_sends(now_ms)
+        self.send()
+        self.assertFalse(sends.has_room(1, now_ms))
+        self.assertTrue(sends.has_room(1, now_ms + 1_100.0))
+
     def test_a_far_shard_is_asked_of_one_entry_at_one_searcher(self):
         self.send()
         (ask,) = self.delegates.asks
