fleet, delegation: requests to a searcher that was cold once are forgotten after their second

Cause: found by reading. Once a searcher has been cold under a plan with a rate, each later request to it was kept until the next time that its rate is asked for, which may never come; and a send by another entry stayed among those to come, as it is never written here, so that the searcher seemed to have no room. Change: what is older than the second goes with each request, and a send by another entry counts as sent at once. No bound changes; without a rate in the plan nothing is counted.

--- a/rhubarbhinge/delegation/_far_sends.py
+++ b/rhubarbhinge/delegation/_far_sends.py
@@ -131,6 +131,7 @@
         self._searcher_ended = False
         self.ask: Delegate | None = None
         exchange.searcher.on_sent(number, self._sent_ms)
+        exchange.searcher.on_written(number, self._sent_ms)
 
     def cancel(self) -> None:
         """Give the attempt up."""
--- a/rhubarbhinge/fleet/_cold_sends.py
+++ b/rhubarbhinge/fleet/_cold_sends.py
@@ -33,8 +33,7 @@
         """
         if now_ms < self._blocked_until_ms:
             return False
-        while self._sent_ms and now_ms - self._sent_ms[0] > WINDOW_MS:
-            self._sent_ms.popleft()
+        self._forget(now_ms)
         return len(self._unsent) + len(self._sent_ms) < most
 
     def on_chosen(self, attempt: int) -> None:
@@ -51,6 +50,7 @@
         :param now_ms: the time.
         """
         self._unsent.discard(attempt)
+        self._forget(now_ms)
         self._sent_ms.append(now_ms)
 
     def on_withdrawn(self, attempt: int) -> None:
@@ -59,3 +59,7 @@
         :param attempt: identifies the request.
         """
         self._unsent.discard(attempt)
+
+    def _forget(self, now_ms: float) -> None:
+        while self._sent_ms and now_ms - self._sent_ms[0] > WINDOW_MS:
+            self._sent_ms.popleft()
