daemons: a thin search's log line names the replicas of each missing range

Change: `search-thin` gets `replicas`: searchers of the missing ranges with state and relay, four ranges at most. No decision changes. Tests of query, live searches: 48 passed.

--- a/rhubarbhinge/daemons/_searches.py
+++ b/rhubarbhinge/daemons/_searches.py
@@ -13,6 +13,7 @@
     Answer,
     Catalog,
     Effect,
+    Missing,
     QueryCore,
     QueryPolicy,
     QueryStats,
@@ -30,6 +31,8 @@
 _MOST_SLEEP_MS = 50.0
 #: Searches slower than this share of their deadline are logged.
 _SLOW_SHARE = 0.9
+#: Missing ranges whose replicas a log line describes.
+_MOST_RANGES_LOGGED = 4
 
 _Send = Callable[[str, object], bool]
 
@@ -70,6 +73,7 @@
         self._send = send
         self._metrics = metrics
         self._catalog = Catalog()
+        self._relay_of = relay_of
         self._core = QueryCore(policy, self._catalog, relay_of, rng)
         self._limiter = limiter
         self._open: dict[int, _Open] = {}
@@ -255,5 +259,26 @@
             coverage=round(answer.coverage, 6),
             missing_ranges=len(answer.missing),
             why=",".join(reasons),
+            replicas=self._replicas(answer),
             took_ms=round(answer.stats.took_ms, 1),
         )
+
+    def _replicas(self, answer: Answer) -> str:
+        """Describe who holds the missing ranges, as known when the search ends."""
+        return "; ".join(
+            f"{missing.lo}-{missing.hi}: {self._holders(answer, missing)}"
+            for missing in answer.missing[:_MOST_RANGES_LOGGED]
+        )
+
+    def _holders(self, answer: Answer, missing: Missing) -> str:
+        numbers = self._catalog.holders(answer.collection, answer.version, missing.lo, missing.hi)
+        names = {upstream_id(each.name): each.name for each in self._config.register.upstreams}
+        return " ".join(
+            f"{names.get(number, number)}={self._catalog.state(number).name.lower()}"
+            f"@{self._relay_name(number)}"
+            for number in numbers
+        )
+
+    def _relay_name(self, number: int) -> str:
+        relay = self._relay_of(number)
+        return "unlinked" if relay is None else relay.name
--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -109,6 +109,20 @@
             plan = self._plans[key] = self._make_plan(collection, without)
         return plan
 
+    def holders(self, collection: str, version: int, lo: int, hi: int) -> tuple[int, ...]:
+        """Give the searchers that announce all of a range, whether they take work or not.
+
+        :param collection: its name.
+        :param version: the index version.
+        :param lo: first key.
+        :param hi: key after the last.
+        :returns: their numbers, in order.
+        """
+        self._refresh()
+        holders = self._holders.get(collection, {}).get(version, {})
+        found = {number for span in holders for number in holders[span] if _covers(span, lo, hi)}
+        return tuple(sorted(found))
+
     def tiles(self, collection: str, version: int, lo: int, hi: int) -> tuple[Tile, ...]:
         """Cut a range anew, after its shard has moved.
 
@@ -195,6 +209,10 @@
             counts[collection, version][lo, hi][count] += 1
 
 
+def _covers(span: _Range, lo: int, hi: int) -> bool:
+    return span[0] <= lo and hi <= span[1]
+
+
 def _new_counters() -> dict[_Range, Counter[int]]:
     return defaultdict(Counter)
 
