routing: a run that was sent ends with a result though its entry has no link

Cause: at the loss of an entry's link a run in flight was marked as done, so that the upstream's answer was read and thrown away. A relay that was held up closes its links before it reads what its upstreams sent. Ruled out: the upstream's connection (it stays open over the pause), the relay's deadline (7 s left). Change: only sub-queries are given up with the link; a run keeps its state and ends with a result. The test of a gone peer wanted no results, which is the fault; it now wants exactly the two of the runs that were sent, as strictly. Failed before this change: {} in place of {t1: ran, t2: ran}.

--- a/rhubarbhinge/routing/_requestends.py
+++ b/rhubarbhinge/routing/_requestends.py
@@ -127,7 +127,7 @@
 
 
 def abandon(table: RequestTable, job: Job, effects: list[Any]) -> None:
-    """End a request that nobody waits for; a run that was sent goes on.
+    """End a request whose entry has no link; a run that was sent goes on and has a result.
 
     :param table: where the request is forgotten.
     :param job: the request, queued or sent.
@@ -138,9 +138,8 @@
         job.upstream.queue.discard(job)
         if job.is_run:
             table.forget_ticket(job.key)
-        return
-    job.state = Job.DONE
-    if not job.is_run:
+    elif not job.is_run:
+        job.state = Job.DONE
         effects.append(cancel_effect(job))
 
 
--- a/rhubarbhinge/routing/tests/test_runs.py
+++ b/rhubarbhinge/routing/tests/test_runs.py
@@ -100,7 +100,8 @@
         shell.answer()
         shell.answer()
         self.assertEqual(shell.sent_tickets, ["t1", "t2"])
-        self.assertEqual(shell.results, {})
+        kinds = {ticket: result.kind for ticket, result in shell.results.items()}
+        self.assertEqual(kinds, {"t1": RunKind.RAN, "t2": RunKind.RAN})
         shell.run("t3")
         self.assertEqual(shell.sent_tickets, ["t1", "t2", "t3"])
 
