once: a ticket whose call to its owner lost its link can be passed on again

What callers saw: `unknown`, `owner-gone`, for a ticket shown at another entry when the link between the two was lost, though its owner ran on and may never have got it. Cause: by reading; the same fault as of runs on lost links: a call was ended with the link that it was sent over. Change: calls keep what was passed on; `on_link_up` gives those to a process again, `on_link_lost` ends claims of keys only. Tests fail without the change: the call was ended as unknown; the repeated call was answered `waiters-full`.

--- a/rhubarbhinge/once/_book.py
+++ b/rhubarbhinge/once/_book.py
@@ -177,6 +177,34 @@
         effects = _give_up(lost, Code.OWNER_GONE)
         return effects + self._from_keys(self._keys.on_peer_gone(entry, now_ms), now_ms)
 
+    def on_link_lost(self, entry: str, now_ms: int) -> list[Effect]:
+        """End the claims of keys at an entry whose link is lost; forwarded tickets wait for it.
+
+        :param entry: name of that entry.
+        :param now_ms: time on this entry's clock.
+        :returns: the effects.
+        """
+        return self._from_keys(self._keys.on_peer_gone(entry, now_ms), now_ms)
+
+    def owners_asked(self) -> set[tuple[str, int]]:
+        """Give the entries that were passed tickets and have not answered.
+
+        :returns: names and incarnations.
+        """
+        return self._forwards.owners()
+
+    def on_link_up(self, entry: str, incarnation: int) -> list[Effect]:
+        """Pass on again what an entry may not have got before its link was lost.
+
+        The entry runs a ticket once, however often it is passed on.
+
+        :param entry: name of that entry.
+        :param incarnation: its incarnation.
+        :returns: the calls that have no answer.
+        """
+        pending_by_call = self._forwards.of_owner(entry, incarnation)
+        return [self._forward_effect(call, each) for call, each in pending_by_call.items()]
+
     def on_key_claim(self, claim: KeyClaim, now_ms: int) -> KeyClaimReply:
         """Answer a claim of a key that this entry is an owner of.
 
@@ -243,14 +271,23 @@
             busy = unknown(Code.FORWARDS_FULL, self._settings.forward_ms)
             return [AnswerOutcome(request, busy)]
         deadline_ms = now_ms + self._settings.forward_ms
-        call = self._forwards.open(
-            PendingForward(request, ticket.entry, ticket.incarnation, text, deadline_ms)
+        pending = PendingForward(
+            request, ticket.entry, ticket.incarnation, text, body, read, deadline_ms
         )
-        me = self._signer
+        return [self._forward_effect(self._forwards.open(pending), pending)]
+
+    def _forward_effect(self, call: int, pending: PendingForward) -> Forward:
         message = TicketForward(
-            call, me.entry, me.incarnation, ticket.entry, ticket.incarnation, text, body, read
+            call,
+            self._signer.entry,
+            self._signer.incarnation,
+            pending.owner,
+            pending.owner_incarnation,
+            pending.ticket,
+            pending.body,
+            pending.read,
         )
-        return [Forward(request, ticket.entry, message)]
+        return Forward(pending.request, pending.owner, message)
 
     def _from_keys(self, key_effects: list[KeyEffect], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
--- a/rhubarbhinge/once/_forwards.py
+++ b/rhubarbhinge/once/_forwards.py
@@ -11,6 +11,8 @@
     :param owner: name of the other entry.
     :param owner_incarnation: its incarnation.
     :param ticket: the ticket's text.
+    :param body: the caller's body.
+    :param read: whether only the outcome is read.
     :param deadline_ms: when the call is given up, on this entry's clock.
     """
 
@@ -18,6 +20,8 @@
     owner: str
     owner_incarnation: int
     ticket: str
+    body: bytes
+    read: bool
     deadline_ms: int
 
 
@@ -62,6 +66,23 @@
         self._pending[call] = pending
         return call
 
+    def owners(self) -> set[tuple[str, int]]:
+        """Give the processes that are asked.
+
+        :returns: names and incarnations.
+        """
+        return {(pending.owner, pending.owner_incarnation) for pending in self._pending.values()}
+
+    def of_owner(self, owner: str, incarnation: int) -> dict[int, PendingForward]:
+        """Give the open calls to one process.
+
+        :param owner: name of the entry.
+        :param incarnation: its incarnation.
+        :returns: the calls by number, oldest first.
+        """
+        wanted = (owner, incarnation)
+        return {c: p for c, p in self._pending.items() if (p.owner, p.owner_incarnation) == wanted}
+
     def close(self, call: int, ticket: str) -> PendingForward | None:
         """Close a call that was answered.
 
@@ -81,9 +102,7 @@
         :param incarnation: its incarnation.
         :returns: the calls.
         """
-        gone = (owner, incarnation)
-        calls = [c for c, p in self._pending.items() if (p.owner, p.owner_incarnation) == gone]
-        return [self._pending.pop(call) for call in calls]
+        return [self._pending.pop(call) for call in self.of_owner(owner, incarnation)]
 
     def close_late(self, now_ms: int) -> list[PendingForward]:
         """Close all calls that are past their deadline.
--- a/rhubarbhinge/once/_ledger.py
+++ b/rhubarbhinge/once/_ledger.py
@@ -239,6 +239,8 @@
     def _wait(self, record: TicketRecord, asker: Asker, text: str) -> list[Effect]:
         if record.outcome is not None:
             return [answer(asker, text, record.outcome)]
+        if asker in record.waiters:
+            return []
         if len(record.waiters) >= self._settings.most_waiters:
             late = unknown(Code.WAITERS_FULL, self._settings.run_ms)
             return [answer(asker, text, late)]
--- a/rhubarbhinge/once/tests/test_book.py
+++ b/rhubarbhinge/once/tests/test_book.py
@@ -139,6 +139,36 @@
         self.fleet.tick(OTHER)
         self.assertEqual(("unknown", "owner-silent"), self.code(asked))
 
+    def test_a_call_whose_link_was_lost_is_passed_on_again_and_runs_once(self):
+        """Guards against a ticket told as unknown although its owner runs and has not got it."""
+        asked = self.fleet.run(OTHER, self.ticket, BODY)
+        passed_on = self.fleet.network.pop()
+        self.fleet.act(OTHER, lambda book, now_ms: book.on_link_lost(OWNER, now_ms))
+        self.assertNotIn(asked, self.fleet.answers)
+        incarnation = self.book._signer.incarnation
+        for _ in range(2):
+            self.fleet.act(OTHER, lambda book, _: book.on_link_up(OWNER, incarnation))
+        self.assertEqual([passed_on, passed_on], self.fleet.network)
+        self.fleet.settle()
+        self.assertEqual(("ran", "done"), self.code(asked))
+        runs = [line for line in self.fleet.history if line.startswith("run ")]
+        self.assertEqual(1, len(runs))
+
+    def test_a_repeated_call_waits_once(self):
+        self.fleet.run(OTHER, self.ticket, BODY)
+        _, _, call = self.fleet.network.pop()
+        for _ in range(SETTINGS.most_waiters + 2):
+            self.fleet.act(OWNER, lambda book, now_ms: book.on_forwarded(call, now_ms))
+        self.assertEqual([], self.fleet.network)
+
+    def test_a_call_to_an_owner_that_has_another_incarnation_is_not_passed_on(self):
+        self.fleet.run(OTHER, self.ticket, BODY)
+        self.fleet.network.clear()
+        incarnation = self.book._signer.incarnation + 1
+        self.fleet.act(OTHER, lambda book, _: book.on_link_up(OWNER, incarnation))
+        self.assertEqual([], self.fleet.network)
+        self.assertEqual({(OWNER, incarnation - 1)}, self.fleet.books[OTHER].owners_asked())
+
     def test_bad_tickets(self):
         wrong = self.ticket[:-1] + ("A" if self.ticket[-1] != "A" else "Q")
         for text in ("", "x" * 40, wrong):
