daemons, once: a run whose link was lost is sent again to the same process of its relay

What callers saw: `unknown` for payments and orders that no upstream had got, though the relay ran and seconds were left. Their logs show two ways: * two runs: a relay was held up 1.0 and 2.5 s while the entry stood still and closed its links (`link-refused code=paused`); the entry went on, logged `run-sent` over the link whose end it had not read yet, and 12 and 17 ms later `run-ended outcome=unknown`; * one run: `run-sent` to a relay that was stopped; 2.5 s later it closed its links with the run unread. In one of them the other ticket, which had run, was told as unknown, too: its result was lost with the link. Cause: the loss of a link was taken for the loss of the relay. What had not been read, or not been written, was then told as unknown, where the relay's process lives and can say. Ruled out: membership (no member was declared dead in these logs), the guard's deadlines (`late-send` nowhere), the run's own deadline (told 30 ms to 2.5 s after the send). Change: a run stays open over the loss of its link. Once there is a link to the same incarnation it is sent again; the relay remembers what it took (`RunResults`): a new ticket runs, one that runs goes on and is answered when it ends, one that has ended is answered again; one that was queued when the link was lost may be sent. It ends as unknown when the relay's process is gone (membership, or another incarnation), or at its deadline. Tickets that an entry passes on to their owner are treated in the same way. Why at most once holds: the guard is keyed by ticket and named incarnation as before; a copy never goes to another process.

--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -17,6 +17,7 @@
     SendDatagram,
     SendPeer,
     Superseded,
+    is_live,
 )
 from rhubarbhinge.daemons._configview import ConfigView
 from rhubarbhinge.daemons._controlstatus import control_status, fill_control
@@ -140,6 +141,16 @@
         members = self._core.membership.live("relay", failure_domain)
         return frozenset(member.name for member in members)
 
+    def is_live(self, name: str, incarnation: int) -> bool:
+        """Say whether a process counts as running.
+
+        :param name: its node name.
+        :param incarnation: its incarnation.
+        :returns: False when it is dead or leaving, or a later one has its name.
+        """
+        member = self._core.membership.get(name)
+        return member is not None and is_live(member) and member.incarnation <= incarnation
+
     def live_entries(self, failure_domain: str) -> frozenset[str]:
         """Give the entries of a failure domain.
 
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -52,6 +52,7 @@
             self.identity,
             settings.deployment_key,
             relay_of,
+            self._is_gone,
             self._searches.catalog,
             self._send_node,
             self.metrics,
@@ -75,12 +76,19 @@
             )
             self._direct.follow(register, self.control.config.leaving_instances, entries)
 
+    def on_peer_up(self, peer: Peer) -> None:
+        """Go on with what a relay or an entry was sent over an earlier link.
+
+        :param peer: the node.
+        """
+        self._runs.on_link_up(peer)
+
     def on_peer_down(self, peer: Peer) -> None:
         """Act on the loss of a relay or an entry.
 
         :param peer: the node.
         """
-        self._runs.on_peer_gone(peer)
+        self._runs.on_link_lost(peer)
         if peer.role == "relay":
             self._searches.on_relay_gone(peer.name)
 
@@ -156,6 +164,14 @@
         if confirmed_ms is not None:
             self._runs.entries_listed(listed, confirmed_ms)
 
+    def _is_gone(self, name: str, incarnation: int) -> bool:
+        if name == self.identity.name:
+            return False
+        linked = self.links.peer(name)
+        if linked is not None:
+            return linked.incarnation != incarnation
+        return not self.control.is_live(name, incarnation)
+
     def _send_node(self, node: str, message: Any) -> bool:
         if self._direct is not None and self._direct.send(node, message):
             return True
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -7,7 +7,7 @@
 from rhubarbhinge.daemons._poolshell import PoolOutput, PoolShell
 from rhubarbhinge.daemons._relayparts import RelayParts
 from rhubarbhinge.daemons._replyoutbox import ReplyOutbox
-from rhubarbhinge.once import OnceSettings, RunGuard
+from rhubarbhinge.once import OnceSettings, RunGuard, RunResults
 from rhubarbhinge.routing import (
     DropPeer,
     PublishHolding,
@@ -18,7 +18,7 @@
     UpstreamSpec,
 )
 from rhubarbhinge.telemetry import Metrics
-from rhubarbhinge.wire import CancelBatch, RunReply, RunRequest, SubBatch, UpstreamState
+from rhubarbhinge.wire import CancelBatch, RunRequest, SubBatch, UpstreamState
 
 
 class RelayWork:
@@ -51,7 +51,7 @@
             once.lifetime_ms + once.keep_ms,
             once.most_tickets,
         )
-        self._entry_incarnations: dict[str, int] = {}
+        self._results = RunResults(once.lifetime_ms)
         self._outbox = ReplyOutbox()
         core = RelayCore(identity.incarnation, parts.policy, parts.rng)
         self._pool = PoolShell(parts.timers, core, parts.connections, parts.client, self._output)
@@ -83,6 +83,10 @@
         :param entry: its node name.
         """
         self._pool.carry_out(self.core.on_peer_gone(entry, self._timers.now_ms()))
+        for ticket in self._results.open_of(entry):
+            if not self.core.knows_ticket(ticket):
+                self._guard.withdraw(ticket)
+                self._results.withdraw(ticket)
 
     def own(
         self, register_revision: int, specs: tuple[UpstreamSpec, ...], leaving: frozenset[int]
@@ -159,12 +163,19 @@
         self._pool.carry_out(self.core.on_cancel(entry, batch, self._timers.now_ms()))
 
     def _run(self, entry: str, request: RunRequest) -> None:
+        known = self._results.recall(request)
+        if known is not None:
+            self._send(entry, known)
+        elif not self._results.is_open(request):
+            self._new_run(entry, request)
+
+    def _new_run(self, entry: str, request: RunRequest) -> None:
         now_ms = self._timers.now_ms()
         refusal = self._guard.on_request(request, int(now_ms))
         if refusal is not None:
             self._send(entry, refusal)
             return
-        self._entry_incarnations[request.ticket] = request.entry_incarnation
+        self._results.begin(request, int(now_ms))
         effects = self.core.on_run(
             entry,
             request.ticket,
@@ -190,8 +201,7 @@
                 self._drop(entry, code)
 
     def _run_ended(self, result: RunResult) -> None:
-        incarnation = self._entry_incarnations.pop(result.ticket, 0)
         kind = str(result.kind.value)
         retry_after_ms = int(result.retry_after_ms)
-        reply = RunReply(incarnation, result.ticket, kind, "", retry_after_ms, result.payload)
+        reply = self._results.end(result.ticket, kind, result.payload, retry_after_ms)
         self._send(result.peer, reply)
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -22,6 +22,7 @@
     OutcomeKind,
     ReplyForward,
     SendClaim,
+    SentRuns,
     Signer,
     StartRun,
     TicketBook,
@@ -49,7 +50,11 @@
 #: Longest idempotency key: far above a UUID.
 _MOST_KEY_CHARACTERS = 200
 
+#: When to come back while no relay or upstream for the action can be reached.
+_TARGET_RETRY_MS = 1_000
+
 _RelayOf = Callable[[int], RelayTarget | None]
+_IsGone = Callable[[str, int], bool]
 _Send = Callable[[str, object], bool]
 
 
@@ -61,6 +66,8 @@
     :param identity: this entry.
     :param key: the deployment key.
     :param relay_of: gives an upstream's relay.
+    :param is_gone: tells, by name and incarnation, whether a node's process has ended as far as is
+        known, and is not just without a link.
     :param catalog: which upstreams take work.
     :param send: sends a message to a node.
     :param metrics: counts.
@@ -74,6 +81,7 @@
         identity: Identity,
         key: bytes,
         relay_of: _RelayOf,
+        is_gone: _IsGone,
         catalog: Catalog,
         send: _Send,
         metrics: Metrics,
@@ -83,6 +91,7 @@
         self._config = config
         self._identity = identity
         self._relay_of = relay_of
+        self._is_gone = is_gone
         self._catalog = catalog
         self._send = send
         self._metrics = metrics
@@ -91,8 +100,9 @@
         signer = Signer(key, identity.name, identity.incarnation)
         self._keys = KeyBook(identity.name, identity.incarnation, settings, self._now_ms())
         self._book = TicketBook(signer, self._keys, settings)
+        self._keep_sent_ms = settings.lifetime_ms
         self._open: dict[int, tuple[Responder, str]] = {}
-        self._relay_by_ticket: dict[str, str] = {}
+        self._sent = SentRuns()
         self._clock_ahead_ms: dict[str, int] = {}
         self._numbers = itertools.count(1)
         timers.every(_TICK_MS, self._tick)
@@ -154,18 +164,25 @@
                 return False
         return True
 
-    def on_peer_gone(self, peer: Peer) -> None:
-        """Answer what depended on a node that is gone.
+    def on_link_lost(self, peer: Peer) -> None:
+        """Answer what depended on a node that is gone; what a running one was sent waits for it.
 
         :param peer: the node.
         """
-        now_ms = self._now_ms()
         self._clock_ahead_ms.pop(peer.name, None)
-        self._carry_out(self._book.on_peer_gone(peer.name, peer.incarnation, now_ms))
-        lost = [ticket for ticket, relay in self._relay_by_ticket.items() if relay == peer.name]
-        for ticket in lost:
-            del self._relay_by_ticket[ticket]
-            self._ended(ticket, OutcomeKind.UNKNOWN, b"", 0)
+        self._carry_out(self._book.on_link_lost(peer.name, self._now_ms()))
+        self._give_up_gone()
+
+    def on_link_up(self, peer: Peer) -> None:
+        """Send a node again what it may not have got, or not have answered, over an earlier link.
+
+        :param peer: the node.
+        """
+        for request in self._sent.of_relay(peer.name, peer.incarnation):
+            log_event("run-repeated", ticket_hash=_ticket_hash(request.ticket), relay=peer.name)
+            self._send(peer.name, request)
+        self._carry_out(self._book.on_link_up(peer.name, peer.incarnation))
+        self._give_up_gone()
 
     def on_relay_clock(self, relay: str, relay_now_ms: int) -> None:
         """Take a reading of a relay's clock.
@@ -233,9 +250,7 @@
                     self._start_run(effect)
                 case Forward(_, owner, message):
                     if not self._send(owner, message):
-                        incarnation = message.owner_incarnation
-                        gone = self._book.on_peer_gone(owner, incarnation, self._now_ms())
-                        self._carry_out(gone)
+                        self._give_up_gone()
                 case ReplyForward(entry, message):
                     self._send(entry, message)
                 case SendClaim(entry, message):
@@ -261,10 +276,12 @@
 
     def _start_run(self, run: StartRun) -> None:
         target = self._target(run.action)
-        if target is None:
+        if target is not None:
+            self._send_run(run, *target)
+        else:
             self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
-            return
-        number, relay = target
+
+    def _send_run(self, run: StartRun, number: int, relay: RelayTarget) -> None:
         relay_deadline_ms = run.deadline_ms + self._clock_ahead_ms[relay.name] - _SEND_MARGIN_MS
         body = api.run_fields(run.body)
         now_ms = self._now_ms()
@@ -283,30 +300,32 @@
             relay_deadline_ms,
             number,
         )
-        self._relay_by_ticket[run.ticket] = relay.name
+        self._sent.add(message, run.deadline_ms + self._keep_sent_ms)
         log_event(
             "run-sent", ticket_hash=_ticket_hash(run.ticket), action=run.action, relay=relay.name
         )
         if not self._send(relay.name, message):
-            del self._relay_by_ticket[run.ticket]
+            self._sent.take(run.ticket, relay.name)
             self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
 
     def _target(self, action: str) -> tuple[int, RelayTarget] | None:
-        known: Action | None = self._config.register.action(action)
-        numbers = [upstream_id(name) for name in known.upstreams] if known else []
+        numbers = self._usable_upstreams(action)
         self._rng.shuffle(numbers)
         for number in numbers:
             relay = self._relay_of(number)
-            reachable = relay is not None and relay.name in self._clock_ahead_ms
-            if reachable and self._catalog.usable(number):
+            if relay is not None and relay.name in self._clock_ahead_ms:
                 return number, relay
         return None
 
+    def _usable_upstreams(self, action: str) -> list[int]:
+        known: Action | None = self._config.register.action(action)
+        numbers = [upstream_id(name) for name in known.upstreams] if known else []
+        return [number for number in numbers if self._catalog.usable(number)]
+
     def _run_ended(self, peer: str, reply: RunReply) -> None:
         mine = reply.entry_incarnation == self._identity.incarnation
-        if not mine or self._relay_by_ticket.get(reply.ticket) != peer:
+        if not mine or not self._sent.take(reply.ticket, peer):
             return
-        del self._relay_by_ticket[reply.ticket]
         kind = kind_of(reply.kind) or OutcomeKind.UNKNOWN
         self._ended(reply.ticket, kind, reply.result, reply.retry_after_ms)
 
@@ -315,12 +334,23 @@
         ended = self._book.on_upstream(ticket, kind, result, retry_after_ms, self._now_ms())
         self._carry_out(ended)
 
-    def _tick(self) -> None:
-        self._carry_out(self._book.tick(self._now_ms()))
+    def _give_up_gone(self) -> None:
+        """End as unknown what was sent to processes that are gone."""
+        for relay, incarnation in self._sent.relays():
+            if self._is_gone(relay, incarnation):
+                for request in self._sent.of_relay(relay, incarnation):
+                    self._sent.take(request.ticket, relay)
+                    self._ended(request.ticket, OutcomeKind.UNKNOWN, b"", 0)
+        for entry, incarnation in self._book.owners_asked():
+            if self._is_gone(entry, incarnation):
+                gone = self._book.on_peer_gone(entry, incarnation, self._now_ms())
+                self._carry_out(gone)
 
-
-#: When to come back while no relay or upstream for the action can be reached.
-_TARGET_RETRY_MS = 1_000
+    def _tick(self) -> None:
+        now_ms = self._now_ms()
+        self._sent.forget_old(now_ms)
+        self._carry_out(self._book.tick(now_ms))
+        self._give_up_gone()
 
 
 def _ticket_hash(ticket: str) -> str:
--- a/rhubarbhinge/once/__init__.py
+++ b/rhubarbhinge/once/__init__.py
@@ -21,6 +21,8 @@
 from rhubarbhinge.once._keybook import KeyBook
 from rhubarbhinge.once._outcome import Outcome, OutcomeKind, kind_of
 from rhubarbhinge.once._permit import SendPermit
+from rhubarbhinge.once._run_results import RunResults
+from rhubarbhinge.once._sent_runs import SentRuns
 from rhubarbhinge.once._settings import OnceSettings
 from rhubarbhinge.once._signer import Signer
 from rhubarbhinge.once._ticket import Ticket
@@ -42,8 +44,10 @@
     "PeerAsker",
     "ReplyForward",
     "RunGuard",
+    "RunResults",
     "SendClaim",
     "SendPermit",
+    "SentRuns",
     "Signer",
     "StartRun",
     "Ticket",
--- a/rhubarbhinge/once/_guard.py
+++ b/rhubarbhinge/once/_guard.py
@@ -70,6 +70,13 @@
         seen.sent = True
         return None
 
+    def withdraw(self, ticket: str) -> None:
+        """Forget a ticket that was given up unsent, so that it may be given again.
+
+        :param ticket: the ticket's text; its run must never be sent.
+        """
+        self._seen.pop(ticket, None)
+
     def _forget(self, now_ms: int) -> None:
         while self._seen:
             ticket, seen = next(iter(self._seen.items()))
--- a/rhubarbhinge/routing/_relaycore.py
+++ b/rhubarbhinge/routing/_relaycore.py
@@ -147,6 +147,14 @@
             return [RunResult(peer, ticket, RunKind.REFUSED_NOT_RUN, b"", 0)]
         return self._intake.run(peer, ticket, upstream_id, parts, deadline_ms, now_ms)
 
+    def knows_ticket(self, ticket: str) -> bool:
+        """Tell whether a run is queued here or may have been sent.
+
+        :param ticket: its ticket.
+        :returns: False when it is new, or known not to have been sent.
+        """
+        return self._requests.knows_ticket(ticket)
+
     def on_cancel(self, peer: str, batch: CancelBatch, now_ms: int) -> list[Any]:
         """Give up sub-queries; those in flight keep their slot until they end.
 
@@ -167,7 +175,7 @@
         return effects
 
     def on_peer_gone(self, peer: str, now_ms: int) -> list[Any]:
-        """Give up all that an entry waits for; runs in flight are left to end.
+        """Give up all that an entry waits for, but for runs in flight, which end with a result.
 
         :param peer: the entry's link.
         :param now_ms: the time.
--- a/standins/tests/test_live_runs.py
+++ b/standins/tests/test_live_runs.py
@@ -14,6 +14,9 @@
 LONG_RUN_MS = 1_500
 #: On top of a run's longest time.
 _LATER_S = 1.0
+#: Far above the pause that a relay notices, far below the longest time of a run.
+_HELD_UP_S = 1.5
+_RUNS_UNREAD = 8
 
 
 class LiveRunsTest(LiveCase):
@@ -168,6 +171,53 @@
         (vm,) = [vm for vm in self.live.vms if vm.failure_domain == domain]
         return vm
 
+    def _freeze(self, *processes):
+        for process in processes:
+            process.freeze()
+            self.addCleanup(process.thaw)
+
+    def test_relays_held_up_before_they_read_the_runs(self):
+        """Guards against runs that are told as unknown although no relay has read them."""
+        tickets = [self.callers.mint(self.home, number) for number in range(_RUNS_UNREAD)]
+        relays = [vm.nodes["relay"] for vm in self.live.vms]
+        self._freeze(*relays)
+        shown = [in_background(ticket.show, self.home) for ticket in tickets]
+        time.sleep(_HELD_UP_S)
+        for relay in relays:
+            relay.thaw()
+        self.assertEqual({each.result() for each in shown}, {RAN})
+        self.assertEqual({self.times_run(ticket) for ticket in tickets}, {1})
+        self.check()
+
+    def test_entry_frozen_while_its_links_are_closed(self):
+        """Guards against runs that are sent over links whose end has not been read."""
+        tickets = [self.callers.mint(self.home, number) for number in range(_RUNS_UNREAD)]
+        relays = [vm.nodes["relay"] for vm in self.live.vms]
+        entry = self.home.nodes["entry"]
+        self._freeze(entry, *relays)
+        shown = [in_background(ticket.show, self.others[0]) for ticket in tickets]
+        time.sleep(_HELD_UP_S)
+        for relay in relays:
+            relay.thaw()
+        time.sleep(_HELD_UP_S)
+        entry.thaw()
+        self.assertEqual({each.result() for each in shown}, {RAN})
+        self.assertEqual({self.times_run(ticket) for ticket in tickets}, {1})
+        self.check()
+
+    def test_relay_held_up_while_the_result_comes(self):
+        """Guards against results that are lost with the link to the entry."""
+        self.set_knobs(self.upstreams, run_ms=LONG_RUN_MS)
+        ticket = self.callers.mint(self.home)
+        first = in_background(ticket.show, self.home)
+        relay = self._carrier(self.wait_run(ticket)["searcher"]).nodes["relay"]
+        self._freeze(relay)
+        time.sleep(LONG_RUN_MS / 1000 + _LATER_S)
+        relay.thaw()
+        self.assertEqual(first.result(), RAN)
+        self.assertEqual(self.times_run(ticket), 1)
+        self.check()
+
     def test_relays_frozen_before_the_run_arrives(self):
         ticket = self.callers.mint(self.home)
         relays = [vm.nodes["relay"] for vm in self.live.vms]
