runs: a run waits for the link to a relay that is being opened anew

What callers saw: `refused_not_run` for a run that came in the some 50 ms in which the link to its relay was opened anew, or in which the relay's first report was on its way; each costs the caller a new ticket and a second. An entry that was held up is in this state whenever it reads the end of its links before what callers and other entries sent. Change: a run whose action has a usable upstream in a failure domain with a running relay waits for that relay's link and first report, 3 s at most, and is then refused; where no upstream or relay is left it is refused at once, as before. Tests: test_run_losses (waits, is refused in time, is refused at once, drawn schedules of losses: all callers are told `ran`).

--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -32,7 +32,9 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         super().__init__(settings, "entry")
-        self._directory = RelayDirectory(self.control.live_relays, self.links.peer)
+        self._directory = RelayDirectory(
+            self.control.live_relays, self.control.alive_relays, self.links.peer
+        )
         self._direct = self._direct_pool() if settings.pools == "direct" else None
         relay_of = self._directory.relay_of if self._direct is None else self._direct.relay_of
         early_refusal = "early-refusal" not in settings.switched_off
@@ -52,6 +54,7 @@
             self.identity,
             settings.deployment_key,
             relay_of,
+            self._directory.is_expected,
             self._is_gone,
             self._searches.catalog,
             self._send_node,
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import xxhash
@@ -50,14 +51,23 @@
 #: Longest idempotency key: far above a UUID.
 _MOST_KEY_CHARACTERS = 200
 
+#: Longest wait for the link to a relay before a run is refused.
+_RELAY_WAIT_MS = 3_000
 #: When to come back while no relay or upstream for the action can be reached.
 _TARGET_RETRY_MS = 1_000
 
 _RelayOf = Callable[[int], RelayTarget | None]
+_IsExpected = Callable[[int], bool]
 _IsGone = Callable[[str, int], bool]
 _Send = Callable[[str, object], bool]
 
 
+@dataclass(frozen=True, slots=True)
+class _WaitingRun:
+    run: StartRun
+    give_up_ms: int
+
+
 class Runs:
     """The runs of one entry.
 
@@ -66,6 +76,7 @@
     :param identity: this entry.
     :param key: the deployment key.
     :param relay_of: gives an upstream's relay.
+    :param is_expected: tells whether an upstream without a relay will have one again soon.
     :param is_gone: tells, by name and incarnation, whether a node's process has ended as far as is
         known, and is not just without a link.
     :param catalog: which upstreams take work.
@@ -81,6 +92,7 @@
         identity: Identity,
         key: bytes,
         relay_of: _RelayOf,
+        is_expected: _IsExpected,
         is_gone: _IsGone,
         catalog: Catalog,
         send: _Send,
@@ -91,6 +103,7 @@
         self._config = config
         self._identity = identity
         self._relay_of = relay_of
+        self._is_expected = is_expected
         self._is_gone = is_gone
         self._catalog = catalog
         self._send = send
@@ -103,6 +116,7 @@
         self._keep_sent_ms = settings.lifetime_ms
         self._open: dict[int, tuple[Responder, str]] = {}
         self._sent = SentRuns()
+        self._waiting: list[_WaitingRun] = []
         self._clock_ahead_ms: dict[str, int] = {}
         self._numbers = itertools.count(1)
         timers.every(_TICK_MS, self._tick)
@@ -192,7 +206,10 @@
         :param relay: its node name.
         :param relay_now_ms: its clock when it sent the reading.
         """
+        is_first = relay not in self._clock_ahead_ms
         self._clock_ahead_ms[relay] = relay_now_ms - self._now_ms()
+        if is_first:
+            self._retry_waiting()
 
     def drain(self) -> None:
         """Stop minting."""
@@ -278,9 +295,24 @@
         target = self._target(run.action)
         if target is not None:
             self._send_run(run, *target)
+        elif self._may_have_target(run.action):
+            log_event("run-waits", ticket_hash=_ticket_hash(run.ticket), action=run.action)
+            self._waiting.append(_WaitingRun(run, self._now_ms() + _RELAY_WAIT_MS))
         else:
             self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
 
+    def _retry_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            target = self._target(each.run.action)
+            if target is not None:
+                self._send_run(each.run, *target)
+            elif self._now_ms() < each.give_up_ms and self._may_have_target(each.run.action):
+                self._waiting.append(each)
+            else:
+                ticket = each.run.ticket
+                self._ended(ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
+
     def _send_run(self, run: StartRun, number: int, relay: RelayTarget) -> None:
         relay_deadline_ms = run.deadline_ms + self._clock_ahead_ms[relay.name] - _SEND_MARGIN_MS
         body = api.run_fields(run.body)
@@ -317,6 +349,13 @@
                 return number, relay
         return None
 
+    def _may_have_target(self, action: str) -> bool:
+        """Tell whether a usable upstream lacks only the link to a relay, or its first report."""
+        return any(
+            self._relay_of(number) is not None or self._is_expected(number)
+            for number in self._usable_upstreams(action)
+        )
+
     def _usable_upstreams(self, action: str) -> list[int]:
         known: Action | None = self._config.register.action(action)
         numbers = [upstream_id(name) for name in known.upstreams] if known else []
@@ -351,6 +390,7 @@
         self._sent.forget_old(now_ms)
         self._carry_out(self._book.tick(now_ms))
         self._give_up_gone()
+        self._retry_waiting()
 
 
 def _ticket_hash(ticket: str) -> str:
--- a/rhubarbhinge/daemons/tests/simulated_runs.py
+++ b/rhubarbhinge/daemons/tests/simulated_runs.py
@@ -18,7 +18,7 @@
 from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.utils.fake_timers import FakeTimers
 from rhubarbhinge.web import Reply, Request, Responder
-from rhubarbhinge.wire import upstream_id
+from rhubarbhinge.wire import UpstreamState, upstream_id
 
 REGISTER = parse_register(Path("examples/kingston/register.json").read_bytes()).value
 ACTION = "parts-order"
@@ -124,6 +124,7 @@
             identity,
             _KEY,
             self._relay_of,
+            lambda number: number == NUMBER and self.relay_alive,
             self._is_gone,
             self.catalog,
             self._to_relay,
@@ -185,6 +186,10 @@
         self.runs.start(_request("/v1/run", body), responder)
         return got[0]["ticket"], body
 
+    def drain(self, upstream: str) -> None:
+        """Let an upstream take no more work."""
+        self.catalog.on_state(upstream_id(upstream), UpstreamState.DRAINING)
+
     def advance(self, duration_ms: float) -> None:
         """Let time pass; messages are read each few milliseconds."""
         for _ in range(int(duration_ms / _STEP_MS)):
--- a/rhubarbhinge/daemons/tests/test_run_losses.py
+++ b/rhubarbhinge/daemons/tests/test_run_losses.py
@@ -16,6 +16,7 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 STEPS = ("show", "show", "cut", "connect", "connect", "hold", "release", "wait", "wait")
+SCHEDULE = st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 7)), min_size=5, max_size=40)
 WITH_RESTARTS = st.lists(
     st.tuples(st.sampled_from((*STEPS, "restart", "kill")), st.integers(0, 7)),
     min_size=5,
@@ -127,6 +128,33 @@
             self.world.advance(2 * RUN_MS)
             self.assertEqual([self.ticket], self.world.ran)
 
+    def test_a_run_without_a_linked_relay_waits_for_the_link(self):
+        """Guards against a refusal while the link to a running relay is being opened."""
+        self.show()
+        self.world.advance(500.0)
+        self.assertIsNone(self.world.outcome(1))
+        self.link()
+        self.world.advance(2 * RUN_MS)
+        self.assertEqual(("ran", [self.ticket]), (self.world.outcome(1), self.world.ran))
+
+    def test_a_run_is_refused_once_no_link_came_in_time(self):
+        self.show()
+        self.world.advance(5_000.0)
+        self.assertEqual("refused_not_run", self.world.outcome(1))
+        self.link()
+        self.world.advance(2 * RUN_MS)
+        self.assertEqual([], self.world.ran)
+
+    def test_a_run_is_refused_at_once_where_no_relay_or_upstream_is_left(self):
+        self.world.kill_relay()
+        self.show()
+        self.assertEqual("refused_not_run", self.world.outcome(1))
+        self.setUp()
+        for name in ("01", "02", "03"):
+            self.world.drain(f"spare-parts-stores-tracker-{name}")
+        self.show()
+        self.assertEqual("refused_not_run", self.world.outcome(1))
+
     def test_without_a_link_the_outcome_is_unknown_at_the_deadline(self):
         self.link()
         self.show()
@@ -139,6 +167,14 @@
         self.assertEqual("ran", self.world.outcome(2))
         self.assertEqual([self.ticket], self.world.ran)
 
+    @SETTINGS
+    @given(SCHEDULE)
+    def test_while_the_relay_lives_each_run_runs_once_and_its_callers_know(self, schedule):
+        world = play(schedule)
+        told = {world.outcome(number) for number in range(world.callers)}
+        self.assertLessEqual(told, {"ran"})
+        self.assertEqual(len(set(world.ran)), len(world.ran))
+
     @SETTINGS
     @given(WITH_RESTARTS)
     def test_a_run_runs_once_at_most_and_never_after_a_refusal(self, schedule):
