quarantine: before any reply two shards of a search go to a further searcher, not all

Searches of the next seconds found both searchers of every shard refusing (`attempt-ended why=unreachable` for each). Cause: hedges are due before the loss of the first searchers is known, and a search of which no shard has replied was hedged for all of them at once. Ruled out: the caller's second attempt (it came after the conviction and was refused), news between entries (0.7 ms after it), several different requests (one fingerprint until 11 s). Change: as long as no searcher has replied to a request, two of its shards at a time may go to a further searcher; the first reply lets all others go at once. By the time of a hedge nearly all shards of a good search have replied. Calls to one service are as before. Tests, failing before: two of test_request_watch (all six hedges granted), two of test_ended_searchers (8 attempts in place of 6).

--- a/rhubarbhinge/gather/tests/gathering_case.py
+++ b/rhubarbhinge/gather/tests/gathering_case.py
@@ -52,6 +52,7 @@
         far: dict | None = None,
         slack: float = 10.0,
         control: AttemptControl = UNLIMITED,
+        hedge_ms: float | None = None,
     ):
         self.world = FakeWorld(slack, SHARDS)
         self.far = FakeFar(far or {})
@@ -62,7 +63,7 @@
             ShardSet(SHARDS, 2, least),
             100.0,
             now_ms + 90.0,
-            self.world.terms(hedge_ms=None, control=control),
+            self.world.terms(hedge_ms=hedge_ms, control=control),
         )
         self.gathering = Gathering(
             self.world.around,
--- a/rhubarbhinge/gather/tests/test_ended_searchers.py
+++ b/rhubarbhinge/gather/tests/test_ended_searchers.py
@@ -40,6 +40,24 @@
         self.assertEqual(len(self.world.attempts), len(SHARDS) + 1)
         self.assertEqual(len(self.marks[0]), len(SHARDS) + 1)
 
+    def test_hedges_before_any_reply_leave_most_shards_their_second_searcher(self):
+        """Guards against a request that ends both searchers of all shards by its hedges."""
+        self.start(hedge_ms=20.0)
+        self.world.timers.advance(30.0)
+        self.assertEqual(len(self.world.attempts), len(SHARDS) + 2)
+        self.end_searchers(*SHARDS)
+        self.assertEqual(len(self.world.attempts), len(SHARDS) + 2)
+        self.assertEqual(len(self.marks), 1)
+
+    def test_hedges_of_a_good_search_all_go_at_the_first_reply(self):
+        self.start(hedge_ms=20.0)
+        self.world.timers.advance(30.0)
+        self.answer("s3")
+        hedged = {one.service for one in self.world.attempts[len(SHARDS) :]}
+        self.assertLessEqual(set(SHARDS) - {"s3"}, hedged)
+        self.answer(*SHARDS)
+        self.assertEqual(self.ends[0].missing, ())
+
     def test_a_search_that_loses_half_of_its_searchers_to_a_crash_is_whole(self):
         self.start()
         self.end_searchers("s0", "s1")
--- a/rhubarbhinge/quarantine/_request_watch.py
+++ b/rhubarbhinge/quarantine/_request_watch.py
@@ -9,15 +9,21 @@
 """Searchers that end under a request, with no reply from any, before its further attempts go one
 at a time. One may crash by chance; of two at once one further send tells which it is."""
 
+MOST_FURTHER_UNANSWERED = 2
+"""Shards that go to a further searcher before any searcher has replied to the request. In the time
+until a hedge nearly all shards of a search have replied, unless one cause holds them all up."""
+
 
 class RequestWatch:
     """Tells a request that ends its searchers from one that loses them to another cause.
 
     What ends each searcher that begins it gets no reply from any. So a reply clears the request:
-    that of any other shard, mostly before the first loss. Without one, and with two searchers gone,
-    its retries and hedges go one at a time, each after the one before has come out. A request that
-    is good is late by one reply, some 40 ms, and one that is not takes one more searcher in place
-    of a second one of each shard. When that one ends as well, the request is stopped.
+    that of any other shard, mostly before the first loss. Without one, few shards go to a further
+    searcher at a time, as the loss of the first ones may not be known yet when hedges are due. With
+    two searchers gone, retries and hedges go one at a time, each after the one before has come out.
+    A request that is good is late by one reply, some 40 ms, and one that is not takes few more
+    searchers in place of a second one of each shard. When one of these ends as well, the request is
+    stopped.
 
     :param one_first: whether the first attempt, too, goes to one searcher alone.
     :param on_stopped: told that no more may be sent, once.
@@ -61,11 +67,12 @@
             return True
         if self._closed:
             return False
-        if self._is_suspect and self._further - {service}:
+        if not self._is_suspect and number == 1:
+            return True
+        if len(self._further - {service}) >= self._most_further:
             self._held.append(on_granted)
             return False
-        if self._is_suspect or number > 1:
-            self._further.add(service)
+        self._further.add(service)
         return True
 
     def on_ended(self, service: str, mark: int) -> None:
@@ -105,7 +112,7 @@
             # The loop below goes on; hundreds of shards would nest too deeply otherwise.
             return
         self._is_passing = True
-        while self._held and not self._further and not self._closed:
+        while self._held and len(self._further) < self._most_further and not self._closed:
             self._held.popleft()()
         self._is_passing = False
 
@@ -120,6 +127,10 @@
         if not self._closed:
             self._close(convicted=False)
 
+    @property
+    def _most_further(self) -> int:
+        return 1 if self._is_suspect else MOST_FURTHER_UNANSWERED
+
     @property
     def _is_suspect(self) -> bool:
         return self.is_trial or len(self._marks) >= SUSPECT_ENDS
--- a/rhubarbhinge/quarantine/tests/test_request_watch.py
+++ b/rhubarbhinge/quarantine/tests/test_request_watch.py
@@ -53,6 +53,28 @@
         self.assertFalse(self.claim("s1"))
         self.assertEqual(self.granted, [])
 
+    def test_before_any_reply_few_shards_go_to_a_further_searcher(self):
+        """Guards against hedges of all shards that end both searchers of each."""
+        self.first_sends()
+        sent = [service for service in SHARDS if self.claim(service)]
+        self.assertEqual((sent, self.granted), (["s0", "s1"], []))
+        self.watch.on_over("s0")
+        self.assertEqual(self.granted, ["s2", "s3", "s4", "s5"], "none was claimed by its call")
+        self.watch.on_replied("s1")
+        self.assertTrue(self.claim("s5"))
+
+    def test_hedges_that_wait_go_at_the_first_reply(self):
+        self.first_sends()
+        for service in SHARDS:
+            self.claim(service)
+        self.watch.on_replied("s4")
+        self.assertEqual(self.granted, ["s2", "s3", "s4", "s5"])
+
+    def test_a_call_to_one_service_is_hedged_whether_or_not_it_has_replied(self):
+        self.assertTrue(self.claim("s0", 1))
+        self.assertTrue(self.claim("s0", 2))
+        self.assertTrue(self.claim("s0", 3))
+
     def test_a_reply_lets_all_that_waited_go(self):
         self.first_sends()
         for mark in range(3):
