query: a drain outlasts a change of the searcher's relay

What callers saw: nothing; an upstream that leaves got a search 9.0 s after its drain began, where 4 s are promised. Cause: the new owner has not heard from the searcher yet and reports `unknown`, which entries took as usable in place of `draining`. Any loss or stop of a relay does the same. Ruled out: the drain's own way (the old relay had reported it for nine seconds), the test's clock (the history has both times). Change: entries keep a drain until the searcher has been heard from (`ready`, `warming`, a newer incarnation). Test: test_a_drain_outlasts_a_relay_that_has_not_heard_from_the_searcher, failing before (usable).

--- a/rhubarbhinge/query/_catalog.py
+++ b/rhubarbhinge/query/_catalog.py
@@ -14,7 +14,8 @@
 
 _Range = tuple[int, int]
 _Snapshot = tuple[str, int]
-_USABLE = frozenset({UpstreamState.READY, UpstreamState.WARMING, UpstreamState.UNKNOWN})
+_HEARD_FROM = frozenset({UpstreamState.READY, UpstreamState.WARMING})
+_USABLE = _HEARD_FROM | {UpstreamState.UNKNOWN}
 
 
 class Catalog:
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self._report_by_upstream: dict[int, HoldingReport] = {}
         self._state_by_upstream: dict[int, UpstreamState] = {}
+        self._draining: set[int] = set()
         self._holders: dict[str, dict[int, dict[_Range, set[int]]]] = {}
         self._records: dict[_Snapshot, dict[_Range, int]] = {}
         self._totals: dict[_Snapshot, int] = {}
@@ -37,18 +39,27 @@
         known = self._report_by_upstream.get(report.upstream_id)
         if known is not None and report.incarnation < known.incarnation:
             return
+        if known is not None and report.incarnation > known.incarnation:
+            self._draining.discard(report.upstream_id)
         self._report_by_upstream[report.upstream_id] = report
         self._stale = True
 
     def on_state(self, upstream_id: int, state: UpstreamState) -> None:
         """Take a searcher's state.
 
+        A drain lasts until the searcher has been heard from: a relay that has just become its owner
+        may not know of it yet.
+
         :param upstream_id: the searcher.
         :param state: what its relay sees.
         """
-        before = self._state_by_upstream.get(upstream_id, UpstreamState.UNKNOWN)
+        before = self.usable(upstream_id)
         self._state_by_upstream[upstream_id] = state
-        if (before in _USABLE) != (state in _USABLE):
+        if state is UpstreamState.DRAINING:
+            self._draining.add(upstream_id)
+        elif state in _HEARD_FROM:
+            self._draining.discard(upstream_id)
+        if self.usable(upstream_id) != before:
             self._plans.clear()
 
     def forget(self, upstream_ids: Iterable[int]) -> None:
@@ -59,6 +70,7 @@
         for upstream_id in upstream_ids:
             self._report_by_upstream.pop(upstream_id, None)
             self._state_by_upstream.pop(upstream_id, None)
+            self._draining.discard(upstream_id)
         self._stale = True
 
     def known(self) -> frozenset[int]:
@@ -74,7 +86,7 @@
         :param upstream_id: the searcher.
         :returns: False when it drains or is down.
         """
-        return self._state_by_upstream.get(upstream_id, UpstreamState.UNKNOWN) in _USABLE
+        return upstream_id not in self._draining and self.state(upstream_id) in _USABLE
 
     def state(self, upstream_id: int) -> UpstreamState:
         """Give a searcher's state.
--- a/rhubarbhinge/query/tests/test_catalog.py
+++ b/rhubarbhinge/query/tests/test_catalog.py
@@ -93,6 +93,27 @@
             tiles = made.plan(builders.COLLECTION).tiles
             self.assertEqual(left, [tile.upstream_ids for tile in tiles])
 
+    def test_a_drain_outlasts_a_relay_that_has_not_heard_from_the_searcher(self):
+        """Guards against new work at a leaving searcher whose relay has changed."""
+        catalog = Catalog()
+        catalog.on_holdings(builders.holding(1, [(1, 0, KEYS)]))
+        for state in (UpstreamState.DRAINING, UpstreamState.UNKNOWN, UpstreamState.DOWN):
+            catalog.on_state(1, state)
+        catalog.on_state(1, UpstreamState.UNKNOWN)
+        self.assertFalse(catalog.usable(1))
+        self.assertEqual((), catalog.plan(builders.COLLECTION).tiles)
+        catalog.on_state(1, UpstreamState.READY)
+        self.assertTrue(catalog.usable(1))
+        self.assertEqual(1, len(catalog.plan(builders.COLLECTION).tiles))
+
+    def test_a_newer_life_ends_a_drain(self):
+        catalog = Catalog()
+        catalog.on_holdings(builders.holding(1, [(1, 0, KEYS)]))
+        catalog.on_state(1, UpstreamState.DRAINING)
+        catalog.on_holdings(builders.holding(1, [(1, 0, KEYS)], incarnation=2))
+        catalog.on_state(1, UpstreamState.UNKNOWN)
+        self.assertTrue(catalog.usable(1))
+
     def test_an_announcement_of_an_older_life_is_ignored(self):
         made = Catalog()
         made.on_holdings(builders.holding(1, [(1, 0, KEYS)], incarnation=2))
