forward: nothing is hedged or tried again after its deadline

Cause: an entry that was held up past a request's deadline calls its timers in the order in which they were due, so that the hedge comes before the end. Retries after a pause likewise, by reading. Change: both look at the deadline first. Tests: two of test_service_call, with timers that stand still; both fail before (2 and 3 attempts in place of 1 and 2).

--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -182,7 +182,7 @@
         self._open[start] = self._around.send(exchange, lambda outcome: self._ended(start, outcome))
 
     def _hedge(self) -> None:
-        if self.over:
+        if self.over or self._is_late():
             return
         chosen = self._choose()
         if chosen is None or chosen.is_avoided(self._around.timers.now_ms()):
@@ -289,6 +289,9 @@
     def _retry_paused(self) -> None:
         if self.over or self._open:
             return
+        if self._is_late():
+            self._end()
+            return
         chosen = self._choose()
         if chosen is None or not self._may_send():
             self._story.note("retry-not-sent", self.service, **self._shortage(chosen))
@@ -296,6 +299,13 @@
         else:
             self._send(chosen, "retry-later")
 
+    def _is_late(self) -> bool:
+        """Tell whether the deadline is over, as it may be where the process was held up.
+
+        Timers that were due before the deadline are called before the one that ends the request.
+        """
+        return self._around.timers.now_ms() >= self._terms.deadline_ms
+
     def _end(self) -> None:
         """Finish without a success, unless a searcher is still at work."""
         if self.over or self._open:
--- a/rhubarbhinge/forward/tests/test_service_call.py
+++ b/rhubarbhinge/forward/tests/test_service_call.py
@@ -77,6 +77,25 @@
         self.world.timers.advance(500.0)
         self.assertEqual(self.sent(), 1)
 
+    def test_nothing_is_hedged_after_its_deadline(self):
+        """Guards against sends in vain by an entry that was held up past the deadline."""
+        world = FakeWorld(slack=5.0)
+        self.start(world, deadline_ms=world.timers.now_ms() + 40.0)
+        world.timers.stand_still(50.0)
+        world.timers.advance(1.0)
+        self.assertEqual(1, len(world.attempts))
+
+    def test_nothing_is_tried_again_after_its_deadline(self):
+        """Guards against sends in vain by an entry that was held up past the deadline."""
+        world = FakeWorld(slack=5.0)
+        self.start(world, deadline_ms=world.timers.now_ms() + 40.0, hedge_ms=None)
+        for _ in range(2):
+            world.attempts[-1].end(NotRun(Why.NO_ROOM))
+        world.timers.stand_still(50.0)
+        world.timers.advance(1.0)
+        self.assertEqual(2, len(world.attempts))
+        self.assertEqual([Refused(Why.NO_ROOM)], self.results)
+
     def test_a_hedge_that_needs_leave_is_sent_once_there_is_leave(self):
         leave = FakeLeave()
         self.start(FakeWorld(), control=leave)
--- a/rhubarbhinge/utils/fake_timers.py
+++ b/rhubarbhinge/utils/fake_timers.py
@@ -37,6 +37,13 @@
         heapq.heappush(self._heap, entry)
         return subscription
 
+    def stand_still(self, duration_ms: float) -> None:
+        """Let time pass in which nothing is called back, as for a process that is held up.
+
+        :param duration_ms: how long.
+        """
+        self._now_ms += duration_ms
+
     def advance(self, duration_ms: float) -> None:
         """Let time pass, and call back what is due on the way.
 
