delegation: the deadlines of the tests' asks are on the clock that the call reads

Cause: the fixture took deadlines from the clock of its fake world (1 s after its start) and gave calls the real one, so that each was over since the machine's start. No check is changed.

--- a/rhubarbhinge/delegation/tests/test_components.py
+++ b/rhubarbhinge/delegation/tests/test_components.py
@@ -41,7 +41,9 @@
         self.server = AskServer(
             self.timers,
             around,
-            lambda ask, delays: self.world.terms(hedge_ms=self.hedge_ms),
+            lambda ask, delays: self.world.terms(
+                hedge_ms=self.hedge_ms, deadline_ms=self.timers.now_ms() + 60_000.0
+            ),
             lambda route, target_ms: Delays(20.0),
             ("127.0.0.1", 0),
         ).register(self.root)
