daemons: runs on their way to relays stand in a file of their own; a relay that leaves is asked again too

No change of behaviour but one: a relay that leaves finishes its work, so that a run whose link to it is lost waits for it like for any other running relay, in place of being told as unknown at once.

--- a/rhubarbhinge/daemons/_controlshell.py
+++ b/rhubarbhinge/daemons/_controlshell.py
@@ -7,6 +7,7 @@
 from circuits import Component
 
 from rhubarbhinge.control import (
+    DEAD,
     Adopted,
     ControlNode,
     Member,
@@ -17,7 +18,6 @@
     SendDatagram,
     SendPeer,
     Superseded,
-    is_live,
 )
 from rhubarbhinge.daemons._configview import ConfigView
 from rhubarbhinge.daemons._controlstatus import control_status, fill_control
@@ -141,15 +141,16 @@
         members = self._core.membership.live("relay", failure_domain)
         return frozenset(member.name for member in members)
 
-    def is_live(self, name: str, incarnation: int) -> bool:
-        """Say whether a process counts as running.
+    def is_running(self, name: str, incarnation: int) -> bool:
+        """Say whether a process counts as running; one that leaves finishes its work.
 
         :param name: its node name.
         :param incarnation: its incarnation.
-        :returns: False when it is dead or leaving, or a later one has its name.
+        :returns: False when it is dead or not known, or a later one has its name.
         """
         member = self._core.membership.get(name)
-        return member is not None and is_live(member) and member.incarnation <= incarnation
+        known = member is not None and member.incarnation <= incarnation
+        return known and member.state != DEAD
 
     def live_entries(self, failure_domain: str) -> frozenset[str]:
         """Give the entries of a failure domain.
--- a/rhubarbhinge/daemons/_entrydaemon.py
+++ b/rhubarbhinge/daemons/_entrydaemon.py
@@ -174,7 +174,7 @@
         linked = self.links.peer(name)
         if linked is not None:
             return linked.incarnation != incarnation
-        return not self.control.is_live(name, incarnation)
+        return not self.control.is_running(name, incarnation)
 
     def _send_node(self, node: str, message: Any) -> bool:
         if self._direct is not None and self._direct.send(node, message):
--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -2,16 +2,13 @@
 
 import itertools
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
-import xxhash
-
 from rhubarbhinge import api
 from rhubarbhinge.daemons._configview import ConfigView
 from rhubarbhinge.daemons._identity import Identity
 from rhubarbhinge.daemons._peer import Peer
+from rhubarbhinge.daemons._relayruns import IsExpected, IsGone, RelayOf, RelayRuns, Send
 from rhubarbhinge.once import (
     AnswerOutcome,
     AnswerRedirect,
@@ -23,14 +20,12 @@
     OutcomeKind,
     ReplyForward,
     SendClaim,
-    SentRuns,
+    SendPermit,
     Signer,
     StartRun,
     TicketBook,
-    kind_of,
 )
-from rhubarbhinge.query import Catalog, RelayTarget
-from rhubarbhinge.register import Action
+from rhubarbhinge.query import Catalog
 from rhubarbhinge.telemetry import Metrics, log_event
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.web import Request, Responder
@@ -38,35 +33,15 @@
     KeyClaim,
     KeyClaimReply,
     RunReply,
-    RunRequest,
     TicketForward,
     TicketForwardReply,
-    upstream_id,
 )
 
 _TICK_MS = 100.0
-#: A relay does not send a run later than this before its entry gives it up.
-_SEND_MARGIN_MS = 1_000
 _TICKET_PREFIX = "/v1/run/"
 #: Longest idempotency key: far above a UUID.
 _MOST_KEY_CHARACTERS = 200
 
-#: Longest wait for the link to a relay before a run is refused.
-_RELAY_WAIT_MS = 3_000
-#: When to come back while no relay or upstream for the action can be reached.
-_TARGET_RETRY_MS = 1_000
-
-_RelayOf = Callable[[int], RelayTarget | None]
-_IsExpected = Callable[[int], bool]
-_IsGone = Callable[[str, int], bool]
-_Send = Callable[[str, object], bool]
-
-
-@dataclass(frozen=True, slots=True)
-class _WaitingRun:
-    run: StartRun
-    give_up_ms: int
-
 
 class Runs:
     """The runs of one entry.
@@ -91,33 +66,38 @@
         config: ConfigView,
         identity: Identity,
         key: bytes,
-        relay_of: _RelayOf,
-        is_expected: _IsExpected,
-        is_gone: _IsGone,
+        relay_of: RelayOf,
+        is_expected: IsExpected,
+        is_gone: IsGone,
         catalog: Catalog,
-        send: _Send,
+        send: Send,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self._timers = timers
         self._config = config
         self._identity = identity
-        self._relay_of = relay_of
-        self._is_expected = is_expected
         self._is_gone = is_gone
-        self._catalog = catalog
         self._send = send
         self._metrics = metrics
-        self._rng = rng
         settings = OnceSettings()
         signer = Signer(key, identity.name, identity.incarnation)
         self._keys = KeyBook(identity.name, identity.incarnation, settings, self._now_ms())
         self._book = TicketBook(signer, self._keys, settings)
-        self._keep_sent_ms = settings.lifetime_ms
         self._open: dict[int, tuple[Responder, str]] = {}
-        self._sent = SentRuns()
-        self._waiting: list[_WaitingRun] = []
-        self._clock_ahead_ms: dict[str, int] = {}
+        self._relay_runs = RelayRuns(
+            timers,
+            config,
+            identity,
+            relay_of,
+            is_expected,
+            is_gone,
+            catalog,
+            send,
+            rng,
+            self._ask_permit,
+            self._ended,
+        )
         self._numbers = itertools.count(1)
         timers.every(_TICK_MS, self._tick)
 
@@ -165,7 +145,7 @@
         now_ms = self._now_ms()
         match message:
             case RunReply():
-                self._run_ended(peer, message)
+                self._relay_runs.on_reply(peer, message)
             case TicketForward():
                 self._carry_out(self._book.on_forwarded(message, now_ms))
             case TicketForwardReply():
@@ -183,7 +163,7 @@
 
         :param peer: the node.
         """
-        self._clock_ahead_ms.pop(peer.name, None)
+        self._relay_runs.on_link_lost(peer)
         self._carry_out(self._book.on_link_lost(peer.name, self._now_ms()))
         self._give_up_gone()
 
@@ -192,24 +172,17 @@
 
         :param peer: the node.
         """
-        for request in self._sent.of_relay(peer.name, peer.incarnation):
-            log_event("run-repeated", ticket_hash=_ticket_hash(request.ticket), relay=peer.name)
-            self._send(peer.name, request)
+        self._relay_runs.on_link_up(peer)
         self._carry_out(self._book.on_link_up(peer.name, peer.incarnation))
         self._give_up_gone()
 
     def on_relay_clock(self, relay: str, relay_now_ms: int) -> None:
         """Take a reading of a relay's clock.
 
-        The reading is older than its arrival, so that a deadline stated by it is never too late.
-
         :param relay: its node name.
         :param relay_now_ms: its clock when it sent the reading.
         """
-        is_first = relay not in self._clock_ahead_ms
-        self._clock_ahead_ms[relay] = relay_now_ms - self._now_ms()
-        if is_first:
-            self._retry_waiting()
+        self._relay_runs.on_clock(relay, relay_now_ms)
 
     def drain(self) -> None:
         """Stop minting."""
@@ -264,7 +237,7 @@
                 case AnswerOutcome(number, outcome):
                     self._answer_outcome(number, outcome)
                 case StartRun():
-                    self._start_run(effect)
+                    self._relay_runs.start(effect)
                 case Forward(_, owner, message):
                     if not self._send(owner, message):
                         self._give_up_gone()
@@ -291,110 +264,27 @@
         elif not self._send(entry, claim):
             self._carry_out(self._book.on_peer_gone(entry, 0, now_ms))
 
-    def _start_run(self, run: StartRun) -> None:
-        target = self._target(run.action)
-        if target is not None:
-            self._send_run(run, *target)
-        elif self._may_have_target(run.action):
-            log_event("run-waits", ticket_hash=_ticket_hash(run.ticket), action=run.action)
-            self._waiting.append(_WaitingRun(run, self._now_ms() + _RELAY_WAIT_MS))
-        else:
-            self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
-
-    def _retry_waiting(self) -> None:
-        waiting, self._waiting = self._waiting, []
-        for each in waiting:
-            target = self._target(each.run.action)
-            if target is not None:
-                self._send_run(each.run, *target)
-            elif self._now_ms() < each.give_up_ms and self._may_have_target(each.run.action):
-                self._waiting.append(each)
-            else:
-                ticket = each.run.ticket
-                self._ended(ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
-
-    def _send_run(self, run: StartRun, number: int, relay: RelayTarget) -> None:
-        relay_deadline_ms = run.deadline_ms + self._clock_ahead_ms[relay.name] - _SEND_MARGIN_MS
-        body = api.run_fields(run.body)
-        now_ms = self._now_ms()
-        permit = self._book.on_send(run.ticket, now_ms)
-        if not permit.send:
-            self._carry_out(list(permit.effects))
-            return
-        message = RunRequest(
-            self._identity.name,
-            self._identity.incarnation,
-            relay.name,
-            relay.incarnation,
-            run.ticket,
-            run.action,
-            body,
-            relay_deadline_ms,
-            number,
-        )
-        self._sent.add(message, run.deadline_ms + self._keep_sent_ms)
-        log_event(
-            "run-sent", ticket_hash=_ticket_hash(run.ticket), action=run.action, relay=relay.name
-        )
-        if not self._send(relay.name, message):
-            self._sent.take(run.ticket, relay.name)
-            self._ended(run.ticket, OutcomeKind.REFUSED_NOT_RUN, b"", _TARGET_RETRY_MS)
-
-    def _target(self, action: str) -> tuple[int, RelayTarget] | None:
-        numbers = self._usable_upstreams(action)
-        self._rng.shuffle(numbers)
-        for number in numbers:
-            relay = self._relay_of(number)
-            if relay is not None and relay.name in self._clock_ahead_ms:
-                return number, relay
-        return None
-
-    def _may_have_target(self, action: str) -> bool:
-        """Tell whether a usable upstream lacks only the link to a relay, or its first report."""
-        return any(
-            self._relay_of(number) is not None or self._is_expected(number)
-            for number in self._usable_upstreams(action)
-        )
-
-    def _usable_upstreams(self, action: str) -> list[int]:
-        known: Action | None = self._config.register.action(action)
-        numbers = [upstream_id(name) for name in known.upstreams] if known else []
-        return [number for number in numbers if self._catalog.usable(number)]
-
-    def _run_ended(self, peer: str, reply: RunReply) -> None:
-        mine = reply.entry_incarnation == self._identity.incarnation
-        if not mine or not self._sent.take(reply.ticket, peer):
-            return
-        kind = kind_of(reply.kind) or OutcomeKind.UNKNOWN
-        self._ended(reply.ticket, kind, reply.result, reply.retry_after_ms)
+    def _ask_permit(self, ticket: str) -> SendPermit:
+        permit = self._book.on_send(ticket, self._now_ms())
+        self._carry_out(list(permit.effects))
+        return permit
 
     def _ended(self, ticket: str, kind: OutcomeKind, result: bytes, retry_after_ms: int) -> None:
-        log_event("run-ended", ticket_hash=_ticket_hash(ticket), outcome=kind.value)
         ended = self._book.on_upstream(ticket, kind, result, retry_after_ms, self._now_ms())
         self._carry_out(ended)
 
     def _give_up_gone(self) -> None:
         """End as unknown what was sent to processes that are gone."""
-        for relay, incarnation in self._sent.relays():
-            if self._is_gone(relay, incarnation):
-                for request in self._sent.of_relay(relay, incarnation):
-                    self._sent.take(request.ticket, relay)
-                    self._ended(request.ticket, OutcomeKind.UNKNOWN, b"", 0)
+        self._relay_runs.give_up_gone()
         for entry, incarnation in self._book.owners_asked():
             if self._is_gone(entry, incarnation):
                 gone = self._book.on_peer_gone(entry, incarnation, self._now_ms())
                 self._carry_out(gone)
 
     def _tick(self) -> None:
-        now_ms = self._now_ms()
-        self._sent.forget_old(now_ms)
-        self._carry_out(self._book.tick(now_ms))
+        self._carry_out(self._book.tick(self._now_ms()))
+        self._relay_runs.tick()
         self._give_up_gone()
-        self._retry_waiting()
-
-
-def _ticket_hash(ticket: str) -> str:
-    return xxhash.xxh64_hexdigest(ticket.encode())
 
 
 def _checked_key(command: api.RunCommand, key: str) -> api.RunCommand | api.ApiError:
