query: parts that wait are asked again only for a query that goes on

The end is looked for first, and once more where a part was given up. docs: proofs of the faults mended.

--- a/rhubarbhinge/query/_core.py
+++ b/rhubarbhinge/query/_core.py
@@ -163,8 +163,7 @@
         state = self._state
         if now_ms >= call.deadline_ms - state.policy.answer_margin_ms:
             return [finish(state, call, now_ms)]
-        resend_waiting(state, call, now_ms)
-        answered = settle(state, call, now_ms)
+        answered = settle(state, call, now_ms) or resend_waiting(state, call, now_ms)
         if answered:
             return answered
         hedge(state, call, now_ms)
--- a/rhubarbhinge/query/_resending.py
+++ b/rhubarbhinge/query/_resending.py
@@ -42,16 +42,19 @@
     return settle(state, call, now_ms)
 
 
-def resend_waiting(state: QueryState, call: Call, now_ms: float) -> None:
+def resend_waiting(state: QueryState, call: Call, now_ms: float) -> list[Effect]:
     """Ask again for the parts that have waited long enough; any replica may be asked.
 
     :param state: the entry's state.
     :param call: the query.
     :param now_ms: the time.
+    :returns: the query's answer when parts that were given up end it, or nothing.
     """
+    lost = len(call.lost)
     for part in call.parts.values():
         if part.waits() and part.retry_at_ms <= now_ms:
             _resend_one(state, call, part, now_ms)
+    return settle(state, call, now_ms) if len(call.lost) > lost else []
 
 
 def lose_relay(
