timing: what came during a pause is read before timers that became due are called

What callers saw: answers with coverage 0.33 after 2.8 and 3.7 s, `deadline` for ranges whose searchers had replied within 20 ms. Cause: an entry that is held up between its poll and the next turn of its loop calls the timers that became due first: the end of the class's patience answered with what had been read, and cancelled what waited in the sockets. Replies that are ready are to be delivered. Ruled out: relays (linked, their replies sent), searchers (done), the budget of hedges (the ranges were asked up to three times). Change: the turn after a pause polls and reads before it calls due timers, never twice in a row, so that a loop that is always late still calls them. Test: test_what_came_during_a_pause_is_read_before_timers_that_became_due, failing before.

--- a/rhubarbhinge/timing/_service.py
+++ b/rhubarbhinge/timing/_service.py
@@ -58,6 +58,7 @@
         self._on_pause: list[Callable[[float], None]] = []
         self._last_ms: float | None = None
         self._asked_ms: float | None = 0.0
+        self._reads_first = False
 
     def after(self, delay_ms: float, callback: Callable[[], None]) -> Subscription:
         """Call back once.
@@ -86,6 +87,8 @@
     def on_pause(self, callback: Callable[[float], None]) -> None:
         """Subscribe to pauses: called before any due timer and any data that came in meanwhile.
 
+        Data that came in is read before timers that became due are called.
+
         While anyone subscribes, the loop sleeps no longer than the bound at a time.
 
         :param callback: given the lateness of the loop turn in milliseconds.
@@ -102,8 +105,10 @@
         if self.asleep:
             self.wake()
         now_ms = self.now_ms()
-        self._note_gap(now_ms, 0.0)
-        if self._heap and self._heap[0][0] <= now_ms:
+        was_paused = self._note_gap(now_ms, 0.0)
+        # Deadlines that passed in a pause would end requests whose replies wait to be read.
+        self._reads_first = was_paused and not self._reads_first
+        if not self._reads_first and self._heap and self._heap[0][0] <= now_ms:
             self._run_due(now_ms)
 
     @handler("generate_events", priority=SLEEP_PRIORITY)
@@ -118,13 +123,15 @@
         self._asked_ms = None if left_s < 0 else left_s * 1e3
         self.asleep = True
 
-    def _note_gap(self, now_ms: float, asked_ms: float | None) -> None:
+    def _note_gap(self, now_ms: float, asked_ms: float | None) -> bool:
         last_ms, self._last_ms = self._last_ms, now_ms
         if last_ms is None or asked_ms is None:
-            return
+            return False
         late_ms = now_ms - last_ms - asked_ms
-        if late_ms > self._pause_bound_ms:
+        is_pause = late_ms > self._pause_bound_ms
+        if is_pause:
             self._tell_pause(late_ms)
+        return is_pause
 
     def _run_due(self, now_ms: float) -> None:
         due = []
--- a/rhubarbhinge/timing/tests/test_service.py
+++ b/rhubarbhinge/timing/tests/test_service.py
@@ -15,6 +15,7 @@
         self.now_ms = 0.0
         self.late_ms = 0.0
         self.early_ms = None
+        self.on_polled = lambda: None
 
     @handler("generate_events", priority=-9)
     def _on_sleep(self, event):
@@ -23,6 +24,7 @@
         if self.early_ms is not None:
             asked_ms = min(asked_ms, self.early_ms)
         self.now_ms += asked_ms + self.late_ms
+        self.on_polled()
 
 
 class TimerServiceTest(unittest.TestCase):
@@ -93,6 +95,30 @@
         self.ticks(4)
         self.assertEqual([("pause", 800)], self.seen)
 
+    def test_what_came_during_a_pause_is_read_before_timers_that_became_due(self):
+        """Guards against deadlines that end requests whose replies are there already."""
+
+        def held_up_while_reading():
+            self.timers.wake()
+            self.sleep.now_ms += 800
+            self.sleep.on_polled = self.note("polled")
+
+        self.timers.after(300, self.note("deadline"))
+        self.sleep.early_ms = 10
+        self.sleep.on_polled = held_up_while_reading
+        self.ticks(4)
+        self.assertEqual(["polled", "deadline"], [name for name, _ in self.seen][:2])
+
+    def test_a_loop_that_is_always_late_still_runs_its_timers(self):
+        def held_up_while_reading():
+            self.timers.wake()
+            self.sleep.now_ms += 800
+
+        self.timers.every(10, self.note("timer"))
+        self.sleep.on_polled = held_up_while_reading
+        self.ticks(9)
+        self.assertGreaterEqual(len(self.seen), 4)
+
     def test_a_callback_that_raises_stops_the_process(self):
         self.timers.after(10, lambda: 1 / 0)
         with self.assertLogs("absl", "ERROR") as logs, self.assertRaises(SystemExit) as stop:
