relays: what is refused before the first register is told; a fault at the end of a loop turn stops the process

What callers saw: thin answers, `deadline`, in the first seconds after relays start, after half of the deadline. The searchers' histories have nothing of the ranges until 2,500 ms later. Cause: the register revision that goes with each answer is -1 before the first register, which the message can't hold: the refusals were lost, and entries waited for them. circuits wrote the exception and went on, as the only callbacks of a loop turn that did not stop the process on a broken invariant were these. Change: 0 for none, revisions of registers begin at 1; an exception at the end of a loop turn is fatal like any other. Ruled out: the searchers (served by other relays meanwhile), stalls (none was logged), the budget of hedges, which only kept the range from being asked elsewhere sooner.

--- a/rhubarbhinge/daemons/_peerlinks.py
+++ b/rhubarbhinge/daemons/_peerlinks.py
@@ -14,6 +14,7 @@
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.failstop import fail_stop
 from rhubarbhinge.wire import FrameError, FrameSplitter, Hello, decode, encode, frame
 
 #: Longest time for a connection and its hellos.
@@ -158,8 +159,11 @@
 
     @handler("generate_events", channel="*", priority=_TURN_END_PRIORITY)
     def _on_generate_events(self, event: Any) -> None:
-        for callback in self._turn_end:
-            callback()
+        try:
+            for callback in self._turn_end:
+                callback()
+        except Exception as error:
+            fail_stop(error)
 
     # Dialling.
 
--- a/rhubarbhinge/daemons/_relaywork.py
+++ b/rhubarbhinge/daemons/_relaywork.py
@@ -20,6 +20,9 @@
 from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.wire import CancelBatch, RunRequest, SubBatch, UpstreamState
 
+#: Told with answers that are given before the first register; revisions of registers are larger.
+_NO_REVISION = 0
+
 
 class RelayWork:
     """Turns entries' messages into work for the relay core, and its effects into messages.
@@ -107,7 +110,7 @@
 
     def flush(self) -> None:
         """Send the answers of this loop turn, and set the core's timer."""
-        for entry, batch in self._outbox.flush(self.core.register_revision):
+        for entry, batch in self._outbox.flush(max(_NO_REVISION, self.core.register_revision)):
             self._send(entry, batch)
         self._pool.turn_ended()
 
