--- a/rhubarbhinge/query/tests/test_core.py
+++ b/rhubarbhinge/query/tests/test_core.py
@@ -1,20 +1,16 @@
 """Focused tests of the query core, one decision each."""
 
-import random
 import unittest
 
 from rhubarbhinge.query import (
     Answer,
-    Catalog,
-    QueryCore,
-    QueryPolicy,
     RelayTarget,
     SendBatch,
-    SendCancel,
     Shortfall,
     all_answers,
 )
 from rhubarbhinge.query.tests import builders
+from rhubarbhinge.query.tests.core_bench import Bench, cancels
 from rhubarbhinge.wire import SubCode, UpstreamReport, UpstreamState
 
 HALF = builders.KEYS // 2
@@ -22,51 +18,6 @@
 FREE = (SubCode.DRAINING, SubCode.VERSION_GONE, SubCode.WRONG_RECEIVER, SubCode.RANGE_MOVED)
 
 
-class Bench:
-    """A core whose searcher n is owned by relay "r<n>" unless told otherwise."""
-
-    def __init__(self, held, traffic=None, **policy):
-        self.catalog = Catalog()
-        self.relays = {number: RelayTarget(f"r{number}", 1) for number in held}
-        self.traffic = traffic or builders.traffic_class(extra_load=1.0)
-        for number, spans in held.items():
-            self.catalog.on_holdings(builders.holding(number, spans))
-        policy = QueryPolicy(first_hedge_ms=30.0, **policy)
-        self.expected = set()
-        self.core = QueryCore(
-            policy, self.catalog, self.relays.get, random.Random(1), self.expected.__contains__
-        )
-        self.version = 1
-
-    def start(self, now_ms=0.0, number=1, **changed):
-        search = builders.request(number, self.traffic, **changed)
-        return self.core.start(search, now_ms)
-
-    def sends(self, effects):
-        """Give (part, attempt, searcher, lo, hi) rows."""
-        batches = [effect.batch for effect in effects if isinstance(effect, SendBatch)]
-        return [row for batch in batches for row in builders.rows_of(batch)]
-
-    def answer(self, row, now_ms=10.0, outcome=SubCode.ANSWERED, wait_ms=0, body=None, **changed):
-        part, attempt, number, lo, hi = row
-        if body is None and outcome == SubCode.ANSWERED:
-            body = builders.found(self.version, lo, hi, **changed)
-        reply = builders.reply((1, part, attempt, outcome, wait_ms, body or b""))
-        return self.core.on_reply(self.relays[number].name, reply, now_ms)
-
-    def tokens(self):
-        return self.core._state.budgets[self.traffic.name]._tokens
-
-
-def cancels(effects):
-    batches = [effect.batch for effect in effects if isinstance(effect, SendCancel)]
-    return [
-        row
-        for batch in batches
-        for row in zip(batch.call_ids, batch.parts, batch.attempts, strict=True)
-    ]
-
-
 class HedgeTest(unittest.TestCase):
     def test_a_hedge_waits_for_its_delay_and_goes_to_another_replica(self):
         bench = Bench({1: [LOW, HIGH], 2: [LOW, HIGH]})
@@ -185,83 +136,6 @@
         self.assertEqual([2], [row[2] for row in bench.sends(bench.start())])
 
 
-class OwnerWaitTest(unittest.TestCase):
-    """Parts whose replicas have no relay for a moment, or one that does not own them yet."""
-
-    def setUp(self):
-        traffic = builders.traffic_class(least_coverage=0.0, extra_load=0.0)
-        self.bench = Bench({1: [(1, 0, builders.KEYS)]}, traffic)
-        self.relay = self.bench.relays[1]
-
-    def start_unlinked(self, expected):
-        del self.bench.relays[1]
-        if expected:
-            self.bench.expected.add(1)
-        return self.bench.start(deadline_ms=5_000.0)
-
-    def look_until(self, end_ms):
-        """Let the core look whenever it is due; give the effects."""
-        effects = []
-        while (due_ms := self.bench.core.next_due_ms()) is not None and due_ms <= end_ms:
-            effects += self.bench.core.tick(due_ms)
-        return effects
-
-    def answered(self, row, now_ms):
-        (answer,) = all_answers(self.bench.answer(row, now_ms))
-        return answer.coverage
-
-    def test_a_part_waits_for_a_relay_that_is_about_to_be_linked(self):
-        """Guards against a range that is given up at once while its relay is linked anew."""
-        self.assertEqual([], self.start_unlinked(expected=True))
-        self.assertEqual([], self.look_until(300.0))
-        self.bench.relays[1] = self.relay
-        (row,) = self.bench.sends(self.look_until(400.0))
-        self.assertEqual(1.0, self.answered(row, 410.0))
-
-    def test_a_part_without_an_expected_relay_is_given_up_at_once(self):
-        (answer,) = all_answers(self.start_unlinked(expected=False))
-        self.assertEqual(["no-replica"], [missing.why for missing in answer.missing])
-
-    def test_a_part_is_given_up_once_its_relay_is_no_longer_expected(self):
-        self.start_unlinked(expected=True)
-        self.assertEqual([], self.look_until(300.0))
-        self.bench.expected.clear()
-        (answer,) = all_answers(self.look_until(400.0))
-        self.assertEqual(["no-replica"], [missing.why for missing in answer.missing])
-
-    def test_a_class_that_prefers_latency_is_answered_at_half_the_deadline(self):
-        self.start_unlinked(expected=True)
-        self.assertEqual([], all_answers(self.look_until(2_499.0)))
-        (answer,) = all_answers(self.look_until(2_500.0))
-        self.assertEqual(["no-replica"], [missing.why for missing in answer.missing])
-
-    def test_a_relay_that_does_not_own_a_replica_yet_is_asked_until_it_does(self):
-        """Guards against attempts that are used up while relays agree on an owner."""
-        (row,) = self.bench.sends(self.bench.start(deadline_ms=5_000.0))
-        now_ms, refusals = 1.0, 0
-        while now_ms < 600.0:
-            self.assertEqual([], self.bench.answer(row, now_ms, SubCode.WRONG_RECEIVER))
-            refusals += 1
-            rows = []
-            while not rows:
-                now_ms = self.bench.core.next_due_ms()
-                rows = self.bench.sends(self.bench.core.tick(now_ms))
-            (row,) = rows
-        self.assertGreater(refusals, QueryPolicy().most_attempts)
-        self.assertEqual(1.0, self.answered(row, now_ms))
-
-    def test_what_a_lost_relay_was_sent_is_sent_to_it_again_without_spending(self):
-        """Guards against parts that wait for a token though nothing of theirs runs."""
-        self.bench.start(deadline_ms=5_000.0)
-        self.bench.expected.add(1)
-        del self.bench.relays[1]
-        self.assertEqual([], self.bench.core.on_relay_gone(self.relay.name, 10.0))
-        self.assertEqual([], self.look_until(100.0))
-        self.bench.relays[1] = self.relay
-        (row,) = self.bench.sends(self.look_until(200.0))
-        self.assertEqual(1.0, self.answered(row, 210.0))
-
-
 class WaitTest(unittest.TestCase):
     def all_shed(self, bench, wait_ms=20):
         for row in bench.sends(bench.start()):
