once, daemons: the loss of a link ends claims of keys in one place

Found by reading the whole change again: on_peer_gone repeated what on_link_lost does, and a claim that could not be sent called the former with an incarnation that nobody has, to get the latter. No change of behaviour.

--- a/rhubarbhinge/daemons/_runs.py
+++ b/rhubarbhinge/daemons/_runs.py
@@ -262,7 +262,7 @@
             reply = self._book.on_key_claim(claim, now_ms)
             self._carry_out(self._book.on_key_reply(reply, now_ms))
         elif not self._send(entry, claim):
-            self._carry_out(self._book.on_peer_gone(entry, 0, now_ms))
+            self._carry_out(self._book.on_link_lost(entry, now_ms))
 
     def _ask_permit(self, ticket: str) -> SendPermit:
         permit = self._book.on_send(ticket, self._now_ms())
--- a/rhubarbhinge/once/_book.py
+++ b/rhubarbhinge/once/_book.py
@@ -175,7 +175,7 @@
         """
         lost = self._forwards.close_owner(entry, incarnation)
         effects = _give_up(lost, Code.OWNER_GONE)
-        return effects + self._from_keys(self._keys.on_peer_gone(entry, now_ms), now_ms)
+        return effects + self.on_link_lost(entry, now_ms)
 
     def on_link_lost(self, entry: str, now_ms: int) -> list[Effect]:
         """End the claims of keys at an entry whose link is lost; forwarded tickets wait for it.
