--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -198,6 +198,7 @@
 
     def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
         if snapshot.revision < self.revision:
+            self._note_not_taken(snapshot.revision, snapshot.plan, by_peer)
             return
         if not by_peer:
             self.unusable.replace(snapshot.unusable)
@@ -259,6 +260,7 @@
 
     def _apply(self, changes: Changes) -> None:
         if changes.revision < self.revision:
+            self._note_not_taken(changes.revision, changes.plan, changes.by_peer)
             return
         self._evacuated.apply(changes.evacuations)
         self._take_plan(changes.plan)
@@ -272,6 +274,17 @@
         self._searchers.vanish(changes.removed, changes.by_peer)
         self.revision = changes.revision
 
+    def _note_not_taken(self, revision: int, plan: ServingPlan | None, by_peer: bool) -> None:
+        log_event(
+            "state-not-taken",
+            level="warning",
+            by_peer=by_peer,
+            revision=revision,
+            known=self.revision,
+            version=None if plan is None else plan.version,
+            known_version=None if self.plan is None else self.plan.version,
+        )
+
 
 def _nothing() -> None:
     pass
