--- a/standins/operators/__init__.py
+++ b/standins/operators/__init__.py
@@ -3,7 +3,7 @@
 from standins.operators._configuration import HOST, configuration
 from standins.operators._deployment import Deployment
 from standins.operators._entry_process import Answer, EntryProcess
-from standins.operators._model import CompactedError, StoreModel
+from standins.operators._model import CompactedError, StoreCopy, StoreModel
 from standins.operators._proxy import Proxy
 from standins.operators._searcher import Searcher
 from standins.operators._store import Store
@@ -17,6 +17,7 @@
     "Proxy",
     "Searcher",
     "Store",
+    "StoreCopy",
     "StoreModel",
     "configuration",
 ]
--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -12,7 +12,7 @@
 
 from standins.fleet import free_ports
 from standins.operators._entry_process import ROOT, EntryProcess
-from standins.operators._model import StoreModel
+from standins.operators._model import StoreCopy, StoreModel
 from standins.operators._searcher import Searcher
 from standins.operators._store import Store
 
@@ -199,6 +199,26 @@
 
         self._change(forgetting)
 
+    def lose_since(self, copy: StoreCopy) -> None:
+        """Make the store come back from a copy, with all watches cut.
+
+        :param copy: the copy, from :meth:`copy_store`.
+        """
+
+        def losing() -> None:
+            for store in self.stores.values():
+                store.drop_waiting()
+            self.model.restore(copy)
+
+        self.run(losing)
+
+    def copy_store(self) -> StoreCopy:
+        """Copy what the store holds.
+
+        :returns: the copy.
+        """
+        return self.run(self.model.copy)
+
     def turn_away(self, entry: EntryProcess) -> None:
         """Make the store refuse an entry, and end its watch.
 
--- a/standins/operators/_model.py
+++ b/standins/operators/_model.py
@@ -1,7 +1,8 @@
 """The contents of a store with revisions and history."""
 
 import base64
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 import orjson
 
@@ -10,10 +11,30 @@
     """The history that was asked for is no longer there."""
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at one time.
+
+    :param revision: its revision.
+    :param items: its items by key.
+    :param events: the changes of its history.
+    :param first_revision: the revision from which on it had them.
+    """
+
+    revision: int
+    items: Mapping[str, dict]
+    events: tuple[dict, ...]
+    first_revision: int
+
+
 class StoreModel:
-    """Items by key, a revision that grows with each change, and the changes so far."""
+    """Items by key, a revision that grows with each change, and the changes so far.
+
+    :ivar era: how often it has come back from a copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 0
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
@@ -72,9 +93,9 @@
         :param prefix: start of the keys.
         :param after: the revision.
         :returns: the changes.
-        :raises CompactedError: when some of them are forgotten.
+        :raises CompactedError: when some of them are forgotten, or the revision was never reached.
         """
-        if after < self._first_revision:
+        if not self._first_revision <= after <= self.revision:
             raise CompactedError
         return (
             event
@@ -86,3 +107,22 @@
         """Forget all changes so far."""
         self._events.clear()
         self._first_revision = self.revision
+
+    def copy(self) -> StoreCopy:
+        """Copy everything.
+
+        :returns: the copy.
+        """
+        events = tuple(self._events)
+        return StoreCopy(self.revision, dict(self._items), events, self._first_revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; all that was written since is gone, and its revisions with it.
+
+        :param copy: the copy.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self._first_revision = copy.first_revision
--- a/standins/operators/_store.py
+++ b/standins/operators/_store.py
@@ -51,7 +51,7 @@
     def _requested(self, connection: Connection, request: Request) -> None:
         self.calls += 1
         if self.down:
-            connection.reply(Reply(503))
+            connection.reply(self._with_era(503))
             return
         prefix = request.query.get("path_prefix", "")
         if request.path == "/v1/kv-range":
@@ -65,14 +65,14 @@
             self._waiting[connection] = (prefix, after, timer)
             self._tell(connection, prefix, after, last=False)
         else:
-            connection.reply(Reply(404))
+            connection.reply(self._with_era(404))
 
     def _tell(self, connection: Connection, prefix: str, after: int, last: bool) -> None:
         try:
             events = list(self.model.events(prefix, after))
         except CompactedError:
             self._gone(connection)
-            connection.reply(Reply(410))
+            connection.reply(self._with_era(410))
             return
         if events or last:
             self._gone(connection)
@@ -85,4 +85,7 @@
 
     def _reply(self, connection: Connection, page: dict) -> None:
         body = orjson.dumps({**page, "store_revision": self.model.revision})
-        connection.reply(Reply(200, body))
+        connection.reply(self._with_era(200, body))
+
+    def _with_era(self, status: int, body: bytes = b"") -> Reply:
+        return Reply(status, body, (("Store-Era", str(self.model.era)),))
