published, platform: no answer of the platform makes entries call it without pauses

Cause: a watch that is answered with 410 is followed by a list at once, and the list by a watch, whatever the list brought. The first list after a loss stays immediate; further ones without an answered watch between wait as after failed reads. Read failures, watches without changes and readers that refuse had pauses already.

--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -63,6 +63,7 @@
         self._evacuated = EvacuatedDomains(fleet, lambda: self.revision, self._changed)
         self._confirmed_ms: float | None = None
         self._failures = 0
+        self._losses = 0
         self.unusable = UnusableEntries(timers.now_ms)
         self.log = ChangeLog(rng)
         self._digest_at = (self.log.position, "")
@@ -215,13 +216,13 @@
     def _told(self, outcome: Changes | Snapshot | ReadFault) -> None:
         if isinstance(outcome, ReadFault):
             if outcome.history_lost:
-                log_event("history-lost", code=outcome.code, revision=self.revision)
-                self.start()
+                self._list_again(outcome.code)
             else:
                 self._failed(outcome, self._watch)
             return
         by_peer = isinstance(outcome, Snapshot) or outcome.by_peer
         self._answered(outcome.age_ms, by_peer)
+        self._losses = 0
         if isinstance(outcome, Snapshot):
             self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
@@ -233,10 +234,24 @@
         if not self._failures:
             log_event("platform-lost", level="warning", code=fault.code, revision=self.revision)
         self._failures += 1
-        pause_ms = min(MOST_BACKOFF_MS, LEAST_BACKOFF_MS * 2 ** min(self._failures - 1, 10))
-        if fault.overloaded:
-            pause_ms = max(pause_ms, OVERLOAD_BACKOFF_MS)
-        self._timers.after(pause_ms * self._rng.uniform(0.7, 1.3), again)
+        least_ms = OVERLOAD_BACKOFF_MS if fault.overloaded else 0.0
+        self._after_backoff(self._failures, again, least_ms)
+
+    def _list_again(self, code: str) -> None:
+        """List everything, as changes are not told from the known revision on.
+
+        At once the first time; a platform that then tells no changes either is given time.
+        """
+        log_event("history-lost", code=code, revision=self.revision)
+        self._losses += 1
+        if self._losses == 1:
+            self.start()
+        else:
+            self._after_backoff(self._losses - 1, self.start)
+
+    def _after_backoff(self, times: int, again: Callable[[], None], least_ms: float = 0.0) -> None:
+        pause_ms = min(MOST_BACKOFF_MS, LEAST_BACKOFF_MS * 2 ** min(times - 1, 10))
+        self._timers.after(max(pause_ms, least_ms) * self._rng.uniform(0.7, 1.3), again)
 
     def _answered(self, age_ms: float, by_peer: bool) -> None:
         self._confirm(age_ms)
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -91,6 +91,19 @@
         self.answer(Snapshot(30, plan(4), (searcher("i-2"),)))
         self.assertEqual(self.known(), ["i-2"])
 
+    def test_a_platform_that_forgets_after_each_list_is_not_called_without_pauses(self):
+        answered = 0
+        for _ in range(200):
+            while answered < len(self.source.asked) < 1_000:
+                answered = len(self.source.asked)
+                if self.source.asked[-1] == "all":
+                    self.answer(Snapshot(5, plan(4), (searcher("i-2"),)))
+                else:
+                    self.answer(ReadFault("status-410", history_lost=True))
+            self.timers.advance(50.0)
+        # 10 s, with pauses of 100, 200, 400, 800 and 1,000 ms, less 30% each.
+        self.assertLess(self.source.asked.count("all"), 20)
+
     def test_entries_that_lapsed_while_the_platform_was_away_may_come_back(self):
         self.listed()
         self.fail_and_return(Changes(20, None, (), ("i-1", "i-2")))
