--- a/rhubarbhinge/fleet/_searcher.py
+++ b/rhubarbhinge/fleet/_searcher.py
@@ -104,9 +104,11 @@
         """Take what is published later about the same start.
 
         :param later: what is published.
-        :returns: that, with the time of the start where only this one tells it: entries of an
-            earlier release hand on searchers without it.
+        :returns: that, with the time of the start where only this one tells it, as entries of an
+            earlier release hand on searchers without it, and draining for good.
         """
         if later.started_unix_ms is None and self.started_unix_ms is not None:
-            return replace(later, started_unix_ms=self.started_unix_ms)
+            later = replace(later, started_unix_ms=self.started_unix_ms)
+        if self.draining and not later.draining:
+            later = replace(later, draining=True)
         return later
--- a/rhubarbhinge/members/_heartbeat.py
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -10,6 +10,7 @@
 from rhubarbhinge.members._members_codec import Claim
 from rhubarbhinge.quarantine import ToldSuspicion
 from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds, Name
+from rhubarbhinge.utils.revision import Revision
 from rhubarbhinge.utils.strict_json import json_reader
 
 VERSION = 2
@@ -44,12 +45,13 @@
     :param counter: raised by the entry when it contradicts a claim about it.
     :param leaving: whether it is stopping.
     :param asks: whether it wants a heartbeat back at once.
-    :param revision: revision of the published state that it knows; 0 for none.
+    :param revision: revision of the published state that it knows.
     :param age_ms: time since that was confirmed; -1 if it never was.
     :param members_digest: digest of the entries that it knows to be present.
     :param heard_ms: how long ago other failure domains were heard from, by anyone in its own.
     :param updates: claims about entries that are news.
     :param suspicions: what is known of requests that end searchers.
+    :param plan_version: version of the configuration that it has; 0 for none.
     """
 
     name: str
@@ -58,12 +60,13 @@
     counter: int
     leaving: bool
     asks: bool
-    revision: int
+    revision: Revision
     age_ms: float
     members_digest: int
     heard_ms: Mapping[str, float] = field(default_factory=dict)
     updates: tuple[Member, ...] = ()
     suspicions: tuple[ToldSuspicion, ...] = ()
+    plan_version: int = 0
 
     def sender(self, ip: str) -> Member:
         """Give what it claims of its sender.
@@ -76,7 +79,10 @@
 
 
 class _Sent(msgspec.Struct, frozen=True, array_like=True):
-    """A heartbeat as it is sent: its fields in this order, without names; later ones may follow."""
+    """A heartbeat as it is sent: its fields in this order, without names; later ones may follow.
+
+    The era of the revision stands apart from its number: an earlier release tells none.
+    """
 
     version: Literal[VERSION]
     name: Name
@@ -90,6 +96,8 @@
     heard_ms: Annotated[dict[Name, Milliseconds], msgspec.Meta(max_length=MOST_DOMAINS)]
     updates: Annotated[list[Claim], msgspec.Meta(max_length=MOST_UPDATES)]
     suspicions: Annotated[list[ToldSuspicion], msgspec.Meta(max_length=MOST_SUSPICIONS)] = []
+    era: Count = 0
+    plan_version: Count = 0
 
 
 _read = json_reader(_Sent)
@@ -109,12 +117,14 @@
             heartbeat.start_id,
             heartbeat.counter,
             LEAVING * heartbeat.leaving + ASKS * heartbeat.asks,
-            heartbeat.revision,
+            heartbeat.revision.number,
             round(heartbeat.age_ms),
             heartbeat.members_digest,
             {name: round(age_ms) for name, age_ms in heartbeat.heard_ms.items()},
             [Claim.of(member) for member in heartbeat.updates[:MOST_UPDATES]],
             list(heartbeat.suspicions[:MOST_SUSPICIONS]),
+            heartbeat.revision.era,
+            heartbeat.plan_version,
         )
     )
 
@@ -139,10 +149,11 @@
         counter=sent.counter,
         leaving=bool(sent.flags & LEAVING),
         asks=bool(sent.flags & ASKS),
-        revision=sent.revision,
+        revision=Revision(sent.era, sent.revision),
         age_ms=sent.age_ms,
         members_digest=sent.members_digest,
         heard_ms=sent.heard_ms,
         updates=tuple(claim.member() for claim in sent.updates),
         suspicions=tuple(sent.suspicions),
+        plan_version=sent.plan_version,
     )
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -13,6 +13,7 @@
 from rhubarbhinge.members._member_table import MemberTable, digest_of
 from rhubarbhinge.members._receivers import far_speakers, followers, predecessors, speaker_rank
 from rhubarbhinge.timing import Subscription
+from rhubarbhinge.utils.revision import Revision
 
 BEAT_MS = 1_000.0
 """Period of heartbeats. The balancer looks as often, so that callers notice a death no sooner."""
@@ -53,12 +54,14 @@
 class Published(NamedTuple):
     """What this entry knows of the published state.
 
-    :ivar revision: its revision; 0 for none.
+    :ivar revision: its revision.
     :ivar age_ms: time since that was confirmed; -1 if it never was.
+    :ivar plan_version: version of the configuration that it has; 0 for none.
     """
 
-    revision: int
+    revision: Revision
     age_ms: float
+    plan_version: int = 0
 
 
 class Timers(Protocol):
@@ -413,6 +416,7 @@
             members_digest=self.digest,
             heard_ms=self._hearing.ages_ms(self._timers.now_ms()) if near else {},
             updates=updates,
+            plan_version=published.plan_version,
         )
         self._send_heartbeat(ip, heartbeat)
 
--- a/rhubarbhinge/members/tests/simulated.py
+++ b/rhubarbhinge/members/tests/simulated.py
@@ -14,6 +14,7 @@
     encode_heartbeat,
 )
 from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.testing_revisions import at
 
 DELAY_MS = (1.0, 3.0)
 UDP_BYTES = 28
@@ -38,7 +39,9 @@
         self._held: list[Callable[[], None]] = []
         rng = random.Random(fleet.rng.getrandbits(64))
         me = Member(name, ip, domain, fleet.rng.getrandbits(32))
-        self.membership = Membership(self, me, seeds, rng, self._send, lambda: Published(1, 0.0))
+        self.membership = Membership(
+            self, me, seeds, rng, self._send, lambda: Published(at(1), 0.0)
+        )
         self.sync = TableSync(self.now_ms, self._fetch)
 
     def now_ms(self) -> float:
--- a/rhubarbhinge/members/tests/test_codec.py
+++ b/rhubarbhinge/members/tests/test_codec.py
@@ -19,16 +19,22 @@
     encode_heartbeat,
     encode_members,
 )
+from rhubarbhinge.utils.testing_revisions import at
 from rhubarbhinge.utils.testing_values import FUZZ, JSON_VALUES, mutated
 
 SETTINGS = settings(derandomize=True, deadline=None, database=None)
 MEMBER = Member("vm-3", "10.0.0.3", "hall-b", 77, 4, MemberState.SUSPECT)
-BEAT = Heartbeat("vm-2", "hall-a", 9, 3, False, True, 40, 12.0, 99, {"hall-b": 900.0}, (MEMBER,))
+REVISION, UPDATES, ERA = 6, 10, 12
+"""Places of fields in a heartbeat as it is sent."""
+BEAT = Heartbeat(
+    "vm-2", "hall-a", 9, 3, False, True, at(40), 12.0, 99, {"hall-b": 900.0}, (MEMBER,)
+)
 
 
 class HeartbeatTest(unittest.TestCase):
     def test_a_heartbeat_reads_back(self):
-        for beat in (BEAT, replace(BEAT, leaving=True, asks=False, age_ms=-1.0, updates=())):
+        later = replace(BEAT, revision=at(40, 3), plan_version=24)
+        for beat in (BEAT, later, replace(BEAT, leaving=True, asks=False, age_ms=-1.0, updates=())):
             self.assertEqual(decode_heartbeat(encode_heartbeat(beat)), beat)
 
     def test_its_sender_is_where_it_came_from(self):
@@ -56,9 +62,12 @@
                 decode_heartbeat(encode_heartbeat(replace(BEAT, **changes)))
 
     def test_too_many_claims_or_bytes_are_an_error(self):
-        data = encode_heartbeat(replace(BEAT, updates=()))
-        listed = b",".join([encode_members([MEMBER])[1:-1]] * 17)
-        for bad in (data[:-3] + b"[" + listed + b"]]", b"[" + b" " * 9_000):
+        sent = orjson.loads(encode_heartbeat(BEAT))
+        self.assertEqual(sent[UPDATES], orjson.loads(encode_members([MEMBER])))
+        sent[UPDATES] *= 16
+        self.assertEqual(len(decode_heartbeat(orjson.dumps(sent)).updates), 16)
+        sent[UPDATES].append(sent[UPDATES][0])
+        for bad in (orjson.dumps(sent), b"[" + b" " * 9_000):
             with self.assertRaises(HeartbeatError):
                 decode_heartbeat(bad)
 
@@ -67,6 +76,13 @@
         with self.assertRaises(HeartbeatError):
             decode_heartbeat(data.replace(b"[2,", b"[1,", 1))
 
+    def test_a_release_before_eras_tells_none_and_passes_over_them(self):
+        later = replace(BEAT, revision=at(40, 3), plan_version=24)
+        sent = orjson.loads(encode_heartbeat(later))
+        self.assertEqual(sent[REVISION], 40)
+        before = decode_heartbeat(orjson.dumps(sent[:ERA]))
+        self.assertEqual((before.revision, before.plan_version), (at(40), 0))
+
     def test_a_later_release_may_append_fields(self):
         data = encode_heartbeat(BEAT)[:-1] + b',"more"]'
         self.assertEqual(decode_heartbeat(data), BEAT)
--- a/rhubarbhinge/peers/_known_state.py
+++ b/rhubarbhinge/peers/_known_state.py
@@ -5,6 +5,7 @@
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published import Follower
+from rhubarbhinge.utils.revision import NO_REVISION, Revision
 
 PLAN_PARAMETER = "plan"
 """Parameter that tells the version of the configuration."""
@@ -18,11 +19,13 @@
     :param plan: its configuration; None when it has none.
     :param searchers: its searchers.
     :param searchers_digest: their digest; empty when it has none.
+    :param revision: its revision.
     """
 
     plan: ServingPlan | None = None
     searchers: tuple[Searcher, ...] = ()
     searchers_digest: str = ""
+    revision: Revision = NO_REVISION
 
     @classmethod
     def of(cls, follower: Follower) -> "KnownState":
@@ -32,7 +35,7 @@
         :returns: what it has.
         """
         state = follower.snapshot()
-        return cls(state.plan, state.searchers, follower.searchers_digest())
+        return cls(state.plan, state.searchers, follower.searchers_digest(), state.revision)
 
     def parameters(self) -> list[str]:
         """Tell it as parameters of a query.
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -12,7 +12,6 @@
     Member,
     MembersError,
     Membership,
-    Published,
     TableSync,
     decode_heartbeat,
     decode_members,
@@ -20,6 +19,7 @@
 )
 from rhubarbhinge.net import Datagrams
 from rhubarbhinge.peers._paths import MEMBERS_PATH
+from rhubarbhinge.peers._published import published
 from rhubarbhinge.peers._quarantine_news import QuarantineNews
 from rhubarbhinge.peers._reports import Report, Reports
 from rhubarbhinge.peers._state_pull import StatePull
@@ -85,7 +85,9 @@
         self._live: set[str] = set()
         self.reports = Reports()
         me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS))
-        self.membership = Membership(timers, me, seed_ips, rng, self._send, self._published)
+        self.membership = Membership(
+            timers, me, seed_ips, rng, self._send, lambda: published(follower)
+        )
         self.quarantine_news = QuarantineNews(timers, self.membership, quarantine, rng)
         self._sync = TableSync(timers.now_ms, self._fetch_members)
         self._pull = StatePull(timers, client, follower, self.reports, port, failure_domain, rng)
@@ -110,9 +112,6 @@
         self._service.leaving = True
         self.membership.leave()
 
-    def _published(self) -> Published:
-        return Published(self._follower.revision, self._follower.age_ms())
-
     def _send(self, ip: str, heartbeat: Heartbeat) -> None:
         suspicions = self.quarantine_news.carried()
         if suspicions:
@@ -134,8 +133,8 @@
         equal = heartbeat.members_digest == membership.digest
         self._sync.on_digest(ip, heartbeat.failure_domain, equal)
         revision, age_ms = heartbeat.revision, heartbeat.age_ms
-        report = Report(heartbeat.sender(ip), revision, age_ms, self._timers.now_ms())
-        self.reports.add(report)
+        sender, now_ms = heartbeat.sender(ip), self._timers.now_ms()
+        self.reports.add(Report(sender, revision, age_ms, now_ms, heartbeat.plan_version))
         self._follower.on_peer_revision(revision, age_ms)
         self._pull.look()
 
--- /dev/null
+++ b/rhubarbhinge/peers/_published.py
@@ -0,0 +1,14 @@
+"""What this entry tells of the published state."""
+
+from rhubarbhinge.members import Published
+from rhubarbhinge.published import Follower
+
+
+def published(follower: Follower) -> Published:
+    """Tell how far the published state is known.
+
+    :param follower: knows it.
+    :returns: what heartbeats carry of it.
+    """
+    version = 0 if follower.plan is None else follower.plan.version
+    return Published(follower.revision, follower.age_ms(), version)
--- a/rhubarbhinge/peers/_reports.py
+++ b/rhubarbhinge/peers/_reports.py
@@ -2,7 +2,8 @@
 
 from msgspec import Struct
 
-from rhubarbhinge.members import Member
+from rhubarbhinge.members import Member, Published
+from rhubarbhinge.utils.revision import Revision
 
 FRESH_MS = 3_500.0
 """A report is of use for so long; three heartbeats of an entry that sends each second."""
@@ -15,12 +16,26 @@
     :param revision: the revision that it knows.
     :param age_ms: how long before that was confirmed; -1 if it never was.
     :param at_ms: when it told this.
+    :param plan_version: version of its configuration; 0 when it has none, or did not tell.
     """
 
     member: Member
-    revision: int
+    revision: Revision
     age_ms: float
     at_ms: float
+    plan_version: int = 0
+
+    def is_ahead_of(self, known: Published) -> bool:
+        """Tell whether its state holds what is not known here.
+
+        The configuration counts by itself: the platform may have lost a version that some have. A
+        state that nobody has confirmed adds nothing to one that was.
+
+        :param known: what is known here.
+        :returns: whether it does.
+        """
+        further = self.revision > known.revision or self.plan_version > known.plan_version
+        return further and (self.age_ms >= 0 or known.age_ms < 0)
 
 
 class Reports:
@@ -46,14 +61,14 @@
         report = self._by_name.get(name)
         return None if report is None or now_ms - report.at_ms > FRESH_MS else report
 
-    def ahead(self, revision: int, now_ms: float) -> list[Report]:
+    def ahead(self, known: Published, now_ms: float) -> list[Report]:
         """Give the reports of entries that are further, and forget old ones.
 
-        :param revision: the revision that is known here.
+        :param known: what is known here.
         :param now_ms: the time.
-        :returns: fresh reports of a higher revision.
+        :returns: fresh reports of states that are ahead.
         """
         for name, report in list(self._by_name.items()):
             if now_ms - report.at_ms > FRESH_MS:
                 del self._by_name[name]
-        return [report for report in self._by_name.values() if report.revision > revision]
+        return [report for report in self._by_name.values() if report.is_ahead_of(known)]
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from math import inf
 
+from msgspec import Struct
+
 from rhubarbhinge.members import Member, Membership
 from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
 from rhubarbhinge.peers._paths import CHANGES_PATH, CHANGES_WAIT_MS, with_query
@@ -11,6 +13,7 @@
 from rhubarbhinge.published import Changes, ReadFault, Snapshot, Source
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.revision import Revision
 from rhubarbhinge.web import Failure, HttpClient, Reply
 
 MARGIN_MS = 400.0
@@ -42,9 +45,26 @@
 OLD_LIST = ReadFault("old-list", history_lost=True)
 """Told where all has to be listed again, as the first list may have been old."""
 
+ERA_CHANGED = "era-changed"
+"""Why what a reader told is not used: another entry told of a later era in the meantime."""
+
 OnTold = Callable[[Changes | Snapshot | ReadFault], None]
 
 
+class _Place(Struct, frozen=True):
+    """Up to where a reader's log of changes is known.
+
+    :param log_id: the log.
+    :param position: the position in it.
+    :param era: the era of the state there. Once a later one is known from elsewhere, the log tells
+        no more what this entry lacks, as that state may differ from the reader's.
+    """
+
+    log_id: str
+    position: int
+    era: int
+
+
 class SharedSource:
     """Reads the platform in one entry of each failure domain; the others ask that one.
 
@@ -85,7 +105,7 @@
         self._reports = Reports()
         self._known: Callable[[], KnownState] = lambda: NOTHING_KNOWN
         self._bad_until_ms: dict[str, float] = {}
-        self._place: tuple[str, int] | None = None
+        self._place: _Place | None = None
         self._told_by = ""
         self._failing = False
         self._reads_until_ms = inf
@@ -135,7 +155,7 @@
 
         self._store.read_all(done, may_be_old=first)
 
-    def wait_for_changes(self, after_revision: int, on_done: OnTold) -> None:
+    def wait_for_changes(self, after_revision: Revision, on_done: OnTold) -> None:
         """Wait for changes, at the reader or the platform.
 
         :param after_revision: changes after it are told.
@@ -158,7 +178,7 @@
         self._reading = False
         self.reader_calls += 1
         known = self._known()
-        place = [] if self._place is None else ["log={}&after={}".format(*self._place)]
+        place = self._place_parameters(after_revision)
         self._client.call(
             reader.ip,
             self._port,
@@ -168,7 +188,13 @@
             on_done=lambda outcome: self._asked(reader, outcome, after_revision, known, on_done),
         )
 
-    def _wait_at_platform(self, after_revision: int, on_done: OnTold) -> None:
+    def _place_parameters(self, known: Revision) -> list[str]:
+        place = self._place
+        if place is None or place.era != known.era:
+            return []
+        return [f"log={place.log_id}&after={place.position}"]
+
+    def _wait_at_platform(self, after_revision: Revision, on_done: OnTold) -> None:
         # What the platform tells now makes the place in a reader's log meaningless.
         self._place, self._told_by = None, ""
         self._reading = True
@@ -226,7 +252,7 @@
         self,
         reader: Member,
         outcome: Reply | Failure,
-        after_revision: int,
+        after_revision: Revision,
         known: KnownState,
         on_done: OnTold,
     ) -> None:
@@ -237,8 +263,14 @@
                 told = decode_state(outcome.body, known)
             except StateError as error:
                 fault = error.code
-        if told is not None and told.state.revision < after_revision:
+        if told is not None and told.state.revision < after_revision and not self._list_is_old:
             fault = "behind"
+        now = self._known().revision
+        if not fault and now.era > after_revision.era:
+            log_event("reader-not-followed", reader=reader.name, code=ERA_CHANGED)
+            self._place = None
+            self.wait_for_changes(now, on_done)
+            return
         if fault:
             log_event("reader-failed", level="warning", reader=reader.name, code=fault)
             joining = self._is_joining()
@@ -251,7 +283,7 @@
             else:
                 self._wait_at_platform(after_revision, on_done)
             return
-        self._place = (told.log_id, told.position)
+        self._place = _Place(told.log_id, told.position, told.state.revision.era)
         self._list_is_old = False
         on_done(told.state)
 
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -17,6 +17,7 @@
 )
 from rhubarbhinge.published import Changes, Evacuation, Snapshot
 from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds, Name
+from rhubarbhinge.utils.revision import Revision
 from rhubarbhinge.utils.strict_json import convert, json_reader
 
 
@@ -53,6 +54,9 @@
     """Published state, or changes of it, as they are sent.
 
     Changes are those with ``removed``. Releases may differ by the fields that have a default.
+
+    :ivar revision: the number of its revision.
+    :ivar era: the era of its revision; an earlier release tells none.
     """
 
     revision: Count
@@ -67,6 +71,9 @@
     lapsed_ms: dict[str, Milliseconds] = {}
     evacuated: tuple[Name, ...] | None = None
     evacuations: tuple[Evacuation, ...] = ()
+    era: Count = 0
+    evacuated_ms: dict[Name, Milliseconds] = {}
+    unproven: tuple[Searcher, ...] = ()
 
 
 _read = json_reader(_SentState)
@@ -93,7 +100,8 @@
     change = PlanChange.between(base_plan, plan) if by_change else None
     return msgspec.json.encode(
         {
-            "revision": state.revision,
+            "revision": state.revision.number,
+            "era": state.revision.era,
             "age_ms": state.age_ms,
             "log": log_id,
             "position": position,
@@ -105,6 +113,8 @@
             "lapsed_ms": dict(state.lapsed_ms),
             "evacuated": state.evacuated if isinstance(state, Snapshot) else None,
             "evacuations": state.evacuations if isinstance(state, Changes) else (),
+            "evacuated_ms": dict(state.evacuated_ms),
+            "unproven": state.unproven,
         }
     )
 
@@ -136,19 +146,22 @@
     except ValueError as error:
         raise StateError(f"a peer's bytes are no published state: {error}") from error
     searchers = known.searchers if sent.same_searchers else sent.searchers
+    revision = Revision(sent.era, sent.revision)
     state: Snapshot | Changes
     if sent.removed is None:
         state = Snapshot(
-            sent.revision,
+            revision,
             plan,
             searchers,
             sent.age_ms,
             sent.lapsed_ms,
             evacuated=sent.evacuated,
+            evacuated_ms=sent.evacuated_ms,
+            unproven=sent.unproven,
         )
     else:
         state = Changes(
-            sent.revision,
+            revision,
             plan,
             searchers,
             sent.removed,
@@ -156,6 +169,8 @@
             True,
             sent.lapsed_ms,
             evacuations=sent.evacuations,
+            evacuated_ms=sent.evacuated_ms,
+            unproven=sent.unproven,
         )
     return ToldState(state, sent.log, sent.position)
 
--- a/rhubarbhinge/peers/_state_pull.py
+++ b/rhubarbhinge/peers/_state_pull.py
@@ -4,6 +4,7 @@
 
 from rhubarbhinge.peers._known_state import KnownState
 from rhubarbhinge.peers._paths import STATE_PATH, with_query
+from rhubarbhinge.peers._published import published
 from rhubarbhinge.peers._reports import Report, Reports
 from rhubarbhinge.peers._state_codec import StateError, decode_state
 from rhubarbhinge.published import Follower
@@ -58,7 +59,7 @@
         if self._pulling:
             return
         now_ms = self._timers.now_ms()
-        ahead = self._reports.ahead(self._follower.revision, now_ms)
+        ahead = self._reports.ahead(published(self._follower), now_ms)
         if not ahead:
             self._behind_since_ms = None
             return
@@ -100,8 +101,8 @@
         log_event(
             "peer-pulled",
             peer=peer,
-            revision=snapshot.revision,
-            before=self._follower.revision,
+            revision=str(snapshot.revision),
+            before=str(self._follower.revision),
             age_ms=round(snapshot.age_ms),
         )
         self._follower.offer(snapshot)
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -17,11 +17,13 @@
 from rhubarbhinge.published import ChangeLog, Snapshot
 from rhubarbhinge.quarantine import Quarantine, Quarantined, ToldSuspicion
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.revision import Revision
 from rhubarbhinge.utils.testing import run_until, stop_tree
+from rhubarbhinge.utils.testing_revisions import at
 from rhubarbhinge.web import Reply
 from standins.fleet import free_ports
 
-BEAT = Heartbeat("vm-2", "hall-b", 7, 0, False, False, 51, 12.0, 0)
+BEAT = Heartbeat("vm-2", "hall-b", 7, 0, False, False, at(51), 12.0, 0)
 MEMBER = Member("vm-7", "127.0.0.7", "hall-b", 3)
 
 
@@ -29,7 +31,8 @@
     """Knows revision 50, and takes what is offered."""
 
     def __init__(self):
-        self.revision = 50
+        self.revision = at(50)
+        self.plan = None
         self.needs_peers = False
         self.log = ChangeLog(random.Random(1))
         self.on_changed = None
@@ -37,7 +40,7 @@
     def age_ms(self) -> float:
         return 100.0
 
-    def on_peer_revision(self, revision: int, age_ms: float) -> None:
+    def on_peer_revision(self, revision: Revision, age_ms: float) -> None:
         pass
 
     def searchers_digest(self) -> str:
@@ -61,7 +64,7 @@
             on_done(Reply(200, {}, encode_members([MEMBER])))
             return
         self.asked.append(ip)
-        on_done(Reply(200, {}, encode_state(Snapshot(51, None, (), 5.0), "log", 1)))
+        on_done(Reply(200, {}, encode_state(Snapshot(at(51), None, (), 5.0), "log", 1)))
 
 
 class PullingTest(unittest.TestCase):
@@ -109,13 +112,13 @@
     def test_an_entry_whose_watch_is_silent_takes_what_a_peer_knows(self):
         self.hear()
         self.assertEqual(self.client.asked, [])
-        self.assertTrue(run_until(self.root, lambda: self.follower.revision == 51))
+        self.assertTrue(run_until(self.root, lambda: self.follower.revision == at(51)))
         self.assertEqual(self.client.asked, ["127.0.0.2"])
 
     def test_one_that_is_told_meanwhile_asks_nobody(self):
         self.hear()
-        self.follower.revision = 51
-        self.hear(revision=51)
+        self.follower.revision = at(51)
+        self.hear(revision=at(51))
         run_until(self.root, lambda: False, 1.0)
         self.assertEqual(self.client.asked, [])
 
@@ -124,6 +127,24 @@
         self.hear()
         self.assertEqual(self.client.asked, ["127.0.0.2"])
 
+    def test_a_peer_of_a_later_era_is_further_though_its_number_is_lower(self):
+        self.follower.needs_peers = True
+        self.hear(revision=at(60), plan_version=0, age_ms=-1.0)
+        self.hear(revision=at(9, 1))
+        self.assertEqual(self.client.asked, ["127.0.0.2"])
+
+    def test_a_peer_with_a_newer_configuration_alone_is_asked_for_it(self):
+        self.follower.needs_peers = True
+        self.hear(revision=at(50))
+        self.assertEqual(self.client.asked, [])
+        self.hear(revision=at(49), plan_version=3)
+        self.assertEqual(self.client.asked, ["127.0.0.2"])
+
+    def test_a_peer_whose_state_nobody_has_confirmed_is_not_asked(self):
+        self.follower.needs_peers = True
+        self.hear(revision=at(60), age_ms=-1.0)
+        self.assertEqual(self.client.asked, [])
+
     def test_a_peer_of_the_same_domain_is_asked_first(self):
         self.hear()
         self.hear(name="vm-3", ip="127.0.0.3", failure_domain="hall-a")
--- a/rhubarbhinge/peers/tests/test_state_codec.py
+++ b/rhubarbhinge/peers/tests/test_state_codec.py
@@ -22,6 +22,7 @@
 )
 from rhubarbhinge.published import Changes, Evacuation, Follower, Snapshot
 from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.testing_revisions import at
 from rhubarbhinge.utils.testing_values import FUZZ, JSON_VALUES, mutated
 
 ROUTES = (
@@ -31,8 +32,10 @@
 PLAN = ServingPlan(7, ROUTES, {"s": Service("s", "/health", 26)}, CallerLimits())
 SEARCHER = Searcher("i-1", "s", "10.0.0.9", 80, "hall-a", 2, False, 700.0, 1_764_720_000_000)
 STATES = (
-    encode_state(Snapshot(12, PLAN, (SEARCHER,), 5.0, {"i-1": 700.0}), "log", 4),
-    encode_state(Changes(13, replace(PLAN, version=9), (SEARCHER,), ("i-2",), 7.0), "log", 4, PLAN),
+    encode_state(Snapshot(at(12), PLAN, (SEARCHER,), 5.0, {"i-1": 700.0}), "log", 4),
+    encode_state(
+        Changes(at(13), replace(PLAN, version=9), (SEARCHER,), ("i-2",), 7.0), "log", 4, PLAN
+    ),
 )
 
 
@@ -45,13 +48,16 @@
         plan = ServingPlan(7, routes, {"s": Service("s", "/health", 26)}, CallerLimits())
         searcher = Searcher("i-1", "s", "10.0.0.9", 80, "hall-a", 2)
         for state in (
-            Snapshot(12, plan, (searcher,), 5.0),
-            Snapshot(12, plan, (searcher,), 5.0, {searcher.incarnation: 700.0}),
-            Snapshot(0, None, (), -1.0),
-            Changes(13, None, (searcher,), ("i-2",), 7.0, by_peer=True),
-            Changes(13, None, (), (), 7.0, True, {searcher.incarnation: 700.0}),
-            Snapshot(12, plan, (searcher,), 5.0, evacuated=("hall-b", "hall-c")),
-            Changes(13, by_peer=True, evacuations=(Evacuation("hall-b", False),)),
+            Snapshot(at(12), plan, (searcher,), 5.0),
+            Snapshot(at(12), plan, (searcher,), 5.0, {searcher.incarnation: 700.0}),
+            Snapshot(at(0), None, (), -1.0),
+            Changes(at(13), None, (searcher,), ("i-2",), 7.0, by_peer=True),
+            Changes(at(13), None, (), (), 7.0, True, {searcher.incarnation: 700.0}),
+            Snapshot(at(12), plan, (searcher,), 5.0, evacuated=("hall-b", "hall-c")),
+            Changes(at(13), by_peer=True, evacuations=(Evacuation("hall-b", False),)),
+            Snapshot(at(9, 2), plan, (), 5.0, evacuated=("hall-b",), evacuated_ms={"hall-b": 9.0}),
+            Snapshot(at(9, 2), plan, (), 5.0, unproven=(searcher,)),
+            Changes(at(9, 2), by_peer=True, evacuated_ms={"hall-b": 9.0}, unproven=(searcher,)),
         ):
             told = decode_state(encode_state(state, "log", 4))
             self.assertEqual(told, ToldState(state, "log", 4))
@@ -66,7 +72,7 @@
         searchers = tuple(Searcher(f"i-{n}", "s", "10.0.0.9", 80, "hall-a", 2) for n in range(9))
         known = KnownState(base, searchers, "digest")
         for plan in (base, later):
-            state = Snapshot(12, plan, searchers, 5.0, {"i-3": 700.0})
+            state = Snapshot(at(12), plan, searchers, 5.0, {"i-3": 700.0})
             whole, short = (
                 encode_state(state, "log", 4, base_plan, same)
                 for base_plan, same in ((None, False), (base, True))
@@ -76,13 +82,21 @@
             self.assertEqual(decode_state(whole, known), ToldState(state, "log", 4))
 
     def test_a_release_before_evacuations_tells_nothing_of_them(self):
-        sent = orjson.loads(encode_state(Snapshot(12, PLAN, (), evacuated=("hall-b",)), "log", 4))
+        sent = orjson.loads(
+            encode_state(Snapshot(at(12), PLAN, (), evacuated=("hall-b",)), "log", 4)
+        )
         del sent["evacuated"], sent["evacuations"]
         self.assertIsNone(decode_state(orjson.dumps(sent)).state.evacuated)
 
+    def test_a_release_before_eras_tells_none_and_passes_over_them(self):
+        sent = orjson.loads(encode_state(Snapshot(at(12, 3), PLAN, ()), "log", 4))
+        self.assertEqual(sent["revision"], 12)
+        del sent["era"], sent["evacuated_ms"], sent["unproven"]
+        self.assertEqual(decode_state(orjson.dumps(sent)).state.revision, at(12))
+
     def test_what_refers_to_a_configuration_that_the_receiver_lacks_is_a_coded_error(self):
         base = ServingPlan(7, (), {}, CallerLimits())
-        data = encode_state(Changes(13, replace(base, version=9)), "log", 4, base)
+        data = encode_state(Changes(at(13), replace(base, version=9)), "log", 4, base)
         for plan in (None, replace(base, version=8)):
             with self.assertRaises(StateError):
                 decode_state(data, KnownState(plan))
@@ -112,7 +126,7 @@
         timers = FakeTimers()
         fleet = Fleet(timers.now_ms, lambda observed: None)
         follower = Follower(timers, _NoSource(), fleet, random.Random(1), _use)
-        follower.offer(Snapshot(5, PLAN, (SEARCHER,)))
+        follower.offer(Snapshot(at(5), PLAN, (SEARCHER,)))
         if isinstance(told.state, Snapshot):
             follower.offer(told.state)
         else:
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -8,12 +8,14 @@
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._evacuation import Evacuation
 from rhubarbhinge.published._unusable_entry import UnusableEntry
+from rhubarbhinge.utils.revision import Revision
 
 
 class Changes(Struct, frozen=True):
     """What changed since a revision, the newest of each thing.
 
-    :param revision: up to which it is told.
+    :param revision: up to which it is told; of another era than the one asked from, the changes
+        are not all that lie between.
     :param plan: the configuration, if it changed.
     :param searchers: searchers that came or changed.
     :param removed: incarnations whose entries were removed.
@@ -23,9 +25,13 @@
         still keeps them; the revision covers their removal, so it is not told again.
     :param unusable: what the platform holds that can't be used; peers tell nothing of it.
     :param evacuations: failure domains that are evacuated, or no longer.
+    :param evacuated_ms: which evacuated domains are no longer published, and how long the peer that
+        tells it still keeps them.
+    :param unproven: searchers that a copy of the platform lists after they were gone, and which the
+        peer that tells it does not use yet.
     """
 
-    revision: int
+    revision: Revision
     plan: ServingPlan | None = None
     searchers: tuple[Searcher, ...] = ()
     removed: tuple[str, ...] = ()
@@ -34,3 +40,5 @@
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
     unusable: tuple[UnusableEntry, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    evacuated_ms: Mapping[str, float] = field(default_factory=dict)
+    unproven: tuple[Searcher, ...] = ()
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -16,6 +16,7 @@
 from rhubarbhinge.published._unusable_entries import UnusableEntries
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.revision import NO_REVISION, Revision
 
 LEAST_BACKOFF_MS = 100.0
 """First pause after a failed read; short, as a lost answer is the most frequent cause."""
@@ -32,8 +33,10 @@
 class Follower:
     """Follows what is published.
 
-    The configuration's version only grows. A failed read changes nothing. What becomes of entries
-    that vanish is told in :class:`PublishedSearchers`.
+    The configuration's version only grows, whoever tells it and whatever the platform has lost. All
+    else is ordered by its :class:`~rhubarbhinge.utils.revision.Revision`. A failed read changes
+    nothing. What becomes of entries that vanish, or that a copy of the platform holds otherwise, is
+    told in :class:`PublishedSearchers` and :class:`EvacuatedDomains`.
 
     :param timers: the timer service.
     :param source: reads the platform.
@@ -58,10 +61,12 @@
         self._rng = rng
         self._on_plan = on_plan
         self.plan: ServingPlan | None = None
-        self.revision = 0
-        self._searchers = PublishedSearchers(timers, fleet, lambda: self.revision, self._changed)
-        self._evacuated = EvacuatedDomains(fleet, lambda: self.revision, self._changed)
-        self._confirmed_ms: float | None = None
+        self.revision = NO_REVISION
+        self._searchers = PublishedSearchers(
+            timers, fleet, lambda: self.revision, self._changed, lambda: self._confirmed_ms
+        )
+        self._evacuated = EvacuatedDomains(timers, fleet, lambda: self.revision, self._changed)
+        self._confirmed_ms = float("-inf")
         self._failures = 0
         self._losses = 0
         self.unusable = UnusableEntries(timers.now_ms)
@@ -78,7 +83,7 @@
         """Whether the platform does not answer, so that peers have to be asked."""
         return self._failures > 0
 
-    def on_peer_revision(self, revision: int, age_ms: float) -> None:
+    def on_peer_revision(self, revision: Revision, age_ms: float) -> None:
         """Hear how far a peer is; one that is no further confirms what is known here.
 
         :param revision: revision of the peer's state.
@@ -99,7 +104,7 @@
 
         :returns: time since it was confirmed, -1 if it never was.
         """
-        if self._confirmed_ms is None:
+        if not self._is_confirmed:
             return -1.0
         return self._timers.now_ms() - self._confirmed_ms
 
@@ -115,6 +120,8 @@
             self.age_ms(),
             self._searchers.lapsed_ms(),
             evacuated=self.evacuated,
+            evacuated_ms=self._evacuated.lapsed_ms(),
+            unproven=self._searchers.unproven(),
         )
 
     @property
@@ -162,6 +169,8 @@
             True,
             self._searchers.lapsed_ms(),
             evacuations=tuple(evacuations.values()),
+            evacuated_ms=self._evacuated.lapsed_ms(),
+            unproven=self._searchers.unproven(),
         )
 
     def _changed(self, change: Change) -> None:
@@ -173,19 +182,20 @@
 
         :param snapshot: the peer's state.
         """
-        if snapshot.revision < self.revision:
-            return
-        if snapshot.revision > self.revision:
+        self._take_plan(snapshot.plan)
+        if snapshot.revision > self.revision or not self._is_confirmed:
             self._take_snapshot(snapshot, by_peer=True)
-        if snapshot.age_ms >= 0:
+        elif snapshot.revision == self.revision:
             self._confirm(snapshot.age_ms)
 
+    @property
+    def _is_confirmed(self) -> bool:
+        return self._confirmed_ms > float("-inf")
+
     def _confirm(self, age_ms: float) -> None:
         if age_ms < 0:
             return
-        confirmed_ms = self._timers.now_ms() - age_ms
-        if self._confirmed_ms is None or confirmed_ms > self._confirmed_ms:
-            self._confirmed_ms = confirmed_ms
+        self._confirmed_ms = max(self._confirmed_ms, self._timers.now_ms() - age_ms)
 
     # Reading.
 
@@ -193,27 +203,49 @@
         if isinstance(outcome, ReadFault):
             self._failed(outcome, self.start)
             return
-        self._answered(outcome.age_ms, by_peer=False)
+        self._answered(by_peer=False)
         self._take_snapshot(outcome, by_peer=False)
         self._watch()
 
     def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
-        if snapshot.revision < self.revision:
+        self._take_plan(snapshot.plan)
+        if not self._may_take(snapshot):
             self._note_not_taken(snapshot.revision, snapshot.plan, by_peer)
             return
+        restored = self._is_restored(snapshot.revision)
+        if restored:
+            self._note_restored(snapshot.revision, by_peer)
+            self._searchers.on_restored()
         if not by_peer:
             self.unusable.replace(snapshot.unusable)
         if snapshot.evacuated is not None:
-            self._evacuated.replace(snapshot.evacuated)
+            self._evacuated.replace(snapshot.evacuated, restored)
+            self._evacuated.keep(snapshot.evacuated_ms)
         self._searchers.withdraw(entry.incarnation for entry in snapshot.unusable)
-        self._take_plan(snapshot.plan)
-        self._searchers.replace(snapshot.searchers, snapshot.lapsed_ms, by_peer)
+        self._searchers.replace(snapshot.searchers, snapshot.lapsed_ms, by_peer, restored)
+        self._searchers.hold_unproven(snapshot.unproven)
         self.revision = snapshot.revision
+        self._confirm(snapshot.age_ms)
+
+    def _may_take(self, snapshot: Snapshot) -> bool:
+        """Tell whether all that is known may be replaced by a state.
+
+        What nobody has confirmed may be older than its revision says: a list that may be old.
+        """
+        if self._is_confirmed:
+            return snapshot.age_ms >= 0 and snapshot.revision >= self.revision
+        return snapshot.age_ms >= 0 or snapshot.revision >= self.revision
+
+    def _is_restored(self, revision: Revision) -> bool:
+        """Tell whether a state that is taken goes back to a copy of the platform."""
+        went_back = revision < self.revision
+        return self.revision != NO_REVISION and (went_back or revision.era > self.revision.era)
 
     def _watch(self) -> None:
-        self._source.wait_for_changes(self.revision, self._told)
+        after = self.revision
+        self._source.wait_for_changes(after, lambda outcome: self._told(outcome, after))
 
-    def _told(self, outcome: Changes | Snapshot | ReadFault) -> None:
+    def _told(self, outcome: Changes | Snapshot | ReadFault, after: Revision) -> None:
         if isinstance(outcome, ReadFault):
             if outcome.history_lost:
                 self._list_again(outcome.code)
@@ -221,18 +253,24 @@
                 self._failed(outcome, self._watch)
             return
         by_peer = isinstance(outcome, Snapshot) or outcome.by_peer
-        self._answered(outcome.age_ms, by_peer)
-        self._losses = 0
+        self._answered(by_peer)
         if isinstance(outcome, Snapshot):
+            self._losses = 0
             self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
             return
+        if not by_peer and outcome.revision.era != after.era:
+            # The number that was asked from is another place in this era's history.
+            self._list_again("other-era")
+            return
+        self._losses = 0
         self._apply(outcome)
         self._timers.after(0 if by_peer else WATCH_PAUSE_MS, self._watch)
 
     def _failed(self, fault: ReadFault, again: Callable[[], None]) -> None:
         if not self._failures:
-            log_event("platform-lost", level="warning", code=fault.code, revision=self.revision)
+            revision = str(self.revision)
+            log_event("platform-lost", level="warning", code=fault.code, revision=revision)
         self._failures += 1
         least_ms = OVERLOAD_BACKOFF_MS if fault.overloaded else 0.0
         self._after_backoff(self._failures, again, least_ms)
@@ -242,7 +280,7 @@
 
         At once the first time; a platform that then tells no changes either is given time.
         """
-        log_event("history-lost", code=code, revision=self.revision)
+        log_event("history-lost", code=code, revision=str(self.revision))
         self._losses += 1
         if self._losses == 1:
             self.start()
@@ -253,12 +291,11 @@
         pause_ms = min(MOST_BACKOFF_MS, LEAST_BACKOFF_MS * 2 ** min(times - 1, 10))
         self._timers.after(max(pause_ms, least_ms) * self._rng.uniform(0.7, 1.3), again)
 
-    def _answered(self, age_ms: float, by_peer: bool) -> None:
-        self._confirm(age_ms)
+    def _answered(self, by_peer: bool) -> None:
         if not by_peer:
             self._searchers.on_platform_heard()
         if self._failures:
-            log_event("platform-regained", failures=self._failures, revision=self.revision)
+            log_event("platform-regained", failures=self._failures, revision=str(self.revision))
             self._failures = 0
             self._searchers.on_platform_back()
 
@@ -274,11 +311,15 @@
         self._on_plan(plan)
 
     def _apply(self, changes: Changes) -> None:
+        self._take_plan(changes.plan)
         if changes.revision < self.revision:
             self._note_not_taken(changes.revision, changes.plan, changes.by_peer)
             return
+        if self._is_restored(changes.revision):
+            # Told by the log of a peer, which has kept what the copy lacks.
+            self._note_restored(changes.revision, changes.by_peer)
         self._evacuated.apply(changes.evacuations)
-        self._take_plan(changes.plan)
+        self._evacuated.keep(changes.evacuated_ms)
         self.unusable.forget(searcher.incarnation for searcher in changes.searchers)
         self.unusable.forget(changes.removed)
         self.unusable.add(changes.unusable)
@@ -287,15 +328,26 @@
             self._searchers.take(searcher)
         self._searchers.keep(changes.lapsed_ms)
         self._searchers.vanish(changes.removed, changes.by_peer)
+        self._searchers.hold_unproven(changes.unproven)
         self.revision = changes.revision
+        self._confirm(changes.age_ms)
+
+    def _note_restored(self, revision: Revision, by_peer: bool) -> None:
+        log_event(
+            "platform-restored",
+            level="warning",
+            by_peer=by_peer,
+            revision=str(revision),
+            before=str(self.revision),
+        )
 
-    def _note_not_taken(self, revision: int, plan: ServingPlan | None, by_peer: bool) -> None:
+    def _note_not_taken(self, revision: Revision, plan: ServingPlan | None, by_peer: bool) -> None:
         log_event(
             "state-not-taken",
             level="warning",
             by_peer=by_peer,
-            revision=revision,
-            known=self.revision,
+            revision=str(revision),
+            known=str(self.revision),
             version=None if plan is None else plan.version,
             known_version=None if self.plan is None else self.plan.version,
         )
--- a/rhubarbhinge/published/_gone_starts.py
+++ b/rhubarbhinge/published/_gone_starts.py
@@ -8,7 +8,7 @@
 
 
 class GoneStarts:
-    """The latest start of each searcher that is gone, of those that told when it was."""
+    """The latest start of each searcher that is gone."""
 
     def __init__(self) -> None:
         self._by_incarnation: dict[str, Searcher] = {}
@@ -18,13 +18,23 @@
 
         :param searcher: the start.
         """
-        if searcher.started_unix_ms is None or self.has_later(searcher):
+        known = self._by_incarnation.get(searcher.incarnation)
+        if known is not None and self._tells_less(searcher, known):
             return
         self._by_incarnation.pop(searcher.incarnation, None)
         self._by_incarnation[searcher.incarnation] = searcher
         if len(self._by_incarnation) > MOST_KEPT:
             del self._by_incarnation[next(iter(self._by_incarnation))]
 
+    def has(self, searcher: Searcher) -> bool:
+        """Tell whether a start is gone, or a later one of the same searcher.
+
+        :param searcher: the start.
+        :returns: whether it was published until it was removed.
+        """
+        gone = self._by_incarnation.get(searcher.incarnation)
+        return gone is not None and (gone.is_same_start(searcher) or searcher.started_before(gone))
+
     def has_later(self, searcher: Searcher) -> bool:
         """Tell whether a later start of the same searcher is gone already.
 
@@ -33,3 +43,8 @@
         """
         gone = self._by_incarnation.get(searcher.incarnation)
         return gone is not None and searcher.started_before(gone)
+
+    @staticmethod
+    def _tells_less(searcher: Searcher, known: Searcher) -> bool:
+        untold = searcher.started_unix_ms is None and known.started_unix_ms is not None
+        return untold or searcher.started_before(known)
--- a/rhubarbhinge/published/_published_searchers.py
+++ b/rhubarbhinge/published/_published_searchers.py
@@ -4,11 +4,13 @@
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.published._gone_starts import GoneStarts
-from rhubarbhinge.published._lapsed import LapsedSearchers
+from rhubarbhinge.published._lapsed import LapsedNames
 from rhubarbhinge.published._searcher_notes import SearcherNotes
 from rhubarbhinge.published._searchers_digest import searchers_digest
+from rhubarbhinge.published._unproven import UnprovenSearchers
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.revision import Revision
 
 LAPSE_GRACE_MS = 2_000.0
 """Entries that lapsed while the platform was away are back within this time, or gone."""
@@ -35,22 +37,25 @@
     :param revision: gives the revision that is known, for the log.
     :param on_change: told each searcher that came or changed, and the incarnation of each that is
         gone.
+    :param confirmed_ms: tells up to when what is published is known.
     """
 
     def __init__(
         self,
         timers: TimerService,
         fleet: Fleet,
-        revision: Callable[[], int],
+        revision: Callable[[], Revision],
         on_change: Callable[[Searcher | str], None],
+        confirmed_ms: Callable[[], float],
     ):
         self._timers = timers
         self._fleet = fleet
         self._revision = revision
         self._on_change = on_change
         self._by_incarnation: dict[str, Searcher] = {}
-        self._lapsed = LapsedSearchers(timers, self._remove)
+        self._lapsed = LapsedNames(timers, self._remove)
         self._gone_starts = GoneStarts()
+        self._unproven = UnprovenSearchers(timers, confirmed_ms, self.take)
         self._notes = SearcherNotes(timers)
         self._keep_until_ms = float("-inf")
         self._told_ms = float("-inf")
@@ -77,12 +82,34 @@
         """
         return self._lapsed.left_ms()
 
+    def unproven(self) -> tuple[Searcher, ...]:
+        """Give those that a copy of the platform lists and that are not used yet.
+
+        :returns: the searchers.
+        """
+        return self._unproven.all()
+
+    def hold_unproven(self, searchers: Iterable[Searcher]) -> None:
+        """Keep searchers aside that a peer keeps aside.
+
+        :param searchers: the searchers.
+        """
+        for searcher in searchers:
+            held = searcher.incarnation in self._unproven
+            if not held and searcher.incarnation not in self._by_incarnation:
+                self._unproven.hold(searcher)
+
     def on_platform_heard(self) -> None:
         """Note that the platform has told something, so as to know how long it had been silent."""
         now_ms = self._timers.now_ms()
         self._silence_ms = now_ms - self._told_ms
         self._told_ms = now_ms
 
+    def on_restored(self) -> None:
+        """Keep what a copy of the platform lacks for a while, as its searchers write again."""
+        self._lapsed.keep_longer(LAPSE_GRACE_MS)
+        self._keep_vanished(LAPSE_GRACE_MS)
+
     def on_platform_back(self) -> None:
         """Keep what vanishes from now on for a while, as the platform was away."""
         self._keep_vanished(LAPSE_GRACE_MS)
@@ -100,6 +127,7 @@
         known = self._by_incarnation.get(searcher.incarnation)
         if self._gone_starts.has_later(searcher):
             return
+        self._unproven.discard(searcher.incarnation)
         if known is not None and searcher.started_before(known):
             return
         if known is not None and known.is_same_start(searcher):
@@ -109,24 +137,35 @@
         self._put(searcher, logged)
 
     def replace(
-        self, searchers: Iterable[Searcher], lapsed_ms: Mapping[str, float], by_peer: bool
+        self,
+        searchers: Iterable[Searcher],
+        lapsed_ms: Mapping[str, float],
+        by_peer: bool,
+        restored: bool = False,
     ) -> None:
         """Take a list of all; what is not in it is no longer published.
 
         :param searchers: the searchers.
         :param lapsed_ms: which of them a peer only keeps, and for how long.
         :param by_peer: whether a peer tells it.
+        :param restored: whether it goes back to a copy, which may hold what had been removed.
         """
         searchers = list(searchers)
         listed = {searcher.incarnation for searcher in searchers}
         first = not self._by_incarnation
         for searcher in searchers:
-            self.take(searcher, searcher.incarnation in lapsed_ms, logged=not first)
+            if self._is_unproven(searcher, restored):
+                self._unproven.hold(searcher)
+            elif searcher.incarnation not in self._unproven:
+                self.take(searcher, searcher.incarnation in lapsed_ms, logged=not first)
         self.keep(lapsed_ms)
         if first:
             # One line: callers wait while a process starts.
-            log_event("searchers-listed", searchers=len(listed), revision=self._revision())
-        self.vanish([name for name in self._by_incarnation if name not in listed], by_peer)
+            log_event("searchers-listed", searchers=len(listed), revision=str(self._revision()))
+        self._unproven.keep_only(listed)
+        missing = [name for name in self._by_incarnation if name not in listed]
+        # Who tells of a copy may never have known what the copy lacks, and so not have kept it.
+        self.vanish(missing, by_peer and not restored)
 
     def keep(self, lapsed_ms: Mapping[str, float]) -> None:
         """Keep searchers that are no longer published as long as a peer does.
@@ -143,6 +182,9 @@
         :param incarnations: the searchers.
         :param by_peer: whether a peer tells it, which has kept them long enough itself.
         """
+        incarnations = list(incarnations)
+        for incarnation in incarnations:
+            self._unproven.discard(incarnation)
         gone = [name for name in incarnations if name in self._by_incarnation]
         if not by_peer:
             gone = [name for name in gone if name not in self._lapsed]
@@ -160,9 +202,15 @@
         :param incarnations: the searchers.
         """
         for incarnation in incarnations:
+            self._unproven.discard(incarnation)
             if incarnation in self._by_incarnation:
                 self._remove(incarnation)
 
+    def _is_unproven(self, searcher: Searcher, restored: bool) -> bool:
+        """Tell whether a list names a searcher that may only be left over in a copy."""
+        is_known = searcher.incarnation in self._by_incarnation
+        return restored and not is_known and self._gone_starts.has(searcher)
+
     def _came_back(self, searcher: Searcher) -> None:
         """Note that a searcher is published, which those who follow this entry have to hear too."""
         if searcher.incarnation in self._lapsed:
--- a/rhubarbhinge/published/_searcher_notes.py
+++ b/rhubarbhinge/published/_searcher_notes.py
@@ -3,6 +3,7 @@
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
+from rhubarbhinge.utils.revision import Revision
 
 MOST_NOTED_ALONE = 5
 """More searchers that change at once share lines. When 135 shards of three searchers take the place
@@ -20,7 +21,7 @@
     def __init__(self, timers: TimerService):
         self._timers = timers
         self._published: dict[str, Searcher] = {}
-        self._gone: dict[str, int] = {}
+        self._gone: dict[str, Revision] = {}
 
     def published(self, searcher: Searcher) -> None:
         """Note a searcher that came or is draining.
@@ -30,7 +31,7 @@
         self._write_soon()
         self._published[searcher.incarnation] = searcher
 
-    def gone(self, incarnation: str, revision: int) -> None:
+    def gone(self, incarnation: str, revision: Revision) -> None:
         """Note a searcher whose entry is gone.
 
         :param incarnation: the searcher.
@@ -50,9 +51,9 @@
             self._write_published([one for one in published if one.draining is draining], draining)
         if len(gone) <= MOST_NOTED_ALONE:
             for incarnation, revision in gone.items():
-                log_event("searcher-gone", searcher=incarnation, revision=revision)
+                log_event("searcher-gone", searcher=incarnation, revision=str(revision))
         else:
-            _write_names("searchers-gone", list(gone), revision=max(gone.values()))
+            _write_names("searchers-gone", list(gone), revision=str(max(gone.values())))
 
     def _write_published(self, searchers: list[Searcher], draining: bool) -> None:
         if len(searchers) > MOST_NOTED_ALONE:
--- a/rhubarbhinge/published/_source.py
+++ b/rhubarbhinge/published/_source.py
@@ -6,6 +6,7 @@
 from rhubarbhinge.published._changes import Changes
 from rhubarbhinge.published._read_fault import ReadFault
 from rhubarbhinge.published._snapshot import Snapshot
+from rhubarbhinge.utils.revision import Revision
 
 
 class Source(Protocol):
@@ -18,7 +19,7 @@
         """
 
     def wait_for_changes(
-        self, after_revision: int, on_done: Callable[[Changes | Snapshot | ReadFault], None]
+        self, after_revision: Revision, on_done: Callable[[Changes | Snapshot | ReadFault], None]
     ) -> None:
         """Wait until something changes, within a bound.
 
--- a/rhubarbhinge/published/tests/fake_source.py
+++ b/rhubarbhinge/published/tests/fake_source.py
@@ -13,5 +13,5 @@
         self.answer = on_done
 
     def wait_for_changes(self, after_revision, on_done) -> None:
-        self.asked.append(f"after {after_revision}")
+        self.asked.append(f"after {after_revision.number}")
         self.answer = on_done
--- a/rhubarbhinge/published/tests/test_starts.py
+++ b/rhubarbhinge/published/tests/test_starts.py
@@ -16,6 +16,8 @@
 from rhubarbhinge.fleet import Fleet, ObservedSearcher, Searcher
 from rhubarbhinge.published import Changes, Follower, ReadFault, Snapshot, UnusableEntry
 from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.revision import NO_REVISION, Revision
+from rhubarbhinge.utils.testing_revisions import at
 
 SETTINGS = settings(derandomize=True, deadline=None, database=None, max_examples=400)
 IDS = ("i-0", "i-1", "i-2")
@@ -52,7 +54,7 @@
 
     def listed(self) -> Snapshot:
         good = tuple(one for one in self.held.values() if one is not None)
-        return Snapshot(self.revision, None, good, unusable=self._unusable(self.held))
+        return Snapshot(at(self.revision), None, good, unusable=self._unusable(self.held))
 
     def watched(self, after: int) -> Changes | ReadFault:
         if after < self.first:
@@ -61,7 +63,7 @@
         good = tuple(self.held[name] for name in sorted(names) if self.held.get(name) is not None)
         removed = tuple(sorted(names - self.held.keys()))
         here = sorted(names & self.held.keys())
-        return Changes(self.revision, None, good, removed, unusable=self._unusable(here))
+        return Changes(at(self.revision), None, good, removed, unusable=self._unusable(here))
 
     def _unusable(self, names) -> tuple[UnusableEntry, ...]:
         return tuple(
@@ -80,7 +82,7 @@
 
     def __init__(self, timers: FakeTimers, seed: int):
         self.timers = timers
-        self.asked: tuple[str, int] = ("", 0)
+        self.asked: tuple[str, Revision] = ("", NO_REVISION)
         self.answer = None
         self.place = ("", -1)
         self.left: list[ObservedSearcher] = []
@@ -91,7 +93,7 @@
         self.follower.start()
 
     def read_all(self, on_done) -> None:
-        self.asked, self.answer = ("all", 0), on_done
+        self.asked, self.answer = ("all", NO_REVISION), on_done
 
     def wait_for_changes(self, after_revision, on_done) -> None:
         self.asked, self.answer = ("changes", after_revision), on_done
@@ -99,7 +101,7 @@
     def read(self, store: Store) -> None:
         kind, after = self.asked
         self.place = ("", -1)
-        self._tell(store.listed() if kind == "all" else store.watched(after))
+        self._tell(store.listed() if kind == "all" else store.watched(after.number))
 
     def follow(self, other: "Entry") -> None:
         """Hear of another entry, as one that waits at it does, unless that one is behind."""
@@ -307,7 +309,7 @@
 
     def test_a_peer_of_an_earlier_release_that_leaves_the_time_out_changes_nothing(self):
         before = self.observed()
-        snapshot = Snapshot(50, None, (searcher("i-0", None, warmup_ms=7.0),))
+        snapshot = Snapshot(at(50), None, (searcher("i-0", None, warmup_ms=7.0),))
         self.entry.follower.offer(snapshot)
         self.assertIs(self.observed(), before)
         self.assertEqual(before.searcher, searcher("i-0", 1_000, warmup_ms=7.0))
--- /dev/null
+++ b/rhubarbhinge/utils/testing_revisions.py
@@ -0,0 +1,13 @@
+"""Revisions of published state in tests."""
+
+from rhubarbhinge.utils.revision import Revision
+
+
+def at(number: int, era: int = 0) -> Revision:
+    """Make a revision.
+
+    :param number: its number.
+    :param era: its era.
+    :returns: the revision.
+    """
+    return Revision(era, number)
--- a/standins/tests/test_live_restores.py
+++ b/standins/tests/test_live_restores.py
@@ -63,3 +63,35 @@
         self.come_back_from(copy)
         self.deployment.put("op/config", config(6, before="store", added="store"))
         self.wait_served("added")
+
+    def test_entries_that_never_reach_the_store_again_hear_of_it_from_the_others(self):
+        copy = self.deployment.copy_store()
+        self.change_until_all_know(5)
+        self.come_back_from(copy, self.entries[1], *self.entries[2:])
+        self.deployment.put("op/config", config(6, before="store", added="store"))
+        self.wait_served("added")
+
+    def test_nobody_goes_back_before_the_operator_writes_again(self):
+        copy = self.deployment.copy_store()
+        self.change_until_all_know(5)
+        self.come_back_from(copy)
+        for entry in self.entries:
+            self.assertTrue(entry.wait_log("event=platform-restored"), entry.log())
+            self.assertTrue(self.serves(entry, "before"), entry.log())
+        again = self.deployment.start_entry()
+        self.entries.append(again)
+        # What the store has lost, it hears from the others.
+        self.assertTrue(wait_until(lambda: self.serves(again, "before")), again.log())
+
+    def test_the_revision_of_before_is_reached_again_before_anyone_looks(self):
+        copy = self.deployment.copy_store()
+        self.change_until_all_know(5)
+        for entry in self.entries:
+            self.deployment.turn_away(entry)
+        self.deployment.lose_since(copy)
+        self.deployment.put("op/config", config(6, before="store", added="store"))
+        for number in range(8):
+            self.deployment.add_searcher(f"i-later-{number}", "store")
+        for entry in self.entries:
+            self.deployment.stores[entry.name].down = False
+        self.wait_served("added")
