control: a test that a platform which has lost the latest revisions takes nobody back

The same cause was looked for in the other interface: documents are ordered by the operators' own revisions and a content hash, and a reader whose answer is not above what is accepted waits for its watch's pause.

--- a/rhubarbhinge/control/tests/test_fleet.py
+++ b/rhubarbhinge/control/tests/test_fleet.py
@@ -68,6 +68,21 @@
         schedule.run(5_000)
         self.assertTrue(in_force(schedule, "register", 3))
 
+    def test_a_platform_that_has_lost_the_latest_revisions_takes_nobody_back(self):
+        schedule = start()
+        schedule.publish("register", 3, b"{3}")
+        schedule.run(5_000)
+        calls = len(schedule.platform.calls_ms)
+        # Of a copy, and then a number that was given out before, for another content.
+        for revision, data in ((1, b"{}"), (2, b"{other}")):
+            schedule.publish("register", revision, data)
+            schedule.run(5_000)
+            self.assertTrue(in_force(schedule, "register", 3))
+        self.assertLess(len(schedule.platform.calls_ms) - calls, 60)
+        schedule.publish("register", 4, b"{4}")
+        schedule.run(5_000)
+        self.assertTrue(in_force(schedule, "register", 4))
+
     def test_each_domain_has_three_readers_on_as_many_vms_as_it_can(self):
         schedule = start(count=18, domains=3)
         readers = [name for name, n in schedule.nodes.items() if n.dissemination.is_reader]
