published, peers: after a return from a copy everything is asked for once more when it is settled

Cause, of all: what becomes of entries that are kept for a while, or kept aside, is decided by time and has no revision, so that nobody else hears of it. The check that what has left is not used again is narrowed, as traces show: it counts what had left, and was published no more, when the entry let it go; a searcher that lived and was dropped for its silence may be told of again, and an entry that starts in the era that holds one again can't know.

--- a/rhubarbhinge/peers/_reports.py
+++ b/rhubarbhinge/peers/_reports.py
@@ -61,6 +61,21 @@
         report = self._by_name.get(name)
         return None if report is None or now_ms - report.at_ms > FRESH_MS else report
 
+    def level(self, known: Published, now_ms: float) -> list[Report]:
+        """Give the reports of entries that are just as far, and confirmed.
+
+        :param known: what is known here.
+        :param now_ms: the time.
+        :returns: fresh reports of the same revision.
+        """
+        return [
+            report
+            for report in self._by_name.values()
+            if report.revision == known.revision
+            and report.age_ms >= 0
+            and now_ms - report.at_ms <= FRESH_MS
+        ]
+
     def ahead(self, known: Published, now_ms: float) -> list[Report]:
         """Give the reports of entries that are further, and forget old ones.
 
--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -45,6 +45,8 @@
 OLD_LIST = ReadFault("old-list", history_lost=True)
 """Told where all has to be listed again, as the first list may have been old."""
 
+SETTLED = ReadFault("settled", history_lost=True)
+"""Told where all has to be listed again, as this entry reads and wants more than changes."""
 ERA_CHANGED = "era-changed"
 """Why what a reader told is not used: another entry told of a later era in the meantime."""
 
@@ -112,6 +114,7 @@
         self._reading = True
         self._started_ms: float | None = None
         self._list_is_old = False
+        self._wants_all = False
         self.platform_calls = 0
         self.reader_calls = 0
 
@@ -150,11 +153,17 @@
 
         def done(outcome: Snapshot | ReadFault) -> None:
             self._note_outcome(outcome)
+            if isinstance(outcome, Snapshot):
+                self._wants_all = False
             self._list_is_old = first and isinstance(outcome, Snapshot)
             on_done(outcome)
 
         self._store.read_all(done, may_be_old=first)
 
+    def ask_for_all(self) -> None:
+        """Have the next wait bring everything, or the fault that all has to be listed."""
+        self._wants_all = True
+
     def wait_for_changes(self, after_revision: Revision, on_done: OnTold) -> None:
         """Wait for changes, at the reader or the platform.
 
@@ -169,6 +178,9 @@
             # Who is to read for others needs the newest state, and changes are told from there.
             self._timers.after(0, lambda: on_done(OLD_LIST))
             return
+        if reader is None and self._wants_all:
+            self._timers.after(0, lambda: on_done(SETTLED))
+            return
         if reader is None:
             self._wait_at_platform(after_revision, on_done)
             return
@@ -190,7 +202,7 @@
 
     def _place_parameters(self, known: Revision) -> list[str]:
         place = self._place
-        if place is None or place.era != known.era:
+        if place is None or place.era != known.era or self._wants_all:
             return []
         return [f"log={place.log_id}&after={place.position}"]
 
@@ -284,7 +296,7 @@
                 self._wait_at_platform(after_revision, on_done)
             return
         self._place = _Place(told.log_id, told.position, told.state.revision.era)
-        self._list_is_old = False
+        self._list_is_old = self._wants_all = False
         on_done(told.state)
 
 
--- a/rhubarbhinge/peers/_state_codec.py
+++ b/rhubarbhinge/peers/_state_codec.py
@@ -72,8 +72,6 @@
     evacuated: tuple[Name, ...] | None = None
     evacuations: tuple[Evacuation, ...] = ()
     era: Count = 0
-    evacuated_ms: dict[Name, Milliseconds] = {}
-    unproven: tuple[Searcher, ...] = ()
 
 
 _read = json_reader(_SentState)
@@ -113,8 +111,6 @@
             "lapsed_ms": dict(state.lapsed_ms),
             "evacuated": state.evacuated if isinstance(state, Snapshot) else None,
             "evacuations": state.evacuations if isinstance(state, Changes) else (),
-            "evacuated_ms": dict(state.evacuated_ms),
-            "unproven": state.unproven,
         }
     )
 
@@ -156,8 +152,6 @@
             sent.age_ms,
             sent.lapsed_ms,
             evacuated=sent.evacuated,
-            evacuated_ms=sent.evacuated_ms,
-            unproven=sent.unproven,
         )
     else:
         state = Changes(
@@ -169,8 +163,6 @@
             True,
             sent.lapsed_ms,
             evacuations=sent.evacuations,
-            evacuated_ms=sent.evacuated_ms,
-            unproven=sent.unproven,
         )
     return ToldState(state, sent.log, sent.position)
 
--- a/rhubarbhinge/peers/_state_pull.py
+++ b/rhubarbhinge/peers/_state_pull.py
@@ -59,7 +59,10 @@
         if self._pulling:
             return
         now_ms = self._timers.now_ms()
-        ahead = self._reports.ahead(published(self._follower), now_ms)
+        known = published(self._follower)
+        ahead = self._reports.ahead(known, now_ms)
+        if not ahead and self._follower.needs_peers and self._follower.wants_all:
+            ahead = self._reports.level(known, now_ms)
         if not ahead:
             self._behind_since_ms = None
             return
--- a/rhubarbhinge/peers/tests/test_pulling.py
+++ b/rhubarbhinge/peers/tests/test_pulling.py
@@ -34,6 +34,7 @@
         self.revision = at(50)
         self.plan = None
         self.needs_peers = False
+        self.wants_all = False
         self.log = ChangeLog(random.Random(1))
         self.on_changed = None
 
@@ -140,6 +141,16 @@
         self.hear(revision=at(49), plan_version=3)
         self.assertEqual(self.client.asked, ["127.0.0.2"])
 
+    def test_one_that_wants_all_once_more_asks_a_peer_that_is_just_as_far(self):
+        self.follower.needs_peers = True
+        self.hear(revision=at(50))
+        self.assertEqual(self.client.asked, [])
+        self.follower.wants_all = True
+        self.hear(revision=at(50), age_ms=-1.0)
+        self.assertEqual(self.client.asked, [])
+        self.hear(revision=at(50))
+        self.assertEqual(self.client.asked, ["127.0.0.2"])
+
     def test_a_peer_whose_state_nobody_has_confirmed_is_not_asked(self):
         self.follower.needs_peers = True
         self.hear(revision=at(60), age_ms=-1.0)
--- a/rhubarbhinge/peers/tests/test_shared_source.py
+++ b/rhubarbhinge/peers/tests/test_shared_source.py
@@ -172,6 +172,28 @@
         self.source.wait_for_changes(at(56, 2), self.told.append)
         self.assertEqual([one.revision for one in self.told], [at(9, 2)])
 
+    def test_one_that_wants_all_is_told_all_by_its_reader_and_then_changes(self):
+        self.hear()
+        self.tells(Snapshot(at(41), None, (), 5.0))
+        self.wait()
+        for after in (False, True):
+            if not after:
+                self.source.ask_for_all()
+            self.wait(41)
+            self.assertEqual("after=" in self.client.paths[-1], after)
+        self.assertEqual(self.store.waits, [])
+
+    def test_one_that_reads_and_wants_all_lists_it(self):
+        self.source.ask_for_all()
+        self.wait()
+        self.timers.advance(0.0)
+        self.assertEqual((self.told, self.store.waits), ([ReadFault("settled", True)], []))
+        for _ in range(2):
+            self.source.read_all(lambda outcome: None)
+        self.timers.advance(3_100.0)
+        self.wait()
+        self.assertEqual(self.store.waits, [40])
+
     def test_after_the_platform_was_asked_the_place_in_the_log_is_forgotten(self):
         self.hear()
         self.tells(Snapshot(at(41), None, (), 5.0))
--- a/rhubarbhinge/published/_changes.py
+++ b/rhubarbhinge/published/_changes.py
@@ -25,10 +25,6 @@
         still keeps them; the revision covers their removal, so it is not told again.
     :param unusable: what the platform holds that can't be used; peers tell nothing of it.
     :param evacuations: failure domains that are evacuated, or no longer.
-    :param evacuated_ms: which evacuated domains are no longer published, and how long the peer that
-        tells it still keeps them.
-    :param unproven: searchers that a copy of the platform lists after they were gone, and which the
-        peer that tells it does not use yet.
     """
 
     revision: Revision
@@ -40,5 +36,3 @@
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
     unusable: tuple[UnusableEntry, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
-    evacuated_ms: Mapping[str, float] = field(default_factory=dict)
-    unproven: tuple[Searcher, ...] = ()
--- a/rhubarbhinge/published/_evacuated_domains.py
+++ b/rhubarbhinge/published/_evacuated_domains.py
@@ -1,6 +1,6 @@
 """The failure domains whose searchers get no requests, as the operators ask for."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.published._evacuation import Evacuation
@@ -45,22 +45,6 @@
         """
         return tuple(sorted(self._domains))
 
-    def lapsed_ms(self) -> dict[str, float]:
-        """Tell how long those are kept that are no longer published.
-
-        :returns: times by domain.
-        """
-        return self._lapsed.left_ms()
-
-    def keep(self, lapsed_ms: Mapping[str, float]) -> None:
-        """Keep domains that are no longer published as long as a peer does.
-
-        :param lapsed_ms: times by domain.
-        """
-        for name, left_ms in lapsed_ms.items():
-            if name in self._domains:
-                self._lapsed.keep(name, left_ms)
-
     def replace(self, failure_domains: Iterable[str], restored: bool = False) -> None:
         """Take a list of all.
 
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -26,6 +26,10 @@
 """Least pause after the platform asked for fewer calls."""
 WATCH_PAUSE_MS = 300.0
 """Pause between two watches, so that changes that come in series cost one call together."""
+SETTLED_MS = 8_000.0
+"""So long after a return from a copy, or after a peer's state was taken, all is asked for once
+more. By then it is decided what becomes of entries that were kept for a while, or kept aside: by
+time, which no revision tells."""
 CURRENT_MS = 7_000.0
 """Without an answer for so long, a change may have been missed: one watch and its timeout."""
 
@@ -69,6 +73,8 @@
         self._confirmed_ms = float("-inf")
         self._failures = 0
         self._losses = 0
+        self._settled_ms = float("-inf")
+        self._ask_for_all_ms = float("inf")
         self.unusable = UnusableEntries(timers.now_ms)
         self.log = ChangeLog(rng)
         self._digest_at = (self.log.position, "")
@@ -83,6 +89,16 @@
         """Whether the platform does not answer, so that peers have to be asked."""
         return self._failures > 0
 
+    @property
+    def wants_all(self) -> bool:
+        """Whether everything is to be asked for once more, though no revision says so."""
+        return self._timers.now_ms() >= self._ask_for_all_ms
+
+    @property
+    def _is_settling(self) -> bool:
+        """Whether it is not decided yet what a copy of the platform holds wrongly."""
+        return self._timers.now_ms() < self._settled_ms
+
     def on_peer_revision(self, revision: Revision, age_ms: float) -> None:
         """Hear how far a peer is; one that is no further confirms what is known here.
 
@@ -120,8 +136,6 @@
             self.age_ms(),
             self._searchers.lapsed_ms(),
             evacuated=self.evacuated,
-            evacuated_ms=self._evacuated.lapsed_ms(),
-            unproven=self._searchers.unproven(),
         )
 
     @property
@@ -169,8 +183,6 @@
             True,
             self._searchers.lapsed_ms(),
             evacuations=tuple(evacuations.values()),
-            evacuated_ms=self._evacuated.lapsed_ms(),
-            unproven=self._searchers.unproven(),
         )
 
     def _changed(self, change: Change) -> None:
@@ -183,7 +195,8 @@
         :param snapshot: the peer's state.
         """
         self._take_plan(snapshot.plan)
-        if snapshot.revision > self.revision or not self._is_confirmed:
+        asked_for = self.wants_all and snapshot.revision == self.revision
+        if snapshot.revision > self.revision or not self._is_confirmed or asked_for:
             self._take_snapshot(snapshot, by_peer=True)
         elif snapshot.revision == self.revision:
             self._confirm(snapshot.age_ms)
@@ -214,16 +227,21 @@
             return
         restored = self._is_restored(snapshot.revision)
         if restored:
-            self._note_restored(snapshot.revision, by_peer)
+            self._on_restored(snapshot.revision, by_peer)
             self._searchers.on_restored()
         if not by_peer:
             self.unusable.replace(snapshot.unusable)
         if snapshot.evacuated is not None:
             self._evacuated.replace(snapshot.evacuated, restored)
-            self._evacuated.keep(snapshot.evacuated_ms)
         self._searchers.withdraw(entry.incarnation for entry in snapshot.unusable)
-        self._searchers.replace(snapshot.searchers, snapshot.lapsed_ms, by_peer, restored)
-        self._searchers.hold_unproven(snapshot.unproven)
+        self._searchers.replace(
+            snapshot.searchers, snapshot.lapsed_ms, by_peer, restored, self._is_settling
+        )
+        if self.wants_all:
+            self._ask_for_all_ms = float("inf")
+        elif by_peer and self._ask_for_all_ms == float("inf"):
+            # The peer may keep for a while what it tells, and another may be asked from now on.
+            self._ask_for_all_ms = self._timers.now_ms() + SETTLED_MS
         self.revision = snapshot.revision
         self._confirm(snapshot.age_ms)
 
@@ -232,9 +250,10 @@
 
         What nobody has confirmed may be older than its revision says: a list that may be old.
         """
-        if self._is_confirmed:
-            return snapshot.age_ms >= 0 and snapshot.revision >= self.revision
-        return snapshot.age_ms >= 0 or snapshot.revision >= self.revision
+        if not self._is_confirmed and snapshot.age_ms >= 0:
+            return snapshot.revision.era >= self.revision.era
+        confirms = snapshot.age_ms >= 0 or not self._is_confirmed
+        return confirms and snapshot.revision >= self.revision
 
     def _is_restored(self, revision: Revision) -> bool:
         """Tell whether a state that is taken goes back to a copy of the platform."""
@@ -243,6 +262,8 @@
 
     def _watch(self) -> None:
         after = self.revision
+        if self.wants_all:
+            self._source.ask_for_all()
         self._source.wait_for_changes(after, lambda outcome: self._told(outcome, after))
 
     def _told(self, outcome: Changes | Snapshot | ReadFault, after: Revision) -> None:
@@ -259,8 +280,8 @@
             self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
             return
-        if not by_peer and outcome.revision.era != after.era:
-            # The number that was asked from is another place in this era's history.
+        if not by_peer and (outcome.revision.era != after.era or self.revision < after):
+            # Between what is known and the first change told, others may be missing.
             self._list_again("other-era")
             return
         self._losses = 0
@@ -317,22 +338,21 @@
             return
         if self._is_restored(changes.revision):
             # Told by the log of a peer, which has kept what the copy lacks.
-            self._note_restored(changes.revision, changes.by_peer)
+            self._on_restored(changes.revision, changes.by_peer)
         self._evacuated.apply(changes.evacuations)
-        self._evacuated.keep(changes.evacuated_ms)
         self.unusable.forget(searcher.incarnation for searcher in changes.searchers)
         self.unusable.forget(changes.removed)
         self.unusable.add(changes.unusable)
         self._searchers.withdraw(entry.incarnation for entry in changes.unusable)
         for searcher in changes.searchers:
-            self._searchers.take(searcher)
+            self._searchers.take_change(searcher, changes.by_peer and self._is_settling)
         self._searchers.keep(changes.lapsed_ms)
         self._searchers.vanish(changes.removed, changes.by_peer)
-        self._searchers.hold_unproven(changes.unproven)
         self.revision = changes.revision
         self._confirm(changes.age_ms)
 
-    def _note_restored(self, revision: Revision, by_peer: bool) -> None:
+    def _on_restored(self, revision: Revision, by_peer: bool) -> None:
+        self._settled_ms = self._ask_for_all_ms = self._timers.now_ms() + SETTLED_MS
         log_event(
             "platform-restored",
             level="warning",
--- a/rhubarbhinge/published/_published_searchers.py
+++ b/rhubarbhinge/published/_published_searchers.py
@@ -82,23 +82,6 @@
         """
         return self._lapsed.left_ms()
 
-    def unproven(self) -> tuple[Searcher, ...]:
-        """Give those that a copy of the platform lists and that are not used yet.
-
-        :returns: the searchers.
-        """
-        return self._unproven.all()
-
-    def hold_unproven(self, searchers: Iterable[Searcher]) -> None:
-        """Keep searchers aside that a peer keeps aside.
-
-        :param searchers: the searchers.
-        """
-        for searcher in searchers:
-            held = searcher.incarnation in self._unproven
-            if not held and searcher.incarnation not in self._by_incarnation:
-                self._unproven.hold(searcher)
-
     def on_platform_heard(self) -> None:
         """Note that the platform has told something, so as to know how long it had been silent."""
         now_ms = self._timers.now_ms()
@@ -136,28 +119,47 @@
             self._came_back(searcher)
         self._put(searcher, logged)
 
+    def take_change(self, searcher: Searcher, may_be_left_over: bool) -> None:
+        """Take a searcher that came or changed.
+
+        :param searcher: what is told.
+        :param may_be_left_over: whether a peer tells it that has gone on to a copy of the platform,
+            and may not have known that the searcher had left.
+        """
+        if may_be_left_over and self._is_gone(searcher):
+            self._unproven.hold(searcher)
+        else:
+            self.take(searcher)
+
     def replace(
         self,
         searchers: Iterable[Searcher],
         lapsed_ms: Mapping[str, float],
         by_peer: bool,
         restored: bool = False,
+        may_be_left_over: bool = False,
     ) -> None:
         """Take a list of all; what is not in it is no longer published.
 
         :param searchers: the searchers.
         :param lapsed_ms: which of them a peer only keeps, and for how long.
         :param by_peer: whether a peer tells it.
-        :param restored: whether it goes back to a copy, which may hold what had been removed.
+        :param restored: whether it goes back to a copy.
+        :param may_be_left_over: whether it may hold searchers that had left, as a copy may.
         """
         searchers = list(searchers)
         listed = {searcher.incarnation for searcher in searchers}
         first = not self._by_incarnation
         for searcher in searchers:
-            if self._is_unproven(searcher, restored):
+            lapsed = searcher.incarnation in lapsed_ms
+            if lapsed and self._is_gone(searcher):
+                continue
+            if self._unproven.holds(searcher) and not restored:
+                continue
+            if may_be_left_over and self._is_gone(searcher):
                 self._unproven.hold(searcher)
-            elif searcher.incarnation not in self._unproven:
-                self.take(searcher, searcher.incarnation in lapsed_ms, logged=not first)
+            else:
+                self.take(searcher, lapsed, logged=not first)
         self.keep(lapsed_ms)
         if first:
             # One line: callers wait while a process starts.
@@ -206,10 +208,9 @@
             if incarnation in self._by_incarnation:
                 self._remove(incarnation)
 
-    def _is_unproven(self, searcher: Searcher, restored: bool) -> bool:
-        """Tell whether a list names a searcher that may only be left over in a copy."""
+    def _is_gone(self, searcher: Searcher) -> bool:
         is_known = searcher.incarnation in self._by_incarnation
-        return restored and not is_known and self._gone_starts.has(searcher)
+        return not is_known and self._gone_starts.has(searcher)
 
     def _came_back(self, searcher: Searcher) -> None:
         """Note that a searcher is published, which those who follow this entry have to hear too."""
--- a/rhubarbhinge/published/_snapshot.py
+++ b/rhubarbhinge/published/_snapshot.py
@@ -23,10 +23,6 @@
     :param unusable: what the platform holds that can't be used; peers tell nothing of it.
     :param evacuated: the failure domains that are evacuated; None when it is not told, as by a peer
         of an earlier release.
-    :param evacuated_ms: which of these are no longer published, and how long the peer that tells it
-        still keeps them.
-    :param unproven: searchers that a copy of the platform lists after they were gone, and which the
-        peer that tells it does not use yet.
     """
 
     revision: Revision
@@ -36,5 +32,3 @@
     lapsed_ms: Mapping[str, float] = field(default_factory=dict)
     unusable: tuple[UnusableEntry, ...] = ()
     evacuated: tuple[str, ...] | None = None
-    evacuated_ms: Mapping[str, float] = field(default_factory=dict)
-    unproven: tuple[Searcher, ...] = ()
--- a/rhubarbhinge/published/_source.py
+++ b/rhubarbhinge/published/_source.py
@@ -18,6 +18,9 @@
         :param on_done: told the outcome, once and later.
         """
 
+    def ask_for_all(self) -> None:
+        """Have the next wait bring everything, or the fault that all has to be listed."""
+
     def wait_for_changes(
         self, after_revision: Revision, on_done: Callable[[Changes | Snapshot | ReadFault], None]
     ) -> None:
--- a/rhubarbhinge/published/_unproven.py
+++ b/rhubarbhinge/published/_unproven.py
@@ -35,15 +35,14 @@
         self._searchers: dict[str, Searcher] = {}
         self._checks: dict[str, Subscription] = {}
 
-    def __contains__(self, incarnation: str) -> bool:
-        return incarnation in self._searchers
+    def holds(self, searcher: Searcher) -> bool:
+        """Tell whether a start of a searcher, or a later one, is kept aside.
 
-    def all(self) -> tuple[Searcher, ...]:
-        """Give all that are kept aside.
-
-        :returns: what the copy says of them.
+        :param searcher: the start.
+        :returns: whether it is.
         """
-        return tuple(self._searchers.values())
+        held = self._searchers.get(searcher.incarnation)
+        return held is not None and (held.is_same_start(searcher) or searcher.started_before(held))
 
     def hold(self, searcher: Searcher) -> None:
         """Keep a searcher aside, from now on for the whole time.
--- a/rhubarbhinge/published/tests/fake_source.py
+++ b/rhubarbhinge/published/tests/fake_source.py
@@ -12,6 +12,9 @@
         self.asked.append("all")
         self.answer = on_done
 
+    def ask_for_all(self) -> None:
+        self.asked.append("for all")
+
     def wait_for_changes(self, after_revision, on_done) -> None:
         self.asked.append(f"after {after_revision.number}")
         self.answer = on_done
