--- a/rhubarbhinge/gateway/_figures.py
+++ b/rhubarbhinge/gateway/_figures.py
@@ -23,6 +23,7 @@
 BUDGET_LEFT = Figure("extra_sends_left", "Extra sends left for the service that has least")
 STORE_CALLS = Figure("platform_calls_total", "Reads and watches of the platform's store", True)
 READER_CALLS = Figure("reader_calls_total", "Waits for changes at another entry", True)
+STORE_ERA = Figure("store_era", "Era of the store that is known: its returns from copies")
 UNUSABLE = Figure("unusable_entries", "Keys of the store that hold what can't be used")
 UNUSABLE_FOUND = Figure("unusable_entries_total", "Such values read since the start", True)
 LINK_BYTES = {
@@ -92,6 +93,7 @@
         metrics.show(BUDGET_LEFT, self._budget.least_left())
         metrics.show(STORE_CALLS, self._source.platform_calls)
         metrics.show(READER_CALLS, self._source.reader_calls)
+        metrics.show(STORE_ERA, self._follower.revision.era)
         metrics.show(UNUSABLE, len(self._follower.unusable))
         metrics.show(UNUSABLE_FOUND, self._follower.unusable.found)
         metrics.show(QUARANTINED, self._quarantine.convicted)
--- a/rhubarbhinge/published/_change_log.py
+++ b/rhubarbhinge/published/_change_log.py
@@ -2,6 +2,8 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from rhubarbhinge.fleet import Searcher
 from rhubarbhinge.plans import ServingPlan
@@ -14,6 +16,47 @@
 """Changes kept; an entry that is further behind takes everything anew."""
 
 
+class NewestChanges(NamedTuple):
+    """The newest change of each thing.
+
+    :ivar plan: the configuration, if it changed.
+    :ivar searchers: searchers that came or changed.
+    :ivar removed: incarnations of those that are gone.
+    :ivar evacuations: failure domains that are evacuated, or no longer.
+    """
+
+    plan: ServingPlan | None
+    searchers: tuple[Searcher, ...]
+    removed: tuple[str, ...]
+    evacuations: tuple[Evacuation, ...]
+
+
+def newest_of(changes: Iterable[Change]) -> NewestChanges:
+    """Give the newest change of each thing.
+
+    :param changes: the changes, in order.
+    :returns: the newest ones.
+    """
+    plan: ServingPlan | None = None
+    searchers: dict[str, Searcher | None] = {}
+    evacuations: dict[str, Evacuation] = {}
+    for change in changes:
+        if isinstance(change, ServingPlan):
+            plan = change
+        elif isinstance(change, Searcher):
+            searchers[change.incarnation] = change
+        elif isinstance(change, str):
+            searchers[change] = None
+        else:
+            evacuations[change.failure_domain] = change
+    return NewestChanges(
+        plan,
+        tuple(one for one in searchers.values() if one is not None),
+        tuple(name for name, one in searchers.items() if one is None),
+        tuple(evacuations.values()),
+    )
+
+
 class ChangeLog:
     """The latest changes, in the order in which they were taken over here.
 
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -3,14 +3,16 @@
 import random
 from collections.abc import Callable
 
-from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.plans import ServingPlan
-from rhubarbhinge.published._change_log import Change, ChangeLog
+from rhubarbhinge.published._change_log import Change, ChangeLog, newest_of
 from rhubarbhinge.published._changes import Changes
 from rhubarbhinge.published._evacuated_domains import EvacuatedDomains
-from rhubarbhinge.published._evacuation import Evacuation
+from rhubarbhinge.published._order import is_restored, may_replace
 from rhubarbhinge.published._published_searchers import PublishedSearchers
 from rhubarbhinge.published._read_fault import ReadFault
+from rhubarbhinge.published._read_pauses import ReadPauses
+from rhubarbhinge.published._settling import Settling
 from rhubarbhinge.published._snapshot import Snapshot
 from rhubarbhinge.published._source import Source
 from rhubarbhinge.published._unusable_entries import UnusableEntries
@@ -18,18 +20,8 @@
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.revision import NO_REVISION, Revision
 
-LEAST_BACKOFF_MS = 100.0
-"""First pause after a failed read; short, as a lost answer is the most frequent cause."""
-MOST_BACKOFF_MS = 1_000.0
-"""Longest pause; the platform promises to have lapsed entries back two seconds after its return."""
-OVERLOAD_BACKOFF_MS = 500.0
-"""Least pause after the platform asked for fewer calls."""
 WATCH_PAUSE_MS = 300.0
 """Pause between two watches, so that changes that come in series cost one call together."""
-SETTLED_MS = 8_000.0
-"""So long after a return from a copy, or after a peer's state was taken, all is asked for once
-more. By then it is decided what becomes of entries that were kept for a while, or kept aside: by
-time, which no revision tells."""
 CURRENT_MS = 7_000.0
 """Without an answer for so long, a change may have been missed: one watch and its timeout."""
 
@@ -62,7 +54,6 @@
     ):
         self._timers = timers
         self._source = source
-        self._rng = rng
         self._on_plan = on_plan
         self.plan: ServingPlan | None = None
         self.revision = NO_REVISION
@@ -71,10 +62,8 @@
         )
         self._evacuated = EvacuatedDomains(timers, fleet, lambda: self.revision, self._changed)
         self._confirmed_ms = float("-inf")
-        self._failures = 0
-        self._losses = 0
-        self._settled_ms = float("-inf")
-        self._ask_for_all_ms = float("inf")
+        self._pauses = ReadPauses(rng)
+        self._settling = Settling(timers)
         self.unusable = UnusableEntries(timers.now_ms)
         self.log = ChangeLog(rng)
         self._digest_at = (self.log.position, "")
@@ -87,17 +76,12 @@
     @property
     def needs_peers(self) -> bool:
         """Whether the platform does not answer, so that peers have to be asked."""
-        return self._failures > 0
+        return self._pauses.failures > 0
 
     @property
     def wants_all(self) -> bool:
         """Whether everything is to be asked for once more, though no revision says so."""
-        return self._timers.now_ms() >= self._ask_for_all_ms
-
-    @property
-    def _is_settling(self) -> bool:
-        """Whether it is not decided yet what a copy of the platform holds wrongly."""
-        return self._timers.now_ms() < self._settled_ms
+        return self._settling.wants_all
 
     def on_peer_revision(self, revision: Revision, age_ms: float) -> None:
         """Hear how far a peer is; one that is no further confirms what is known here.
@@ -164,25 +148,16 @@
         changes = self.log.since(log_id, position)
         if changes is None:
             return self.snapshot()
-        plans = [change for change in changes if isinstance(change, ServingPlan)]
-        newest: dict[str, Searcher | None] = {}
-        evacuations: dict[str, Evacuation] = {}
-        for change in changes:
-            if isinstance(change, Searcher):
-                newest[change.incarnation] = change
-            elif isinstance(change, str):
-                newest[change] = None
-            elif isinstance(change, Evacuation):
-                evacuations[change.failure_domain] = change
+        newest = newest_of(changes)
         return Changes(
             self.revision,
-            plans[-1] if plans else None,
-            tuple(searcher for searcher in newest.values() if searcher is not None),
-            tuple(name for name, searcher in newest.items() if searcher is None),
+            newest.plan,
+            newest.searchers,
+            newest.removed,
             self.age_ms(),
             True,
             self._searchers.lapsed_ms(),
-            evacuations=tuple(evacuations.values()),
+            evacuations=newest.evacuations,
         )
 
     def _changed(self, change: Change) -> None:
@@ -222,10 +197,10 @@
 
     def _take_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
         self._take_plan(snapshot.plan)
-        if not self._may_take(snapshot):
+        if not may_replace(self.revision, self._is_confirmed, snapshot):
             self._note_not_taken(snapshot.revision, snapshot.plan, by_peer)
             return
-        restored = self._is_restored(snapshot.revision)
+        restored = is_restored(self.revision, snapshot.revision)
         if restored:
             self._on_restored(snapshot.revision, by_peer)
             self._searchers.on_restored()
@@ -235,31 +210,16 @@
             self._evacuated.replace(snapshot.evacuated, restored)
         self._searchers.withdraw(entry.incarnation for entry in snapshot.unusable)
         self._searchers.replace(
-            snapshot.searchers, snapshot.lapsed_ms, by_peer, restored, self._is_settling
+            snapshot.searchers,
+            snapshot.lapsed_ms,
+            by_peer,
+            restored,
+            may_be_left_over=self._settling.is_under_way,
         )
-        if self.wants_all:
-            self._ask_for_all_ms = float("inf")
-        elif by_peer and self._ask_for_all_ms == float("inf"):
-            # The peer may keep for a while what it tells, and another may be asked from now on.
-            self._ask_for_all_ms = self._timers.now_ms() + SETTLED_MS
+        self._settling.on_all_told(by_peer)
         self.revision = snapshot.revision
         self._confirm(snapshot.age_ms)
 
-    def _may_take(self, snapshot: Snapshot) -> bool:
-        """Tell whether all that is known may be replaced by a state.
-
-        What nobody has confirmed may be older than its revision says: a list that may be old.
-        """
-        if not self._is_confirmed and snapshot.age_ms >= 0:
-            return snapshot.revision.era >= self.revision.era
-        confirms = snapshot.age_ms >= 0 or not self._is_confirmed
-        return confirms and snapshot.revision >= self.revision
-
-    def _is_restored(self, revision: Revision) -> bool:
-        """Tell whether a state that is taken goes back to a copy of the platform."""
-        went_back = revision < self.revision
-        return self.revision != NO_REVISION and (went_back or revision.era > self.revision.era)
-
     def _watch(self) -> None:
         after = self.revision
         if self.wants_all:
@@ -276,7 +236,7 @@
         by_peer = isinstance(outcome, Snapshot) or outcome.by_peer
         self._answered(by_peer)
         if isinstance(outcome, Snapshot):
-            self._losses = 0
+            self._pauses.on_changes_told()
             self._take_snapshot(outcome, by_peer=True)
             self._timers.after(0, self._watch)
             return
@@ -284,17 +244,15 @@
             # Between what is known and the first change told, others may be missing.
             self._list_again("other-era")
             return
-        self._losses = 0
+        self._pauses.on_changes_told()
         self._apply(outcome)
         self._timers.after(0 if by_peer else WATCH_PAUSE_MS, self._watch)
 
     def _failed(self, fault: ReadFault, again: Callable[[], None]) -> None:
-        if not self._failures:
+        if not self.needs_peers:
             revision = str(self.revision)
             log_event("platform-lost", level="warning", code=fault.code, revision=revision)
-        self._failures += 1
-        least_ms = OVERLOAD_BACKOFF_MS if fault.overloaded else 0.0
-        self._after_backoff(self._failures, again, least_ms)
+        self._timers.after(self._pauses.after_failure(fault.overloaded), again)
 
     def _list_again(self, code: str) -> None:
         """List everything, as changes are not told from the known revision on.
@@ -302,22 +260,19 @@
         At once the first time; a platform that then tells no changes either is given time.
         """
         log_event("history-lost", code=code, revision=str(self.revision))
-        self._losses += 1
-        if self._losses == 1:
-            self.start()
+        pause_ms = self._pauses.after_loss()
+        if pause_ms:
+            self._timers.after(pause_ms, self.start)
         else:
-            self._after_backoff(self._losses - 1, self.start)
-
-    def _after_backoff(self, times: int, again: Callable[[], None], least_ms: float = 0.0) -> None:
-        pause_ms = min(MOST_BACKOFF_MS, LEAST_BACKOFF_MS * 2 ** min(times - 1, 10))
-        self._timers.after(max(pause_ms, least_ms) * self._rng.uniform(0.7, 1.3), again)
+            self.start()
 
     def _answered(self, by_peer: bool) -> None:
         if not by_peer:
             self._searchers.on_platform_heard()
-        if self._failures:
-            log_event("platform-regained", failures=self._failures, revision=str(self.revision))
-            self._failures = 0
+        if self.needs_peers:
+            failures = self._pauses.failures
+            log_event("platform-regained", failures=failures, revision=str(self.revision))
+            self._pauses.on_answered()
             self._searchers.on_platform_back()
 
     # Taking over.
@@ -336,7 +291,7 @@
         if changes.revision < self.revision:
             self._note_not_taken(changes.revision, changes.plan, changes.by_peer)
             return
-        if self._is_restored(changes.revision):
+        if is_restored(self.revision, changes.revision):
             # Told by the log of a peer, which has kept what the copy lacks.
             self._on_restored(changes.revision, changes.by_peer)
         self._evacuated.apply(changes.evacuations)
@@ -345,14 +300,14 @@
         self.unusable.add(changes.unusable)
         self._searchers.withdraw(entry.incarnation for entry in changes.unusable)
         for searcher in changes.searchers:
-            self._searchers.take_change(searcher, changes.by_peer and self._is_settling)
+            self._searchers.take_change(searcher, changes.by_peer and self._settling.is_under_way)
         self._searchers.keep(changes.lapsed_ms)
         self._searchers.vanish(changes.removed, changes.by_peer)
         self.revision = changes.revision
         self._confirm(changes.age_ms)
 
     def _on_restored(self, revision: Revision, by_peer: bool) -> None:
-        self._settled_ms = self._ask_for_all_ms = self._timers.now_ms() + SETTLED_MS
+        self._settling.on_restored()
         log_event(
             "platform-restored",
             level="warning",
--- a/standins/tests/test_live_restores.py
+++ b/standins/tests/test_live_restores.py
@@ -78,6 +78,7 @@
         for entry in self.entries:
             self.assertTrue(entry.wait_log("event=platform-restored"), entry.log())
             self.assertTrue(self.serves(entry, "before"), entry.log())
+            self.assertIn("rhubarbhinge_store_era 2", entry.metrics())
         again = self.deployment.start_entry()
         self.entries.append(again)
         # What the store has lost, it hears from the others.
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -1,10 +1,13 @@
 """What a soak does, drawn from its seed: faults and requests with their times."""
 
 import random
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 FAULT_GAP_S = 0.8
 """Mean time between faults; most last longer, so that they overlap."""
+RESTORE_GAP_S = 12.0
+"""Mean time between the store's returns from a copy of itself."""
 CALM_BEFORE_S, CALM_AFTER_S = 2.0, 8.0
 """Without faults at the start, and at the end for what has to come back by itself."""
 WEIGHTS = {
@@ -34,6 +37,7 @@
     "domain-killed": (0.1, 1.0),
     "fleet-killed": (0.1, 1.0),
     "store-refuses": (0.5, 4.0),
+    "store-restored": (0.2, 2.0),
     "searchers-crash": (0.5, 3.0),
     "searchers-slow": (0.5, 3.0),
     "searchers-refuse": (0.2, 2.0),
@@ -50,7 +54,7 @@
     """A fault.
 
     :param at_s: when, from the start of the traffic.
-    :param kind: a key of ``WEIGHTS``.
+    :param kind: a key of ``WEIGHTS``, or ``store-restored``.
     :param for_s: how long; 0 for what is not taken back.
     :param draw: a number between 0 and 1 by which its targets are chosen.
     """
@@ -86,16 +90,30 @@
     :param seconds: length of the traffic.
     :returns: the faults, by time.
     """
-    rng = random.Random(f"faults {seed}")
-    faults = []
+    kinds, weights = list(WEIGHTS), list(WEIGHTS.values())
+
+    def draw_kind(rng: random.Random) -> str:
+        return rng.choices(kinds, weights)[0]
+
+    faults = _drawn(random.Random(f"faults {seed}"), seconds, FAULT_GAP_S, draw_kind)
+    # Drawn apart, so that all other faults of a seed stay what they were.
+    restores = _drawn(
+        random.Random(f"restores {seed}"), seconds, RESTORE_GAP_S, lambda rng: "store-restored"
+    )
+    return tuple(sorted((*faults, *restores), key=lambda fault: fault.at_s))
+
+
+def _drawn(
+    rng: random.Random, seconds: float, gap_s: float, draw_kind: Callable[[random.Random], str]
+) -> Iterator[Fault]:
     at_s = CALM_BEFORE_S
     while True:
-        at_s += rng.expovariate(1.0 / FAULT_GAP_S)
+        at_s += rng.expovariate(1.0 / gap_s)
         if at_s > seconds - CALM_AFTER_S:
-            return tuple(faults)
-        (kind,) = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+            return
+        kind = draw_kind(rng)
         for_s = rng.uniform(*SECONDS.get(kind, (0.0, 0.0)))
-        faults.append(Fault(round(at_s, 3), kind, round(for_s, 3), rng.random()))
+        yield Fault(round(at_s, 3), kind, round(for_s, 3), rng.random())
 
 
 def draw_requests(seed: int, caller: int, seconds: float, rate: float) -> tuple[Asked, ...]:
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -4,11 +4,19 @@
 import signal
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 
 from standins.fleet import wait_until
-from standins.operators import Deployment, EntryProcess, Proxy, Searcher, configuration
+from standins.operators import (
+    Deployment,
+    EntryProcess,
+    Proxy,
+    Searcher,
+    StoreCopy,
+    configuration,
+)
 from tools.soak._callers import ask_once
 from tools.soak._plan import CALM_AFTER_S, Fault
 from tools.soak._seen import Arrival, Seen
@@ -28,6 +36,9 @@
 WATCH_S, STARVED_S = 0.5, 0.2
 """How often it is looked at, and what an entry waits for a processor meanwhile for it to count as
 held up, as if it were frozen."""
+COPY_AGE_S, REWRITE_S, LEASE_S = 5.0, 1.5, 3.6
+"""Age of the oldest copy that the store comes back from, and how long after its return all is
+written again, and entries of searchers that have left are removed."""
 SLOW_MS, LINK_DELAY_S = 400.0, 0.1
 
 
@@ -54,6 +65,7 @@
         self._stopping: set[str] = set()
         self._over = threading.Event()
         self._before: dict[str, int] = {}
+        self._copies: deque[StoreCopy] = deque(maxlen=round(COPY_AGE_S / WATCH_S))
         self._entries = entries
 
     def start(self) -> None:
@@ -200,6 +212,7 @@
         began_s = time.monotonic()
         while not self._over.wait(WATCH_S):
             now_s = time.monotonic()
+            self._copies.append(self.deployment.copy_store())
             for entry in self.deployment.entries:
                 pid, so_far_s = entry.popen.pid, _waited_s(entry.popen.pid)
                 if so_far_s - waited.get(pid, so_far_s) > STARVED_S:
@@ -226,6 +239,28 @@
         self.deployment.forget_history()
         self.seen.store_trouble.append((began_s, time.monotonic()))
 
+    def _store_restored(self, fault: Fault, rng: random.Random) -> None:
+        """Have the store answer nobody, come back from a copy, and be written again."""
+        began_s = time.monotonic()
+        for entry in self.deployment.entries:
+            self.deployment.turn_away(entry)
+        self.deployment.lose_since(rng.choice(list(self._copies)))
+        time.sleep(fault.for_s)
+        for store in self.deployment.stores.values():
+            store.down = False
+        returned_s = time.monotonic()
+        time.sleep(rng.uniform(0.0, REWRITE_S))
+        with self._guard:
+            self._publish()
+            for name, searcher in self.deployment.searchers.items():
+                if searcher.is_listening and not searcher.gone:
+                    self.deployment.put(f"servers/{name}", searcher.entry())
+        time.sleep(max(0.0, returned_s + LEASE_S - time.monotonic()))
+        with self._guard:
+            for name in self.seen.left_s:
+                self.deployment.delete(f"servers/{name}")
+        self.seen.store_trouble.append((began_s, returned_s))
+
     def _route_added(self, fault: Fault, rng: random.Random) -> None:
         with self._guard:
             self._version += rng.choice((1, 2, 5))
