--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -142,6 +142,15 @@
         """
         self._change(lambda: self.model.put(key, value))
 
+    def write_again(self, key: str, value: object) -> None:
+        """Write to the store what it does not hold any more.
+
+        :param key: the key.
+        :param value: the value.
+        """
+        if not self.run(lambda: self.model.holds(key, value)):
+            self.put(key, value)
+
     def delete(self, key: str) -> None:
         """Delete from the store.
 
--- a/standins/operators/_model.py
+++ b/standins/operators/_model.py
@@ -59,6 +59,16 @@
         self._items[key] = item
         self._events.append(item)
 
+    def holds(self, key: str, value: object) -> bool:
+        """Tell whether an item has a value.
+
+        :param key: its key.
+        :param value: the value, as for :meth:`put`.
+        :returns: whether it has.
+        """
+        item = self._items.get(key)
+        return item is not None and base64.b64decode(item["value"]) == orjson.dumps(value)
+
     def delete(self, key: str) -> None:
         """Remove an item.
 
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -254,7 +254,7 @@
             self._publish()
             for name, searcher in self.deployment.searchers.items():
                 if searcher.is_listening and not searcher.gone:
-                    self.deployment.put(f"servers/{name}", searcher.entry())
+                    self.deployment.write_again(f"servers/{name}", searcher.entry())
         time.sleep(max(0.0, returned_s + LEASE_S - time.monotonic()))
         with self._guard:
             for name in self.seen.left_s:
@@ -270,7 +270,7 @@
     def _publish(self) -> None:
         once = {"once": SHARDS[1]}
         wanted = configuration(self._version, SHARDS, once, self._routes, TARGET_MS)
-        self.deployment.put("op/config", wanted)
+        self.deployment.write_again("op/config", wanted)
 
     # Searchers.
 
