--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -20,6 +20,8 @@
 """The grace of a stop."""
 BACK_SHARE = 0.95
 """Part of the requests that is served once all is calm."""
+STORE_CALLS_PER_S = 2_000
+"""Reading calls that the store bears from all entries together."""
 MORE_DESCRIPTORS = 60
 """Descriptors that an entry may have more at the end, for connections that are still kept."""
 NOT_RUN = (408, 421, 429, 503)
@@ -221,6 +223,13 @@
             yield f"{path} was never asked when all was calm"
 
 
+def _store_calls_are_paced(seen: Seen) -> Iterator[Finding]:
+    """No entry calls the store for more than its part of what the store bears."""
+    for name, calls_per_s in seen.store_calls_per_s.items():
+        allowed = STORE_CALLS_PER_S / len(seen.store_calls_per_s)
+        yield f"{name}: {calls_per_s:.0f} in a second" if calls_per_s > allowed else None
+
+
 def _descriptors_come_back(seen: Seen) -> Iterator[Finding]:
     for name, (before, after) in seen.descriptors.items():
         fault = f"{name}: {before} to {after} open descriptors"
@@ -239,6 +248,7 @@
     "nobody is cut off": _stops_cut_nobody_off,
     "fatal requests": _fatal_requests,
     "all comes back": _all_comes_back,
+    "store calls are paced": _store_calls_are_paced,
     "descriptors come back": _descriptors_come_back,
 }
 """All checks by name."""
--- a/tools/soak/_seen.py
+++ b/tools/soak/_seen.py
@@ -62,6 +62,7 @@
     :ivar calm_from_s: when all faults were over and their ends had settled.
     :ivar paths: paths that answer at the end.
     :ivar starved: how often an entry had to wait for a processor for long.
+    :ivar store_calls_per_s: the most calls that each entry made to the store in a second, by name.
     :ivar descriptors: open descriptors of each entry before and after, by name.
     """
 
@@ -76,4 +77,5 @@
     calm_from_s: float = float("inf")
     starved: int = 0
     paths: list[str] = field(default_factory=list)
+    store_calls_per_s: dict[str, float] = field(default_factory=dict)
     descriptors: dict[str, tuple[int, int]] = field(default_factory=dict)
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -209,10 +209,16 @@
     def _watch_processors(self) -> None:
         """Note when entries wait for a processor, which other work on the machine may take."""
         waited: dict[int, float] = {}
+        calls: dict[str, int] = {}
         began_s = time.monotonic()
         while not self._over.wait(WATCH_S):
             now_s = time.monotonic()
             self._copies.append(self.deployment.copy_store())
+            for name, store in self.deployment.stores.items():
+                per_s = (store.calls - calls.get(name, store.calls)) / (now_s - began_s)
+                calls[name] = store.calls
+                most = self.seen.store_calls_per_s
+                most[name] = max(per_s, most.get(name, 0.0))
             for entry in self.deployment.entries:
                 pid, so_far_s = entry.popen.pid, _waited_s(entry.popen.pid)
                 if so_far_s - waited.get(pid, so_far_s) > STARVED_S:
--- a/tools/tests/test_soak_checks.py
+++ b/tools/tests/test_soak_checks.py
@@ -46,6 +46,7 @@
     seen.stops = [("vm-1", 3.4, 0)]
     seen.disturbed = {"vm-1": []}
     seen.descriptors = {"vm-1": (60, 70)}
+    seen.store_calls_per_s = {"vm-1": 40.0, "vm-2": 30.0}
     return seen
 
 
@@ -139,6 +140,10 @@
         self.seen.paths = ["/never/x"]
         self.assertEqual(self.broken(), {"all comes back"})
 
+    def test_calls_of_the_store_without_pauses_are_found(self):
+        self.seen.store_calls_per_s = {"vm-1": 40.0, "vm-2": 1_001.0}
+        self.assertEqual(self.broken(), {"store calls are paced"})
+
     def test_descriptors_that_stay_open_are_found(self):
         self.seen.descriptors = {"vm-1": (60, 400)}
         self.assertEqual(self.broken(), {"descriptors come back"})
