--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -45,6 +45,9 @@
     "links-silent": (0.3, 1.5),
 }
 """How long those last that are taken back."""
+RESTORED = "store-restored"
+KINDS = (*WEIGHTS, RESTORED)
+"""All kinds of faults."""
 LEAVES_SHARE, AT_ONCE_SHARE = 0.05, 0.1
 """Parts of the callers' requests whose caller leaves early, or repeats at once after a failure."""
 
@@ -54,7 +57,7 @@
     """A fault.
 
     :param at_s: when, from the start of the traffic.
-    :param kind: a key of ``WEIGHTS``, or ``store-restored``.
+    :param kind: one of ``KINDS``.
     :param for_s: how long; 0 for what is not taken back.
     :param draw: a number between 0 and 1 by which its targets are chosen.
     """
@@ -98,7 +101,7 @@
     faults = _drawn(random.Random(f"faults {seed}"), seconds, FAULT_GAP_S, draw_kind)
     # Drawn apart, so that all other faults of a seed stay what they were.
     restores = _drawn(
-        random.Random(f"restores {seed}"), seconds, RESTORE_GAP_S, lambda rng: "store-restored"
+        random.Random(f"restores {seed}"), seconds, RESTORE_GAP_S, lambda rng: RESTORED
     )
     return tuple(sorted((*faults, *restores), key=lambda fault: fault.at_s))
 
--- a/tools/tests/test_soak_checks.py
+++ b/tools/tests/test_soak_checks.py
@@ -5,7 +5,7 @@
 
 from standins.operators import Searcher
 from tools.soak._checks import CHECKS, TOP_K, check_all
-from tools.soak._plan import WEIGHTS, draw_faults, draw_requests
+from tools.soak._plan import KINDS, draw_faults, draw_requests
 from tools.soak._seen import Arrival, Exchanged, Seen
 from tools.soak._world import World
 
@@ -158,6 +158,6 @@
 
     def test_every_kind_of_fault_can_be_carried_out(self):
         drawn = {fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0)}
-        self.assertEqual(drawn, set(WEIGHTS))
-        for kind in WEIGHTS:
+        self.assertEqual(drawn, set(KINDS))
+        for kind in KINDS:
             self.assertTrue(hasattr(World, "_" + kind.replace("-", "_")), kind)
