--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -39,6 +39,9 @@
 COPY_AGE_S, REWRITE_S, LEASE_S = 5.0, 1.5, 3.6
 """Age of the oldest copy that the store comes back from, and how long after its return all is
 written again, and entries of searchers that have left are removed."""
+LOST_ROUTES, READ_S = 3, 0.7
+"""Routes that are added before such a return, and the time in which entries read them; written
+again as one configuration, they leave the store's revision below that of before."""
 SLOW_MS, LINK_DELAY_S = 400.0, 0.1
 
 
@@ -247,10 +250,14 @@
 
     def _store_restored(self, fault: Fault, rng: random.Random) -> None:
         """Have the store answer nobody, come back from a copy, and be written again."""
+        copy = rng.choice(list(self._copies))
+        for _ in range(LOST_ROUTES):
+            self._route_added(fault, rng)
+        time.sleep(READ_S)
         began_s = time.monotonic()
         for entry in self.deployment.entries:
             self.deployment.turn_away(entry)
-        self.deployment.lose_since(rng.choice(list(self._copies)))
+        self.deployment.lose_since(copy)
         time.sleep(fault.for_s)
         for store in self.deployment.stores.values():
             store.down = False
