--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -95,6 +95,11 @@
         except MalformedError:
             connection.reply(Reply(400, b'{"code":"malformed"}'))
 
+    @property
+    def open_connections(self) -> tuple[Connection, ...]:
+        """The connections that are open now."""
+        return tuple(self._open)
+
     def abort_all(self) -> None:
         """Close every open connection at once, with what is not yet sent."""
         for connection in tuple(self._open):
--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -241,6 +241,22 @@
 
         self.run(refusing)
 
+    def silence_store_connections(self, *entries: EntryProcess) -> None:
+        """Make the open connections of entries to the store silent, while new ones work.
+
+        :param entries: the entries; none for all.
+        """
+        for entry in entries or self.entries:
+            self.run(self.stores[entry.name].silence_open_connections)
+
+    def cut_off_store(self, entry: EntryProcess) -> None:
+        """Make the store silent for an entry, on open and on new connections.
+
+        :param entry: the entry.
+        """
+        self.silence_store_connections(entry)
+        self.stores[entry.name].unreachable = True
+
     def _change(self, change: Callable[[], None]) -> None:
         def changing() -> None:
             change()
--- a/standins/operators/_store.py
+++ b/standins/operators/_store.py
@@ -1,6 +1,7 @@
 """The store on a port."""
 
 import asyncio
+import weakref
 
 import orjson
 
@@ -16,13 +17,16 @@
 
     :param model: the contents; call :meth:`changed` after changing them.
     :ivar down: whether callers of this port get 503.
+    :ivar unreachable: whether callers of this port get no response at all.
     :ivar calls: calls so far.
     """
 
     def __init__(self, model: StoreModel) -> None:
         self.model = model
         self.down = False
+        self.unreachable = False
         self.calls = 0
+        self._silent: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._waiting: dict[Connection, tuple[str, int, asyncio.TimerHandle]] = {}
         self._server = Server(self._requested, self._gone, lambda count: 0.0)
 
@@ -48,8 +52,16 @@
             self._gone(connection)
             connection.abort()
 
+    def silence_open_connections(self) -> None:
+        """Send nothing more on connections that are open now, and leave them open."""
+        for connection in self._server.open_connections:
+            self._gone(connection)
+            self._silent.add(connection)
+
     def _requested(self, connection: Connection, request: Request) -> None:
         self.calls += 1
+        if self.unreachable or connection in self._silent:
+            return
         if self.down:
             connection.reply(self._with_era(503))
             return
