published, gateway: logs and a counter for a published state that nobody confirms

The logs of the incident could not tell whether an entry's watch was open and silent, whether it waited at a reader that knew nothing, or whether a version was lost on its way: only a probe's no-route showed the age of the state. plan-adopted now says who told it (by_peer) and for how long the state had not been confirmed before (age_ms); state-unconfirmed and state-confirmed mark the time in which neither the store nor another entry confirmed it, config_unconfirmed_total counts them. The limit is two thirds of the operators' bound for a change (config_apply_ms of the settings). Nothing is decided by it yet.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -139,6 +139,7 @@
             self._fleet,
             self._rng,
             self._plan_changed,
+            settings.freshness,
         )
         self._peers = Peers(
             self.timers,
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -29,6 +29,9 @@
     "platform_calls_total", "Reads and watches of the platform's store", True
 )
 READER_CALLS = ScalarMetric("reader_calls_total", "Waits for changes at another entry", True)
+CONFIRMATION_LAPSES = ScalarMetric(
+    "config_unconfirmed_total", "Times that the published state was not confirmed in time", True
+)
 STORE_ERA = ScalarMetric("store_era", "Era of the store that is known: its returns from copies")
 UNUSABLE_ENTRIES = ScalarMetric(
     "unusable_entries", "Keys of the store that hold what can't be used"
@@ -107,6 +110,7 @@
         metrics.set_scalar(EXTRA_SENDS_LEFT, self._budget.min_left())
         metrics.set_scalar(STORE_CALLS, self._source.platform_calls)
         metrics.set_scalar(READER_CALLS, self._source.reader_calls)
+        metrics.set_scalar(CONFIRMATION_LAPSES, self._follower.confirmation_lapses)
         metrics.set_scalar(STORE_ERA, self._follower.revision.era)
         metrics.set_scalar(UNUSABLE_ENTRIES, len(self._follower.unusable))
         metrics.set_scalar(UNUSABLE_ENTRIES_FOUND, self._follower.unusable.total_found)
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -4,6 +4,7 @@
 
 from rhubarbhinge.fleet import ColdRule
 from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.published import DEFAULT_FRESHNESS, Freshness
 from rhubarbhinge.retries import BudgetRule
 
 
@@ -37,6 +38,7 @@
     :param retry_budget: limit of hedges and retries of all entries together.
     :param link_bits_per_ms: rate of the VM's network link; 0 if it is unknown.
     :param cold_rule: limit of the requests of all entries together to a cold searcher.
+    :param freshness: how recent the published state has to be; fixed at the start of the process.
     """
 
     name: str
@@ -54,6 +56,7 @@
     retry_budget: BudgetRule
     link_bits_per_ms: float = 0.0
     cold_rule: ColdRule = ColdRule()
+    freshness: Freshness = DEFAULT_FRESHNESS
 
 
 def changed_fields(old: EntrySettings, new: EntrySettings) -> list[str]:
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -7,7 +7,9 @@
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published._change_log import Change, ChangeLog, coalesce
 from rhubarbhinge.published._changes import Changes
+from rhubarbhinge.published._confirmation import Confirmation
 from rhubarbhinge.published._evacuated_domains import EvacuatedDomains
+from rhubarbhinge.published._freshness import DEFAULT_FRESHNESS, Freshness
 from rhubarbhinge.published._published_searchers import PublishedSearchers
 from rhubarbhinge.published._read_backoff import ReadBackoff
 from rhubarbhinge.published._read_failure import ReadFailure
@@ -39,6 +41,7 @@
     :param fleet: receives the searchers.
     :param rng: adds jitter to pauses.
     :param on_plan: called with each new serving plan.
+    :param freshness: how recent the state has to be.
     :ivar log: recent changes, for entries that follow this one.
     :ivar unusable: store entries that describe no usable searcher or serving plan.
     :ivar on_changed: called when the log has grown.
@@ -51,19 +54,24 @@
         fleet: Fleet,
         rng: random.Random,
         on_plan: Callable[[ServingPlan], None],
+        freshness: Freshness = DEFAULT_FRESHNESS,
     ):
         self._timers = timers
         self._source = source
         self._on_plan = on_plan
         self.plan: ServingPlan | None = None
         self.revision = NO_REVISION
+        self._confirmation = Confirmation(timers, freshness.confirm_within_ms, _do_nothing)
         self._searchers = PublishedSearchers(
-            timers, fleet, lambda: self.revision, self._record_change, lambda: self._confirmed_ms
+            timers,
+            fleet,
+            lambda: self.revision,
+            self._record_change,
+            lambda: self._confirmation.confirmed_ms,
         )
         self._evacuated = EvacuatedDomains(
             timers, fleet, lambda: self.revision, self._record_change
         )
-        self._confirmed_ms = float("-inf")
         self._backoff = ReadBackoff(rng)
         self._resync = ResyncTimer(timers)
         self.unusable = UnusableEntries(timers.now_ms)
@@ -73,6 +81,7 @@
 
     def start(self) -> None:
         """Read the full state, then follow its changes."""
+        self._confirmation.start()
         self._source.read_all(self._on_list_result)
 
     @property
@@ -92,7 +101,12 @@
         :param age_ms: time since it was confirmed; -1 if it never was.
         """
         if revision == self.revision and age_ms >= 0:
-            self._confirm(age_ms)
+            self._confirmation.confirm(age_ms)
+
+    @property
+    def confirmation_lapses(self) -> int:
+        """How often the state was not confirmed in time."""
+        return self._confirmation.lapses
 
     def is_current(self) -> bool:
         """Check whether the platform or a peer has confirmed the state recently.
@@ -106,9 +120,7 @@
 
         :returns: time since it was confirmed, -1 if it never was.
         """
-        if not self._is_confirmed:
-            return -1.0
-        return self._timers.now_ms() - self._confirmed_ms
+        return self._confirmation.age_ms()
 
     def snapshot(self) -> Snapshot:
         """Return the full state, to be sent to peers.
@@ -171,21 +183,12 @@
 
         :param snapshot: the peer's state.
         """
-        self._adopt_plan(snapshot.plan)
+        self._adopt_plan(snapshot.plan, by_peer=True)
         is_resync = self.needs_full_state and snapshot.revision == self.revision
-        if snapshot.revision > self.revision or not self._is_confirmed or is_resync:
+        if snapshot.revision > self.revision or not self._confirmation.is_known or is_resync:
             self._apply_snapshot(snapshot, by_peer=True)
         elif snapshot.revision == self.revision:
-            self._confirm(snapshot.age_ms)
-
-    @property
-    def _is_confirmed(self) -> bool:
-        return self._confirmed_ms > float("-inf")
-
-    def _confirm(self, age_ms: float) -> None:
-        if age_ms < 0:
-            return
-        self._confirmed_ms = max(self._confirmed_ms, self._timers.now_ms() - age_ms)
+            self._confirmation.confirm(snapshot.age_ms)
 
     # Reading.
 
@@ -198,8 +201,8 @@
         self._watch()
 
     def _apply_snapshot(self, snapshot: Snapshot, by_peer: bool) -> None:
-        self._adopt_plan(snapshot.plan)
-        if not may_replace(self.revision, self._is_confirmed, snapshot):
+        self._adopt_plan(snapshot.plan, by_peer)
+        if not may_replace(self.revision, self._confirmation.is_known, snapshot):
             self._log_rejected_state(snapshot.revision, snapshot.plan, by_peer)
             return
         restored = is_restore(self.revision, snapshot.revision)
@@ -220,7 +223,7 @@
         )
         self._resync.on_full_state(by_peer)
         self.revision = snapshot.revision
-        self._confirm(snapshot.age_ms)
+        self._confirmation.confirm(snapshot.age_ms)
 
     def _watch(self) -> None:
         after = self.revision
@@ -279,17 +282,24 @@
 
     # Applying.
 
-    def _adopt_plan(self, plan: ServingPlan | None) -> None:
+    def _adopt_plan(self, plan: ServingPlan | None, by_peer: bool) -> None:
         if plan is None or (self.plan is not None and plan.version <= self.plan.version):
             return
         before = None if self.plan is None else self.plan.version
         self.plan = plan
-        log_event("plan-adopted", version=plan.version, before=before, routes=len(plan.routes))
+        log_event(
+            "plan-adopted",
+            version=plan.version,
+            before=before,
+            routes=len(plan.routes),
+            by_peer=by_peer,
+            age_ms=round(self.age_ms()),
+        )
         self._record_change(plan)
         self._on_plan(plan)
 
     def _apply_changes(self, changes: Changes) -> None:
-        self._adopt_plan(changes.plan)
+        self._adopt_plan(changes.plan, changes.by_peer)
         if changes.revision < self.revision:
             self._log_rejected_state(changes.revision, changes.plan, changes.by_peer)
             return
@@ -306,7 +316,7 @@
         self._searchers.retain(changes.lapsed_ms)
         self._searchers.remove_unpublished(changes.removed, changes.by_peer)
         self.revision = changes.revision
-        self._confirm(changes.age_ms)
+        self._confirmation.confirm(changes.age_ms)
 
     def _on_platform_restored(self, revision: Revision, by_peer: bool) -> None:
         self._resync.on_platform_restored()
--- a/standins/operators/_entry_process.py
+++ b/standins/operators/_entry_process.py
@@ -26,6 +26,7 @@
 readiness = "{ip}:{ready}"
 [bounds]
 grace_s = 6
+config_apply_ms = 3000
 retry_budget_ratio = {ratio}
 retry_window_s = 10
 retry_budget_slack = 56
