peers: the store is only waited for right after it has answered

What callers see: 404 for an added route for 4 to 7 s after the store is back from a copy, when the copy and what is written again leave it at the revision that the entries know.

Cause: after a failed watch the next one began at the revision known from before the outage. The store stands there in a later era; nothing is after it, so it gives neither events nor 410, and the era is learned at the end of the watch. The class: a long wait is begun on a belief that an outage may have ended. Change: a wait at the store follows an answer of it; after any failure, and after waits at a reader, the first call asks for an answer at once, which tells the era and that the store is back.

--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -103,6 +103,9 @@
     of a fresh one, and then waits for changes at the reader. A start thus costs one cheap call,
     even when all entries start at once.
 
+    The platform is only waited for right after it has answered: what this entry knows of it may be
+    out of date, and its connections dead, if it has not been heard from.
+
     :param timers: the timer service.
     :param client: calls peers.
     :param store: reads the platform.
@@ -127,6 +130,7 @@
         self._timers = timers
         self._freshness = freshness
         self._wait: _Wait | None = None
+        self._is_answered = False
         self._client = client
         self._store = store
         self._name = name
@@ -211,7 +215,7 @@
         log_event("wait-abandoned", level="warning", reader=self._reader_ip)
         if self._reader_ip:
             self._avoid(self._reader_ip)
-        wait.is_question = True
+        self._is_answered = False
         self._ask_platform(wait)
 
     def _begin(self, wait: _Wait) -> None:
@@ -239,7 +243,7 @@
         if reader.ip != self._reader_ip:
             self._log_position, self._reader_ip = None, reader.ip
             log_event("reader-chosen", reader=reader.name)
-        self._is_reading = False
+        self._is_reading = self._is_answered = False
         self.reader_calls += 1
         known = self._known_state()
         position = self._position_parameters(wait.after_revision)
@@ -264,6 +268,7 @@
         self._log_position, self._reader_ip = None, ""
         self._is_reading = True
         self.platform_calls += 1
+        wait.is_question = not self._is_answered
         wait_ms = 0.0 if wait.is_question else self._freshness.watch_ms
 
         def done(outcome: Changes | ReadFailure) -> None:
@@ -274,6 +279,7 @@
         wait.cancel = self._store.wait_for_changes(wait.after_revision, wait_ms, timeout_ms, done)
 
     def _on_platform_outcome(self, outcome: Changes | Snapshot | ReadFailure) -> None:
+        self._is_answered = not isinstance(outcome, ReadFailure)
         self._is_failing = isinstance(outcome, ReadFailure) and not outcome.history_lost
         if not self._is_failing:
             self._reads_until_ms = inf
--- a/standins/tests/test_late_changes.py
+++ b/standins/tests/test_late_changes.py
@@ -46,6 +46,16 @@
                     fleet.change()
                     self.check_in_time(fleet)
 
+    # Guards against a long watch of a restored store that stands at the revision of before.
+    def test_change_is_in_force_in_time_after_the_store_was_restored_to_the_same_revision(self):
+        for away_ms in (800.0, 2_000.0):
+            for silently in (False, True):
+                for writes in (0, 4):
+                    with self.subTest(away_ms=away_ms, silently=silently, writes=writes):
+                        fleet = SimulatedFleet(3, DOMAINS)
+                        fleet.restore_store(silently, away_ms, writes)
+                        self.check_in_time(fleet)
+
     # Guards against late changes under disturbances that overlap.
     def test_changes_are_in_force_in_time_under_drawn_disturbances(self):
         for seed in SEEDS:
