web, gateway: connections for the published state are kept idle for a second only

Cause: the HTTP client keeps idle connections for 15 s and hands them to the next call. One that has died meanwhile costs that call its whole timeout, here a third of the time for a change, after two thirds have gone by. Entries that read the store rarely, as their reader does it for them, are the ones that have such connections.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -56,6 +56,10 @@
 RELOAD_MS = 2_000.0
 """Interval at which the settings are reloaded, as they may change without a signal."""
 
+STATE_IDLE_MS = 1_000.0
+"""Time for which idle connections to the store and to other entries are kept: longer than the pause
+between two watches, and too short for a dead one to delay a change for long."""
+
 MakePlatformClient = Callable[[HttpClient, Callable[[], Address]], PlatformClient]
 """Creates a client of the store from an HTTP client and a function that returns its address."""
 
@@ -89,8 +93,10 @@
         self._metrics = Metrics()
         self.timers = TimerService().register(self)
         self._membership_settled_at_ms = self.timers.now_ms() + MEMBERSHIP_SETTLE_MS
-        store_client = HttpClient(self.timers).register(self)
-        peer_client = HttpClient(self.timers, accept_gzip=True).register(self)
+        store_client = HttpClient(self.timers, idle_timeout_ms=STATE_IDLE_MS).register(self)
+        peer_client = HttpClient(
+            self.timers, accept_gzip=True, idle_timeout_ms=STATE_IDLE_MS
+        ).register(self)
         self._fleet = Fleet(self.timers.now_ms, self._searcher_removed)
         self._reachability = DomainReachability(
             self.timers.now_ms,
--- a/rhubarbhinge/web/_client.py
+++ b/rhubarbhinge/web/_client.py
@@ -15,7 +15,7 @@
 """Maximum number of idle connections kept for one address."""
 
 IDLE_TIMEOUT_MS = 15_000.0
-"""Milliseconds after which an idle connection is closed; below most servers' own timeout."""
+"""Default time after which an idle connection is closed; below most servers' own timeout."""
 
 Address = tuple[str, int]
 Headers = tuple[tuple[str, str], ...]
@@ -50,13 +50,21 @@
     :param timers: the timer service.
     :param accept_gzip: whether to accept gzip-compressed replies, which are decoded before
         delivery.
+    :param idle_timeout_ms: time after which an idle connection is closed. A connection that has
+        died meanwhile costs the next call its whole timeout.
     """
 
     channel = "http-client"
 
-    def __init__(self, timers: TimerService, accept_gzip: bool = False):
+    def __init__(
+        self,
+        timers: TimerService,
+        accept_gzip: bool = False,
+        idle_timeout_ms: float = IDLE_TIMEOUT_MS,
+    ):
         super().__init__()
         self._timers = timers
+        self._idle_timeout_ms = idle_timeout_ms
         self._accept_gzip = accept_gzip
         self._call_ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
@@ -155,7 +163,8 @@
         if len(idle) >= MAX_IDLE_PER_ADDRESS or not self._connections.reusable(conn):
             self._connections.close(conn)
             return
-        idle[conn] = self._timers.after(IDLE_TIMEOUT_MS, lambda: self._connections.close(conn))
+        timeout_ms = self._idle_timeout_ms
+        idle[conn] = self._timers.after(timeout_ms, lambda: self._connections.close(conn))
 
     def _remove_idle(self, address: Address, conn: int) -> None:
         idle = self._idle.get(address)
--- a/rhubarbhinge/web/tests/test_client.py
+++ b/rhubarbhinge/web/tests/test_client.py
@@ -33,6 +33,16 @@
         self.tree.until(lambda: len(self.done) == 2)
         self.assertEqual([b"one", b"two"], self.outcomes())
 
+    def test_connection_is_closed_when_it_was_idle_for_too_long(self):
+        self.client = HttpClient(self.tree.timers, idle_timeout_ms=50.0).register(self.tree.root)
+        self.call("/1")
+        peer = self.upstream.accept().wait_received(b"GET /1 ").send(reply(b"one"))
+        self.tree.until(lambda: self.done)
+        peer.wait_closed()
+        self.call("/2")
+        self.upstream.accept().wait_received(b"GET /2 ").send(reply(b"two"))
+        self.tree.until(lambda: len(self.done) == 2)
+
     def test_idle_connection_closed_by_peer_is_not_reused(self):
         self.call("/1")
         peer = self.upstream.accept().wait_received(b"GET /1 ").send(reply(b"one"))
--- a/standins/tests/simulated_entries.py
+++ b/standins/tests/simulated_entries.py
@@ -8,6 +8,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.gateway import Address
+from rhubarbhinge.gateway._entry import STATE_IDLE_MS
 from rhubarbhinge.peers import KnownState, Peers, SharedSource
 from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.published import Follower, Freshness
@@ -94,8 +95,8 @@
             self._start_components(timers, rng)
 
     def _start_components(self, timers: ProcessTimers, rng: random.Random) -> None:
-        store_client = HttpClient(timers)
-        peer_client = HttpClient(timers, accept_gzip=True)
+        store_client = HttpClient(timers, idle_timeout_ms=STATE_IDLE_MS)
+        peer_client = HttpClient(timers, accept_gzip=True, idle_timeout_ms=STATE_IDLE_MS)
         source = SharedSource(
             timers,
             peer_client,
--- a/standins/tests/test_late_changes.py
+++ b/standins/tests/test_late_changes.py
@@ -56,6 +56,25 @@
                         fleet.restore_store(silently, away_ms, writes)
                         self.check_in_time(fleet)
 
+    # Guards against a question on an idle connection that has died since it was last used.
+    def test_change_is_in_force_in_time_although_idle_connections_to_the_store_have_died(self):
+        for offset_ms in range(0, 1_600, 200):
+            with self.subTest(offset_ms=offset_ms):
+                fleet = SimulatedFleet(4, DOMAINS)
+                readers = fleet.readers
+                followers = [entry for entry in fleet.entries if entry not in readers]
+                for reader in readers:
+                    # Meanwhile the others ask the store.
+                    fleet.kill(reader, 500.0)
+                fleet.run(5_000.0)
+                for entry in followers:
+                    fleet.silence_to_store(entry)
+                fleet.run(4_500.0 + offset_ms)
+                for reader in readers:
+                    fleet.cut_from_store(reader, 7_000.0)
+                fleet.change()
+                self.check_in_time(fleet)
+
     # Guards against late changes under disturbances that overlap.
     def test_changes_are_in_force_in_time_under_drawn_disturbances(self):
         for seed in SEEDS:
