timing: what came during a pause is read first, also when the process was stopped while it polled

Cause: a poll that a stop interrupts returns nothing, as its time is over, and its pause was noticed but its result thrown away: due timers ran before anything was read. A process that waits is stopped there nearly always.

Change: the pause found when polling ends defers the timers too. Evidence: the new test fails before. test_pause_is_reported_before_due_timers had a poll that is late each time; its poll is late once now, so that the order of the same two events is asserted (a loop that is always late has its own test).

--- a/rhubarbhinge/timing/_service.py
+++ b/rhubarbhinge/timing/_service.py
@@ -100,17 +100,20 @@
         """
         self._pause_callbacks.append(callback)
 
-    def poll_returned(self) -> None:
-        """Record that polling has ended; socket owners call this if :attr:`is_polling` is set."""
+    def poll_returned(self) -> bool:
+        """Record that polling has ended; socket owners call this if :attr:`is_polling` is set.
+
+        :returns: whether the process was paused while it polled.
+        """
         self.is_polling = False
-        self._check_for_pause(self.now_ms(), self._requested_wait_ms)
+        return self._check_for_pause(self.now_ms(), self._requested_wait_ms)
 
     @handler("generate_events", priority=RUN_PRIORITY)
     def _on_iteration(self, event) -> None:
-        if self.is_polling:
-            self.poll_returned()
+        # A poll during which the process was stopped may return nothing, whatever has arrived.
+        was_paused = self.is_polling and self.poll_returned()
         now_ms = self.now_ms()
-        was_paused = self._check_for_pause(now_ms, 0.0)
+        was_paused |= self._check_for_pause(now_ms, 0.0)
         # Deadlines that expired during a pause would fail requests whose replies are still unread.
         self._is_deferring_timers = was_paused and not self._is_deferring_timers
         if not self._is_deferring_timers and self._heap and self._heap[0][0] <= now_ms:
--- a/rhubarbhinge/timing/tests/test_service.py
+++ b/rhubarbhinge/timing/tests/test_service.py
@@ -75,6 +75,7 @@
         self.timers.on_pause(lambda late_ms: self.seen.append(("pause", late_ms)))
         self.timers.after(200, self.recorder("timer"))
         self.poller.late_ms = 501
+        self.poller.on_polled = lambda: setattr(self.poller, "late_ms", 0)
         self.run_iterations(3)
         self.assertEqual(["pause", "timer"], [name for name, _ in self.seen][:2])
         self.assertAlmostEqual(501, self.seen[0][1], places=3)
@@ -109,6 +110,19 @@
         self.run_iterations(4)
         self.assertEqual(["polled", "deadline"], [name for name, _ in self.seen][:2])
 
+    # Guards against requests that fail, and states that seem fresh, after a process was stopped
+    # while it polled: such a poll returns nothing, whatever has arrived.
+    def test_data_is_read_before_due_timers_although_the_interrupted_poll_returned_nothing(self):
+        def return_nothing():
+            self.poller.late_ms = 0.0
+            self.poller.on_polled = self.recorder("polled")
+
+        self.timers.after(300, self.recorder("deadline"))
+        self.poller.late_ms = 3_000.0
+        self.poller.on_polled = return_nothing
+        self.run_iterations(4)
+        self.assertEqual(["polled", "deadline"], [name for name, _ in self.seen][:2])
+
     def test_loop_that_is_always_late_still_runs_timers(self):
         def stall_while_reading():
             self.timers.poll_returned()
