published: what waited to be read during a pause does not confirm the state as of now

Cause: a heartbeat with the revision that an entry knows confirms its state as of the age that it tells. One that had waited in a stopped process for seconds was taken as sent just now, so that a state 4.5 s old counted as 1.0 s old (state-confirmed age_ms=966, then no-route age_ms=973 current=true).

Change: until what came during a pause has been read, its length is added to each age.

--- a/rhubarbhinge/published/_confirmation.py
+++ b/rhubarbhinge/published/_confirmation.py
@@ -25,6 +25,7 @@
         self._limit_ms = limit_ms
         self._on_overdue = on_overdue
         self._started_ms = float("-inf")
+        self._unread_ms = 0.0
         self.is_overdue = False
         self.confirmed_ms = float("-inf")
         self.lapses = 0
@@ -41,14 +42,27 @@
         """
         return self._timers.now_ms() - self.confirmed_ms if self.is_known else -1.0
 
+    def on_pause(self, late_ms: float) -> None:
+        """Process a pause of this process, during which messages may have waited to be read.
+
+        :param late_ms: how long it lasted.
+        """
+        self._unread_ms = late_ms
+        self._timers.after(0, self._on_pause_read)
+
+    def _on_pause_read(self) -> None:
+        self._unread_ms = 0.0
+
     def confirm(self, age_ms: float) -> None:
         """Record that the state was current.
 
-        :param age_ms: time since it was; -1 if that is not known.
+        :param age_ms: time since it was when the message that says so was sent; -1 if that is not
+            known.
         """
         if age_ms < 0:
             return
-        self.confirmed_ms = max(self.confirmed_ms, self._timers.now_ms() - age_ms)
+        now_ms = self._timers.now_ms()
+        self.confirmed_ms = max(self.confirmed_ms, now_ms - age_ms - self._unread_ms)
         if self.is_overdue and self._overdue_in_ms() > 0:
             self.is_overdue = False
             log_event("state-confirmed", age_ms=round(age_ms))
--- a/rhubarbhinge/published/_follower.py
+++ b/rhubarbhinge/published/_follower.py
@@ -62,6 +62,7 @@
         self.revision = NO_REVISION
         self.freshness = freshness
         self._confirmation = Confirmation(timers, freshness.confirm_within_ms, source.confirm)
+        timers.on_pause(self._confirmation.on_pause)
         self._searchers = PublishedSearchers(
             timers,
             fleet,
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -218,6 +218,16 @@
         self.follower.on_peer_revision(make_revision(10), 50.0)
         self.assertTrue(self.follower.is_current())
 
+    # Guards against 404 for a route that was added while this entry stood still.
+    def test_message_that_waited_during_a_pause_does_not_confirm_the_state_as_of_now(self):
+        self.respond_with_list()
+        self.timers.stall(3_500.0)
+        self.follower.on_peer_revision(make_revision(10), 50.0)
+        self.assertFalse(self.follower.is_current())
+        self.timers.advance(0.0)
+        self.follower.on_peer_revision(make_revision(10), 50.0)
+        self.assertTrue(self.follower.is_current())
+
     def test_older_revision_of_peer_does_not_confirm_the_state(self):
         self.respond_with_list()
         self.timers.advance(8_000.0)
--- a/rhubarbhinge/utils/fake_timers.py
+++ b/rhubarbhinge/utils/fake_timers.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Callable
 
-from rhubarbhinge.timing import TimerHandle
+from rhubarbhinge.timing import DEFAULT_PAUSE_THRESHOLD_MS, TimerHandle
 
 
 class FakeTimers:
@@ -17,6 +17,7 @@
         self._now_ms = now_ms
         self._sequence = itertools.count()
         self._heap: list[tuple[float, int, TimerHandle]] = []
+        self._pause_callbacks: list[Callable[[float], None]] = []
 
     def now_ms(self) -> float:
         """Return the current time.
@@ -37,12 +38,22 @@
         heapq.heappush(self._heap, entry)
         return timer
 
+    def on_pause(self, callback: Callable[[float], None]) -> None:
+        """Register a callback for pauses of the process.
+
+        :param callback: called with the duration of a pause in milliseconds.
+        """
+        self._pause_callbacks.append(callback)
+
     def stall(self, duration_ms: float) -> None:
         """Advance the clock without running timers, like a process that is stalled.
 
         :param duration_ms: time in milliseconds.
         """
         self._now_ms += duration_ms
+        if duration_ms > DEFAULT_PAUSE_THRESHOLD_MS:
+            for callback in self._pause_callbacks:
+                callback(duration_ms)
 
     def advance(self, duration_ms: float) -> None:
         """Advance the clock and run the timers that become due.
