--- a/standins/operators/_deployment.py
+++ b/standins/operators/_deployment.py
@@ -208,15 +208,17 @@
 
         self._change(forgetting)
 
-    def lose_since(self, copy: StoreCopy) -> None:
-        """Make the store come back from a copy, with all watches cut.
+    def lose_since(self, copy: StoreCopy, cut_watches: bool = True) -> None:
+        """Make the store come back from a copy.
 
         :param copy: the copy, from :meth:`copy_store`.
+        :param cut_watches: whether the connections of those that wait are cut.
         """
 
         def losing() -> None:
             for store in self.stores.values():
-                store.drop_waiting()
+                if cut_watches:
+                    store.drop_waiting()
             self.model.restore(copy)
 
         self.run(losing)
@@ -228,6 +230,18 @@
         """
         return self.run(self.model.copy)
 
+    def write_up_to(self, revision: int) -> None:
+        """Write what concerns no entry until the store has reached a revision.
+
+        :param revision: the revision; nothing is written if it has been reached.
+        """
+
+        def writing() -> None:
+            while self.model.revision < revision:
+                self.model.put("other/filler", self.model.revision)
+
+        self._change(writing)
+
     def turn_away(self, entry: EntryProcess) -> None:
         """Make the store refuse an entry, and end its watch.
 
--- a/standins/operators/_proxy.py
+++ b/standins/operators/_proxy.py
@@ -22,6 +22,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
 
     async def listen(self) -> int:
         """Start.
@@ -48,6 +49,10 @@
             if rng.random() < share:
                 writer.transport.abort()
 
+    def silence_open_connections(self) -> None:
+        """Swallow all bytes of the connections that are open now, and leave them open."""
+        self._silenced |= self._open
+
     async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._port())
@@ -60,13 +65,14 @@
             self._pump(reader, far_writer), self._pump(far_reader, writer), return_exceptions=True
         )
         self._open.difference_update((writer, far_writer))
+        self._silenced.difference_update((writer, far_writer))
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if self.silent:
+                if self.silent or writer in self._silenced:
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,6 +19,7 @@
     seconds: float = 30.0,
     entries: int = 6,
     folder: str = "out/soak",
+    state_only: bool = False,
 ) -> None:
     """Play runs and print what the checks found; exits with 1 when one is broken.
 
@@ -27,6 +28,7 @@
     :param minutes: runs are begun for so long.
     :param seconds: how long requests come in a run.
     :param entries: how many entries, three at least.
+    :param state_only: whether only faults are drawn that concern the published state.
     :param folder: where reports go, and the logs of runs that broke a check.
     """
     # In the background interrupts are ignored, and a plain end would leave the entries running.
@@ -37,7 +39,7 @@
     for number in itertools.count(seed):
         if number >= seed + seeds and time.monotonic() >= until_s:
             break
-        played = play(number, seconds, entries, Path(folder))
+        played = play(number, seconds, entries, Path(folder), state_only)
         print(text(number, played.faults, played.seen, played.checked), flush=True)
         path = Path(folder, f"seed-{number}.json")
         write_json(path, number, played.faults, played.seen, played.checked)
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -14,6 +14,8 @@
 """So long after a searcher has left the store nothing more arrives at it."""
 IN_TOUCH_S = 4.0
 """An entry counts as in touch so long after anything was done to it or to the store."""
+APPLY_S = 3.0
+"""So long after its acknowledgement a change is in force at entries in touch."""
 FATAL_ENDS, FATAL_RETRIES = 3, 3
 """Once so many searchers have ended under a request, so many more attempts may arrive."""
 STOP_S = 6.0
@@ -150,12 +152,38 @@
 
 
 def _all_in_touch(seen: Seen, entry: str | None, at_s: float) -> bool:
-    spans = [span for spans in seen.disturbed.values() for span in spans] + seen.store_trouble
     return entry is not None and not any(
-        start_s < at_s and at_s < end_s + IN_TOUCH_S for start_s, end_s in spans
+        _is_near(span, at_s)
+        for spans in (*seen.disturbed.values(), *seen.store_lost.values(), seen.store_trouble)
+        for span in spans
     )
 
 
+def _is_near(span: tuple[float, float], at_s: float) -> bool:
+    """Tell whether what was done in a span still excuses an entry at a time."""
+    start_s, end_s = span
+    return start_s < at_s < end_s + IN_TOUCH_S
+
+
+def _changes_are_in_force(seen: Seen) -> Iterator[Finding]:
+    """A route that was added is known to entries in touch by the time that a change may take."""
+    for one in seen.exchanged:
+        acknowledged_s = seen.acknowledged_s.get(one.path)
+        if acknowledged_s is None or one.sent_s < acknowledged_s + APPLY_S:
+            continue
+        spans = (
+            *seen.disturbed.get(one.entry, ()),
+            *seen.store_lost.get(one.entry, ()),
+            *seen.store_trouble,
+        )
+        if one.status == 0 or any(_is_near(span, one.sent_s) for span in spans):
+            continue
+        unknown = one.status == 404 or b"stale-plan" in one.body
+        late_s = one.sent_s - acknowledged_s
+        fault = f"{one.entry} does not know {one.path} {late_s:.2f} s after its acknowledgement"
+        yield (one.id, fault) if unknown else None
+
+
 def _no_process_ends_by_itself(seen: Seen) -> Iterator[Finding]:
     yield ", ".join(seen.ended_by_itself) or None
 
@@ -243,6 +271,7 @@
     "attempts": _attempts,
     "nothing unasked": _nothing_unasked,
     "drains": _drains,
+    "changes are in force": _changes_are_in_force,
     "no process ends by itself": _no_process_ends_by_itself,
     "stops end in time": _stops_end_in_time,
     "nobody is cut off": _stops_cut_nobody_off,
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -8,6 +8,13 @@
 """Mean time between faults; most last longer, so that they overlap."""
 RESTORE_GAP_S = 12.0
 """Mean time between the store's returns from a copy of itself."""
+SILENCE_GAP_S = 5.0
+"""Mean time between moments at which connections fall silent."""
+CHANGE_GAP_S = 2.0
+"""Mean time between changes of the configuration."""
+STATE_GAP_S = 6.0
+"""Mean time between faults of a run for the published state, in which entries have to be in touch
+now and then for changes to be due at them."""
 CALM_BEFORE_S, CALM_AFTER_S = 2.0, 8.0
 """Without faults at the start, and at the end for what has to come back by itself."""
 WEIGHTS = {
@@ -43,10 +50,24 @@
     "searchers-refuse": (0.2, 2.0),
     "links-slow": (0.5, 2.0),
     "links-silent": (0.3, 1.5),
+    "store-out-of-reach": (0.5, 6.0),
 }
 """How long those last that are taken back."""
 RESTORED = "store-restored"
-KINDS = (*WEIGHTS, RESTORED)
+CHANGED = "route-added"
+SILENCES = ("store-connections-silent", "store-out-of-reach", "searcher-connections-silent")
+STATE_KINDS = (
+    *SILENCES[:2],
+    RESTORED,
+    "store-refuses",
+    "store-forgets",
+    "entry-killed",
+    "entry-stopped",
+    "entry-frozen",
+    "searcher-leaves",
+)
+"""Kinds of faults of a run for the published state."""
+KINDS = (*WEIGHTS, RESTORED, *SILENCES)
 """All kinds of faults."""
 LEAVES_SHARE, AT_ONCE_SHARE = 0.05, 0.1
 """Parts of the callers' requests whose caller leaves early, or repeats at once after a failure."""
@@ -103,7 +124,23 @@
     restores = _drawn(
         random.Random(f"restores {seed}"), seconds, RESTORE_GAP_S, lambda rng: RESTORED
     )
-    return tuple(sorted((*faults, *restores), key=lambda fault: fault.at_s))
+    silences = _drawn(
+        random.Random(f"silences {seed}"), seconds, SILENCE_GAP_S, lambda rng: rng.choice(SILENCES)
+    )
+    return tuple(sorted((*faults, *restores, *silences), key=lambda fault: fault.at_s))
+
+
+def draw_state_faults(seed: int, seconds: float) -> tuple[Fault, ...]:
+    """Draw the faults of a run that checks when changes of the published state are in force.
+
+    :param seed: the seed.
+    :param seconds: length of the traffic.
+    :returns: the faults, by time.
+    """
+    rngs = (random.Random(f"state faults {seed}"), random.Random(f"state changes {seed}"))
+    faults = _drawn(rngs[0], seconds, STATE_GAP_S, lambda rng: rng.choice(STATE_KINDS))
+    changes = _drawn(rngs[1], seconds, CHANGE_GAP_S, lambda rng: CHANGED)
+    return tuple(sorted((*faults, *changes), key=lambda fault: fault.at_s))
 
 
 def _drawn(
--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -8,7 +8,7 @@
 
 from tools.soak._callers import Caller, ask_once
 from tools.soak._checks import Checked, check_all
-from tools.soak._plan import Fault, draw_faults, draw_requests
+from tools.soak._plan import Fault, draw_faults, draw_requests, draw_state_faults
 from tools.soak._seen import Seen
 from tools.soak._world import World
 
@@ -31,16 +31,23 @@
     checked: Checked
 
 
-def play(seed: int, seconds: float, entries: int, keep_logs: Path | None = None) -> Played:
+def play(
+    seed: int,
+    seconds: float,
+    entries: int,
+    keep_logs: Path | None = None,
+    state_only: bool = False,
+) -> Played:
     """Play one run.
 
     :param seed: draws its faults and requests.
     :param seconds: how long requests come.
     :param entries: how many entries.
     :param keep_logs: where logs of the entries go when a check fails; None to drop them.
+    :param state_only: whether faults are drawn that concern the published state, fewer of them.
     :returns: the run.
     """
-    faults = draw_faults(seed, seconds)
+    faults = (draw_state_faults if state_only else draw_faults)(seed, seconds)
     with tempfile.TemporaryDirectory() as folder:
         world = World(Path(folder), seed, entries)
         try:
--- a/tools/soak/_seen.py
+++ b/tools/soak/_seen.py
@@ -58,6 +58,8 @@
     :ivar stops: when entries were asked to stop, and their exit codes, by name.
     :ivar left_s: when searchers left the store, by id.
     :ivar store_trouble: times (from, to) of trouble at the store.
+    :ivar store_lost: times (from, to) of trouble between each entry and the store, by name.
+    :ivar acknowledged_s: when the store acknowledged each added route, by path.
     :ivar fatal_ends_s: when searchers ended by a fatal request, by its path.
     :ivar calm_from_s: when all faults were over and their ends had settled.
     :ivar paths: paths that answer at the end.
@@ -73,6 +75,8 @@
     stops: list[tuple[str, float, int]] = field(default_factory=list)
     left_s: dict[str, float] = field(default_factory=dict)
     store_trouble: list[tuple[float, float]] = field(default_factory=list)
+    store_lost: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    acknowledged_s: dict[str, float] = field(default_factory=dict)
     fatal_ends_s: dict[str, list[float]] = field(default_factory=dict)
     calm_from_s: float = float("inf")
     starved: int = 0
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -4,7 +4,6 @@
 import signal
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 
@@ -14,18 +13,14 @@
     EntryProcess,
     Proxy,
     Searcher,
-    StoreCopy,
-    configuration,
 )
 from tools.soak._callers import ask_once
 from tools.soak._plan import CALM_AFTER_S, Fault
 from tools.soak._seen import Arrival, Seen
+from tools.soak._store_faults import SHARDS, ZONES, StoreFaults
 
-SHARDS = tuple(f"shard-{number}" for number in range(8))
-ZONES = ("hall-a", "hall-b", "hall-c")
 REPLICAS = 3
 WORK_MS = 15.0
-TARGET_MS = 250
 START_S = 3.0
 """Entries know each other so long after their start."""
 SETTLE_S = 5.0
@@ -36,12 +31,6 @@
 WATCH_S, STARVED_S = 0.5, 0.2
 """How often it is looked at, and what an entry waits for a processor meanwhile for it to count as
 held up, as if it were frozen."""
-COPY_AGE_S, REWRITE_S, LEASE_S = 5.0, 1.5, 3.6
-"""Age of the oldest copy that the store comes back from, and how long after its return all is
-written again, and entries of searchers that have left are removed."""
-LOST_ROUTES, READ_S = 3, 0.7
-"""Routes that are added before such a return, and the time in which entries read them; written
-again as one configuration, they leave the store's revision below that of before."""
 SLOW_MS, LINK_DELAY_S = 400.0, 0.1
 
 
@@ -60,26 +49,25 @@
         self.seen = Seen()
         self._rng = random.Random(f"targets {seed}")
         self._seed = seed
-        self._version = 3
-        self._routes = {"any": SHARDS[0]}
         self._proxies: dict[str, Proxy] = {}
         self._lasting: list[threading.Thread] = []
         self._guard = threading.Lock()
+        self._store = StoreFaults(self.deployment, self.seen, self._guard)
         self._stopping: set[str] = set()
         self._over = threading.Event()
         self._before: dict[str, int] = {}
-        self._copies: deque[StoreCopy] = deque(maxlen=round(COPY_AGE_S / WATCH_S))
         self._entries = entries
 
     def start(self) -> None:
         """Start searchers and entries, and wait until the entries serve and know each other."""
-        self._publish()
+        self._store.publish()
         for number, shard in enumerate(SHARDS):
             for place in range(REPLICAS):
                 self._add_searcher(shard, number, place)
         for number in range(self._entries):
             entry = self.deployment.start_entry(zone=ZONES[number % len(ZONES)])
             self.seen.disturbed[entry.name] = []
+            self.seen.store_lost[entry.name] = []
         for entry in self.deployment.entries:
             if not wait_until(entry.is_ready):
                 raise RuntimeError(f"{entry.name} does not get ready: {entry.log()[-2_000:]}")
@@ -101,7 +89,7 @@
             thread.join()
         settled_s = time.monotonic() + SETTLE_S
         self.seen.calm_from_s = max(settled_s, started_s + seconds - CALM_AFTER_S + SETTLE_S)
-        self.seen.paths = [f"/{name}/x" for name in self._routes]
+        self.seen.paths = [f"/{name}/x" for name in self._store.routes]
 
     def close(self) -> None:
         """Take what is seen at the end, and end everything, also what a fault is about to start."""
@@ -132,7 +120,8 @@
                 self.seen.arrivals.append(Arrival(request_id, service, name, at_s, begins))
 
     def _begin(self, fault: Fault) -> None:
-        carry_out = getattr(self, "_" + fault.kind.replace("-", "_"))
+        name = fault.kind.replace("-", "_")
+        carry_out = getattr(self._store, name, None) or getattr(self, f"_{name}")
         rng = random.Random(f"{self._seed} {fault.at_s} {fault.draw}")
         thread = threading.Thread(target=carry_out, args=(fault, rng), daemon=True)
         self._lasting.append(thread)
@@ -216,7 +205,10 @@
         began_s = time.monotonic()
         while not self._over.wait(WATCH_S):
             now_s = time.monotonic()
-            self._copies.append(self.deployment.copy_store())
+            if now_s - began_s > WATCH_S + STARVED_S:
+                # The store answers from this process, and was held up with it.
+                self.seen.store_trouble.append((began_s, now_s))
+            self._store.copies.append(self.deployment.copy_store())
             for name, store in self.deployment.stores.items():
                 per_s = (store.calls - calls.get(name, store.calls)) / (now_s - began_s)
                 calls[name] = store.calls
@@ -230,61 +222,6 @@
                 waited[pid] = so_far_s
             began_s = now_s
 
-    # The store.
-
-    def _store_refuses(self, fault: Fault, rng: random.Random) -> None:
-        began_s = time.monotonic()
-        names = [name for name in self.deployment.stores if rng.random() < 0.7]
-        for entry in self.deployment.entries:
-            if entry.name in names:
-                self.deployment.turn_away(entry)
-        time.sleep(fault.for_s)
-        for name in names:
-            self.deployment.stores[name].down = False
-        self.seen.store_trouble.append((began_s, time.monotonic()))
-
-    def _store_forgets(self, fault: Fault, rng: random.Random) -> None:
-        began_s = time.monotonic()
-        self.deployment.forget_history()
-        self.seen.store_trouble.append((began_s, time.monotonic()))
-
-    def _store_restored(self, fault: Fault, rng: random.Random) -> None:
-        """Have the store answer nobody, come back from a copy, and be written again."""
-        copy = rng.choice(list(self._copies))
-        for _ in range(LOST_ROUTES):
-            self._route_added(fault, rng)
-        time.sleep(READ_S)
-        began_s = time.monotonic()
-        for entry in self.deployment.entries:
-            self.deployment.turn_away(entry)
-        self.deployment.lose_since(copy)
-        time.sleep(fault.for_s)
-        for store in self.deployment.stores.values():
-            store.down = False
-        returned_s = time.monotonic()
-        time.sleep(rng.uniform(0.0, REWRITE_S))
-        with self._guard:
-            self._publish()
-            for name, searcher in self.deployment.searchers.items():
-                if searcher.is_listening and not searcher.gone:
-                    self.deployment.write_again(f"servers/{name}", searcher.entry())
-        time.sleep(max(0.0, returned_s + LEASE_S - time.monotonic()))
-        with self._guard:
-            for name in self.seen.left_s:
-                self.deployment.delete(f"servers/{name}")
-        self.seen.store_trouble.append((began_s, returned_s))
-
-    def _route_added(self, fault: Fault, rng: random.Random) -> None:
-        with self._guard:
-            self._version += rng.choice((1, 2, 5))
-            self._routes[f"added-{self._version}"] = rng.choice(SHARDS)
-            self._publish()
-
-    def _publish(self) -> None:
-        once = {"once": SHARDS[1]}
-        wanted = configuration(self._version, SHARDS, once, self._routes, TARGET_MS)
-        self.deployment.write_again("op/config", wanted)
-
     # Searchers.
 
     def _add_searcher(self, shard: str, number: int, place: int) -> None:
@@ -354,6 +291,11 @@
         for proxy in self._proxies.values():
             self.deployment.run(lambda one=proxy: one.reset(0.5, rng))
 
+    def _searcher_connections_silent(self, fault: Fault, rng: random.Random) -> None:
+        for proxy in self._proxies.values():
+            if rng.random() < 0.7:
+                self.deployment.run(proxy.silence_open_connections)
+
     def _links_slow(self, fault: Fault, rng: random.Random) -> None:
         self._harm_links(fault, rng, "delay_s", LINK_DELAY_S, 0.0)
 
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -10,6 +10,9 @@
 LEAST_KINDS = 10
 
 
+STATE_SEED = 3
+
+
 class SoakTest(unittest.TestCase):
     def test_a_seeded_run_breaks_no_promise(self):
         kinds = {fault.kind for fault in draw_faults(SEED, SECONDS)}
@@ -19,3 +22,9 @@
         told = text(SEED, played.faults, played.seen, played.checked)
         self.assertEqual(played.checked.violations, (), told)
         self.assertGreater(played.checked.counts["answers are whole and own"], 100, told)
+
+    # Guards against changes of the published state that entries in touch do not know in time.
+    def test_changes_are_in_force_in_time_in_a_seeded_run(self):
+        played = play(STATE_SEED, SECONDS, ENTRIES, state_only=True)
+        told = text(STATE_SEED, played.faults, played.seen, played.checked)
+        self.assertEqual(played.checked.violations, (), told)
--- a/tools/tests/test_soak_checks.py
+++ b/tools/tests/test_soak_checks.py
@@ -5,8 +5,16 @@
 
 from standins.operators import Searcher
 from tools.soak._checks import CHECKS, TOP_K, check_all
-from tools.soak._plan import KINDS, draw_faults, draw_requests
+from tools.soak._plan import (
+    CHANGED,
+    KINDS,
+    STATE_KINDS,
+    draw_faults,
+    draw_requests,
+    draw_state_faults,
+)
 from tools.soak._seen import Arrival, Exchanged, Seen
+from tools.soak._store_faults import StoreFaults
 from tools.soak._world import World
 
 SHARDS = ("a", "b")
@@ -30,6 +38,11 @@
     return Exchanged(f"f{number}", "/search/fatal", "vm-1", sent_s, sent_s, 502, {}, b"")
 
 
+def added(sent_s: float, **changes: object) -> Exchanged:
+    one = replace(once("p1"), path="/added/x", sent_s=sent_s, ended_s=sent_s + 0.1)
+    return replace(one, **changes)
+
+
 def good_run() -> Seen:
     seen = Seen(calm_from_s=9.0, paths=["/search/x"])
     refused = replace(once("o2", 503), sent_s=8.0)
@@ -47,6 +60,8 @@
     seen.disturbed = {"vm-1": []}
     seen.descriptors = {"vm-1": (60, 70)}
     seen.store_calls_per_s = {"vm-1": 40.0, "vm-2": 30.0}
+    seen.exchanged.append(added(10.0))
+    seen.acknowledged_s = {"/added/x": 5.0}
     return seen
 
 
@@ -104,6 +119,17 @@
         self.seen.store_trouble = [(5.0, 7.0)]
         self.assertEqual(self.broken(), set())
 
+    def test_a_change_that_is_late_is_found_at_entries_in_touch_only(self):
+        for changes in ({"status": 404}, {"status": 503, "body": b'{"code":"stale-plan"}'}):
+            self.seen = good_run()
+            self.seen.exchanged[-1] = added(8.1, id="p2", **changes)
+            self.assertEqual(self.broken(), {"changes are in force"}, changes)
+            self.seen.exchanged[-1] = added(7.9, id="p2", **changes)
+            self.assertEqual(self.broken(), set(), changes)
+            self.seen.exchanged[-1] = added(8.1, id="p2", **changes)
+            self.seen.store_lost = {"vm-1": [(3.0, 4.2)]}
+            self.assertEqual(self.broken(), set(), changes)
+
     def test_a_process_that_ends_by_itself_is_found(self):
         self.seen.ended_by_itself.append("vm-1")
         self.assertEqual(self.broken(), {"no process ends by itself"})
@@ -159,5 +185,8 @@
     def test_every_kind_of_fault_can_be_carried_out(self):
         drawn = {fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0)}
         self.assertEqual(drawn, set(KINDS))
+        of_state = {fault.kind for seed in range(20) for fault in draw_state_faults(seed, 60.0)}
+        self.assertEqual(of_state, {*STATE_KINDS, CHANGED})
         for kind in KINDS:
-            self.assertTrue(hasattr(World, "_" + kind.replace("-", "_")), kind)
+            name = kind.replace("-", "_")
+            self.assertTrue(hasattr(World, f"_{name}") or hasattr(StoreFaults, name), kind)
