--- a/rhubarbhinge/peers/_shared_source.py
+++ b/rhubarbhinge/peers/_shared_source.py
@@ -9,6 +9,8 @@
 from rhubarbhinge.peers._answer_timeout import AnswerTimeout
 from rhubarbhinge.peers._known_state import NOTHING_KNOWN, KnownState
 from rhubarbhinge.peers._paths import CHANGES_PATH, with_query
+from rhubarbhinge.peers._pending_wait import OnOutcome, PendingWait
+from rhubarbhinge.peers._reader_choice import ReaderChoice
 from rhubarbhinge.peers._reports import PeerReports
 from rhubarbhinge.peers._state_codec import StateError, decode_state
 from rhubarbhinge.published import (
@@ -26,19 +28,6 @@
 
 RESPONSE_MARGIN_MS = 400.0
 """Time that a response may take beyond the duration of the long poll."""
-READER_RETRY_MS = 3_000.0
-"""Time for which a failed reader is not asked; by then its heartbeats show whether it is alive."""
-MIN_KNOWN_MS = 3_000.0
-"""An entry without a direct report is used as reader once it has been known for this time; one that
-has just started would send its followers to the platform."""
-
-DISCOVERY_MS = 400.0
-"""Time after its start in which an entry learns of most others of its domain, even when all start
-within 300 ms of each other. The entry with the lowest name then reads the platform."""
-JOIN_MS = 3_000.0
-"""Time for which a starting entry looks for the reader before it waits for changes at the platform.
-When a large fleet starts as a whole, some entries learn late of the lowest name of their domain. An
-entry that stays behind a peer pulls that peer's state meanwhile."""
 JOIN_POLL_MS = 50.0
 """Interval at which a starting entry looks for the reader."""
 JOIN_RETRY_MS = 250.0
@@ -58,8 +47,6 @@
 ERA_CHANGED = "era-changed"
 """Code for a reader's response that is not used because another entry reported a later era."""
 
-OnOutcome = Callable[[Changes | Snapshot | ReadFailure], None]
-
 
 class _LogPosition(Struct, frozen=True):
     """Position in the change log of a reader up to which this entry has the changes.
@@ -75,24 +62,6 @@
     era: int
 
 
-class _Wait:
-    """A wait for changes that has not ended yet.
-
-    :param after_revision: the revision after which changes are wanted.
-    :param on_done: called with the outcome.
-    :ivar cancel: cancels the pending call or timer.
-    :ivar is_question: whether the platform is asked for an answer at once.
-    """
-
-    __slots__ = ("after_revision", "on_done", "cancel", "is_question")
-
-    def __init__(self, after_revision: Revision, on_done: OnOutcome):
-        self.after_revision = after_revision
-        self.on_done = on_done
-        self.cancel: Callable[[], None] = _do_nothing
-        self.is_question = False
-
-
 class SharedSource:
     """Reads the platform at one entry of each failure domain; the other entries ask that one.
 
@@ -130,24 +99,19 @@
     ):
         self._timers = timers
         self._freshness = freshness
-        self._wait: _Wait | None = None
+        self._wait: PendingWait | None = None
         self._is_answered = False
         self._answer_timeout = AnswerTimeout(freshness.answer_within_ms)
         self._client = client
         self._store = store
-        self._name = name
-        self._failure_domain = failure_domain
         self._port = port
-        self._membership: Membership | None = None
-        self._reports = PeerReports()
+        self._readers = ReaderChoice(timers, name, failure_domain, freshness)
         self._known_state: Callable[[], KnownState] = lambda: NOTHING_KNOWN
-        self._avoid_until_ms: dict[str, float] = {}
         self._log_position: _LogPosition | None = None
         self._reader_ip = ""
         self._is_failing = False
         self._reads_until_ms = inf
         self._is_reading = True
-        self._started_ms: float | None = None
         self._is_list_stale = False
         self._is_full_state_requested = False
         self.platform_calls = 0
@@ -170,8 +134,7 @@
         :param reports: their latest reports on the published state.
         :param known: returns the state of this entry, which a reader need not send.
         """
-        self._membership = membership
-        self._reports = reports
+        self._readers.set_peers(membership, reports)
         self._known_state = known
 
     def read_all(self, on_done: Callable[[Snapshot | ReadFailure], None]) -> None:
@@ -182,9 +145,7 @@
         self._log_position = None
         self._is_reading = True
         self.platform_calls += 1
-        is_first = self._started_ms is None
-        if is_first:
-            self._started_ms = self._timers.now_ms()
+        is_first = self._readers.start()
 
         def done(outcome: Snapshot | ReadFailure) -> None:
             self._on_platform_outcome(outcome)
@@ -205,7 +166,7 @@
         :param after_revision: the revision after which changes are wanted.
         :param on_done: called with the outcome.
         """
-        self._wait = _Wait(after_revision, on_done)
+        self._wait = PendingWait(after_revision, on_done)
         self._begin(self._wait)
 
     def confirm(self) -> None:
@@ -216,16 +177,16 @@
         wait.cancel()
         log_event("wait-abandoned", level="warning", reader=self._reader_ip)
         if self._reader_ip:
-            self._avoid(self._reader_ip)
+            self._readers.avoid(self._reader_ip)
         self._is_answered = False
         self._ask_platform(wait)
 
-    def _begin(self, wait: _Wait) -> None:
+    def _begin(self, wait: PendingWait) -> None:
         """Begin a wait at the reader, at the platform, or until it is known who reads."""
-        reader = self._choose_reader()
+        reader = self._readers.choose(self._is_failing)
         if reader is not None:
             self._ask_reader(wait, reader)
-        elif self._is_joining():
+        elif self._readers.is_joining():
             wait.cancel = self._timers.after(JOIN_POLL_MS, lambda: self._begin(wait)).cancel
         elif self._is_list_stale:
             # An entry that reads for others needs the latest state, from which changes are
@@ -236,12 +197,12 @@
         else:
             self._ask_platform(wait)
 
-    def _end(self, wait: _Wait, outcome: Changes | Snapshot | ReadFailure) -> None:
+    def _end(self, wait: PendingWait, outcome: Changes | Snapshot | ReadFailure) -> None:
         if wait is self._wait:
             self._wait = None
             wait.on_done(outcome)
 
-    def _ask_reader(self, wait: _Wait, reader: Member) -> None:
+    def _ask_reader(self, wait: PendingWait, reader: Member) -> None:
         if reader.ip != self._reader_ip:
             self._log_position, self._reader_ip = None, reader.ip
             log_event("reader-chosen", reader=reader.name)
@@ -265,7 +226,7 @@
             return []
         return [f"log={position.log_id}&after={position.position}"]
 
-    def _ask_platform(self, wait: _Wait) -> None:
+    def _ask_platform(self, wait: PendingWait) -> None:
         # Changes from the platform invalidate the position in a reader's log.
         self._log_position, self._reader_ip = None, ""
         self._is_reading = True
@@ -296,47 +257,8 @@
         else:
             self._reads_until_ms = -inf
 
-    def _uptime_ms(self) -> float:
-        """Return the time since the first read; infinite if this source has read nothing yet."""
-        return inf if self._started_ms is None else self._timers.now_ms() - self._started_ms
-
-    def _is_joining(self) -> bool:
-        """Check whether this entry has just started and may still discover a reader."""
-        uptime_ms = self._uptime_ms()
-        if self._membership is None or uptime_ms >= JOIN_MS:
-            return False
-        live = self._membership.live(self._failure_domain)
-        is_lowest = all(self._name < member.name for member in live)
-        return uptime_ms < DISCOVERY_MS or not is_lowest
-
-    def _choose_reader(self) -> Member | None:
-        """Choose the reader; None when this entry has to read the platform itself."""
-        if self._membership is None:
-            return None
-        now_ms = self._timers.now_ms()
-        for member in self._membership.live(self._failure_domain):
-            if self._avoid_until_ms.get(member.ip, 0.0) <= now_ms and self._may_be_reader(
-                member, now_ms
-            ):
-                return member if self._is_failing or member.name < self._name else None
-        return None
-
-    def _may_be_reader(self, member: Member, now_ms: float) -> bool:
-        report = self._reports.get(member.name, now_ms)
-        if self._uptime_ms() < JOIN_MS:
-            # When a fleet starts as a whole, no entry has been known for long, and the one with the
-            # lowest name reads. An entry that does not read says so at once.
-            return self._uptime_ms() >= DISCOVERY_MS or (report is not None and report.age_ms >= 0)
-        if report is None:
-            return self._membership.present_for_ms(member.name) >= MIN_KNOWN_MS
-        return 0 <= report.age_ms <= self._freshness.apply_within_ms
-
-    def _avoid(self, ip: str) -> None:
-        """Use an entry no longer as reader for a while."""
-        self._avoid_until_ms[ip] = self._timers.now_ms() + READER_RETRY_MS
-
     def _on_reader_outcome(
-        self, wait: _Wait, reader: Member, outcome: Reply | Failure, known: KnownState
+        self, wait: PendingWait, reader: Member, outcome: Reply | Failure, known: KnownState
     ) -> None:
         code = _failure_code(outcome)
         received = None
@@ -363,21 +285,19 @@
         self._is_list_stale = self._is_full_state_requested = False
         self._end(wait, received.state)
 
-    def _on_reader_failure(self, wait: _Wait, reader: Member, is_lost: bool, code: str) -> None:
+    def _on_reader_failure(
+        self, wait: PendingWait, reader: Member, is_lost: bool, code: str
+    ) -> None:
         log_event("reader-failed", level="warning", reader=reader.name, code=code)
-        is_joining = self._is_joining()
+        is_joining = self._readers.is_joining()
         if is_lost or not is_joining:
-            self._avoid(reader.ip)
+            self._readers.avoid(reader.ip)
         if is_joining:
             wait.cancel = self._timers.after(JOIN_RETRY_MS, lambda: self._begin(wait)).cancel
         else:
             self._ask_platform(wait)
 
 
-def _do_nothing() -> None:
-    pass
-
-
 def _failure_code(outcome: Reply | Failure) -> str:
     if isinstance(outcome, Failure):
         return outcome.code
