--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -175,6 +175,7 @@
             *seen.disturbed.get(one.entry, ()),
             *seen.store_lost.get(one.entry, ()),
             *seen.store_trouble,
+            *seen.held_up,
         )
         if one.status == 0 or any(_is_near(span, one.sent_s) for span in spans):
             continue
--- a/tools/soak/_seen.py
+++ b/tools/soak/_seen.py
@@ -59,6 +59,7 @@
     :ivar left_s: when searchers left the store, by id.
     :ivar store_trouble: times (from, to) of trouble at the store.
     :ivar store_lost: times (from, to) of trouble between each entry and the store, by name.
+    :ivar held_up: times (from, to) at which the soak itself, and so the store, was held up.
     :ivar acknowledged_s: when the store acknowledged each added route, by path.
     :ivar fatal_ends_s: when searchers ended by a fatal request, by its path.
     :ivar calm_from_s: when all faults were over and their ends had settled.
@@ -76,6 +77,7 @@
     left_s: dict[str, float] = field(default_factory=dict)
     store_trouble: list[tuple[float, float]] = field(default_factory=list)
     store_lost: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    held_up: list[tuple[float, float]] = field(default_factory=list)
     acknowledged_s: dict[str, float] = field(default_factory=dict)
     fatal_ends_s: dict[str, list[float]] = field(default_factory=dict)
     calm_from_s: float = float("inf")
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -206,8 +206,8 @@
         while not self._over.wait(WATCH_S):
             now_s = time.monotonic()
             if now_s - began_s > WATCH_S + STARVED_S:
-                # The store answers from this process, and was held up with it.
-                self.seen.store_trouble.append((began_s, now_s))
+                # The store answers from this process.
+                self.seen.held_up.append((began_s, now_s))
             self._store.copies.append(self.deployment.copy_store())
             for name, store in self.deployment.stores.items():
                 per_s = (store.calls - calls.get(name, store.calls)) / (now_s - began_s)
