published: the store counts as silent only if it has answered no entry known here

What searchers see: requests for 1.5 s more after five or more of them left at once without draining, from an entry that begins to read the store as its reader has failed or knows nothing. With the wait for that, up to 3.5 s after the acknowledgement where 3.0 s are allowed.

Cause: the time since this entry's own last response of the store was taken for the silence of the store; entries that follow a reader have had none for minutes. Change: the confirmation counts, and the silence has to be as long as the shortest time in which a lease can run out, 2.4 s in place of 2.0, which is just the age at which an entry asks. Evidence: the new test fails before.

--- a/rhubarbhinge/published/_published_searchers.py
+++ b/rhubarbhinge/published/_published_searchers.py
@@ -20,9 +20,10 @@
 """When at least this number of store entries, and this share of all, vanish with one response of
 the platform, their leases ran out during an outage that went unnoticed: searchers that leave do so
 one by one, or report first that they are draining."""
-MASS_LAPSE_SILENCE_MS = 2_000.0
-"""Store entries count as a mass lapse only if the platform has sent nothing for this time; a lease
-runs longer."""
+MASS_LAPSE_SILENCE_MS = 2_400.0
+"""Store entries count as a mass lapse only if the platform has sent nothing to any entry known here
+for this time. No lease runs out sooner: it is three heartbeats of 1.2 s, of which one may have gone
+by when the platform became silent."""
 MASS_LAPSE_GRACE_MS = 1_500.0
 """How long the store entries of a mass lapse are retained. When this was observed, they came back
 within 1.3 s. A searcher that has left serves for at least another three seconds, so that no request
@@ -57,6 +58,7 @@
         self._revision = revision
         self._on_change = on_change
         self._by_incarnation: dict[str, Searcher] = {}
+        self._confirmed_ms = confirmed_ms
         self._lapsed = LapsedNames(timers, self._remove)
         self._removed_starts = RemovedStarts()
         self._unverified = UnverifiedSearchers(timers, confirmed_ms, self.update)
@@ -89,7 +91,7 @@
     def on_platform_response(self) -> None:
         """Record a response of the platform, and how long it had been silent before."""
         now_ms = self._timers.now_ms()
-        self._silence_ms = now_ms - self._last_response_ms
+        self._silence_ms = now_ms - max(self._last_response_ms, self._confirmed_ms())
         self._last_response_ms = now_ms
 
     def on_platform_restored(self) -> None:
--- a/rhubarbhinge/published/tests/test_follower.py
+++ b/rhubarbhinge/published/tests/test_follower.py
@@ -137,6 +137,18 @@
         self.timers.advance(1_000.0)
         self.assertEqual(set(names) - set(self.known_incarnations()), set(names[5:9]))
 
+    # Guards against requests to searchers that have left, at an entry that has read the platform by
+    # others until now.
+    def test_searchers_that_left_while_others_read_the_platform_are_removed_at_once(self):
+        self.respond(Snapshot(make_revision(10), plan(3), self.many_searchers()))
+        names = tuple(one.incarnation for one in self.many_searchers())
+        for _ in range(10):
+            self.timers.advance(1_000.0)
+            self.follower.on_peer_revision(make_revision(10), 20.0)
+        self.timers.advance(2_000.0)
+        self.respond(Changes(make_revision(20), None, (), names[:8]))
+        self.assertEqual(self.known_incarnations(), sorted(names[8:]))
+
     def test_peers_do_not_extend_the_retention_of_lapsed_entries(self):
         self.respond(Snapshot(make_revision(10), plan(3), self.many_searchers()))
         names = tuple(one.incarnation for one in self.many_searchers())
