--- a/standins/tests/simulated_network.py
+++ b/standins/tests/simulated_network.py
@@ -41,6 +41,7 @@
     :ivar servers: called with the connection, the request and its responder, by address.
     :ivar receivers: called with the sender's address and the datagram, by address.
     :ivar cuts: pairs of hosts between which nothing arrives.
+    :ivar connections: the open connections.
     """
 
     timers: FakeTimers
