members, peers: entries tell their VM's capacity and what they observe of domains, requests and searchers

Entries know nothing of each other's processor and link, and learn of unreachable domains and full searchers only by requests of their own. Members and heartbeats gain fields at their end, with bounds; earlier releases ignore them and are taken as unknown. Nothing uses the fields yet.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -160,6 +160,7 @@
             self._rng,
             lambda: source.reads_platform,
             quarantine,
+            settings.capacity,
         ).register(self)
         membership = self._peers.membership
         source.set_peers(
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -4,6 +4,7 @@
 
 from rhubarbhinge.fleet import ColdRule
 from rhubarbhinge.gateway._address import Address
+from rhubarbhinge.members import UNKNOWN_CAPACITY, VmCapacity
 from rhubarbhinge.published import DEFAULT_FRESHNESS, Freshness
 from rhubarbhinge.retries import BudgetRule
 
@@ -36,7 +37,8 @@
     :param store: address of the platform's store.
     :param stop_grace_ms: time between the stop signal and the forced end of the process.
     :param retry_budget: limit of hedges and retries of all entries together.
-    :param link_bits_per_ms: rate of the VM's network link; 0 if it is unknown.
+    :param capacity: processor and network link of the VM.
+    :param memory_bytes: memory limit of the process; 0 if it is unknown.
     :param cold_rule: limit of the requests of all entries together to a cold searcher.
     :param freshness: how recent the published state has to be; fixed at the start of the process.
     """
@@ -54,10 +56,16 @@
     store: Address
     stop_grace_ms: float
     retry_budget: BudgetRule
-    link_bits_per_ms: float = 0.0
+    capacity: VmCapacity = UNKNOWN_CAPACITY
+    memory_bytes: int = 0
     cold_rule: ColdRule = ColdRule()
     freshness: Freshness = DEFAULT_FRESHNESS
 
+    @property
+    def link_bits_per_ms(self) -> float:
+        """Rate of the VM's network link; 0 if it is unknown."""
+        return self.capacity.link_bits_per_ms
+
 
 def changed_fields(old: EntrySettings, new: EntrySettings) -> list[str]:
     """Compare settings.
--- a/rhubarbhinge/members/__init__.py
+++ b/rhubarbhinge/members/__init__.py
@@ -1,6 +1,7 @@
 """Gossip membership of the fleet's entries, at a cost per entry independent of the fleet size."""
 
 from rhubarbhinge.members._heartbeat import (
+    FullSearcher,
     Heartbeat,
     HeartbeatError,
     decode_heartbeat,
@@ -11,8 +12,11 @@
 from rhubarbhinge.members._members_codec import MembersError, decode_members, encode_members
 from rhubarbhinge.members._membership import Membership, PublishedStatus
 from rhubarbhinge.members._table_sync import TableSync
+from rhubarbhinge.members._vm_capacity import UNKNOWN_CAPACITY, VmCapacity
 
 __all__ = [
+    "UNKNOWN_CAPACITY",
+    "FullSearcher",
     "Heartbeat",
     "HeartbeatError",
     "Member",
@@ -22,6 +26,7 @@
     "Membership",
     "PublishedStatus",
     "TableSync",
+    "VmCapacity",
     "decode_heartbeat",
     "decode_members",
     "encode_heartbeat",
--- a/rhubarbhinge/members/_heartbeat.py
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -1,6 +1,7 @@
 """Heartbeats between entries and their encoding."""
 
 from collections.abc import Mapping
+from itertools import islice
 from typing import Annotated, Literal
 
 import msgspec
@@ -8,6 +9,7 @@
 
 from rhubarbhinge.members._member import Member, MemberState
 from rhubarbhinge.members._members_codec import WireMember
+from rhubarbhinge.members._vm_capacity import UNKNOWN_CAPACITY, CapacityUnits, VmCapacity
 from rhubarbhinge.quarantine import SuspicionMessage
 from rhubarbhinge.utils.bounded_types import AgeMs, Count, Milliseconds, Name
 from rhubarbhinge.utils.revision import Revision
@@ -23,6 +25,12 @@
 """Most suspicions in a heartbeat, at about 110 bytes each."""
 MAX_DOMAINS = 64
 """Most failure domains in a heartbeat; the planned fleet has seven."""
+MAX_ROUTES = 8
+"""Most routes whose requests a heartbeat counts; the callers of a deployment use three to five."""
+MAX_FULL_SEARCHERS = 8
+"""Most full searchers in a heartbeat, at about 20 bytes each."""
+MAX_MARK = (1 << 32) - 1
+"""Greatest mark of a searcher's start, a 32-bit checksum."""
 FLAG_LEAVING, FLAG_WANTS_REPLY = 1, 2
 """Bits of the flags field."""
 
@@ -36,6 +44,19 @@
     code = "bad-heartbeat"
 
 
+class FullSearcher(msgspec.Struct, frozen=True, array_like=True):
+    """Refusals of a searcher as observed by the sender of a heartbeat.
+
+    :param mark: identifies the searcher's start, as ``SearcherStart.mark``.
+    :param refused_permille: share of requests that it refuses, in thousandths.
+    :param age_ms: age of the observation.
+    """
+
+    mark: Annotated[int, msgspec.Meta(ge=0, le=MAX_MARK)]
+    refused_permille: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
+    age_ms: Milliseconds
+
+
 class Heartbeat(Struct, frozen=True):
     """A heartbeat. The sender's IP address is the source address of the datagram.
 
@@ -53,6 +74,10 @@
     :param updates: membership updates to gossip.
     :param suspicions: suspected requests, which crash the searchers that execute them.
     :param plan_version: version of the sender's configuration; 0 for none.
+    :param capacity: resources of the sender's VM.
+    :param unreachable_domains: failure domains that the sender has found to be unreachable.
+    :param recent_requests: number of recent requests of the sender's callers by route.
+    :param full_searchers: searchers that refuse many of the sender's requests.
     """
 
     name: str
@@ -68,6 +93,10 @@
     updates: tuple[Member, ...] = ()
     suspicions: tuple[SuspicionMessage, ...] = ()
     plan_version: int = 0
+    capacity: VmCapacity = UNKNOWN_CAPACITY
+    unreachable_domains: tuple[str, ...] = ()
+    recent_requests: Mapping[str, int] = field(default_factory=dict)
+    full_searchers: tuple[FullSearcher, ...] = ()
 
     def sender(self, ip: str) -> Member:
         """Return the sender as a membership update.
@@ -76,7 +105,15 @@
         :returns: the update.
         """
         state = MemberState.LEFT if self.leaving else MemberState.ALIVE
-        return Member(self.name, ip, self.failure_domain, self.start_id, self.counter, state)
+        return Member(
+            self.name,
+            ip,
+            self.failure_domain,
+            self.start_id,
+            self.counter,
+            state,
+            self.capacity,
+        )
 
 
 class _WireHeartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -99,6 +136,11 @@
     suspicions: Annotated[list[SuspicionMessage], msgspec.Meta(max_length=MAX_SUSPICIONS)] = []
     era: Count = 0
     plan_version: Count = 0
+    cores_percent: CapacityUnits = 0
+    link_mbps: CapacityUnits = 0
+    unreachable_domains: Annotated[list[Name], msgspec.Meta(max_length=MAX_DOMAINS)] = []
+    recent_requests: Annotated[dict[Name, Count], msgspec.Meta(max_length=MAX_ROUTES)] = {}
+    full_searchers: Annotated[list[FullSearcher], msgspec.Meta(max_length=MAX_FULL_SEARCHERS)] = []
 
 
 _decode_json = json_decoder(_WireHeartbeat)
@@ -126,6 +168,10 @@
             list(heartbeat.suspicions[:MAX_SUSPICIONS]),
             heartbeat.revision.era,
             heartbeat.plan_version,
+            *heartbeat.capacity.to_wire(),
+            list(heartbeat.unreachable_domains[:MAX_DOMAINS]),
+            dict(islice(heartbeat.recent_requests.items(), MAX_ROUTES)),
+            list(heartbeat.full_searchers[:MAX_FULL_SEARCHERS]),
         )
     )
 
@@ -157,4 +203,8 @@
         updates=tuple(update.to_member() for update in sent.updates),
         suspicions=tuple(sent.suspicions),
         plan_version=sent.plan_version,
+        capacity=VmCapacity.from_wire(sent.cores_percent, sent.link_mbps),
+        unreachable_domains=tuple(sent.unreachable_domains),
+        recent_requests=sent.recent_requests,
+        full_searchers=tuple(sent.full_searchers),
     )
--- a/rhubarbhinge/members/_member.py
+++ b/rhubarbhinge/members/_member.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from rhubarbhinge.members._vm_capacity import UNKNOWN_CAPACITY, VmCapacity
+
 
 class MemberState(enum.IntEnum):
     """State of an entry; of two updates with equal counters, the greater state wins."""
@@ -24,6 +26,7 @@
     :param counter: incremented by the entry itself to refute an update about it. It orders updates
         independently of the wall clock, which may jump.
     :param state: its state.
+    :param capacity: resources of its VM, which do not decide which of two updates is newer.
     """
 
     name: str
@@ -32,6 +35,7 @@
     start_id: int
     counter: int = 0
     state: MemberState = MemberState.ALIVE
+    capacity: VmCapacity = UNKNOWN_CAPACITY
 
     @property
     def is_present(self) -> bool:
--- a/rhubarbhinge/members/_members_codec.py
+++ b/rhubarbhinge/members/_members_codec.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rhubarbhinge.members._member import Member, MemberState
+from rhubarbhinge.members._vm_capacity import CapacityUnits, VmCapacity
 from rhubarbhinge.utils.bounded_types import Count, Ipv4, Name
 from rhubarbhinge.utils.strict_json import json_decoder
 
@@ -25,7 +26,7 @@
 class WireMember(msgspec.Struct, frozen=True, array_like=True):
     """The wire form of a :class:`Member`, an array of its fields in this order.
 
-    Later releases may append fields.
+    Later releases may append fields. Earlier ones do not send the capacity of the VM.
     """
 
     name: Name
@@ -34,6 +35,8 @@
     start_id: Count
     counter: Count
     state: MemberState
+    cores_percent: CapacityUnits = 0
+    link_mbps: CapacityUnits = 0
 
     @classmethod
     def from_member(cls, member: Member) -> "WireMember":
@@ -49,6 +52,7 @@
             member.start_id,
             member.counter,
             member.state,
+            *member.capacity.to_wire(),
         )
 
     def to_member(self) -> Member:
@@ -57,7 +61,13 @@
         :returns: the member.
         """
         return Member(
-            self.name, self.ip, self.failure_domain, self.start_id, self.counter, self.state
+            self.name,
+            self.ip,
+            self.failure_domain,
+            self.start_id,
+            self.counter,
+            self.state,
+            VmCapacity.from_wire(self.cores_percent, self.link_mbps),
         )
 
 
--- a/rhubarbhinge/members/_membership.py
+++ b/rhubarbhinge/members/_membership.py
@@ -432,6 +432,7 @@
             domain_ages_ms=self._domain_contacts.ages_ms(self._timers.now_ms()) if local else {},
             updates=updates,
             plan_version=published.plan_version,
+            capacity=me.capacity,
         )
         self._send_heartbeat(ip, heartbeat)
 
--- a/rhubarbhinge/members/tests/test_codec.py
+++ b/rhubarbhinge/members/tests/test_codec.py
@@ -9,11 +9,13 @@
 from msgspec.structs import replace
 
 from rhubarbhinge.members import (
+    FullSearcher,
     Heartbeat,
     HeartbeatError,
     Member,
     MembersError,
     MemberState,
+    VmCapacity,
     decode_heartbeat,
     decode_members,
     encode_heartbeat,
@@ -24,12 +26,20 @@
 
 SETTINGS = settings(derandomize=True, deadline=None, database=None)
 MEMBER = Member("vm-3", "10.0.0.3", "hall-b", 77, 4, MemberState.SUSPECT)
-REVISION, UPDATES, ERA = 6, 10, 12
+REVISION, UPDATES, ERA, CAPACITY = 6, 10, 12, 14
 """Indexes of fields in an encoded heartbeat."""
 HEARTBEAT = Heartbeat(
     "vm-2", "hall-a", 9, 3, False, True, make_revision(40), 12.0, 99, {"hall-b": 900.0}, (MEMBER,)
 )
 
+WITH_EXTRAS = replace(
+    HEARTBEAT,
+    capacity=VmCapacity(0.36, 7_000.0),
+    unreachable_domains=("hall-b", "hall-c"),
+    recent_requests={"sweep": 7, "lookup": 2},
+    full_searchers=(FullSearcher(4_294_967_295, 1_000, 250.0),),
+)
+
 
 class HeartbeatTest(unittest.TestCase):
     def test_heartbeat_round_trip(self):
@@ -37,6 +47,7 @@
         for heartbeat in (
             HEARTBEAT,
             later,
+            WITH_EXTRAS,
             replace(HEARTBEAT, leaving=True, wants_reply=False, age_ms=-1.0, updates=()),
         ):
             self.assertEqual(decode_heartbeat(encode_heartbeat(heartbeat)), heartbeat)
@@ -87,12 +98,37 @@
         before = decode_heartbeat(orjson.dumps(sent[:ERA]))
         self.assertEqual((before.revision, before.plan_version), (make_revision(40), 0))
 
+    def test_fields_of_later_releases_are_optional(self):
+        """An entry of an earlier release tells neither its capacity nor what it has observed."""
+        sent = orjson.loads(encode_heartbeat(WITH_EXTRAS))
+        self.assertEqual(decode_heartbeat(orjson.dumps(sent[:CAPACITY])), HEARTBEAT)
+
+    def test_extras_out_of_range_are_rejected(self):
+        """Values that no entry sends must not reach the decisions that use them."""
+        sent = orjson.loads(encode_heartbeat(WITH_EXTRAS))
+        for offset, value in (
+            (0, -1),
+            (1, 1_000_001),
+            (2, [""]),
+            (2, [f"hall-{number}" for number in range(65)]),
+            (3, {"sweep": -1}),
+            (3, {f"route-{number}": 1 for number in range(9)}),
+            (4, [[1, 1_001, 0.0]]),
+            (4, [[1 << 32, 500, 0.0]]),
+            (4, [[1, 500, -1.0]]),
+            (4, [[1, 500, 0.0]] * 9),
+        ):
+            changed = list(sent)
+            changed[CAPACITY + offset] = value
+            with self.subTest(offset=offset, value=value), self.assertRaises(HeartbeatError):
+                decode_heartbeat(orjson.dumps(changed))
+
     def test_appended_fields_are_ignored(self):
         data = encode_heartbeat(HEARTBEAT)[:-1] + b',"more"]'
         self.assertEqual(decode_heartbeat(data), HEARTBEAT)
 
     @FUZZ_SETTINGS
-    @given(JSON_VALUES | mutated_json(orjson.loads(encode_heartbeat(HEARTBEAT))))
+    @given(JSON_VALUES | mutated_json(orjson.loads(encode_heartbeat(WITH_EXTRAS))))
     def test_mutated_heartbeat_is_valid_or_raises(self, value):
         try:
             heartbeat = decode_heartbeat(msgspec.json.encode(value))
@@ -113,6 +149,7 @@
                 st.integers(0, 1 << 32),
                 st.integers(0, 1 << 40),
                 st.sampled_from(MemberState),
+                st.builds(VmCapacity.from_wire, st.integers(0, 300), st.integers(0, 300)),
             ),
             max_size=5,
         )
--- a/rhubarbhinge/peers/__init__.py
+++ b/rhubarbhinge/peers/__init__.py
@@ -1,5 +1,6 @@
 """Communication with other entries: heartbeats and exchange of the published state."""
 
+from rhubarbhinge.peers._heartbeat_extras import HeartbeatExtras
 from rhubarbhinge.peers._known_state import KnownState
 from rhubarbhinge.peers._peers import Peers
 from rhubarbhinge.peers._quarantine_gossip import QuarantineGossip
@@ -9,6 +10,7 @@
 
 __all__ = [
     "DecodedState",
+    "HeartbeatExtras",
     "KnownState",
     "PeerReport",
     "PeerReports",
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -7,17 +7,20 @@
 from msgspec.structs import replace
 
 from rhubarbhinge.members import (
+    UNKNOWN_CAPACITY,
     Heartbeat,
     HeartbeatError,
     Member,
     MembersError,
     Membership,
     TableSync,
+    VmCapacity,
     decode_heartbeat,
     decode_members,
     encode_heartbeat,
 )
 from rhubarbhinge.net import Datagrams
+from rhubarbhinge.peers._heartbeat_extras import NO_EXTRAS, HeartbeatExtras
 from rhubarbhinge.peers._paths import MEMBERS_PATH
 from rhubarbhinge.peers._published_status import published_status
 from rhubarbhinge.peers._quarantine_gossip import QuarantineGossip
@@ -55,6 +58,8 @@
     :param rng: adds jitter to heartbeats, and chooses peers.
     :param reads_platform: returns whether this entry successfully reads the platform itself.
     :param quarantine: suspicions about requests that crash searchers, sent with heartbeats.
+    :param capacity: resources of this VM.
+    :param extras: further data exchanged with the entries of this failure domain.
     :raises OSError: when the port cannot be bound.
     :ivar membership: the members of the fleet.
     :ivar reports: the members' latest reports on the published state.
@@ -76,6 +81,8 @@
         rng: random.Random,
         reads_platform: Callable[[], bool],
         quarantine: Quarantine,
+        capacity: VmCapacity = UNKNOWN_CAPACITY,
+        extras: HeartbeatExtras = NO_EXTRAS,
     ):
         super().__init__()
         self._timers = timers
@@ -84,7 +91,8 @@
         self._port = port
         self._live_names: set[str] = set()
         self.reports = PeerReports()
-        me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS))
+        self._extras = extras
+        me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS), capacity=capacity)
         self.membership = Membership(
             timers, me, seed_ips, rng, self._send, lambda: published_status(follower)
         )
@@ -118,8 +126,14 @@
         suspicions = self.quarantine_gossip.outgoing()
         if suspicions:
             heartbeat = replace(heartbeat, suspicions=suspicions)
+        if self._is_local(ip):
+            heartbeat = self._extras.add_to(heartbeat)
         self._datagrams.send(ip, self._port, encode_heartbeat(heartbeat))
 
+    def _is_local(self, ip: str) -> bool:
+        table = self.membership.table
+        return any(one.ip == ip for one in table.present(self.membership.me.failure_domain))
+
     def _on_datagram(self, ip: str, port: int, data: bytes) -> None:
         try:
             heartbeat = decode_heartbeat(data)
@@ -132,6 +146,8 @@
             return
         if heartbeat.suspicions:
             self.quarantine_gossip.receive(heartbeat.suspicions)
+        if heartbeat.failure_domain == membership.me.failure_domain:
+            self._extras.on_received(heartbeat)
         is_equal = heartbeat.members_digest == membership.digest
         self._table_sync.on_digest(ip, heartbeat.failure_domain, is_equal)
         revision, age_ms = heartbeat.revision, heartbeat.age_ms
