standins, deploy: a silent outage of the store; calls sent in its last moments

Calls that are sent in the last moments of such an outage get no answer on their connections and must not be waited for beyond the bound on changes.

The test holds on this code; with answers that may take 9 s in place of 0.75 s all of its 21 cases are late.

--- a/standins/tests/test_late_changes.py
+++ b/standins/tests/test_late_changes.py
@@ -46,6 +46,24 @@
                     fleet.change()
                     self.check_in_time(fleet)
 
+    # Guards against calls that were sent in the last moments of an outage and are waited for after
+    # it, although no answer will come on their connections.
+    def test_change_is_in_force_in_time_after_a_silent_outage_of_the_store(self):
+        for outage_ms in range(3_000, 3_700, 100):
+            for change_after_ms in (50.0, 1_000.0, 3_700.0):
+                with self.subTest(outage_ms=outage_ms, change_after_ms=change_after_ms):
+                    fleet = SimulatedFleet(6, DOMAINS)
+                    fleet.change()
+                    fleet.silence_all()
+                    fleet.lose_responses(1.0, outage_ms)
+                    fleet.run(outage_ms + change_after_ms)
+                    fleet.change()
+                    fleet.run(2_000.0)
+                    fleet.write_searcher()
+                    fleet.run(2_000.0)
+                    fleet.change()
+                    self.check_in_time(fleet)
+
     # Guards against a long watch of a restored store that stands at the revision of before.
     def test_change_is_in_force_in_time_after_the_store_was_restored_to_the_same_revision(self):
         for away_ms in (800.0, 2_000.0):
