delegation, gateway: shards are divided by the capacity of VMs

Callers saw searches late by the time that a small VM needs for its even part, while VMs with several times its resources had nothing to do: shards were divided evenly among entries selected at random.

Where the capacities known in a failure domain differ by a factor of two or more, shards are divided so that the slowest part ends as early as possible, entries are linked in proportion to capacity, single requests to other domains go to entries with capacity left, and the connection limit of an entry follows its share. An acceptance reports the sub-queries in progress at the delegate. In other domains shards are divided as before.

--- a/rhubarbhinge/delegation/__init__.py
+++ b/rhubarbhinge/delegation/__init__.py
@@ -5,8 +5,15 @@
 fewer callers, each of which knows more about its load.
 """
 
+from rhubarbhinge.delegation._capacity_split import (
+    ASSUMED_SHARD_BYTES,
+    SplitCandidate,
+    shards_per_ms,
+    split_by_capacity,
+)
 from rhubarbhinge.delegation._client import REPLY_MARGIN_MS, DelegateCall, DelegateClient
 from rhubarbhinge.delegation._delegated_sender import DelegatedSender
+from rhubarbhinge.delegation._domain_capacities import DomainCapacities
 from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
     AttemptGrant,
@@ -21,6 +28,7 @@
 from rhubarbhinge.delegation._server import DelegateServer
 
 __all__ = [
+    "ASSUMED_SHARD_BYTES",
     "REPLY_MARGIN_MS",
     "AttemptGrant",
     "AttemptRequest",
@@ -32,7 +40,11 @@
     "DelegateRequest",
     "DelegateServer",
     "DelegatedSender",
+    "DomainCapacities",
     "LinkCodec",
+    "SplitCandidate",
     "decode_message",
     "encode_message",
+    "shards_per_ms",
+    "split_by_capacity",
 ]
--- a/rhubarbhinge/delegation/_client.py
+++ b/rhubarbhinge/delegation/_client.py
@@ -2,13 +2,13 @@
 
 import itertools
 import random
-import zlib
-from collections.abc import Callable
 
 from circuits import BaseComponent
-from msgspec import Struct
 from msgspec.structs import replace
 
+from rhubarbhinge.delegation._capacity_split import SplitCandidate, near_best
+from rhubarbhinge.delegation._client_state import Call, Link, OnReply, split_candidates
+from rhubarbhinge.delegation._domain_capacities import DomainCapacities
 from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
     AttemptGrant,
@@ -21,7 +21,7 @@
 )
 from rhubarbhinge.fleet import DomainReachability
 from rhubarbhinge.gather import AttemptReport, GrantAttempts
-from rhubarbhinge.members import Member, Membership
+from rhubarbhinge.members import UNKNOWN_CAPACITY, Member, Membership, VmCapacity
 from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerHandle, TimerService
@@ -38,7 +38,7 @@
 
 LINKS_PER_DOMAIN = 6
 """Entries of a failure domain that this one sends requests to: the number that 90 shards are split
-among, plus one spare. Different entries use different ones, which balances the load, and the
+evenly among, plus one spare. Different entries use different ones, which balances the load, and the
 number of links does not grow with the fleet."""
 REPLY_GRACE_MS = 25.0
 """A delegate that has accepted a request replies with its results so far when the reply is due. If
@@ -47,33 +47,6 @@
 UNREACHABLE_REASONS = (CloseReason.SILENT, CloseReason.CONNECT_TIMEOUT)
 """Close reasons of links to unreachable hosts; a process that exits closes its links otherwise."""
 
-OnReply = Callable[[DelegateReply | None], None]
-"""Called with each reply, of which the last has no pending shards; or with None when the delegate
-failed and the remaining shards have to be searched in another way."""
-
-
-class _Link(Struct, eq=False):
-    """State of a link."""
-
-    ip: str
-    failure_domain: str
-    codec: LinkCodec
-    is_open: bool = False
-
-
-class _Call(Struct, eq=False):
-    """State of a request."""
-
-    link: int
-    ip: str
-    request_id: str
-    on_reply: OnReply
-    grant: GrantAttempts
-    timer: TimerHandle
-    sent_ms: float
-    due_ms: float
-    replied: bool = False
-
 
 class DelegateCall:
     """Handle of a request in progress.
@@ -108,6 +81,7 @@
     :param port: port on which entries accept requests.
     :param rng: randomizes the choice of entries.
     :param reachability: is informed of responding failure domains and of unreachable entries.
+    :ivar capacities: capacities of the entries of each failure domain.
     """
 
     channel = "delegates"
@@ -124,12 +98,13 @@
         self._reachability = reachability
         self._timers = timers
         self._membership = membership
+        self.capacities = DomainCapacities(membership)
         self._port = port
         self._rng = rng
         self._numbers = itertools.count(1)
-        self._by_link: dict[int, _Link] = {}
+        self._by_link: dict[int, Link] = {}
         self._by_ip: dict[str, int] = {}
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, Call] = {}
         self._backoff_until_ms: dict[str, float] = {}
         self._links = Links(
             self._opened, self._received, self._closed, detect_dead_peers=True
@@ -143,32 +118,46 @@
     def choose(self, failure_domain: str, count: int) -> list[str]:
         """Choose connected entries of a failure domain, and open missing links to others.
 
+        A single one is chosen among those with the most capacity left if the domain is uneven.
+
         :param failure_domain: the failure domain.
         :param count: maximum number of entries.
         :returns: their IP addresses; fewer than ``count``, or none, if not enough are connected.
         """
         if count <= 0:
             return []
-        ready = [ip for ip in self.prepare(failure_domain) if self._is_open(ip)]
+        if count == 1 and self.capacities.is_uneven(failure_domain):
+            ready = near_best(self.candidates(failure_domain))
+        else:
+            ready = [ip for ip in self.prepare(failure_domain) if self._is_open(ip)]
         return self._rng.sample(ready, min(count, len(ready)))
 
+    def candidates(self, failure_domain: str) -> list[SplitCandidate]:
+        """Return the connected entries of a failure domain, and open missing links to others.
+
+        :param failure_domain: the failure domain.
+        :returns: the entries, in an order that changes only with the membership.
+        """
+        members = self._prepare(failure_domain)
+        now_ms = self._timers.now_ms()
+        return split_candidates(members, self._by_ip, self._by_link, self._calls, now_ms)
+
     def prepare(self, failure_domain: str) -> list[str]:
         """Open the links to entries of a failure domain in advance of the first search.
 
         :param failure_domain: the failure domain.
         :returns: the IP addresses of the entries in that domain that this one sends requests to.
         """
-        now_ms = self._timers.now_ms()
-        healthy = [
-            member
-            for member in self._membership.live(failure_domain)
-            if self._backoff_until_ms.get(member.ip, 0.0) <= now_ms
-        ]
-        addresses = [member.ip for member in sorted(healthy, key=self._rank)[:LINKS_PER_DOMAIN]]
-        for ip in addresses:
-            if ip not in self._by_ip:
-                self._open(ip, failure_domain)
-        return addresses
+        return [member.ip for member in self._prepare(failure_domain)]
+
+    def capacity_of(self, ip: str) -> VmCapacity:
+        """Return the capacity of an entry when it was last chosen.
+
+        :param ip: its IP address, as returned by :meth:`choose` or :meth:`candidates`.
+        :returns: the capacity; unknown if there is no link to it.
+        """
+        link = self._by_link.get(self._by_ip.get(ip, -1))
+        return link.capacity if link is not None else UNKNOWN_CAPACITY
 
     def send(
         self, ip: str, request: DelegateRequest, on_reply: OnReply, grant: GrantAttempts
@@ -186,8 +175,16 @@
         timer = self._timers.after(ACCEPT_TIMEOUT_MS, lambda: self._on_timeout(number, "not-taken"))
         now_ms = self._timers.now_ms()
         due_ms = now_ms + request.reply_after_ms + REPLY_GRACE_MS
-        self._calls[number] = _Call(
-            link, ip, request.request_id, on_reply, grant, timer, now_ms, due_ms
+        self._calls[number] = Call(
+            link,
+            ip,
+            request.request_id,
+            on_reply,
+            grant,
+            timer,
+            now_ms,
+            due_ms,
+            len(request.services),
         )
         self._send(link, replace(request, number=number))
         # Flushed before connections to the searchers of this entry's own shards are opened, which
@@ -215,9 +212,22 @@
         if call is not None:
             self._send(call.link, AttemptGrant(number, services))
 
-    def _rank(self, member: Member) -> int:
-        """Return a sort key that differs between requesting entries."""
-        return zlib.crc32(f"{self._membership.me.name} {member.name}".encode())
+    def _prepare(self, failure_domain: str) -> list[Member]:
+        """Return the first entries without a recent failure, and open missing links to them."""
+        now_ms = self._timers.now_ms()
+        healthy = (
+            member
+            for member in self.capacities.ranked(failure_domain)
+            if self._backoff_until_ms.get(member.ip, 0.0) <= now_ms
+        )
+        linked = list(itertools.islice(healthy, LINKS_PER_DOMAIN))
+        for member in linked:
+            if member.ip not in self._by_ip:
+                self._open(member.ip, failure_domain)
+            link = self._by_link.get(self._by_ip.get(member.ip, -1))
+            if link is not None:
+                link.capacity = member.capacity
+        return linked
 
     def _is_open(self, ip: str) -> bool:
         link = self._by_link.get(self._by_ip.get(ip, -1))
@@ -226,7 +236,7 @@
     def _open(self, ip: str, failure_domain: str) -> None:
         number = self._links.open(ip, self._port, CONNECT_TIMEOUT_MS)
         self._by_ip[ip] = number
-        self._by_link[number] = _Link(ip, failure_domain, LinkCodec())
+        self._by_link[number] = Link(ip, failure_domain, LinkCodec())
 
     def _opened(self, link: int, inbound: bool) -> None:
         self._by_link[link].is_open = True
@@ -256,6 +266,7 @@
         call.timer.cancel()
         if isinstance(message, DelegateReply):
             call.replied = True
+            call.pending_shards = len(message.pending)
             if not message.pending:
                 del self._calls[message.number]
             call.on_reply(message)
@@ -264,7 +275,11 @@
             granted = call.grant(message.services, report)
             if granted:
                 self._send(call.link, AttemptGrant(message.number, granted))
-        elif not isinstance(message, DelegateAccepted):
+        elif isinstance(message, DelegateAccepted):
+            link = self._by_link.get(call.link)
+            if link is not None:
+                link.load.report(message.number, message.sub_queries, self._timers.now_ms())
+        else:
             raise FrameError("malformed", "unexpected message from a delegate")
         if not call.replied:
             left_ms = call.due_ms - self._timers.now_ms()
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -1,7 +1,9 @@
 """Messages between entries about delegated searches, and their encoding."""
 
+from typing import Annotated
+
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from rhubarbhinge.gather import EndedSearcher
 from rhubarbhinge.net import FrameError
@@ -12,6 +14,11 @@
 """Message types on the wire; numbers, as traffic between failure domains is expensive."""
 HEAD_LENGTH_BYTES = 4
 """Size of the length prefix of a message's head, which the body follows."""
+MAX_SUB_QUERIES = 1_000_000
+"""Maximum number of sub-queries in progress that is reported; far above what one VM can handle."""
+
+SubQueryCount = Annotated[int, Meta(ge=0, le=MAX_SUB_QUERIES)]
+"""A number of sub-queries on the wire."""
 
 
 class DelegateRequest(Struct, frozen=True):
@@ -55,9 +62,12 @@
     """A request was received and is being processed.
 
     :param number: number of the request.
+    :param sub_queries: sub-queries in progress at the delegate, without those of this request;
+        0 also from earlier releases, which don't report them.
     """
 
     number: int
+    sub_queries: int = 0
 
 
 class DelegateReply(Struct, frozen=True):
@@ -156,7 +166,10 @@
 
 
 class _WireAccepted(msgspec.Struct, frozen=True, array_like=True, tag=ACCEPTED):
+    """Earlier releases omit the fields after ``number``, and ignore them."""
+
     number: Count
+    sub_queries: SubQueryCount = 0
 
 
 class _WireCancel(msgspec.Struct, frozen=True, array_like=True, tag=CANCEL):
@@ -249,8 +262,9 @@
         return _WireAttemptRequest(message.number, message.services, ended, message.replied)
     if isinstance(message, AttemptGrant):
         return _WireAttemptGrant(message.number, message.services)
-    sent = _WireAccepted if isinstance(message, DelegateAccepted) else _WireCancel
-    return sent(message.number)
+    if isinstance(message, DelegateAccepted):
+        return _WireAccepted(message.number, min(message.sub_queries, MAX_SUB_QUERIES))
+    return _WireCancel(message.number)
 
 
 def _from_wire(sent: _Wire, body: bytes) -> Message:
@@ -289,7 +303,7 @@
     if isinstance(sent, _WireAttemptGrant):
         return AttemptGrant(sent.number, sent.services)
     return (
-        DelegateAccepted(sent.number)
+        DelegateAccepted(sent.number, sent.sub_queries)
         if isinstance(sent, _WireAccepted)
         else DelegateCancel(sent.number)
     )
--- a/rhubarbhinge/delegation/_server.py
+++ b/rhubarbhinge/delegation/_server.py
@@ -42,6 +42,8 @@
     :param terms_of: returns the limits and deadlines of the calls for a request.
     :param delays_of: returns the recent reply times on a route with a given latency objective.
     :param bind: IP address and port to listen on.
+    :param sub_queries: returns the number of sub-queries in progress at searchers, which is
+        reported to requesting entries.
     :raises OSError: when the port cannot be bound.
     """
 
@@ -54,12 +56,15 @@
         terms_of: TermsOf,
         delays_of: Callable[[str, float], Delays],
         bind: tuple[str, int],
+        sub_queries: Callable[[], int] = lambda: 0,
     ):
         super().__init__()
         self._timers = timers
         self._context = context
         self._terms_of = terms_of
         self._delays_of = delays_of
+        self._sub_queries = sub_queries
+        self._unstarted_sub_queries = 0
         self._by_link: dict[int, _Link] = {}
         self._links = Links(self._opened, self._received, self._closed, bind).register(self)
 
@@ -98,7 +103,8 @@
 
     def _on_message(self, link: int, state: _Link, message: object) -> None:
         if isinstance(message, DelegateRequest):
-            self._send(link, DelegateAccepted(message.number))
+            in_progress = self._sub_queries() + self._unstarted_sub_queries
+            self._send(link, DelegateAccepted(message.number, in_progress))
             self._links.flush(link)
             delays = self._delays_of(message.route, message.target_latency_ms)
             search = _DelegatedSearch(
@@ -114,7 +120,8 @@
             state.searches[message.number] = search
             # Messages received together with this one are processed first, as opening connections
             # takes up to 20 ms per request, which would delay the acceptance of the others.
-            self._timers.after(0, search.start)
+            self._unstarted_sub_queries += len(message.services)
+            self._timers.after(0, lambda: self._start(search, len(message.services)))
         elif isinstance(message, DelegateCancel):
             search = state.searches.pop(message.number, None)
             if search is not None:
@@ -126,6 +133,10 @@
         else:
             raise FrameError("malformed", "unexpected message from a requesting entry")
 
+    def _start(self, search: "_DelegatedSearch", sub_queries: int) -> None:
+        self._unstarted_sub_queries -= sub_queries
+        search.start()
+
     def _send_reply(self, link: int, state: _Link, reply: DelegateReply) -> None:
         if reply.number in state.searches:
             if not reply.pending:
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -40,6 +40,7 @@
     :param on_wrong_searcher: called when another searcher replied at a searcher's address.
     :param reachability: notified of searchers that respond and of those that cannot be reached.
     :ivar bad_loads: number of replies with an invalid reported load since startup.
+    :ivar in_progress: number of exchanges in progress, including queued ones.
     """
 
     channel = "connection-pool"
@@ -59,6 +60,7 @@
         self._on_wrong_searcher = on_wrong_searcher
         self._reachability = reachability
         self.bad_loads = 0
+        self.in_progress = 0
         self._attempt_numbers = itertools.count(1)
         self._by_link: dict[int, Connection] = {}
         self._by_searcher: dict[SearcherStart, SearcherConnections] = {}
@@ -99,6 +101,7 @@
         observed = exchange.searcher
         now_ms = self._timers.now_ms()
         observed.on_sent(pending.number, now_ms)
+        self.in_progress += 1
         connections = self._connections(observed)
         conn = self._take_idle(connections, now_ms)
         if conn is not None:
@@ -301,6 +304,7 @@
 
     def _cancelled(self, pending: PendingExchange) -> None:
         pending.finished = True
+        self.in_progress -= 1
         conn = self._by_link.get(pending.link)
         exchange = pending.exchange
         now_ms = self._timers.now_ms()
@@ -411,6 +415,7 @@
     def _report(self, pending: PendingExchange, outcome: Outcome) -> None:
         if not pending.finished:
             pending.finished = True
+            self.in_progress -= 1
             pending.on_outcome(outcome)
 
     def _drop(self, conn: Connection) -> None:
--- a/rhubarbhinge/gateway/_connection_limit.py
+++ b/rhubarbhinge/gateway/_connection_limit.py
@@ -10,7 +10,8 @@
 IN_FLIGHT_FACTOR = 3.0
 """Concurrent requests that the entries of a searcher's failure domain send it, as a multiple of its
 slots. This keeps the searcher busy; further requests wait here, where they can be dropped once they
-are too late."""
+are too late. It is divided by capacity in domains whose shards are, as their strong VMs then send
+most of the requests."""
 MIN_IN_FLIGHT = 2
 """Concurrent requests that one entry may send to a searcher regardless of the number of entries."""
 DEFAULT_CONNECTIONS = 2
@@ -18,13 +19,18 @@
 
 
 def connection_limit(
-    follower: Follower, membership: Membership, processes: Callable[[], int]
+    follower: Follower,
+    membership: Membership,
+    processes: Callable[[], int],
+    own_share: Callable[[], float] = lambda: 0.0,
 ) -> Callable[[ObservedSearcher], int]:
     """Divide the connections that searchers accept among the live entries.
 
     :param follower: provides the plan, which contains the connection limit of each service.
     :param membership: provides the entries of each failure domain.
     :param processes: returns the maximum number of running entries.
+    :param own_share: returns the share of this entry in the capacity of its failure domain; 0 to
+        divide evenly.
     :returns: function that returns the maximum number of connections to a searcher.
     """
 
@@ -34,8 +40,13 @@
         if service is None:
             return DEFAULT_CONNECTIONS
         even_share = service.max_connections // processes()
-        domain_entries = max(1, membership.live_count(observed.searcher.failure_domain))
-        busy_share = math.ceil(IN_FLIGHT_FACTOR * observed.searcher.capacity / domain_entries)
+        domain = observed.searcher.failure_domain
+        in_flight = IN_FLIGHT_FACTOR * observed.searcher.capacity
+        share = own_share() if domain == membership.me.failure_domain else 0.0
+        if share > 0:
+            busy_share = math.ceil(in_flight * share)
+        else:
+            busy_share = math.ceil(in_flight / max(1, membership.live_count(domain)))
         return max(1, min(even_share, max(MIN_IN_FLIGHT, busy_share)))
 
     return limit
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -13,6 +13,7 @@
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._answer_lead_time import AnswerLeadTime
 from rhubarbhinge.gateway._call_terms import delegated_call_terms
+from rhubarbhinge.gateway._capacity_delegation import CapacityDelegation, ShardCounts
 from rhubarbhinge.gateway._connection_limit import connection_limit
 from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
@@ -170,16 +171,35 @@
             self._follower, membership, lambda: self._settings.current.cold_rule, self.timers.now_ms
         )
         self.timers.on_pause(lambda late_ms: self._warmup_limiter.on_pause())
-        self._connection_limit = connection_limit(self._follower, membership, self._processes)
         delegate_client = DelegateClient(
             self.timers, membership, settings.ask_port, self._rng, self._reachability
         ).register(self)
+        self._connection_limit = connection_limit(
+            self._follower,
+            membership,
+            self._processes,
+            lambda: delegate_client.capacities.own_share,
+        )
         prepare = delegate_client.prepare
         self.timers.every(LINK_CHECK_MS, lambda: prepare(settings.failure_domain))
         self._delegated_sender = DelegatedSender(
             self.timers, delegate_client, settings.failure_domain, self._pool.send
         )
-        delegation = shard_delegation(settings.failure_domain, context, delegate_client, self._rng)
+        by_capacity = CapacityDelegation(
+            delegate_client,
+            settings.failure_domain,
+            settings.capacity,
+            lambda: self._pool.in_progress,
+        )
+        shard_counts = ShardCounts()
+        delegation = shard_delegation(
+            settings.failure_domain,
+            context,
+            delegate_client,
+            self._rng,
+            by_capacity,
+            shard_counts,
+        )
         dependencies = GatewayDependencies(
             context,
             dialect,
@@ -201,6 +221,7 @@
             self._delegated_call_terms,
             self._gateway.delays_of,
             (settings.ip, settings.ask_port),
+            lambda: self._pool.in_progress,
         ).register(self)
         # Listens already; accepts connections once registered, with the first plan or a timeout.
         self._callers = HttpServer(
@@ -228,6 +249,7 @@
             self._link_usage,
             quarantine,
             event_log,
+            shard_counts,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._capacity_delegation import ShardCounts
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
@@ -39,6 +40,10 @@
 UNUSABLE_ENTRIES_FOUND = ScalarMetric(
     "unusable_entries_total", "Such values read since the start", True
 )
+SHARDS_DELEGATED = ScalarMetric(
+    "shards_delegated_total", "Shards of searches left to other entries", True
+)
+SHARDS_KEPT = ScalarMetric("shards_kept_total", "Shards of searches kept by this entry", True)
 LINK_BYTES = {
     "callers": ScalarMetric("sent_to_callers_bytes_total", "Bytes of answers to callers", True),
     "searchers": ScalarMetric(
@@ -66,6 +71,7 @@
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
     :param event_log: the buffered event log; None if events are written elsewhere.
+    :param shard_counts: counts the shards delegated and kept.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         link_usage: LinkUsage,
         quarantine: Quarantine,
         event_log: EventLog | None,
+        shard_counts: ShardCounts,
     ):
         self._follower = follower
         self._peers = peers
@@ -89,6 +96,7 @@
         self._link_usage = link_usage
         self._quarantine = quarantine
         self._event_log = event_log
+        self._shard_counts = shard_counts
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -116,6 +124,8 @@
         metrics.set_scalar(UNUSABLE_ENTRIES_FOUND, self._follower.unusable.total_found)
         metrics.set_scalar(QUARANTINED, self._quarantine.quarantined_count)
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
+        metrics.set_scalar(SHARDS_DELEGATED, self._shard_counts.delegated)
+        metrics.set_scalar(SHARDS_KEPT, self._shard_counts.kept)
         for kind, total in self._link_usage.totals().items():
             metrics.set_scalar(LINK_BYTES[kind], total)
         if self._event_log is not None:
--- a/rhubarbhinge/gateway/_shard_delegation.py
+++ b/rhubarbhinge/gateway/_shard_delegation.py
@@ -2,7 +2,8 @@
 
 Shards without a searcher in this failure domain are delegated to an entry near their searchers,
 which has the best information about them. Large numbers of shards are divided among several
-entries, so that neither the processor nor the network link of one VM delays the whole search.
+entries, so that neither the processor nor the network link of one VM delays the whole search: by
+capacity in failure domains whose entries are known to differ in it, and evenly in others.
 """
 
 import math
@@ -19,6 +20,11 @@
 )
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import CallContext, CallerRequest
+from rhubarbhinge.gateway._capacity_delegation import (
+    OWN_ADDRESS,
+    CapacityDelegation,
+    ShardCounts,
+)
 from rhubarbhinge.gather import GatherTerms, GrantAttempts, PartialResult, ShardDelegation
 
 MAX_SHARDS_PER_ENTRY = 15
@@ -32,6 +38,8 @@
     context: CallContext,
     delegate_client: DelegateClient,
     rng: random.Random,
+    by_capacity: CapacityDelegation | None = None,
+    counts: ShardCounts | None = None,
 ) -> ShardDelegation:
     """Create the delegation of shards to entries in this and other failure domains.
 
@@ -39,9 +47,23 @@
     :param context: state shared by all requests.
     :param delegate_client: sends requests for delegated shards to other entries.
     :param rng: breaks ties between failure domains.
+    :param by_capacity: divides shards among entries of unequal capacity; None to divide them evenly
+        in all failure domains.
+    :param counts: counts the shards delegated and kept.
     :returns: the delegation.
     """
 
+    counts = ShardCounts() if counts is None else counts
+
+    def divide(domain: str, services: list[str], terms: GatherTerms) -> dict[str, list[str]]:
+        if by_capacity is not None and by_capacity.applies_to(domain):
+            return by_capacity.divide(domain, services, terms.route_name)
+        if domain != failure_domain:
+            return _split_evenly(services, delegate_client.choose(domain, _entry_count(services)))
+        others = delegate_client.choose(domain, _entry_count(services) - 1)
+        # This entry keeps the first part.
+        return _split_evenly(services, [OWN_ADDRESS, *others])
+
     def shards_for(
         request: CallerRequest, terms: GatherTerms, reachable: Iterable[str]
     ) -> dict[str, list[str]]:
@@ -53,12 +75,12 @@
             domain, services = _largest_group(remote, rng)
             for service in services:
                 del remote[service]
-            addresses = delegate_client.choose(domain, _entry_count(services))
-            by_address.update(_split_evenly(services, addresses))
-        others = delegate_client.choose(failure_domain, _entry_count(local) - 1)
-        # The empty address stands for this entry, which keeps the first part.
-        by_address.update(_split_evenly(local, ["", *others]))
-        by_address.pop("", None)
+            by_address.update(divide(domain, services, terms))
+        by_address.update(divide(failure_domain, local, terms))
+        by_address.pop(OWN_ADDRESS, None)
+        delegated = sum(len(services) for services in by_address.values())
+        counts.delegated += delegated
+        counts.kept += len(reachable) - delegated
         return by_address
 
     def send(
@@ -84,11 +106,17 @@
             reply_after_ms=max(0.0, terms.answer_by_ms - now_ms - REPLY_MARGIN_MS),
             left_ms=max(0.0, terms.call.deadline_ms - now_ms),
         )
-        return delegate_client.send(
-            address, message, lambda reply: on_part(_partial_result(reply)), grant
-        )
 
-    return ShardDelegation(shards_for, send)
+        def on_reply(reply: DelegateReply | None) -> None:
+            if by_capacity is not None and reply is not None and reply.services:
+                by_capacity.on_part(terms.route_name, len(reply.body))
+            on_part(_partial_result(reply))
+
+        return delegate_client.send(address, message, on_reply, grant)
+
+    if by_capacity is None:
+        return ShardDelegation(shards_for, send)
+    return ShardDelegation(shards_for, send, by_capacity.capacity_label)
 
 
 def _remote_domains(
--- a/rhubarbhinge/gather/_scatter_gather.py
+++ b/rhubarbhinge/gather/_scatter_gather.py
@@ -109,7 +109,9 @@
             self._fail(timed_out=True)
 
     def _delegate(self, address: str, services: list[str]) -> None:
-        self._trace.note("ask-sent", ",".join(services), entry=address)
+        label = self._delegation.capacity_label(address)
+        capacity = {"capacity": label} if label else {}
+        self._trace.note("ask-sent", ",".join(services), entry=address, **capacity)
         search = self._delegation.send(
             address,
             self._request,
--- a/rhubarbhinge/gather/_shard_delegation.py
+++ b/rhubarbhinge/gather/_shard_delegation.py
@@ -82,7 +82,10 @@
 
     :param shards_for: selects which shards to delegate to which entry.
     :param send: sends a request to search shards to an entry.
+    :param capacity_label: describes the capacity of the entry at an address for the trace; empty if
+        it is unknown.
     """
 
     shards_for: AssignShards
     send: DelegateShards
+    capacity_label: Callable[[str], str] = lambda address: ""
