--- a/rhubarbhinge/delegation/_capacity_split.py
+++ b/rhubarbhinge/delegation/_capacity_split.py
@@ -1,6 +1,6 @@
 """Division of a search's shards among entries of unequal capacity."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from msgspec import Struct
 
@@ -37,12 +37,13 @@
     is_own: bool = False
 
 
-class _Target(Struct):
-    """An entry's time per shard and until it starts, and the maximum number of shards for it."""
+class _Target(Struct, frozen=True):
+    """An entry's time per shard and until it starts, and the limits of the number of its shards."""
 
     shard_ms: float
     start_ms: float
     max_shards: int
+    min_shards: int = 0
 
     def finish_ms(self, shards: int) -> float:
         return self.start_ms + shards * self.shard_ms
@@ -118,63 +119,73 @@
 
 
 def _part_sizes(count: int, targets: list[_Target]) -> list[int]:
-    """Divide shards among targets, and leave out those that would get too small a part."""
-    active = list(range(len(targets)))
+    """Divide shards among targets; parts that would be too small are left out or made larger."""
+    used = dict(enumerate(targets))
+    sizes = _fill(count, used)
     while True:
-        sizes = _fill(count, targets, active)
-        active = [index for index in active if sizes[index]]
-        small = [index for index in active if sizes[index] < MIN_PART_SHARDS]
-        if not small or len(active) == 1:
-            return sizes
-        smallest = min(small, key=lambda index: sizes[index])
-        if sum(targets[index].max_shards for index in active if index != smallest) < count:
-            return sizes if len(small) == 1 else _fill_largest(count, targets, active, sizes)
-        active.remove(smallest)
-
-
-def _fill(count: int, targets: list[_Target], active: list[int]) -> list[int]:
-    """Divide shards so that all targets in use end at the same time, as far as limits allow."""
-    sizes = [0] * len(targets)
-    left = count
-    end_ms = _common_end_ms(count, [targets[index] for index in active])
-    for index in active:
-        target = targets[index]
-        fitting = max(0, int((end_ms - target.start_ms) / target.shard_ms))
-        sizes[index] = min(fitting, target.max_shards, left)
-        left -= sizes[index]
-    # What rounding left over, at most one shard per target.
+        used = {index: target for index, target in used.items() if sizes[index]}
+        small = [index for index in used if sizes[index] < MIN_PART_SHARDS]
+        if not small or len(used) == 1:
+            break
+        # Among equals the last one, so that this entry and the first links are kept.
+        smallest = min(small, key=lambda index: (sizes[index], -index))
+        without = {index: target for index, target in used.items() if index != smallest}
+        target = used[smallest]
+        larger = _Target(target.shard_ms, target.start_ms, target.max_shards, MIN_PART_SHARDS)
+        options = [one for one in (without, {**used, smallest: larger}) if _holds(count, one)]
+        if not options:
+            # The remainder, as the others have all that they may take.
+            break
+        filled = [(_fill(count, one), one) for one in options]
+        sizes, used = min(filled, key=lambda option: _end_ms(*option))
+    return [sizes.get(index, 0) for index in range(len(targets))]
+
+
+def _holds(count: int, targets: dict[int, _Target]) -> bool:
+    """Tell whether a number of shards can be divided within the limits of the targets."""
+    least = sum(target.min_shards for target in targets.values())
+    return least <= count <= sum(target.max_shards for target in targets.values())
+
+
+def _end_ms(sizes: dict[int, int], targets: dict[int, _Target]) -> float:
+    """Return when the last part ends."""
+    return max(target.finish_ms(sizes[index]) for index, target in targets.items() if sizes[index])
+
+
+def _fill(count: int, targets: dict[int, _Target]) -> dict[int, int]:
+    """Divide shards so that all parts end at the same time, as far as limits allow."""
+    sizes = {index: target.min_shards for index, target in targets.items()}
+    left = count - sum(sizes.values())
+    end_ms = _common_end_ms(count, targets.values())
+    for index, target in targets.items():
+        fitting = min(int((end_ms - target.start_ms) / target.shard_ms), target.max_shards)
+        added = min(max(0, fitting - sizes[index]), left)
+        sizes[index] += added
+        left -= added
+    # What rounding left over, less than one shard per target.
     for _ in range(left):
         index = min(
-            (one for one in active if sizes[one] < targets[one].max_shards),
+            (one for one, target in targets.items() if sizes[one] < target.max_shards),
             key=lambda one: targets[one].finish_ms(sizes[one] + 1),
         )
         sizes[index] += 1
     return sizes
 
 
-def _common_end_ms(count: int, targets: list[_Target]) -> float:
+def _common_end_ms(count: int, targets: Collection[_Target]) -> float:
     """Return when a divisible load of ``count`` shards would end (water filling)."""
     changes = []
     for target in targets:
-        changes.append((target.start_ms, 1 / target.shard_ms))
+        changes.append((target.finish_ms(target.min_shards), 1 / target.shard_ms))
         changes.append((target.finish_ms(target.max_shards), -1 / target.shard_ms))
     changes.sort()
-    at_ms, done, rate = 0.0, 0.0, 0.0
+    done = float(sum(target.min_shards for target in targets))
+    at_ms, rate = 0.0, 0.0
     for change_ms, rate_change in changes:
-        if rate > 0 and done + rate * (change_ms - at_ms) >= count:
+        added = rate * (change_ms - at_ms)
+        if rate > 0 and done + added >= count:
             return at_ms + (count - done) / rate
-        done += rate * (change_ms - at_ms)
+        done += added
         at_ms = change_ms
         rate += rate_change
     return at_ms
-
-
-def _fill_largest(
-    count: int, targets: list[_Target], active: list[int], sizes: list[int]
-) -> list[int]:
-    """Fill the largest parts up to their limits, so that a single remainder is left."""
-    filled = [0] * len(targets)
-    for index in sorted(active, key=lambda index: -sizes[index]):
-        filled[index] = min(targets[index].max_shards, count)
-        count -= filled[index]
-    return filled
--- a/rhubarbhinge/delegation/_client.py
+++ b/rhubarbhinge/delegation/_client.py
@@ -24,7 +24,7 @@
 from rhubarbhinge.members import UNKNOWN_CAPACITY, Member, Membership, VmCapacity
 from rhubarbhinge.net import CloseReason, FrameError, Links
 from rhubarbhinge.telemetry import log_event
-from rhubarbhinge.timing import TimerHandle, TimerService
+from rhubarbhinge.timing import TimerService
 
 ACCEPT_TIMEOUT_MS = 30.0
 """Timeout for the acceptance of a request, which takes a round trip of 2 to 3 ms."""
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -18,7 +18,14 @@
     decode_message,
     encode_message,
 )
-from rhubarbhinge.delegation._messages import ATTEMPT_REQUEST, HEAD_LENGTH_BYTES, REPLY, REQUEST
+from rhubarbhinge.delegation._messages import (
+    ACCEPTED,
+    ATTEMPT_REQUEST,
+    HEAD_LENGTH_BYTES,
+    MAX_SUB_QUERIES,
+    REPLY,
+    REQUEST,
+)
 from rhubarbhinge.net import FrameError
 from rhubarbhinge.utils.testing_values import FUZZ_SETTINGS, JSON_VALUES, mutated_json
 
@@ -88,6 +95,16 @@
         reply = DelegateReply(7, ("s",), ("sig",), (), ("p",), True, b"x" * 16)
         self.assertEqual(_head(encode_message(reply)), [REPLY, 7, ["s"], ["sig"], [], True, ["p"]])
 
+    def test_acceptance_with_and_without_load(self):
+        """Guards against refusing earlier releases, and against impossible loads."""
+        self.assertEqual(decode_message(_framed([ACCEPTED, 3], b"")), DelegateAccepted(3, 0))
+        accepted = DelegateAccepted(3, 45)
+        self.assertEqual(_head(encode_message(accepted)), [ACCEPTED, 3, 45])
+        self.assertEqual(decode_message(encode_message(accepted)), accepted)
+        for load in (-1, 0.5, "1", None, MAX_SUB_QUERIES + 1):
+            with self.assertRaises(FrameError):
+                decode_message(_framed([ACCEPTED, 3, load], b""))
+
     def test_signature_cannot_end_a_header_line(self):
         for signature in ("", "a\r\nX-Evil: 1", "a\n", "\u0130"):
             reply = DelegateReply(7, ("s",), (signature,), (), (), True, b"")
