--- a/rhubarbhinge/gateway/_connection_limit.py
+++ b/rhubarbhinge/gateway/_connection_limit.py
@@ -14,6 +14,9 @@
 most of the requests."""
 MIN_IN_FLIGHT = 2
 """Concurrent requests that one entry may send to a searcher regardless of the number of entries."""
+LOCAL_FRACTION = 0.5
+"""Fraction of a searcher's connections that the entries of its failure domain divide by capacity.
+They send it nearly all of its requests; the other fraction is left to all entries evenly."""
 DEFAULT_CONNECTIONS = 2
 """Connections to a searcher whose service is not in the plan."""
 
@@ -39,14 +42,16 @@
         service = plan.services.get(observed.searcher.service) if plan else None
         if service is None:
             return DEFAULT_CONNECTIONS
-        even_share = service.max_connections // processes()
         domain = observed.searcher.failure_domain
         in_flight = IN_FLIGHT_FACTOR * observed.searcher.capacity
-        share = own_share() if domain == membership.me.failure_domain else 0.0
-        if share > 0:
+        share = own_share()
+        if share > 0 and domain == membership.me.failure_domain:
+            accepted = int(LOCAL_FRACTION * service.max_connections * share)
             busy_share = math.ceil(in_flight * share)
         else:
+            fraction = 1.0 - LOCAL_FRACTION if share > 0 else 1.0
+            accepted = int(fraction * service.max_connections / processes())
             busy_share = math.ceil(in_flight / max(1, membership.live_count(domain)))
-        return max(1, min(even_share, max(MIN_IN_FLIGHT, busy_share)))
+        return max(1, min(accepted, max(MIN_IN_FLIGHT, busy_share)))
 
     return limit
