retries: entries lend each other extra sends that they do not need

Each entry may spend an equal share of the slack of the retry budget, so that an entry with many failing searchers refuses hedges and retries while the others have hardly used theirs. An entry that is short now asks entries of its failure domain for a loan, by POST /v1/retry-loans. A retry waits up to 25 ms for a loan that is being asked for.

--- a/rhubarbhinge/forward/_call_context.py
+++ b/rhubarbhinge/forward/_call_context.py
@@ -4,7 +4,7 @@
 
 from rhubarbhinge.fleet import CostFunction, Fleet, MaySend, allow_all
 from rhubarbhinge.forward._exchange import SendAttempt
-from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.retries import NO_LOANS, LoanWaits, RetryBudget
 from rhubarbhinge.telemetry import Metrics
 from rhubarbhinge.timing import TimerService
 
@@ -19,6 +19,7 @@
     :param send: starts an exchange.
     :param metrics: counts the requests sent.
     :param may_send: tells which searchers may receive a request now.
+    :param loans: loans of retry budget that are being asked for, for which retries wait.
     """
 
     timers: TimerService
@@ -28,3 +29,4 @@
     send: SendAttempt
     metrics: Metrics
     may_send: MaySend = allow_all
+    loans: LoanWaits = NO_LOANS
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -33,6 +33,9 @@
     "retry-later": SubQueryKind.RETRY,
 }
 """Metric kind of an attempt, by the reason that is logged for it."""
+LOAN_WAIT_MS = 25.0
+"""Maximum time for which a retry waits for a loan of retry budget; an entry that is asked replies
+within some milliseconds, or is given up after 20."""
 RETRY_PAUSE_MS = 25.0
 """Delay before the next attempt when all searchers have refused. It is about half of an execution,
 after which a slot is likely to be free."""
@@ -70,6 +73,9 @@
         "_last_reason",
         "_may_have_run",
         "_timer",
+        "_loan_timer",
+        "_loan_until_ms",
+        "_loan_retry_kind",
         "finished",
     )
 
@@ -100,6 +106,9 @@
         self._last_reason: FailureReason | None = None
         self._may_have_run = False
         self._timer: TimerHandle | None = None
+        self._loan_timer: TimerHandle | None = None
+        self._loan_until_ms = 0.0
+        self._loan_retry_kind = ""
         self.finished = False
 
     @property
@@ -133,6 +142,7 @@
         """Cancel the call; its result is not reported."""
         self.finished = True
         self._cancel_timer()
+        self._stop_waiting_for_loan()
         attempts, self._open_attempts = self._open_attempts, {}
         for attempt in attempts.values():
             attempt.cancel()
@@ -167,6 +177,8 @@
         }
 
     def _send(self, observed: ObservedSearcher, reason: str) -> None:
+        # Any send replaces a retry that waits for a loan.
+        self._stop_waiting_for_loan()
         start = observed.start
         now_ms = self._context.timers.now_ms()
         kind = SUB_QUERY_KINDS[reason]
@@ -253,6 +265,8 @@
         self._may_have_run = True
         self._terms.control.on_replied(self.service)
         if reply.status < 500 or not self._terms.idempotent:
+            if reply.status >= 500:
+                self._trace.note("retry-not-sent", self.service, why="not-idempotent")
             self._finish(ReplyReceived(reply))
             return
         self._failed_reply = reply
@@ -269,6 +283,7 @@
         if self._terms.idempotent:
             self._retry()
         else:
+            self._trace.note("retry-not-sent", self.service, why="not-idempotent")
             self._finish_unsuccessfully()
 
     def _not_run(self, reason: FailureReason) -> None:
@@ -286,6 +301,9 @@
         if self.finished:
             return
         if self._refusals >= MAX_REFUSALS or self._ran >= self._terms.max_attempts:
+            self._trace.note(
+                "retry-not-sent", self.service, why="no-attempts", tried=len(self._tried)
+            )
             self._finish_unsuccessfully()
             return
         if not self._claim_attempt(self._ran, self._retry):
@@ -297,11 +315,8 @@
             self._tried.clear()
             self._tried.update(self._open_attempts)
             self._start_timer(RETRY_PAUSE_MS, self._retry_paused)
-        elif chosen is None or not self._take_budget():
-            self._trace.note("retry-not-sent", self.service, **self._not_sent_fields(chosen))
-            self._finish_unsuccessfully()
         else:
-            self._send(chosen, "retry")
+            self._send_retry(chosen, "retry")
 
     def _retry_paused(self) -> None:
         if self.finished or self._open_attempts:
@@ -309,12 +324,55 @@
         if self._is_past_deadline():
             self._finish_unsuccessfully()
             return
-        chosen = self._choose()
-        if chosen is None or not self._take_budget():
+        self._send_retry(self._choose(), "retry-later")
+
+    def _send_retry(self, chosen: ObservedSearcher | None, kind: str) -> None:
+        """Send a retry, let it wait for a loan of retry budget, or finish.
+
+        :param chosen: the searcher; None if there is none.
+        :param kind: reason of the attempt, as logged.
+        """
+        if chosen is not None and self._take_budget():
+            self._send(chosen, kind)
+        elif chosen is None or not self._wait_for_loan(kind):
             self._trace.note("retry-not-sent", self.service, **self._not_sent_fields(chosen))
             self._finish_unsuccessfully()
+
+    def _wait_for_loan(self, kind: str) -> bool:
+        """Let a retry wait for a loan of retry budget, if one is being asked for."""
+        context, now_ms = self._context, self._context.timers.now_ms()
+        if not self._loan_until_ms:
+            self._loan_until_ms = min(now_ms + LOAN_WAIT_MS, self._terms.deadline_ms)
+        left_ms = self._loan_until_ms - now_ms
+        if left_ms <= 0 or not context.loans.wait(self.service, self._on_loan_ended):
+            self._loan_until_ms = 0.0
+            return False
+        self._loan_retry_kind = kind
+        if self._loan_timer is None:
+            self._loan_timer = context.timers.after(left_ms, self._on_loan_ended)
+        return True
+
+    def _on_loan_ended(self) -> None:
+        """Send the retry if a loan has come, after a request for one has ended or taken too long.
+
+        The time allowed covers several requests, as the loan may be spent by another call.
+        """
+        if self.finished or self._loan_timer is None:
+            return
+        until_ms, kind = self._loan_until_ms, self._loan_retry_kind
+        self._stop_waiting_for_loan()
+        self._loan_until_ms = until_ms
+        if self._is_past_deadline():
+            self._finish_unsuccessfully()
         else:
-            self._send(chosen, "retry-later")
+            self._send_retry(self._choose(), kind)
+
+    def _stop_waiting_for_loan(self) -> None:
+        self._loan_until_ms = 0.0
+        if self._loan_timer is not None:
+            self._loan_timer.cancel()
+            self._loan_timer = None
+            self._context.loans.stop_waiting(self.service, self._on_loan_ended)
 
     def _is_past_deadline(self) -> bool:
         """Check whether the deadline has passed, which is possible if the process was stalled.
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -22,6 +22,7 @@
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
+from rhubarbhinge.gateway._retry_loans import loan_requests, loan_service
 from rhubarbhinge.gateway._serving_state import ServingState
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
 from rhubarbhinge.gateway._shutdown import Shutdown
@@ -115,6 +116,14 @@
             lambda: self._serving_state.update(),
         )
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
+        loans = loan_requests(
+            self.timers,
+            self._budget,
+            peer_client,
+            settings.peer_port,
+            lambda: self._peers.membership,
+            self._rng,
+        )
         cost_function = expected_cost(settings.failure_domain, self._rng)
         context = CallContext(
             self.timers,
@@ -124,6 +133,7 @@
             lambda exchange, on_outcome: self._delegated_sender.send(exchange, on_outcome),
             self._metrics,
             lambda observed, now_ms: self._warmup_limiter.may_send(observed, now_ms),
+            loans,
         )
         quarantine = Quarantine(
             self.timers.now_ms,
@@ -161,6 +171,9 @@
             lambda: source.reads_platform,
             quarantine,
             settings.capacity,
+            loans=loan_service(
+                self.timers, self._budget, self._fleet, lambda: self._peers.membership
+            ),
         ).register(self)
         membership = self._peers.membership
         source.set_peers(
@@ -228,6 +241,7 @@
             self._link_usage,
             quarantine,
             event_log,
+            loans,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
@@ -283,6 +297,7 @@
         self._domain_checks.probe()
         self._serving_state.update()
         self._link_usage.close_period()
+        self._budget.observe_processes()
         now_ms = self.timers.now_ms()
         self._metrics.observe_loop_lag(max(0.0, now_ms - self._housekeeping_due_ms))
         self._housekeeping_due_ms = now_ms + HOUSEKEEPING_MS
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -6,7 +6,7 @@
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
 from rhubarbhinge.quarantine import Quarantine
-from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.retries import LoanRequests, RetryBudget
 from rhubarbhinge.telemetry import EventLog, Metrics, ScalarMetric
 
 CONNECTIONS = ScalarMetric("searcher_connections", "Connections to searchers, open or being opened")
@@ -25,6 +25,15 @@
 EXTRA_SENDS_LEFT = ScalarMetric(
     "extra_sends_left", "Extra sends left for the service that has least"
 )
+EXTRA_SENDS_LENT = ScalarMetric(
+    "extra_sends_lent_total", "Extra sends that this entry lent to others", True
+)
+EXTRA_SENDS_BORROWED = ScalarMetric(
+    "extra_sends_borrowed_total", "Extra sends that others lent to this entry", True
+)
+LOAN_REQUESTS_FAILED = ScalarMetric(
+    "retry_loan_requests_failed_total", "Requests for extra sends that brought none", True
+)
 STORE_CALLS = ScalarMetric(
     "platform_calls_total", "Reads and watches of the platform's store", True
 )
@@ -66,6 +75,7 @@
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
     :param event_log: the buffered event log; None if events are written elsewhere.
+    :param loans: requests for loans of retry budget.
     """
 
     def __init__(
@@ -79,6 +89,7 @@
         link_usage: LinkUsage,
         quarantine: Quarantine,
         event_log: EventLog | None,
+        loans: LoanRequests,
     ):
         self._follower = follower
         self._peers = peers
@@ -89,6 +100,7 @@
         self._link_usage = link_usage
         self._quarantine = quarantine
         self._event_log = event_log
+        self._loans = loans
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -108,6 +120,9 @@
         metrics.set_scalar(EXTRA_SENDS, self._budget.granted)
         metrics.set_scalar(EXTRA_SENDS_REFUSED, self._budget.refused)
         metrics.set_scalar(EXTRA_SENDS_LEFT, self._budget.min_left())
+        metrics.set_scalar(EXTRA_SENDS_LENT, self._budget.lent)
+        metrics.set_scalar(EXTRA_SENDS_BORROWED, self._budget.borrowed)
+        metrics.set_scalar(LOAN_REQUESTS_FAILED, self._loans.failed)
         metrics.set_scalar(STORE_CALLS, self._source.platform_calls)
         metrics.set_scalar(READER_CALLS, self._source.reader_calls)
         metrics.set_scalar(CONFIRMATION_LAPSES, self._follower.confirmation_lapses)
--- a/rhubarbhinge/peers/__init__.py
+++ b/rhubarbhinge/peers/__init__.py
@@ -1,7 +1,10 @@
-"""Communication with other entries: heartbeats and exchange of the published state."""
+"""Communication with other entries: heartbeats, the published state and loans."""
 
 from rhubarbhinge.peers._heartbeat_extras import HeartbeatExtras
 from rhubarbhinge.peers._known_state import KnownState
+from rhubarbhinge.peers._loan_client import LoanClient
+from rhubarbhinge.peers._loan_log import LoanLog
+from rhubarbhinge.peers._loan_service import LoanService
 from rhubarbhinge.peers._peers import Peers
 from rhubarbhinge.peers._quarantine_gossip import QuarantineGossip
 from rhubarbhinge.peers._reports import PeerReport, PeerReports
@@ -12,6 +15,9 @@
     "DecodedState",
     "HeartbeatExtras",
     "KnownState",
+    "LoanClient",
+    "LoanLog",
+    "LoanService",
     "PeerReport",
     "PeerReports",
     "Peers",
--- a/rhubarbhinge/peers/_paths.py
+++ b/rhubarbhinge/peers/_paths.py
@@ -9,6 +9,8 @@
 for the confirmation that there are none."""
 MEMBERS_PATH = "/v1/members"
 """Path that returns an entry's list of members."""
+RETRY_LOANS_PATH = "/v1/retry-loans"
+"""Path at which an entry lends retry budget to the one that asks."""
 
 
 def with_query(path: str, parameters: Iterable[str]) -> str:
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -21,6 +21,7 @@
 )
 from rhubarbhinge.net import Datagrams
 from rhubarbhinge.peers._heartbeat_extras import NO_EXTRAS, HeartbeatExtras
+from rhubarbhinge.peers._loan_service import LoanService
 from rhubarbhinge.peers._paths import MEMBERS_PATH
 from rhubarbhinge.peers._published_status import published_status
 from rhubarbhinge.peers._quarantine_gossip import QuarantineGossip
@@ -60,6 +61,7 @@
     :param quarantine: suspicions about requests that crash searchers, sent with heartbeats.
     :param capacity: resources of this VM.
     :param extras: further data exchanged with the entries of this failure domain.
+    :param loans: lends retry budget to other entries; None if this entry lends none.
     :raises OSError: when the port cannot be bound.
     :ivar membership: the members of the fleet.
     :ivar reports: the members' latest reports on the published state.
@@ -83,6 +85,7 @@
         quarantine: Quarantine,
         capacity: VmCapacity = UNKNOWN_CAPACITY,
         extras: HeartbeatExtras = NO_EXTRAS,
+        loans: LoanService | None = None,
     ):
         super().__init__()
         self._timers = timers
@@ -92,6 +95,7 @@
         self._live_names: set[str] = set()
         self.reports = PeerReports()
         self._extras = extras
+        self._loans = loans
         me = Member(name, ip, failure_domain, rng.getrandbits(START_ID_BITS), capacity=capacity)
         self.membership = Membership(
             timers, me, seed_ips, rng, self._send, lambda: published_status(follower)
@@ -101,7 +105,7 @@
         self._state_pull = StatePull(
             timers, client, follower, self.reports, port, failure_domain, rng
         )
-        self._service = StateService(timers, follower, self.membership, reads_platform)
+        self._service = StateService(timers, follower, self.membership, reads_platform, loans)
         self._datagrams = Datagrams(self._on_datagram, (ip, port)).register(self)
         self._server = HttpServer(timers, self._service.answer, (ip, port)).register(self)
         timers.on_pause(lambda late_ms: self.membership.on_pause())
@@ -120,6 +124,8 @@
     def leave(self) -> None:
         """Announce that this entry is stopping."""
         self._service.leaving = True
+        if self._loans is not None:
+            self._loans.leaving = True
         self.membership.leave()
 
     def _send(self, ip: str, heartbeat: Heartbeat) -> None:
--- a/rhubarbhinge/peers/_state_service.py
+++ b/rhubarbhinge/peers/_state_service.py
@@ -1,4 +1,4 @@
-"""HTTP service for other entries: published state, its changes, and the list of members."""
+"""HTTP service for other entries: published state, its changes, members, and retry budget."""
 
 from collections.abc import Callable
 
@@ -6,7 +6,8 @@
 
 from rhubarbhinge.members import Membership, encode_members
 from rhubarbhinge.peers._known_state import PLAN_PARAMETER, SEARCHERS_PARAMETER
-from rhubarbhinge.peers._paths import CHANGES_PATH, MEMBERS_PATH, STATE_PATH
+from rhubarbhinge.peers._loan_service import LoanService
+from rhubarbhinge.peers._paths import CHANGES_PATH, MEMBERS_PATH, RETRY_LOANS_PATH, STATE_PATH
 from rhubarbhinge.peers._state_codec import encode_state
 from rhubarbhinge.published import Changes, Follower, Snapshot
 from rhubarbhinge.timing import TimerService
@@ -46,6 +47,7 @@
     :param follower: follows the published state.
     :param membership: the members of the fleet.
     :param reads_platform: returns whether this entry successfully reads the platform itself.
+    :param loans: lends retry budget; None if this entry lends none.
     :ivar leaving: whether this entry is stopping, so that others have to follow another one.
     """
 
@@ -55,11 +57,13 @@
         follower: Follower,
         membership: Membership,
         reads_platform: Callable[[], bool],
+        loans: LoanService | None = None,
     ):
         self._timers = timers
         self._follower = follower
         self._membership = membership
         self._reads_platform = reads_platform
+        self._loans = loans
         self._long_polls: list[_LongPoll] = []
         self._is_scheduled = False
         self.leaving = False
@@ -80,6 +84,8 @@
         elif request.path == MEMBERS_PATH:
             known = (*self._membership.table.all(), self._membership.me)
             responder.answer(Response(200, encode_members(known)))
+        elif request.path == RETRY_LOANS_PATH and self._loans is not None:
+            self._loans.answer(request, responder)
         else:
             responder.answer(
                 error_response(404, "no-such-path", "Only entries call here.", "Use another port.")
