--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -7,6 +7,7 @@
 from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._exchange import Attempt, Exchange
+from rhubarbhinge.forward._loan_wait import LoanWait
 from rhubarbhinge.forward._outcome import (
     FailureReason,
     Lost,
@@ -33,9 +34,6 @@
     "retry-later": SubQueryKind.RETRY,
 }
 """Metric kind of an attempt, by the reason that is logged for it."""
-LOAN_WAIT_MS = 25.0
-"""Maximum time for which a retry waits for a loan of retry budget; an entry that is asked replies
-within some milliseconds, or is given up after 20."""
 RETRY_PAUSE_MS = 25.0
 """Delay before the next attempt when all searchers have refused. It is about half of an execution,
 after which a slot is likely to be free."""
@@ -73,9 +71,7 @@
         "_last_reason",
         "_may_have_run",
         "_timer",
-        "_loan_timer",
-        "_loan_until_ms",
-        "_loan_retry_kind",
+        "_loan_wait",
         "finished",
     )
 
@@ -106,9 +102,7 @@
         self._last_reason: FailureReason | None = None
         self._may_have_run = False
         self._timer: TimerHandle | None = None
-        self._loan_timer: TimerHandle | None = None
-        self._loan_until_ms = 0.0
-        self._loan_retry_kind = ""
+        self._loan_wait: LoanWait | None = None
         self.finished = False
 
     @property
@@ -314,6 +308,7 @@
             # Every searcher has been tried; one that refused may have capacity again after a pause.
             self._tried.clear()
             self._tried.update(self._open_attempts)
+            self._stop_waiting_for_loan()
             self._start_timer(RETRY_PAUSE_MS, self._retry_paused)
         else:
             self._send_retry(chosen, "retry")
@@ -339,40 +334,29 @@
             self._finish_unsuccessfully()
 
     def _wait_for_loan(self, kind: str) -> bool:
-        """Let a retry wait for a loan of retry budget, if one is being asked for."""
-        context, now_ms = self._context, self._context.timers.now_ms()
-        if not self._loan_until_ms:
-            self._loan_until_ms = min(now_ms + LOAN_WAIT_MS, self._terms.deadline_ms)
-        left_ms = self._loan_until_ms - now_ms
-        if left_ms <= 0 or not context.loans.wait(self.service, self._on_loan_ended):
-            self._loan_until_ms = 0.0
-            return False
-        self._loan_retry_kind = kind
-        if self._loan_timer is None:
-            self._loan_timer = context.timers.after(left_ms, self._on_loan_ended)
-        return True
-
-    def _on_loan_ended(self) -> None:
-        """Send the retry if a loan has come, after a request for one has ended or taken too long.
+        """Let a retry wait for a loan of retry budget, if one is being asked for.
 
-        The time allowed covers several requests, as the loan may be spent by another call.
+        :param kind: reason of the attempt, as logged.
         """
-        if self.finished or self._loan_timer is None:
-            return
-        until_ms, kind = self._loan_until_ms, self._loan_retry_kind
-        self._stop_waiting_for_loan()
-        self._loan_until_ms = until_ms
+        if self._loan_wait is None:
+            self._loan_wait = LoanWait(
+                self._context,
+                self.service,
+                self._terms.deadline_ms,
+                lambda: self._retry_after_loan(kind),
+            )
+        return self._loan_wait.start()
+
+    def _retry_after_loan(self, kind: str) -> None:
         if self._is_past_deadline():
             self._finish_unsuccessfully()
         else:
             self._send_retry(self._choose(), kind)
 
     def _stop_waiting_for_loan(self) -> None:
-        self._loan_until_ms = 0.0
-        if self._loan_timer is not None:
-            self._loan_timer.cancel()
-            self._loan_timer = None
-            self._context.loans.stop_waiting(self.service, self._on_loan_ended)
+        if self._loan_wait is not None:
+            self._loan_wait.cancel()
+            self._loan_wait = None
 
     def _is_past_deadline(self) -> bool:
         """Check whether the deadline has passed, which is possible if the process was stalled.
