--- a/rhubarbhinge/peers/tests/test_state_service.py
+++ b/rhubarbhinge/peers/tests/test_state_service.py
@@ -8,9 +8,9 @@
 
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.members import Member, Membership, PublishedStatus
-from rhubarbhinge.peers import decode_state
+from rhubarbhinge.peers import LoanLog, LoanService, decode_state
 from rhubarbhinge.peers._known_state import PLAN_PARAMETER, SEARCHERS_PARAMETER
-from rhubarbhinge.peers._paths import CHANGES_PATH, MEMBERS_PATH, STATE_PATH
+from rhubarbhinge.peers._paths import CHANGES_PATH, MEMBERS_PATH, RETRY_LOANS_PATH, STATE_PATH
 from rhubarbhinge.peers._state_service import StateService
 from rhubarbhinge.peers.tests.state_sharing import ScriptedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
@@ -85,3 +85,11 @@
         self.timers.advance(0.0)
         state = decode_state(responses[0].body).state
         self.assertEqual((state.age_ms, state.revision), (0.0, make_revision(5)))
+
+    def test_loans_are_answered_only_where_an_entry_lends(self):
+        """Guards against an answer other than 404 by which others tell that nothing is lent."""
+        self.assertEqual(self.get(RETRY_LOANS_PATH, {"service": "s"}).status, 404)
+        self.service._loans = LoanService(
+            lambda service: 3, lambda service: True, lambda ip: ip, LoanLog(self.timers.now_ms)
+        )
+        self.assertEqual(self.get(RETRY_LOANS_PATH, {"service": "s"}).status, 405)
