--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -259,8 +259,6 @@
         self._may_have_run = True
         self._terms.control.on_replied(self.service)
         if reply.status < 500 or not self._terms.idempotent:
-            if reply.status >= 500:
-                self._trace.note("retry-not-sent", self.service, why="not-idempotent")
             self._finish(ReplyReceived(reply))
             return
         self._failed_reply = reply
