--- a/rhubarbhinge/peers/tests/test_loans.py
+++ b/rhubarbhinge/peers/tests/test_loans.py
@@ -3,18 +3,31 @@
 import json
 import random
 import unittest
+from unittest import mock
 from urllib.parse import parse_qsl, urlsplit
 
+from circuits import BaseComponent
 from hypothesis import given
 
 from rhubarbhinge.members import Member
-from rhubarbhinge.peers import LoanClient, LoanLog, LoanService
+from rhubarbhinge.peers import LoanClient, LoanLog, LoanService, _loan_client
 from rhubarbhinge.peers._loan_codec import LoanReplyError, decode_loan, encode_loan
 from rhubarbhinge.peers._paths import RETRY_LOANS_PATH
 from rhubarbhinge.retries import LOAN_VALID_MS, REFUSED, BudgetRule, Loan, RetryBudget, Unsupported
+from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.fake_timers import FakeTimers
+from rhubarbhinge.utils.testing import run_until, stop_tree
 from rhubarbhinge.utils.testing_values import EDGE_CASE_VALUES, FUZZ_SETTINGS
-from rhubarbhinge.web import Failure, Reply, Request, Responder, Response
+from rhubarbhinge.web import (
+    Failure,
+    HttpClient,
+    HttpServer,
+    Reply,
+    Request,
+    Responder,
+    Response,
+)
+from standins.fleet import free_ports
 
 LENDER = Member("vm-2", "10.0.0.2", "hall-a", 7)
 ODD_SERVICE = "shard 1&x=\u00e9/"
@@ -117,3 +130,26 @@
     def test_an_entry_of_an_earlier_release_is_told_from_a_refusal(self):
         self.outcome = Reply(404, {}, b"")
         self.assertEqual(self.ask(), Unsupported())
+
+
+class LoanOverHttpTest(unittest.TestCase):
+    def test_a_loan_passes_between_two_sockets(self):
+        """Guards against requests that the server or the client of the entries rejects."""
+        root = BaseComponent()
+        self.addCleanup(stop_tree, root)
+        timers = TimerService().register(root)
+        log = LoanLog(timers.now_ms)
+        service = LoanService(
+            lambda name: 3 * (name == ODD_SERVICE), lambda name: True, lambda ip: ip, log
+        )
+        (port,) = free_ports(1)
+        HttpServer(timers, service.answer, ("127.0.0.1", port)).register(root)
+        http_client = HttpClient(timers, accept_gzip=True).register(root)
+        lender = Member("vm-2", "127.0.0.1", "hall-a", 7)
+        client = LoanClient(timers, http_client, port, lambda: [lender], log)
+        replies = []
+        # A busy machine may take longer than an entry waits.
+        with mock.patch.object(_loan_client, "LOAN_TIMEOUT_MS", 5_000.0):
+            client.ask("vm-2", ODD_SERVICE, replies.append)
+        self.assertTrue(run_until(root, lambda: replies))
+        self.assertEqual(replies, [Loan(3, LOAN_VALID_MS)])
--- a/rhubarbhinge/retries/tests/test_loan_requests.py
+++ b/rhubarbhinge/retries/tests/test_loan_requests.py
@@ -123,5 +123,5 @@
             with self.subTest(others=len(others), mode=mode):
                 self.start(others, mode)
                 self.assertEqual(len(self.demand(20, 10.0)), 2)
-                self.assertFalse(self.loans.wait("s", lambda: None) and not others)
+                self.assertFalse(self.loans.wait("s", lambda: None))
                 self.assertLessEqual(len(self.asked), 3 if others else 0)
