--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -7,6 +7,7 @@
 from rhubarbhinge.forward._call_terms import CallTerms
 from rhubarbhinge.forward._caller_request import CallerRequest
 from rhubarbhinge.forward._exchange import Attempt, Exchange
+from rhubarbhinge.forward._loan_wait import LoanWait
 from rhubarbhinge.forward._outcome import (
     FailureReason,
     Lost,
@@ -70,6 +71,7 @@
         "_last_reason",
         "_may_have_run",
         "_timer",
+        "_loan_wait",
         "finished",
     )
 
@@ -100,6 +102,7 @@
         self._last_reason: FailureReason | None = None
         self._may_have_run = False
         self._timer: TimerHandle | None = None
+        self._loan_wait: LoanWait | None = None
         self.finished = False
 
     @property
@@ -133,6 +136,7 @@
         """Cancel the call; its result is not reported."""
         self.finished = True
         self._cancel_timer()
+        self._stop_waiting_for_loan()
         attempts, self._open_attempts = self._open_attempts, {}
         for attempt in attempts.values():
             attempt.cancel()
@@ -167,6 +171,8 @@
         }
 
     def _send(self, observed: ObservedSearcher, reason: str) -> None:
+        # Any send replaces a retry that waits for a loan.
+        self._stop_waiting_for_loan()
         start = observed.start
         now_ms = self._context.timers.now_ms()
         kind = SUB_QUERY_KINDS[reason]
@@ -269,6 +275,7 @@
         if self._terms.idempotent:
             self._retry()
         else:
+            self._trace.note("retry-not-sent", self.service, why="not-idempotent")
             self._finish_unsuccessfully()
 
     def _not_run(self, reason: FailureReason) -> None:
@@ -286,6 +293,9 @@
         if self.finished:
             return
         if self._refusals >= MAX_REFUSALS or self._ran >= self._terms.max_attempts:
+            self._trace.note(
+                "retry-not-sent", self.service, why="no-attempts", tried=len(self._tried)
+            )
             self._finish_unsuccessfully()
             return
         if not self._claim_attempt(self._ran, self._retry):
@@ -296,12 +306,10 @@
             # Every searcher has been tried; one that refused may have capacity again after a pause.
             self._tried.clear()
             self._tried.update(self._open_attempts)
+            self._stop_waiting_for_loan()
             self._start_timer(RETRY_PAUSE_MS, self._retry_paused)
-        elif chosen is None or not self._take_budget():
-            self._trace.note("retry-not-sent", self.service, **self._not_sent_fields(chosen))
-            self._finish_unsuccessfully()
         else:
-            self._send(chosen, "retry")
+            self._send_retry(chosen, "retry")
 
     def _retry_paused(self) -> None:
         if self.finished or self._open_attempts:
@@ -309,12 +317,44 @@
         if self._is_past_deadline():
             self._finish_unsuccessfully()
             return
-        chosen = self._choose()
-        if chosen is None or not self._take_budget():
+        self._send_retry(self._choose(), "retry-later")
+
+    def _send_retry(self, chosen: ObservedSearcher | None, kind: str) -> None:
+        """Send a retry, let it wait for a loan of retry budget, or finish.
+
+        :param chosen: the searcher; None if there is none.
+        :param kind: reason of the attempt, as logged.
+        """
+        if chosen is not None and self._take_budget():
+            self._send(chosen, kind)
+        elif chosen is None or not self._wait_for_loan(kind):
             self._trace.note("retry-not-sent", self.service, **self._not_sent_fields(chosen))
             self._finish_unsuccessfully()
+
+    def _wait_for_loan(self, kind: str) -> bool:
+        """Let a retry wait for a loan of retry budget, if one is being asked for.
+
+        :param kind: reason of the attempt, as logged.
+        """
+        if self._loan_wait is None:
+            self._loan_wait = LoanWait(
+                self._context,
+                self.service,
+                self._terms.deadline_ms,
+                lambda: self._retry_after_loan(kind),
+            )
+        return self._loan_wait.start()
+
+    def _retry_after_loan(self, kind: str) -> None:
+        if self._is_past_deadline():
+            self._finish_unsuccessfully()
         else:
-            self._send(chosen, "retry-later")
+            self._send_retry(self._choose(), kind)
+
+    def _stop_waiting_for_loan(self) -> None:
+        if self._loan_wait is not None:
+            self._loan_wait.cancel()
+            self._loan_wait = None
 
     def _is_past_deadline(self) -> bool:
         """Check whether the deadline has passed, which is possible if the process was stalled.
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -7,7 +7,7 @@
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
 from rhubarbhinge.quarantine import Quarantine
-from rhubarbhinge.retries import RetryBudget
+from rhubarbhinge.retries import LoanRequests, RetryBudget
 from rhubarbhinge.telemetry import EventLog, Metrics, ScalarMetric
 
 CONNECTIONS = ScalarMetric("searcher_connections", "Connections to searchers, open or being opened")
@@ -26,6 +26,15 @@
 EXTRA_SENDS_LEFT = ScalarMetric(
     "extra_sends_left", "Extra sends left for the service that has least"
 )
+EXTRA_SENDS_LENT = ScalarMetric(
+    "extra_sends_lent_total", "Extra sends that this entry lent to others", True
+)
+EXTRA_SENDS_BORROWED = ScalarMetric(
+    "extra_sends_borrowed_total", "Extra sends that others lent to this entry", True
+)
+LOAN_REQUESTS_FAILED = ScalarMetric(
+    "retry_loan_requests_failed_total", "Requests for extra sends that brought none", True
+)
 STORE_CALLS = ScalarMetric(
     "platform_calls_total", "Reads and watches of the platform's store", True
 )
@@ -72,6 +81,7 @@
     :param quarantine: tracks requests that crash the searchers executing them.
     :param event_log: the buffered event log; None if events are written elsewhere.
     :param shard_counts: counts the shards delegated and kept.
+    :param loans: requests for loans of retry budget.
     """
 
     def __init__(
@@ -86,6 +96,7 @@
         quarantine: Quarantine,
         event_log: EventLog | None,
         shard_counts: ShardCounts,
+        loans: LoanRequests,
     ):
         self._follower = follower
         self._peers = peers
@@ -97,6 +108,7 @@
         self._quarantine = quarantine
         self._event_log = event_log
         self._shard_counts = shard_counts
+        self._loans = loans
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -116,6 +128,9 @@
         metrics.set_scalar(EXTRA_SENDS, self._budget.granted)
         metrics.set_scalar(EXTRA_SENDS_REFUSED, self._budget.refused)
         metrics.set_scalar(EXTRA_SENDS_LEFT, self._budget.min_left())
+        metrics.set_scalar(EXTRA_SENDS_LENT, self._budget.lent)
+        metrics.set_scalar(EXTRA_SENDS_BORROWED, self._budget.borrowed)
+        metrics.set_scalar(LOAN_REQUESTS_FAILED, self._loans.failed)
         metrics.set_scalar(STORE_CALLS, self._source.platform_calls)
         metrics.set_scalar(READER_CALLS, self._source.reader_calls)
         metrics.set_scalar(CONFIRMATION_LAPSES, self._follower.confirmation_lapses)
