admission: forwarded requests that cannot be served in time are refused on arrival

Callers saw: in a burst, all forwarded requests wait in the queues of this entry, and those that cannot be served get their 503 at the deadline, with a Retry-After that does not depend on the queue.

Cause: a waiting request was only given up when a connection was released to it or its deadline passed, and nothing compared the queue with the time left.

Queues are reviewed every 50 ms while forwarded requests wait. They are ordered by a virtual start time that includes priority and the caller's other requests. Refused callers get return times of their own.

--- a/rhubarbhinge/fleet/_delays.py
+++ b/rhubarbhinge/fleet/_delays.py
@@ -30,6 +30,11 @@
         self._window.append(delay_ms)
         self._new_samples += 1
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether there are enough samples for :meth:`quantile` to be measured."""
+        return len(self._window) >= MIN_SAMPLES
+
     def quantile(self, fraction: float) -> float:
         """Estimate a quantile.
 
--- a/rhubarbhinge/forward/_call_terms.py
+++ b/rhubarbhinge/forward/_call_terms.py
@@ -23,6 +23,8 @@
         searcher of the service.
     :param searcher_started_unix_ms: start time of the only process of that searcher that may
         receive the request; None for any.
+    :param virtual_start_ms: orders forwarded requests that wait for the same searcher, see
+        :func:`rhubarbhinge.admission.virtual_start_ms`; None for requests ordered by priority.
     :param control: consulted before each attempt in addition to ``max_attempts``: the attempt limit
         may be shared with another entry, or the request may crash its searchers.
     """
@@ -38,4 +40,5 @@
     search: SearchTerms | None = None
     searcher: str = ""
     searcher_started_unix_ms: int | None = None
+    virtual_start_ms: float | None = None
     control: AttemptControl = UNLIMITED
--- a/rhubarbhinge/forward/_caller_request.py
+++ b/rhubarbhinge/forward/_caller_request.py
@@ -12,6 +12,8 @@
     :param wait_ms: how long the caller waits according to its headers; None if not stated.
     :param fingerprint: same value for every attempt at the same request at any entry; empty if it
         is not known.
+    :param caller_ip: IP address of the caller; empty if it is not known, as for requests of other
+        entries.
     """
 
     id: str
@@ -19,6 +21,7 @@
     body: bytes
     wait_ms: float | None
     fingerprint: str = ""
+    caller_ip: str = ""
 
     @property
     def wants_body(self) -> bool:
--- a/rhubarbhinge/forward/_connections.py
+++ b/rhubarbhinge/forward/_connections.py
@@ -4,14 +4,11 @@
 
 from msgspec import Struct, field
 
+from rhubarbhinge.admission import SendPace
 from rhubarbhinge.fleet import ObservedSearcher
 from rhubarbhinge.forward._pending_exchange import PendingExchange
 from rhubarbhinge.forward._reply_reader import ReplyReader
 
-MIN_USEFUL_FRACTION = 0.6
-"""A request with less than this fraction of the typical latency left is not sent, as its reply
-would almost always come too late."""
-
 
 class Connection(Struct, eq=False):
     """State of one connection."""
@@ -35,6 +32,7 @@
     count: int = 0
     opening: int = 0
     waiting: list[PendingExchange] = field(default_factory=list)
+    pace: SendPace = field(default_factory=SendPace)
 
     def pop_waiting(self) -> PendingExchange | None:
         """Remove and return the first queued exchange.
@@ -60,10 +58,11 @@
         expired = []
         while (pending := self.pop_waiting()) is not None:
             exchange = pending.exchange
-            least_ms = MIN_USEFUL_FRACTION * exchange.delays.quantile(0.5)
+            least_ms = pending.least_ms
             if exchange.deadline_ms - now_ms < least_ms:
                 expired.append(pending)
             elif pending.late or exchange.due_ms - now_ms >= least_ms:
+                self.pace.on_sent(now_ms)
                 return pending, expired
             else:
                 pending.late = True
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -23,6 +23,8 @@
         longer meet it are queued behind those that still can.
     :param route_name: name of the route.
     :param search: set for a shard of a search, which another entry may execute instead.
+    :param virtual_start_ms: orders forwarded requests that wait for the same searcher; None for
+        requests ordered by priority, which are served before those.
     """
 
     searcher: ObservedSearcher
@@ -33,6 +35,7 @@
     due_ms: float = float("inf")
     route_name: str = ""
     search: SearchTerms | None = None
+    virtual_start_ms: float | None = None
 
 
 class Attempt(Protocol):
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -18,6 +18,8 @@
     """The searcher left the fleet before the request was sent."""
     TOO_LATE = "too-late"
     """The request waited for a connection until a reply could no longer arrive in time."""
+    QUEUE_TOO_LONG = "queue-too-long"
+    """The request waited, and its turn would come too late at this searcher."""
     WRONG_SEARCHER = "wrong-searcher"
     """Another searcher now uses the address."""
     BROKEN = "broken"
--- a/rhubarbhinge/forward/_pending_exchange.py
+++ b/rhubarbhinge/forward/_pending_exchange.py
@@ -2,9 +2,23 @@
 
 from collections.abc import Callable
 
+from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward._exchange import Exchange
 from rhubarbhinge.forward._outcome import Outcome
 
+MIN_USEFUL_FRACTION = 0.6
+"""A request with less than this fraction of the typical latency left is not sent, as its reply
+would almost always come too late."""
+
+
+def least_useful_ms(delays: Delays) -> float:
+    """Return the time that a request has to have left to be worth sending.
+
+    :param delays: recent latencies of such requests.
+    :returns: time in ms.
+    """
+    return MIN_USEFUL_FRACTION * delays.quantile(0.5)
+
 
 class PendingExchange:
     """State of an exchange in progress.
@@ -47,12 +61,25 @@
         self._cancel = cancel
 
     def __lt__(self, other: "PendingExchange") -> bool:
-        """Order by lateness, then priority, then arrival."""
+        """Order by lateness, then priority or virtual start time, then arrival."""
         return self._rank < other._rank
 
     @property
-    def _rank(self) -> tuple[bool, int, int]:
-        return (self.late, self.exchange.priority, self.number)
+    def _rank(self) -> tuple[bool, bool, float, int]:
+        exchange = self.exchange
+        if exchange.virtual_start_ms is None:
+            return (self.late, False, exchange.priority, self.number)
+        return (self.late, True, exchange.virtual_start_ms, self.number)
+
+    @property
+    def is_forwarded(self) -> bool:
+        """Whether this is a forwarded request rather than a shard of a search."""
+        return self.exchange.virtual_start_ms is not None
+
+    @property
+    def least_ms(self) -> float:
+        """Time before the deadline, or the due time, after which it is not worth sending."""
+        return least_useful_ms(self.exchange.delays)
 
     @property
     def sent(self) -> bool:
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent
 
+from rhubarbhinge.admission import SearcherQueue
 from rhubarbhinge.fleet import DomainReachability, ObservedSearcher, SearcherStart
 from rhubarbhinge.forward._connections import Connection, SearcherConnections
 from rhubarbhinge.forward._dialect import Dialect
@@ -13,11 +14,12 @@
 from rhubarbhinge.forward._exit_checks import ExitChecks
 from rhubarbhinge.forward._outcome import FailureReason, Lost, NotRun, Outcome
 from rhubarbhinge.forward._pending_exchange import PendingExchange
+from rhubarbhinge.forward._queue_review import REVIEW_INTERVAL_MS, review, searcher_queue
 from rhubarbhinge.forward._reply_outcome import is_reply_to, outcome_of, record_reply
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
-from rhubarbhinge.timing import TimerService
+from rhubarbhinge.timing import TimerHandle, TimerService
 
 CONNECT_TIMEOUT_MS = 350.0
 """Timeout for establishing a connection. It usually takes 6 ms, but a searcher may pause for 250
@@ -63,6 +65,7 @@
         self._by_link: dict[int, Connection] = {}
         self._by_searcher: dict[SearcherStart, SearcherConnections] = {}
         self._exit_checks = ExitChecks(timers, self.open_ahead)
+        self._review_timer: TimerHandle | None = None
         self._links = Links(
             self._opened, self._received, self._closed, detect_dead_peers=True
         ).register(self)
@@ -107,8 +110,21 @@
             self._open(observed, connections, pending)
         else:
             heapq.heappush(connections.waiting, pending)
+            if pending.is_forwarded:
+                self._schedule_review()
         return pending
 
+    def queue(self, observed: ObservedSearcher) -> SearcherQueue:
+        """Return the queue of a searcher.
+
+        :param observed: the searcher.
+        :returns: the requests that wait for it, and how fast they are sent.
+        """
+        connections = self._by_searcher.get(observed.start)
+        return searcher_queue(
+            connections, max(1, self._max_connections(observed)), self._timers.now_ms()
+        )
+
     def open_ahead(self, observed: ObservedSearcher) -> None:
         """Open a connection without a request, to check whether a searcher is reachable.
 
@@ -160,6 +176,25 @@
             for conn in [conn for conn in connections.idle if conn.idle_until_ms <= now_ms]:
                 self._drop(conn)
 
+    def _schedule_review(self) -> None:
+        if self._review_timer is None:
+            self._review_timer = self._timers.after(REVIEW_INTERVAL_MS, self._review)
+
+    def _review(self) -> None:
+        """Fail the forwarded requests that wait but can no longer be served."""
+        self._review_timer = None
+        now_ms = self._timers.now_ms()
+        remaining = False
+        for connections in list(self._by_searcher.values()):
+            if not connections.waiting:
+                continue
+            limit = max(1, self._max_connections(connections.waiting[0].exchange.searcher))
+            for pending, reason in review(connections, limit, now_ms):
+                self._withdraw(pending, reason)
+            remaining = remaining or any(one.is_forwarded for one in connections.waiting)
+        if remaining:
+            self._schedule_review()
+
     def _connections(self, observed: ObservedSearcher) -> SearcherConnections:
         return self._by_searcher.setdefault(observed.start, SearcherConnections())
 
--- /dev/null
+++ b/rhubarbhinge/forward/_queue_review.py
@@ -0,0 +1,94 @@
+"""Periodic review of the queue of one searcher."""
+
+import heapq
+
+from rhubarbhinge.admission import QueuedRequest, SearcherQueue, turn_ms, unservable
+from rhubarbhinge.forward._connections import SearcherConnections
+from rhubarbhinge.forward._outcome import FailureReason
+from rhubarbhinge.forward._pending_exchange import PendingExchange
+
+REVIEW_INTERVAL_MS = 50.0
+"""Interval at which waiting requests are reviewed: a caller learns of a refusal within a fraction
+of a request's work."""
+OPTIMISTIC_QUANTILE = 0.25
+"""Quantile of delays that counts as the shortest time of a request."""
+
+
+def searcher_queue(
+    connections: SearcherConnections | None, concurrency: int, now_ms: float
+) -> SearcherQueue:
+    """Describe the queue of a searcher to admission control.
+
+    :param connections: connections to the searcher; None if there are none.
+    :param concurrency: maximum number of requests in progress at the searcher.
+    :param now_ms: current time.
+    :returns: the queue.
+    """
+    if connections is None:
+        return SearcherQueue((), concurrency)
+    waiting = tuple(_queued(one, now_ms) for one in connections.waiting if not one.finished)
+    return SearcherQueue(waiting, concurrency, connections.pace.per_ms(now_ms))
+
+
+def review(
+    connections: SearcherConnections, concurrency: int, now_ms: float
+) -> list[tuple[PendingExchange, FailureReason]]:
+    """Remove the forwarded requests that can no longer be served from a queue.
+
+    Requests that can no longer meet their objective are moved behind the others. Shards of searches
+    are left as they are.
+
+    :param connections: connections to the searcher, and its queue.
+    :param concurrency: maximum number of requests in progress at the searcher.
+    :param now_ms: current time.
+    :returns: the requests removed, each with its reason.
+    """
+    removed = []
+    kept = []
+    for pending in connections.waiting:
+        if pending.finished:
+            continue
+        if pending.is_forwarded and pending.exchange.deadline_ms - now_ms < pending.least_ms:
+            removed.append((pending, FailureReason.TOO_LATE))
+            continue
+        if pending.is_forwarded and pending.exchange.due_ms - now_ms < pending.least_ms:
+            pending.late = True
+        kept.append(pending)
+    forwarded = [one for one in kept if one.is_forwarded]
+    service_ms = _service_ms(forwarded)
+    if service_ms > 0.0:
+        queue = SearcherQueue(
+            tuple(_queued(one, now_ms) for one in forwarded),
+            concurrency,
+            connections.pace.per_ms(now_ms),
+        )
+        one_turn_ms = turn_ms(queue, service_ms)
+        too_long = {
+            forwarded[index].number
+            for index in unservable(queue.waiting, concurrency, one_turn_ms, now_ms)
+        }
+        removed += [(one, FailureReason.QUEUE_TOO_LONG) for one in kept if one.number in too_long]
+        kept = [one for one in kept if one.number not in too_long]
+    connections.waiting[:] = kept
+    heapq.heapify(connections.waiting)
+    return removed
+
+
+def _service_ms(forwarded: list[PendingExchange]) -> float:
+    """Return the shortest time of the requests; 0 if it is not known of all their routes."""
+    delays = {id(one.exchange.delays): one.exchange.delays for one in forwarded}.values()
+    if not delays or not all(one.is_measured for one in delays):
+        return 0.0
+    return min(one.quantile(OPTIMISTIC_QUANTILE) for one in delays)
+
+
+def _queued(pending: PendingExchange, now_ms: float) -> QueuedRequest:
+    exchange, least_ms = pending.exchange, pending.least_ms
+    on_time_until_ms = exchange.due_ms - least_ms
+    return QueuedRequest(
+        # Requests ordered by priority are served before forwarded ones.
+        float("-inf") if exchange.virtual_start_ms is None else exchange.virtual_start_ms,
+        on_time_until_ms,
+        exchange.deadline_ms - least_ms,
+        pending.late or on_time_until_ms < now_ms,
+    )
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -24,7 +24,12 @@
 MAX_REFUSALS = 4
 """Maximum number of refused attempts per call. A refused request is not executed, but still counts
 as extra load on the service."""
-NOT_SENT_REASONS = (FailureReason.UNREACHABLE, FailureReason.LEAVING, FailureReason.TOO_LATE)
+NOT_SENT_REASONS = (
+    FailureReason.UNREACHABLE,
+    FailureReason.LEAVING,
+    FailureReason.TOO_LATE,
+    FailureReason.QUEUE_TOO_LONG,
+)
 """Reasons for which the request did not reach a searcher."""
 SUB_QUERY_KINDS = {
     "first": SubQueryKind.BASE,
@@ -192,6 +197,7 @@
             terms.due_ms,
             terms.route_name,
             terms.search,
+            terms.virtual_start_ms,
         )
         self._open_attempts[start] = self._context.send(
             exchange, lambda outcome: self._on_attempt_ended(start, outcome)
@@ -277,7 +283,10 @@
         if reason not in NOT_SENT_REASONS:
             self._arrived = True
             self._refusals += 1
-        if reason is FailureReason.TOO_LATE:
+        # Another searcher may have a shorter queue; a further attempt would be an additional one if
+        # an attempt is in progress.
+        is_hedge = reason is FailureReason.QUEUE_TOO_LONG and self._open_attempts
+        if reason is FailureReason.TOO_LATE or is_hedge:
             self._finish_unsuccessfully()
         else:
             self._retry()
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -18,6 +18,7 @@
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._forward_admission import ForwardAdmission, service_queues
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._link_usage import LinkUsage
@@ -180,6 +181,9 @@
             self.timers, delegate_client, settings.failure_domain, self._pool.send
         )
         delegation = shard_delegation(settings.failure_domain, context, delegate_client, self._rng)
+        admission = ForwardAdmission(
+            service_queues(self._fleet, self._pool), self.timers.now_ms, self._rng
+        )
         dependencies = GatewayDependencies(
             context,
             dialect,
@@ -190,6 +194,7 @@
             AnswerLeadTime(lambda: self._settings.current.link_bits_per_ms),
             lambda: self._serving_state.balancer_delay_ms(),
             quarantine,
+            admission,
         )
         self._gateway = Gateway(dependencies)
         self._serving_state = ServingState(
@@ -227,6 +232,7 @@
             self._budget,
             self._link_usage,
             quarantine,
+            admission,
             event_log,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._forward_admission import ForwardAdmission
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
@@ -65,6 +66,7 @@
     :param budget: the retry budget.
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
+    :param admission: admission control of forwarded requests.
     :param event_log: the buffered event log; None if events are written elsewhere.
     """
 
@@ -78,6 +80,7 @@
         budget: RetryBudget,
         link_usage: LinkUsage,
         quarantine: Quarantine,
+        admission: ForwardAdmission,
         event_log: EventLog | None,
     ):
         self._follower = follower
@@ -88,6 +91,7 @@
         self._budget = budget
         self._link_usage = link_usage
         self._quarantine = quarantine
+        self._admission = admission
         self._event_log = event_log
 
     def update(self, metrics: Metrics) -> None:
@@ -116,6 +120,7 @@
         metrics.set_scalar(UNUSABLE_ENTRIES_FOUND, self._follower.unusable.total_found)
         metrics.set_scalar(QUARANTINED, self._quarantine.quarantined_count)
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
+        self._admission.update(metrics)
         for kind, total in self._link_usage.totals().items():
             metrics.set_scalar(LINK_BYTES[kind], total)
         if self._event_log is not None:
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -42,6 +42,8 @@
         self._round_robin.retain(names)
         self._dependencies.lead_time.retain(names)
         self._dependencies.quarantine.on_routes(names)
+        if self._dependencies.admission is not None:
+            self._dependencies.admission.retain(plan.services)
         for name in self._delays.keys() - names:
             del self._delays[name]
 
--- a/rhubarbhinge/gateway/_gateway_dependencies.py
+++ b/rhubarbhinge/gateway/_gateway_dependencies.py
@@ -7,6 +7,7 @@
 
 from rhubarbhinge.forward import CallContext, Dialect
 from rhubarbhinge.gateway._answer_lead_time import AnswerLeadTime
+from rhubarbhinge.gateway._forward_admission import ForwardAdmission
 from rhubarbhinge.gather import ShardDelegation
 from rhubarbhinge.published import Follower
 from rhubarbhinge.quarantine import Quarantine
@@ -26,6 +27,7 @@
     :param balancer_delay_ms: returns the time until the load balancer sends callers to other
         entries, or 0 if it does not.
     :param quarantine: tracks requests that crash the searchers executing them.
+    :param admission: admission control of forwarded requests; None admits all.
     """
 
     context: CallContext
@@ -37,3 +39,4 @@
     lead_time: AnswerLeadTime
     balancer_delay_ms: Callable[[], float]
     quarantine: Quarantine
+    admission: ForwardAdmission | None = None
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -4,11 +4,13 @@
 
 from msgspec.structs import replace
 
+from rhubarbhinge.admission import Rejected
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import (
     CallerRequest,
     CallTerms,
     Failed,
+    FailureReason,
     Refused,
     ReplyReceived,
     RequestTrace,
@@ -16,6 +18,7 @@
     ServiceCall,
 )
 from rhubarbhinge.gateway._call_terms import call_terms
+from rhubarbhinge.gateway._forward_admission import Arrival
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._responses import failed, refused, timed_out
 from rhubarbhinge.gather import Gathered, GatherTerms, ScatterGather, TooFewShards
@@ -45,6 +48,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Status codes that tell callers that the request was not executed."""
 
+WAITED_REASONS = (FailureReason.TOO_LATE, FailureReason.QUEUE_TOO_LONG)
+"""Reasons of refusals after which callers return once the queue has drained."""
+
 
 class RequestHandler:
     """Handles one request.
@@ -84,6 +90,8 @@
         self._timer: TimerHandle | None = None
         self._cancel: Callable[[], None] | None = None
         self._watch: RequestWatch | None = None
+        self._leave: Callable[[], None] = _do_nothing
+        self._retry_after_ms: Callable[[float], float] | None = None
 
     def refuse(self, decision: Quarantined) -> None:
         """Refuse the request because it crashes the searchers that execute it.
@@ -110,8 +118,19 @@
         :param delays: recent reply times on the route.
         """
         context = self._context
-        context.budget.on_request((service,))
         terms = self._terms(delays, self._deadline_ms)
+        if self._dependencies.admission is not None:
+            self._retry_after_ms = lambda pause_ms: self._dependencies.admission.retry_after_ms(
+                service, delays, pause_ms
+            )
+            arrival = self._arrive(service, delays)
+            if isinstance(arrival, Rejected):
+                message = "Its turn would come after its deadline."
+                self._answer(refused("overloaded", message, arrival.retry_after_ms), "overloaded")
+                return
+            self._leave = arrival.leave
+            terms = replace(terms, due_ms=self._due_ms, virtual_start_ms=arrival.virtual_start_ms)
+        context.budget.on_request((service,))
         if self._watch.one_first:
             terms = replace(terms, max_attempts=1, hedge_ms=None)
         call = ServiceCall(
@@ -120,6 +139,23 @@
         self._register_cancellation(call.cancel, lambda: self._on_timeout(call))
         call.start()
 
+    def _arrive(self, service: str, delays: Delays) -> Arrival | Rejected:
+        return self._dependencies.admission.arrive(
+            self._request,
+            service,
+            self._route.priority,
+            self._due_ms,
+            self._deadline_ms,
+            delays,
+            self._min_pause_ms(),
+        )
+
+    @property
+    def _due_ms(self) -> float:
+        """Time at which a reply has to arrive to meet the objective of a forwarded request."""
+        objective_ms = self._route.target_latency_ms - self._transit_ms
+        return min(self._deadline_ms, self._started_ms + objective_ms)
+
     def gather(self, delays: Delays) -> None:
         """Send the request to all shards and merge their replies.
 
@@ -175,6 +211,7 @@
     def _on_caller_gone(self) -> None:
         self._timer.cancel()
         self._cancel()
+        self._leave()
         self._watch.close()
         self._log("caller-gone", CALLER_GONE)
 
@@ -190,14 +227,17 @@
         if may_have_run:
             self._answer(timed_out(), "timeout")
         else:
-            self._answer(self._refusal("timeout", "No searcher had room in time."), "timeout")
+            self._answer(self._refusal_after_wait("timeout"), "timeout")
 
     def _on_forwarded(self, call: ServiceCall, result: Result) -> None:
         if isinstance(result, ReplyReceived):
             self._forward_reply(result)
         elif isinstance(result, Refused):
             why = result.reason.value if result.reason else "no-searcher"
-            self._answer(self._refusal(why, "No searcher took the request."), why)
+            if result.reason in WAITED_REASONS:
+                self._answer(self._refusal_after_wait(why), why)
+            else:
+                self._answer(self._refusal(why, "No searcher took the request."), why)
         elif isinstance(result, Failed):
             why = result.reason.value if result.reason else "failed"
             self._answer(failed(why, "The searcher's reply did not come."), why)
@@ -233,16 +273,27 @@
             self._answer(answer, "too-few-shards", missing)
 
     def _refusal(self, code: str, message: str) -> Response:
-        pause_ms = max(
+        pause_ms = self._min_pause_ms() * self._dependencies.rng.uniform(0.8, 1.2)
+        return refused(code, message, pause_ms)
+
+    def _refusal_after_wait(self, code: str) -> Response:
+        """Refuse a request that waited for a connection in vain."""
+        message = "No searcher had room in time."
+        if self._retry_after_ms is None:
+            return self._refusal(code, message)
+        return refused(code, message, self._retry_after_ms(self._min_pause_ms()))
+
+    def _min_pause_ms(self) -> float:
+        return max(
             MIN_RETRY_AFTER_MS,
             RETRY_AFTER_FRACTION * self._route.target_latency_ms,
             self._dependencies.balancer_delay_ms(),
         )
-        return refused(code, message, pause_ms * self._dependencies.rng.uniform(0.8, 1.2))
 
     def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._leave()
         self._responder.answer(answer)
         if self._watch is not None:
             self._watch.close()
@@ -281,5 +332,9 @@
         )
 
 
+def _do_nothing() -> None:
+    """Stand in for leaving admission control, for requests that it has not admitted."""
+
+
 def _is_success(status: int) -> bool:
     return 200 <= status < 300
