--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -8,7 +8,7 @@
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
 from rhubarbhinge.forward._fingerprint import fingerprint
 from rhubarbhinge.forward._outcome import FailureReason, Lost, NotRun, Outcome, Replied
-from rhubarbhinge.forward._pending_exchange import least_useful_ms
+from rhubarbhinge.forward._pending_exchange import least_on_time_ms, least_useful_ms
 from rhubarbhinge.forward._pool import ConnectionPool
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyReader
 from rhubarbhinge.forward._request_trace import RequestTrace
@@ -45,5 +45,6 @@
     "UNLIMITED",
     "Unlimited",
     "fingerprint",
+    "least_on_time_ms",
     "least_useful_ms",
 ]
--- a/rhubarbhinge/forward/_connections.py
+++ b/rhubarbhinge/forward/_connections.py
@@ -61,7 +61,7 @@
             least_ms = pending.least_ms
             if exchange.deadline_ms - now_ms < least_ms:
                 expired.append(pending)
-            elif pending.late or exchange.due_ms - now_ms >= least_ms:
+            elif pending.late or exchange.due_ms - now_ms >= pending.least_on_time_ms:
                 self.pace.on_sent(now_ms)
                 return pending, expired
             else:
--- a/rhubarbhinge/forward/_pending_exchange.py
+++ b/rhubarbhinge/forward/_pending_exchange.py
@@ -20,6 +20,18 @@
     return MIN_USEFUL_FRACTION * delays.quantile(0.5)
 
 
+def least_on_time_ms(delays: Delays) -> float:
+    """Return the time that a forwarded request has to have left to meet its objective.
+
+    Under overload, most requests are sent just before they count as late; with less than the
+    typical time left, most of those would be late.
+
+    :param delays: recent latencies of such requests.
+    :returns: time in ms.
+    """
+    return delays.quantile(0.5)
+
+
 class PendingExchange:
     """State of an exchange in progress.
 
@@ -78,9 +90,16 @@
 
     @property
     def least_ms(self) -> float:
-        """Time before the deadline, or the due time, after which it is not worth sending."""
+        """Time before the deadline after which it is not worth sending."""
         return least_useful_ms(self.exchange.delays)
 
+    @property
+    def least_on_time_ms(self) -> float:
+        """Time before the due time after which it counts as late."""
+        if self.is_forwarded:
+            return least_on_time_ms(self.exchange.delays)
+        return self.least_ms
+
     @property
     def sent(self) -> bool:
         """Whether the request was written to a connection."""
--- a/rhubarbhinge/forward/_queue_review.py
+++ b/rhubarbhinge/forward/_queue_review.py
@@ -26,7 +26,7 @@
     """
     if connections is None:
         return SearcherQueue((), concurrency)
-    waiting = tuple(_queued(one, now_ms) for one in connections.waiting if not one.finished)
+    waiting = _queued([one for one in connections.waiting if not one.finished], now_ms)
     return SearcherQueue(waiting, concurrency, connections.pace.per_ms(now_ms))
 
 
@@ -51,16 +51,14 @@
         if pending.is_forwarded and pending.exchange.deadline_ms - now_ms < pending.least_ms:
             removed.append((pending, FailureReason.TOO_LATE))
             continue
-        if pending.is_forwarded and pending.exchange.due_ms - now_ms < pending.least_ms:
+        if pending.is_forwarded and pending.exchange.due_ms - now_ms < pending.least_on_time_ms:
             pending.late = True
         kept.append(pending)
     forwarded = [one for one in kept if one.is_forwarded]
     service_ms = _service_ms(forwarded)
     if service_ms > 0.0:
         queue = SearcherQueue(
-            tuple(_queued(one, now_ms) for one in forwarded),
-            concurrency,
-            connections.pace.per_ms(now_ms),
+            _queued(forwarded, now_ms), concurrency, connections.pace.per_ms(now_ms)
         )
         one_turn_ms = turn_ms(queue, service_ms)
         too_long = {
@@ -82,13 +80,25 @@
     return min(one.quantile(OPTIMISTIC_QUANTILE) for one in delays)
 
 
-def _queued(pending: PendingExchange, now_ms: float) -> QueuedRequest:
-    exchange, least_ms = pending.exchange, pending.least_ms
-    on_time_until_ms = exchange.due_ms - least_ms
-    return QueuedRequest(
-        # Requests ordered by priority are served before forwarded ones.
-        float("-inf") if exchange.virtual_start_ms is None else exchange.virtual_start_ms,
-        on_time_until_ms,
-        exchange.deadline_ms - least_ms,
-        pending.late or on_time_until_ms < now_ms,
-    )
+def _queued(waiting: list[PendingExchange], now_ms: float) -> tuple[QueuedRequest, ...]:
+    # The margins are the same for all requests of a route.
+    margins_ms: dict[int, tuple[float, float]] = {}
+    queued = []
+    for pending in waiting:
+        exchange = pending.exchange
+        margin_ms = margins_ms.get(id(exchange.delays))
+        if margin_ms is None:
+            margin_ms = (pending.least_on_time_ms, pending.least_ms)
+            margins_ms[id(exchange.delays)] = margin_ms
+        start_ms = exchange.virtual_start_ms
+        on_time_until_ms = exchange.due_ms - margin_ms[0]
+        queued.append(
+            QueuedRequest(
+                # Requests ordered by priority are served before forwarded ones.
+                float("-inf") if start_ms is None else start_ms,
+                on_time_until_ms,
+                exchange.deadline_ms - margin_ms[1],
+                pending.late or on_time_until_ms < now_ms,
+            )
+        )
+    return tuple(queued)
--- a/rhubarbhinge/gateway/_forward_admission.py
+++ b/rhubarbhinge/gateway/_forward_admission.py
@@ -18,7 +18,7 @@
     virtual_start_ms,
 )
 from rhubarbhinge.fleet import Delays, Fleet
-from rhubarbhinge.forward import CallerRequest, ConnectionPool, least_useful_ms
+from rhubarbhinge.forward import CallerRequest, ConnectionPool, least_on_time_ms, least_useful_ms
 from rhubarbhinge.telemetry import Metrics, ScalarMetric, log_event
 
 LOWER_QUARTILE = 0.25
@@ -109,9 +109,10 @@
         state = self._state(service, delays)
         caller = request.caller_ip
         start_ms = virtual_start_ms(now_ms, priority, state.callers[caller] if caller else 0)
-        least_ms = least_useful_ms(delays)
+        on_time_until_ms = due_ms - least_on_time_ms(delays)
+        useful_until_ms = deadline_ms - least_useful_ms(delays)
         decision = decide(
-            QueuedRequest(start_ms, due_ms - least_ms, deadline_ms - least_ms),
+            QueuedRequest(start_ms, on_time_until_ms, useful_until_ms),
             self._queues(service),
             _times(delays),
             now_ms,
