--- a/rhubarbhinge/admission/_arrival.py
+++ b/rhubarbhinge/admission/_arrival.py
@@ -89,9 +89,12 @@
     :param assign_return: returns the time in ms after which a rejected caller may retry.
     :returns: the decision.
     """
-    if times.lower_ms <= 0.0 or not queues or not all(queue.waiting for queue in queues):
+    if not queues or not all(queue.waiting for queue in queues):
         return Accepted()
-    starts_ms = (earliest_start_ms(request, queue, times.lower_ms, now_ms) for queue in queues)
+    lower_ms = min(times.lower_ms, *(queue.lower_ms for queue in queues))
+    if lower_ms <= 0.0:
+        return Accepted()
+    starts_ms = (earliest_start_ms(request, queue, lower_ms, now_ms) for queue in queues)
     if min(starts_ms) <= max(now_ms, request.useful_until_ms):
         return Accepted()
     figures = queue_figures(queues, times)
--- a/rhubarbhinge/admission/_queue.py
+++ b/rhubarbhinge/admission/_queue.py
@@ -46,8 +46,11 @@
     :param waiting: the requests, in any order.
     :param concurrency: number of requests that this entry may have in progress at the searcher.
     :param pace_per_ms: rate at which waiting requests were sent recently; 0 if unknown.
+    :param lower_ms: lower quartile of the delays of the waiting requests, at the route where it is
+        least; 0 if there are too few samples.
     """
 
     waiting: tuple[QueuedRequest, ...]
     concurrency: int
     pace_per_ms: float = 0.0
+    lower_ms: float = float("inf")
--- a/rhubarbhinge/admission/tests/test_forwarded.py
+++ b/rhubarbhinge/admission/tests/test_forwarded.py
@@ -73,6 +73,13 @@
         self.assertEqual(self.decide(request(), [queue(900), queue(6)]), Accepted())
         self.assertEqual(self.decide(request(), [queue(168, 12 / 180.0)] * 4), Accepted())
 
+    def test_requests_of_faster_routes_count_with_their_own_time(self):
+        # Guards against a request of 180 ms refused behind many that take 10 ms each.
+        ahead = (request(),) * 300
+        fast, unknown = (SearcherQueue(ahead, 6, 0.0, lower) for lower in (10.0, 0.0))
+        self.assertEqual(self.decide(request(), [fast]), Accepted())
+        self.assertEqual(self.decide(request(), [unknown]), Accepted())
+
     def test_requests_that_are_late_first_do_not_block_one_that_is_on_time(self):
         # All that arrived before are behind this request at its last chance to be on time.
         ahead = SearcherQueue(tuple(request(-1.0 - at) for at in range(900)), 6)
--- a/rhubarbhinge/forward/_queue_review.py
+++ b/rhubarbhinge/forward/_queue_review.py
@@ -26,8 +26,8 @@
     """
     if connections is None:
         return SearcherQueue((), concurrency)
-    waiting = _queued([one for one in connections.waiting if not one.finished], now_ms)
-    return SearcherQueue(waiting, concurrency, connections.pace.per_ms(now_ms))
+    waiting = [one for one in connections.waiting if not one.finished]
+    return _describe(connections, waiting, concurrency, now_ms)
 
 
 def review(
@@ -55,12 +55,9 @@
             pending.late = True
         kept.append(pending)
     forwarded = [one for one in kept if one.is_forwarded]
-    service_ms = _service_ms(forwarded)
-    if service_ms > 0.0:
-        queue = SearcherQueue(
-            _queued(forwarded, now_ms), concurrency, connections.pace.per_ms(now_ms)
-        )
-        one_turn_ms = turn_ms(queue, service_ms)
+    queue = _describe(connections, forwarded, concurrency, now_ms)
+    if forwarded and queue.lower_ms > 0.0:
+        one_turn_ms = turn_ms(queue, queue.lower_ms)
         too_long = {
             forwarded[index].number
             for index in unservable(queue.waiting, concurrency, one_turn_ms, now_ms)
@@ -72,12 +69,22 @@
     return removed
 
 
-def _service_ms(forwarded: list[PendingExchange]) -> float:
+def _describe(
+    connections: SearcherConnections,
+    waiting: list[PendingExchange],
+    concurrency: int,
+    now_ms: float,
+) -> SearcherQueue:
+    pace_per_ms = connections.pace.per_ms(now_ms)
+    return SearcherQueue(_queued(waiting, now_ms), concurrency, pace_per_ms, _lower_ms(waiting))
+
+
+def _lower_ms(waiting: list[PendingExchange]) -> float:
     """Return the shortest time of the requests; 0 if it is not known of all their routes."""
-    delays = {id(one.exchange.delays): one.exchange.delays for one in forwarded}.values()
-    if not delays or not all(one.is_measured for one in delays):
+    delays = {id(one.exchange.delays): one.exchange.delays for one in waiting}.values()
+    if not all(one.is_measured for one in delays):
         return 0.0
-    return min(one.quantile(OPTIMISTIC_QUANTILE) for one in delays)
+    return min((one.quantile(OPTIMISTIC_QUANTILE) for one in delays), default=float("inf"))
 
 
 def _queued(waiting: list[PendingExchange], now_ms: float) -> tuple[QueuedRequest, ...]:
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -283,11 +283,11 @@
         if reason not in NOT_SENT_REASONS:
             self._arrived = True
             self._refusals += 1
-        # Another searcher may have a shorter queue; a further attempt would be an additional one if
-        # an attempt is in progress.
-        is_hedge = reason is FailureReason.QUEUE_TOO_LONG and self._open_attempts
-        if reason is FailureReason.TOO_LATE or is_hedge:
+        if reason is FailureReason.TOO_LATE:
             self._finish_unsuccessfully()
+        elif reason is FailureReason.QUEUE_TOO_LONG and self._open_attempts:
+            # The other attempt decides. Without one, another searcher may have a shorter queue.
+            return
         else:
             self._retry()
 
