--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -25,7 +25,12 @@
 MAX_REFUSALS = 4
 """Maximum number of refused attempts per call. A refused request is not executed, but still counts
 as extra load on the service."""
-NOT_SENT_REASONS = (FailureReason.UNREACHABLE, FailureReason.LEAVING, FailureReason.TOO_LATE)
+NOT_SENT_REASONS = (
+    FailureReason.UNREACHABLE,
+    FailureReason.LEAVING,
+    FailureReason.TOO_LATE,
+    FailureReason.QUEUE_TOO_LONG,
+)
 """Reasons for which the request did not reach a searcher."""
 SUB_QUERY_KINDS = {
     "first": SubQueryKind.BASE,
@@ -198,6 +203,7 @@
             terms.due_ms,
             terms.route_name,
             terms.search,
+            terms.virtual_start_ms,
         )
         self._open_attempts[start] = self._context.send(
             exchange, lambda outcome: self._on_attempt_ended(start, outcome)
@@ -286,6 +292,9 @@
             self._refusals += 1
         if reason is FailureReason.TOO_LATE:
             self._finish_unsuccessfully()
+        elif reason is FailureReason.QUEUE_TOO_LONG and self._open_attempts:
+            # The other attempt decides. Without one, another searcher may have a shorter queue.
+            return
         else:
             self._retry()
 
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -19,6 +19,7 @@
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._forward_admission import ForwardAdmission, service_queues
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._link_usage import LinkUsage
@@ -213,6 +214,9 @@
             by_capacity,
             shard_counts,
         )
+        admission = ForwardAdmission(
+            service_queues(self._fleet, self._pool), self.timers.now_ms, self._rng
+        )
         dependencies = GatewayDependencies(
             context,
             dialect,
@@ -223,6 +227,7 @@
             AnswerLeadTime(lambda: self._settings.current.link_bits_per_ms),
             lambda: self._serving_state.balancer_delay_ms(),
             quarantine,
+            admission,
         )
         self._gateway = Gateway(dependencies)
         self._serving_state = ServingState(
@@ -261,6 +266,7 @@
             self._budget,
             self._link_usage,
             quarantine,
+            admission,
             event_log,
             shard_counts,
             loans,
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -3,6 +3,7 @@
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
 from rhubarbhinge.gateway._capacity_delegation import ShardCounts
+from rhubarbhinge.gateway._forward_admission import ForwardAdmission
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
@@ -79,6 +80,7 @@
     :param budget: the retry budget.
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
+    :param admission: admission control of forwarded requests.
     :param event_log: the buffered event log; None if events are written elsewhere.
     :param shard_counts: counts the shards delegated and kept.
     :param loans: requests for loans of retry budget.
@@ -94,6 +96,7 @@
         budget: RetryBudget,
         link_usage: LinkUsage,
         quarantine: Quarantine,
+        admission: ForwardAdmission,
         event_log: EventLog | None,
         shard_counts: ShardCounts,
         loans: LoanRequests,
@@ -106,6 +109,7 @@
         self._budget = budget
         self._link_usage = link_usage
         self._quarantine = quarantine
+        self._admission = admission
         self._event_log = event_log
         self._shard_counts = shard_counts
         self._loans = loans
@@ -141,6 +145,7 @@
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
         metrics.set_scalar(SHARDS_DELEGATED, self._shard_counts.delegated)
         metrics.set_scalar(SHARDS_KEPT, self._shard_counts.kept)
+        self._admission.update(metrics)
         for kind, total in self._link_usage.totals().items():
             metrics.set_scalar(LINK_BYTES[kind], total)
         if self._event_log is not None:
