net: stalled links are known, can be reset and paused

Cause: a link only knew its own pending bytes; their sum took a pass over all links. Change: Links keeps a running count of pending bytes, and the links whose last write was partial with the time at which their peers last took bytes, which includes what the kernel saw acknowledged (SIOCOUTQ): the kernel accepts more only when much of its buffer is free. reset() discards pending data and resets the connection; a link that ends with a truncated write is always reset. Closing waits as long as the peer takes data. Reading a link can be paused. Conclusion: users of Links can limit what they buffer without cost for links whose peers read.

--- a/rhubarbhinge/net/__init__.py
+++ b/rhubarbhinge/net/__init__.py
@@ -6,6 +6,7 @@
 from rhubarbhinge.net._frames import MAX_FRAME_BYTES, FrameSplitter, encode_frame
 from rhubarbhinge.net._links import DEFAULT_MAX_PENDING_BYTES, Links
 from rhubarbhinge.net._sockets import provide_listening_socket
+from rhubarbhinge.net._stalled_link import StalledLink
 
 __all__ = [
     "DEFAULT_MAX_PENDING_BYTES",
@@ -15,6 +16,7 @@
     "FrameError",
     "FrameSplitter",
     "Links",
+    "StalledLink",
     "encode_frame",
     "provide_listening_socket",
 ]
--- a/rhubarbhinge/net/_close_reason.py
+++ b/rhubarbhinge/net/_close_reason.py
@@ -29,3 +29,6 @@
 
     OVERFLOW = "overflow"
     """Too much data was pending because the peer reads too slowly."""
+
+    STALLED = "stalled"
+    """The peer took no data for too long; the connection was reset."""
--- a/rhubarbhinge/net/_link.py
+++ b/rhubarbhinge/net/_link.py
@@ -3,6 +3,7 @@
 import socket
 from enum import Enum, auto
 
+from rhubarbhinge.net._sockets import unacknowledged_bytes
 from rhubarbhinge.timing import TimerHandle
 
 MAX_BUFFERS_PER_SEND = 512
@@ -27,6 +28,9 @@
     :param sock: the non-blocking socket.
     :param state: the initial state.
     :param peer_ip: IP address of the peer.
+    :ivar taken_ms: time at which the peer was last seen to take bytes after a partial write; None
+        if all writes were complete.
+    :ivar unacknowledged_bytes: bytes in the kernel at that time, or at the last look since.
     """
 
     __slots__ = (
@@ -40,6 +44,9 @@
         "dirty",
         "watching_writable",
         "timer",
+        "taken_ms",
+        "unacknowledged_bytes",
+        "reading",
     )
 
     def __init__(self, number: int, sock: socket.socket, state: LinkState, peer_ip: str):
@@ -53,6 +60,9 @@
         self.dirty = False
         self.watching_writable = False
         self.timer: TimerHandle | None = None
+        self.taken_ms: float | None = None
+        self.unacknowledged_bytes = 0
+        self.reading = True
 
     def write_pending(self) -> bool:
         """Write as much pending data as the kernel accepts.
@@ -70,6 +80,27 @@
         self.discard_written(written_bytes)
         return written_bytes == offered_bytes
 
+    def note_taken(self, now_ms: float) -> None:
+        """Record that the peer took bytes, as the kernel accepted more or this link just stalled.
+
+        :param now_ms: current time.
+        """
+        self.taken_ms = now_ms
+        self.unacknowledged_bytes = unacknowledged_bytes(self.sock)
+
+    def look_for_progress(self, now_ms: float) -> None:
+        """Check whether the peer acknowledged bytes since the last look.
+
+        The kernel accepts more only when a large part of its buffer is free, which a slow reader
+        reaches after minutes.
+
+        :param now_ms: current time.
+        """
+        left_bytes = unacknowledged_bytes(self.sock)
+        if left_bytes < self.unacknowledged_bytes:
+            self.taken_ms = now_ms
+        self.unacknowledged_bytes = left_bytes
+
     def discard_written(self, written_bytes: int) -> None:
         """Remove bytes that the kernel has accepted from the pending data.
 
--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -2,6 +2,7 @@
 
 import errno
 import itertools
+import math
 import socket
 from collections.abc import Callable, Iterable
 
@@ -16,9 +17,11 @@
 from rhubarbhinge.net._sockets import (
     connecting_socket,
     is_self_connected,
+    reset_on_close,
     round_trip_ms,
     take_socket_error,
 )
+from rhubarbhinge.net._stalled_link import StalledLink
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.shared import shared_component
 
@@ -29,7 +32,7 @@
 """Maximum number of bytes read from a link in one event loop iteration."""
 
 FLUSH_TIMEOUT_MS = 30_000.0
-"""Maximum time, in milliseconds, that closing a link waits for pending data to be written."""
+"""Time, in milliseconds, without any data taken after which a closing link is reset."""
 
 LINGER_TIMEOUT_MS = 2_000.0
 """Maximum time, in milliseconds, that a flushed link then waits for the peer to close.
@@ -65,6 +68,8 @@
     :param channel: the circuits channel; unique by default.
     :raises OSError: if the port can't be bound.
     :ivar sent_bytes: total number of bytes passed to :meth:`send`.
+    :ivar pending_bytes: number of bytes, over all links, that the kernel has not accepted yet.
+    :ivar stalled_closes: number of links closed because their peers took no data for too long.
     """
 
     def __init__(
@@ -84,9 +89,12 @@
         self._max_pending_bytes = max_pending_bytes
         self._detect_dead_peers = detect_dead_peers
         self.sent_bytes = 0
+        self.pending_bytes = 0
+        self.stalled_closes = 0
         self._numbers = itertools.count(1)
         self._links: dict[int, Link] = {}
         self._by_sock: dict[socket.socket, Link] = {}
+        self._stalled: dict[int, Link] = {}
         self._dirty: list[Link] = []
         self._pending_closes: list[tuple[int, CloseReason]] = []
         self._poller: ReadyPoller | None = None
@@ -134,8 +142,10 @@
         if found is None or not found.accepts_data:
             return
         found.pending.append(data)
-        found.pending_bytes += len(data)
-        self.sent_bytes += len(data)
+        size_bytes = len(data)
+        found.pending_bytes += size_bytes
+        self.pending_bytes += size_bytes
+        self.sent_bytes += size_bytes
         if found.pending_bytes > self._max_pending_bytes:
             self._terminate(found, CloseReason.OVERFLOW)
         elif not found.dirty:
@@ -152,10 +162,12 @@
         if found is not None and not found.watching_writable:
             self._flush(found)
 
-    def close(self, link: int) -> None:
-        """Close a link after its pending data has been written, or after a timeout.
+    def close(self, link: int, timeout_ms: float = FLUSH_TIMEOUT_MS) -> None:
+        """Close a link after its pending data has been written, or once no more of it is taken.
 
         :param link: the link.
+        :param timeout_ms: time without any data taken by the peer after which the link is reset, in
+            milliseconds.
         """
         found = self._links.get(link)
         if found is None or not found.accepts_data:
@@ -165,7 +177,7 @@
             self._terminate(found, CloseReason.LOCAL)
             return
         found.state = LinkState.FLUSHING
-        self._terminate_after(found, FLUSH_TIMEOUT_MS, CloseReason.LOCAL)
+        self._check_flush_after(found, timeout_ms, timeout_ms)
         if not found.dirty:
             self._mark_dirty(found)
 
@@ -178,6 +190,40 @@
         if found is not None:
             self._terminate(found, CloseReason.LOCAL)
 
+    def reset(self, link: int) -> None:
+        """Close a link whose peer reads too slowly; pending data is discarded.
+
+        The connection is reset, so that a truncated message does not look complete.
+
+        :param link: the link.
+        """
+        found = self._links.get(link)
+        if found is not None:
+            reset_on_close(found.sock)
+            self._terminate(found, CloseReason.STALLED)
+
+    def pause_reading(self, link: int) -> None:
+        """Read no more from a link; the peer is slowed down once the kernel's buffers are full.
+
+        A close by the peer is not reported before reading is resumed.
+
+        :param link: the link.
+        """
+        found = self._links.get(link)
+        if found is not None and found.state is LinkState.OPEN and found.reading:
+            found.reading = False
+            self._poller.removeReader(found.sock)
+
+    def resume_reading(self, link: int) -> None:
+        """Read from a link again.
+
+        :param link: the link.
+        """
+        found = self._links.get(link)
+        if found is not None and not found.reading:
+            found.reading = True
+            self._poller.addReader(self, found.sock)
+
     def stop_listening(self) -> None:
         """Stop accepting connections; established ones, and those already in the backlog, are kept.
 
@@ -191,10 +237,24 @@
             self._timers.after(0, lambda: self._add_accepted(accepted))
         self._listener.close()
 
-    @property
-    def pending_bytes(self) -> int:
-        """Number of bytes, over all links, that the kernel has not accepted yet."""
-        return sum(link.pending_bytes for link in self._links.values())
+    def stalled_links(self) -> list[StalledLink]:
+        """Return the links whose data the kernel accepted only in part.
+
+        :returns: the links, with the time for which their peers have taken nothing.
+        """
+        return [
+            StalledLink(link.number, link.peer_ip, link.pending_bytes, self._quiet_ms(link))
+            for link in self._stalled.values()
+        ]
+
+    def quiet_ms(self, link: int) -> float:
+        """Return the time since the peer last took data that it had been late to take.
+
+        :param link: the link.
+        :returns: the time in milliseconds; infinite if all data was taken immediately.
+        """
+        found = self._links.get(link)
+        return math.inf if found is None else self._quiet_ms(found)
 
     def unsent_bytes(self, link: int) -> int:
         """Return the number of bytes sent on a link that the kernel has not accepted yet.
@@ -380,28 +440,50 @@
     def _flush(self, link: Link) -> None:
         if link.number not in self._links or link.state is LinkState.CONNECTING:
             return
+        queued_bytes = link.pending_bytes
         try:
             while link.pending:
                 if not link.write_pending():
-                    self._watch_writable(link)
+                    self._on_partial_write(link, queued_bytes)
                     return
         except OSError as error:
             if error.errno not in _RETRYABLE_ERRORS:
+                self.pending_bytes -= queued_bytes - link.pending_bytes
                 self._handle_socket_error(link, error.errno)
             else:
-                self._watch_writable(link)
+                self._on_partial_write(link, queued_bytes)
             return
+        self.pending_bytes -= queued_bytes
         self._on_flushed(link)
 
+    def _on_partial_write(self, link: Link, queued_bytes: int) -> None:
+        written_bytes = queued_bytes - link.pending_bytes
+        self.pending_bytes -= written_bytes
+        if written_bytes or link.number not in self._stalled:
+            self._stalled[link.number] = link
+            link.note_taken(self._timers.now_ms())
+        self._watch_writable(link)
+
+    def _quiet_ms(self, link: Link) -> float:
+        if link.taken_ms is None:
+            return math.inf
+        now_ms = self._timers.now_ms()
+        if link.number in self._stalled:
+            link.look_for_progress(now_ms)
+        return now_ms - link.taken_ms
+
     def _on_flushed(self, link: Link) -> None:
         if link.watching_writable:
             link.watching_writable = False
             self._poller.removeWriter(link.sock)
+            if self._stalled.pop(link.number, None) is not None:
+                link.taken_ms = self._timers.now_ms()
         if link.state is LinkState.FLUSHING:
             self._shut_down_write(link)
 
     def _shut_down_write(self, link: Link) -> None:
         link.state = LinkState.DRAINING
+        self.resume_reading(link.number)
         self._terminate_after(link, LINGER_TIMEOUT_MS, CloseReason.LOCAL)
         try:
             link.sock.shutdown(socket.SHUT_WR)
@@ -417,6 +499,17 @@
         self._cancel_timer(link)
         link.timer = self._timers.after(timeout_ms, lambda: self._terminate(link, reason))
 
+    def _check_flush_after(self, link: Link, delay_ms: float, timeout_ms: float) -> None:
+        self._cancel_timer(link)
+        link.timer = self._timers.after(delay_ms, lambda: self._check_flush(link, timeout_ms))
+
+    def _check_flush(self, link: Link, timeout_ms: float) -> None:
+        left_ms = timeout_ms - self._quiet_ms(link)
+        if left_ms > 0:
+            self._check_flush_after(link, left_ms, timeout_ms)
+        else:
+            self._terminate(link, CloseReason.STALLED)
+
     def _cancel_timer(self, link: Link) -> None:
         if link.timer is not None:
             link.timer.cancel()
@@ -424,6 +517,7 @@
 
     def _terminate(self, link: Link, reason: CloseReason) -> None:
         if self._release(link):
+            self.stalled_closes += reason is CloseReason.STALLED
             self._queue_close_notice(link.number, reason)
 
     def _release(self, link: Link) -> bool:
@@ -431,6 +525,10 @@
             return False
         del self._by_sock[link.sock]
         self._cancel_timer(link)
+        if self._stalled.pop(link.number, None) is not None:
+            # What was written is truncated, and must not look like a complete message.
+            reset_on_close(link.sock)
+        self.pending_bytes -= link.pending_bytes
         link.pending.clear()
         link.pending_bytes = 0
         self._poller.discard(link.sock)
--- a/rhubarbhinge/net/_sockets.py
+++ b/rhubarbhinge/net/_sockets.py
@@ -1,7 +1,10 @@
 """Creation and inspection of non-blocking sockets."""
 
+import fcntl
 import socket
+import struct
 import sys
+import termios
 
 UNACKNOWLEDGED_TIMEOUT_MS = 400
 """Time without acknowledgement after which a connection is dropped; round trips take a few ms."""
@@ -12,6 +15,8 @@
 _RTT_OFFSET = 68
 """Offset of ``tcpi_rtt``, in us, in Linux' ``struct tcp_info``: after 8 bytes and 15 words."""
 _TCP_INFO_BYTES = _RTT_OFFSET + 4
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``struct linger`` with a timeout of 0: closing discards unsent data and resets the connection."""
 
 
 _provided_listeners: dict[tuple[str, int], socket.socket] = {}
@@ -99,6 +104,27 @@
     return int.from_bytes(info[_RTT_OFFSET:_TCP_INFO_BYTES], sys.byteorder) / 1e3
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return the number of bytes in the kernel that the peer has not acknowledged (``SIOCOUTQ``).
+
+    :param sock: a connected socket.
+    :returns: the number of bytes; 0 if the kernel doesn't provide it.
+    """
+    try:
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Make closing a socket reset its connection and discard what the kernel has not sent.
+
+    :param sock: a connected socket.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def is_self_connected(sock: socket.socket) -> bool:
     """Return whether a socket is connected to itself.
 
