web: a response of which nothing is taken for the idle timeout is ended

What callers saw: a caller that read a long response slowly was disconnected 30 s after the idle timeout; the response ended like a complete one. One that did not read was ended in the same way. Cause: the idle timeout started when the response was queued, and closing waited for a fixed time. Change: while bytes of a response are left, the connection is ended only if nothing was taken for the idle timeout, by a reset, with the event slow-reader-closed; the idle time starts when all is taken. Conclusion: callers that read anything in time keep their connection.

--- a/rhubarbhinge/web/_server.py
+++ b/rhubarbhinge/web/_server.py
@@ -5,6 +5,7 @@
 from circuits import BaseComponent
 
 from rhubarbhinge.net import CloseReason, Links
+from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerHandle, TimerService
 from rhubarbhinge.web._errors import too_many_connections
 from rhubarbhinge.web._limits import HttpLimits
@@ -14,6 +15,10 @@
 from rhubarbhinge.web._response import Response
 from rhubarbhinge.web._response_encoding import CONTINUE_RESPONSE, encode_response
 
+FLUSH_MARGIN_MS = 1_000.0
+"""Closed connections get this much longer than the idle timeout to take pending data, so that the
+check of the idle timeout, which is logged, comes first."""
+
 
 class _Connection:
     """State of one client connection.
@@ -22,7 +27,7 @@
     :param parser: parses the requests of the connection.
     """
 
-    __slots__ = ("link", "parser", "responder", "request", "timer", "phase")
+    __slots__ = ("link", "parser", "responder", "request", "timer", "phase", "write_timer")
 
     def __init__(self, link: int, parser: RequestParser):
         self.link = link
@@ -31,15 +36,20 @@
         self.request: Request | None = None
         self.timer: TimerHandle | None = None
         self.phase = ""
+        self.write_timer: TimerHandle | None = None
 
 
 class HttpServer(BaseComponent):
     """An HTTP/1.1 server; pipelined requests are handled one at a time, in order.
 
+    A connection on which no byte of a response is taken for the idle timeout is reset; one that is
+    read slowly is kept.
+
     :param timers: the timer service.
     :param handle: called with each complete request and the responder for it.
     :param bind: IP address and port to listen on.
     :param limits: the limits; default values if None.
+    :param on_unsent: called when a response could not be written whole.
     :raises OSError: if the port can't be bound.
     """
 
@@ -51,8 +61,10 @@
         handle: Callable[[Request, Responder], None],
         bind: tuple[str, int],
         limits: HttpLimits | None = None,
+        on_unsent: Callable[[], None] = lambda: None,
     ):
         super().__init__()
+        self._on_unsent = on_unsent
         self._timers = timers
         self._handle = handle
         self._limits = limits or HttpLimits()
@@ -62,6 +74,11 @@
         self._closes_after_response = False
         self._links = Links(self._opened, self._received, self._closed, bind).register(self)
 
+    @property
+    def links(self) -> Links:
+        """The connections, for the accounting of buffered bytes."""
+        return self._links
+
     @property
     def bound_port(self) -> int:
         """The port listened on."""
@@ -175,6 +192,8 @@
         self._links.flush(connection.link)
         connection.responder = None
         connection.request = None
+        if self._links.unsent_bytes(connection.link):
+            self._watch_write(connection)
         if not reusable:
             self._close(connection)
             return
@@ -184,23 +203,64 @@
         else:
             self._start_phase(connection, "idle", self._limits.idle_timeout_ms)
 
+    def _watch_write(self, connection: _Connection) -> None:
+        """Reset the connection if nothing of its responses is taken for the idle timeout."""
+        if connection.write_timer is None:
+            self._check_write_after(connection, self._limits.idle_timeout_ms)
+        self._on_unsent()
+
+    def _check_write_after(self, connection: _Connection, delay_ms: float) -> None:
+        connection.write_timer = self._timers.after(delay_ms, lambda: self._check_write(connection))
+
+    def _check_write(self, connection: _Connection) -> None:
+        connection.write_timer = None
+        unread_bytes = self._links.unsent_bytes(connection.link)
+        if not unread_bytes:
+            return
+        quiet_ms = self._links.quiet_ms(connection.link)
+        left_ms = self._limits.idle_timeout_ms - quiet_ms
+        if left_ms > 0:
+            self._check_write_after(connection, left_ms)
+            return
+        log_event(
+            "slow-reader-closed",
+            level="warning",
+            kind="responses",
+            ip=self._links.peer_ip(connection.link),
+            unread_bytes=unread_bytes,
+            quiet_ms=round(quiet_ms),
+            why="idle-timeout",
+        )
+        self._forget(connection)
+        self._links.reset(connection.link)
+
     def _process_next(self, connection: _Connection) -> None:
         if connection.link in self._connections and connection.responder is None:
             self._process_input(connection)
 
+    def _on_timeout(self, connection: _Connection) -> None:
+        left_ms = self._limits.idle_timeout_ms - self._links.quiet_ms(connection.link)
+        if connection.phase == "idle" and left_ms > 0:
+            # The response is still being read, or was until recently.
+            self._time_out_after(connection, left_ms)
+        else:
+            self._close(connection)
+
     def _reject(self, connection: _Connection, response: Response) -> None:
         self._links.send(connection.link, encode_response(response, None, True))
         self._close(connection)
 
     def _close(self, connection: _Connection) -> None:
-        self._connections.pop(connection.link, None)
-        self._abandon_request(connection)
-        self._links.close(connection.link)
+        self._forget(connection)
+        self._links.close(connection.link, self._limits.idle_timeout_ms + FLUSH_MARGIN_MS)
 
     def _abort(self, connection: _Connection) -> None:
+        self._forget(connection)
+        self._links.abort(connection.link)
+
+    def _forget(self, connection: _Connection) -> None:
         self._connections.pop(connection.link, None)
         self._abandon_request(connection)
-        self._links.abort(connection.link)
 
     def _abandon_request(self, connection: _Connection) -> None:
         self._end_phase(connection)
@@ -214,7 +274,10 @@
             return
         self._end_phase(connection)
         connection.phase = phase
-        connection.timer = self._timers.after(timeout_ms, lambda: self._close(connection))
+        self._time_out_after(connection, timeout_ms)
+
+    def _time_out_after(self, connection: _Connection, timeout_ms: float) -> None:
+        connection.timer = self._timers.after(timeout_ms, lambda: self._on_timeout(connection))
 
     def _end_phase(self, connection: _Connection) -> None:
         if connection.timer is not None:
