gateway: bytes buffered for slow readers are limited

What callers saw: nothing but the number of connections limited what an entry buffered for callers that do not read, so that its VM could run out of memory for all callers. Cause: the limit of 8 MB is per connection; a VM may have 152 MB. Change: responses not taken, replies being received and messages to entries are counted against an eighth of the VM's memory. Over half of it, large replies are paused for a second at a time; over it, slow readers are closed until usage is within it, and new requests are refused with 503, not run. Conclusion: slow readers lose their connections before others are affected.

--- a/rhubarbhinge/delegation/_client.py
+++ b/rhubarbhinge/delegation/_client.py
@@ -110,6 +110,11 @@
             self._opened, self._received, self._closed, detect_dead_peers=True
         ).register(self)
 
+    @property
+    def links(self) -> Links:
+        """The connections, for the accounting of buffered bytes."""
+        return self._links
+
     @property
     def sent_bytes(self) -> int:
         """Bytes of requests sent since the start."""
--- a/rhubarbhinge/delegation/_server.py
+++ b/rhubarbhinge/delegation/_server.py
@@ -73,6 +73,11 @@
         """Number of requests in progress, which a graceful shutdown waits for."""
         return sum(len(link.searches) for link in self._by_link.values())
 
+    @property
+    def links(self) -> Links:
+        """The connections, for the accounting of buffered bytes."""
+        return self._links
+
     @property
     def sent_bytes(self) -> int:
         """Bytes of replies sent since the start."""
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -26,6 +26,9 @@
 """How long an idle connection is kept if the searcher does not state its keep-alive time."""
 KEEP_ALIVE_MARGIN_MS = 500.0
 """An idle connection is closed this long before the searcher would close it, to avoid a race."""
+LARGE_REPLY_BYTES = 64 * 1024
+"""Replies of which more than this has been received may be paused. Smaller ones hardly add to the
+memory used, complete within one read, and let other callers be served."""
 MAX_SKIPPED_REPLIES = 4
 """Maximum number of replies to earlier requests that are skipped on a connection before it is
 closed."""
@@ -64,6 +67,7 @@
         self._attempt_numbers = itertools.count(1)
         self._by_link: dict[int, Connection] = {}
         self._by_searcher: dict[SearcherStart, SearcherConnections] = {}
+        self._paused_links: set[int] = set()
         self._exit_checks = ExitChecks(timers, self.open_ahead)
         self._links = Links(
             self._opened, self._received, self._closed, detect_dead_peers=True
@@ -79,6 +83,35 @@
         """Number of bytes sent to searchers since startup."""
         return self._links.sent_bytes
 
+    @property
+    def links(self) -> Links:
+        """The connections, for the accounting of buffered bytes."""
+        return self._links
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of incomplete replies; takes time for each connection."""
+        return sum(
+            conn.reader.held_bytes for conn in self._by_link.values() if conn.pending is not None
+        )
+
+    def pause_large_replies(self) -> None:
+        """Stop reading large replies that are not complete yet.
+
+        A searcher closes a connection of which it can write nothing for some seconds; the reply is
+        then lost.
+        """
+        for link, conn in self._by_link.items():
+            if conn.pending is not None and conn.reader.held_bytes > LARGE_REPLY_BYTES:
+                self._paused_links.add(link)
+                self._links.pause_reading(link)
+
+    def resume_replies(self) -> None:
+        """Read all replies again."""
+        for link in self._paused_links:
+            self._links.resume_reading(link)
+        self._paused_links.clear()
+
     @property
     def waiting(self) -> int:
         """Number of requests queued for a connection."""
--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -74,6 +74,11 @@
         """Whether any bytes of the expected reply have been received."""
         return self._in_message or self._head_bytes > 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of the expected reply received so far; 0 once it is complete."""
+        return self._head_bytes + self._body_bytes
+
     def feed(self, data: bytes) -> list[RawReply]:
         """Parse received bytes.
 
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -12,6 +12,7 @@
 from rhubarbhinge.forward import CallContext, CallTerms, ConnectionPool, Dialect
 from rhubarbhinge.gateway._address import Address
 from rhubarbhinge.gateway._answer_lead_time import AnswerLeadTime
+from rhubarbhinge.gateway._buffer_limit import BufferLimit
 from rhubarbhinge.gateway._call_terms import delegated_call_terms
 from rhubarbhinge.gateway._capacity_delegation import CapacityDelegation, ShardCounts
 from rhubarbhinge.gateway._connection_limit import connection_limit
@@ -26,6 +27,7 @@
 from rhubarbhinge.gateway._serving_state import ServingState
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
 from rhubarbhinge.gateway._shutdown import Shutdown
+from rhubarbhinge.gateway._slow_readers import SlowReaders
 from rhubarbhinge.gateway._warmup_limiter import WarmupLimiter
 from rhubarbhinge.peers import KnownState, Peers, SharedSource
 from rhubarbhinge.plans import CallerLimits, ServingPlan
@@ -210,6 +212,7 @@
             AnswerLeadTime(lambda: self._settings.current.link_bits_per_ms),
             lambda: self._serving_state.balancer_delay_ms(),
             quarantine,
+            lambda: self._slow_readers.refuses_requests(),
         )
         self._gateway = Gateway(dependencies)
         self._serving_state = ServingState(
@@ -225,9 +228,20 @@
         ).register(self)
         # Listens already; accepts connections once registered, with the first plan or a timeout.
         self._callers = HttpServer(
-            self.timers, self._gateway.handle, settings.callers, _limits(CallerLimits())
+            self.timers,
+            self._gateway.handle,
+            settings.callers,
+            _limits(CallerLimits()),
+            lambda: self._slow_readers.on_unsent(),
         )
         self._accepts_callers = False
+        self._slow_readers = SlowReaders(
+            BufferLimit(settings.memory_bytes),
+            self._pool,
+            self._callers.links,
+            (delegate_client.links, self._delegate_server.links, self._peers.links),
+            self.timers.now_ms,
+        )
         self._link_usage = LinkUsage(
             {
                 "callers": lambda: self._callers.sent_bytes,
@@ -250,6 +264,7 @@
             quarantine,
             event_log,
             shard_counts,
+            self._slow_readers,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
@@ -302,6 +317,7 @@
 
     def _run_housekeeping(self) -> None:
         self._pool.close_idle()
+        self._slow_readers.check()
         self._domain_checks.probe()
         self._serving_state.update()
         self._link_usage.close_period()
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -4,6 +4,7 @@
 from rhubarbhinge.forward import ConnectionPool
 from rhubarbhinge.gateway._capacity_delegation import ShardCounts
 from rhubarbhinge.gateway._link_usage import LinkUsage
+from rhubarbhinge.gateway._slow_readers import MESSAGES, REPLIES, RESPONSES, SlowReaders
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
 from rhubarbhinge.quarantine import Quarantine
@@ -54,6 +55,21 @@
     "state": ScalarMetric("sent_state_bytes_total", "Bytes of published state for others", True),
 }
 """Metrics of the bytes that this entry sends, by kind."""
+BUFFERED_BYTES = {
+    RESPONSES: ScalarMetric(
+        "buffered_responses_bytes", "Bytes of responses that callers have not taken"
+    ),
+    REPLIES: ScalarMetric(
+        "buffered_replies_bytes", "Bytes of incomplete replies, and of requests to searchers"
+    ),
+    MESSAGES: ScalarMetric(
+        "buffered_messages_bytes", "Bytes of messages that other entries have not taken"
+    ),
+}
+"""Metrics of the bytes that are buffered for others, by kind."""
+SLOW_READERS_CLOSED = ScalarMetric(
+    "slow_readers_closed_total", "Connections closed as their peers read too slowly", True
+)
 LINES_DROPPED = ScalarMetric(
     "log_lines_dropped_total", "Lines above the log's budget, or unread", True
 )
@@ -72,6 +88,7 @@
     :param quarantine: tracks requests that crash the searchers executing them.
     :param event_log: the buffered event log; None if events are written elsewhere.
     :param shard_counts: counts the shards delegated and kept.
+    :param slow_readers: limits the bytes buffered for others.
     """
 
     def __init__(
@@ -86,6 +103,7 @@
         quarantine: Quarantine,
         event_log: EventLog | None,
         shard_counts: ShardCounts,
+        slow_readers: SlowReaders,
     ):
         self._follower = follower
         self._peers = peers
@@ -97,6 +115,7 @@
         self._quarantine = quarantine
         self._event_log = event_log
         self._shard_counts = shard_counts
+        self._slow_readers = slow_readers
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -126,6 +145,9 @@
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
         metrics.set_scalar(SHARDS_DELEGATED, self._shard_counts.delegated)
         metrics.set_scalar(SHARDS_KEPT, self._shard_counts.kept)
+        for kind, buffered_bytes in self._slow_readers.bytes_by_kind().items():
+            metrics.set_scalar(BUFFERED_BYTES[kind], buffered_bytes)
+        metrics.set_scalar(SLOW_READERS_CLOSED, self._slow_readers.closed)
         for kind, total in self._link_usage.totals().items():
             metrics.set_scalar(LINK_BYTES[kind], total)
         if self._event_log is not None:
--- a/rhubarbhinge/gateway/_entry_settings.py
+++ b/rhubarbhinge/gateway/_entry_settings.py
@@ -38,7 +38,8 @@
     :param stop_grace_ms: time between the stop signal and the forced end of the process.
     :param retry_budget: limit of hedges and retries of all entries together.
     :param capacity: processor and network link of the VM.
-    :param memory_bytes: memory limit of the process; 0 if it is unknown.
+    :param memory_bytes: memory limit of the process, an eighth of which may hold bytes buffered for
+        others; 0 if it is unknown; fixed at the start of the process.
     :param cold_rule: limit of the requests of all entries together to a cold searcher.
     :param freshness: how recent the published state has to be; fixed at the start of the process.
     """
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -88,6 +88,9 @@
         handler = RequestHandler(
             self._dependencies, caller_request, plan, route, responder, request.transit_ms
         )
+        if self._dependencies.is_buffer_full():
+            handler.refuse_for_memory()
+            return
         decision = self._dependencies.quarantine.decide(
             caller_request.fingerprint, route.name, fans_out=route.shards is not None
         )
--- a/rhubarbhinge/gateway/_gateway_dependencies.py
+++ b/rhubarbhinge/gateway/_gateway_dependencies.py
@@ -26,6 +26,8 @@
     :param balancer_delay_ms: returns the time until the load balancer sends callers to other
         entries, or 0 if it does not.
     :param quarantine: tracks requests that crash the searchers executing them.
+    :param is_buffer_full: returns whether so much is buffered for slow readers that new requests
+        are refused.
     """
 
     context: CallContext
@@ -37,3 +39,4 @@
     lead_time: AnswerLeadTime
     balancer_delay_ms: Callable[[], float]
     quarantine: Quarantine
+    is_buffer_full: Callable[[], bool] = lambda: False
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -94,6 +94,11 @@
         answer = refused("quarantined", message, decision.retry_after_ms)
         self._answer(answer, "quarantined")
 
+    def refuse_for_memory(self) -> None:
+        """Refuse the request because too much is buffered for callers that read slowly."""
+        message = "Too many responses wait for callers that read slowly."
+        self._answer(self._refusal("buffer-full", message), "buffer-full")
+
     def watch(self, one_first: bool) -> None:
         """Watch for searchers that end while executing the request.
 
--- /dev/null
+++ b/rhubarbhinge/gateway/_slow_readers.py
@@ -0,0 +1,115 @@
+"""Limits the bytes buffered for slow readers: pauses replies and closes connections."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._buffer_limit import BufferLimit, Reader
+from rhubarbhinge.net import Links
+from rhubarbhinge.telemetry import log_event
+
+RESPONSES = "responses"
+"""Kind of bytes: responses that callers have not taken."""
+REPLIES = "replies"
+"""Kind of bytes: incomplete replies of searchers, and requests that searchers have not taken."""
+MESSAGES = "messages"
+"""Kind of bytes: messages that other entries have not taken."""
+MAX_SINGLE_EVENTS = 5
+"""Maximum number of connections closed by one check that have a log line each. Hundreds of slow
+readers may be closed together, and would use up the log's budget."""
+
+
+class SlowReaders:
+    """Applies the limit of buffered bytes to the connections of an entry.
+
+    :param limit: decides what is paused, refused and closed.
+    :param pool: connections to searchers.
+    :param responses: connections of callers.
+    :param messages: connections to and from other entries.
+    :param now_ms: returns the current time.
+    """
+
+    def __init__(
+        self,
+        limit: BufferLimit,
+        pool: ConnectionPool,
+        responses: Links,
+        messages: Sequence[Links],
+        now_ms: Callable[[], float],
+    ):
+        self._limit = limit
+        self._pool = pool
+        self._readers = {RESPONSES: (responses,), MESSAGES: tuple(messages)}
+        self._now_ms = now_ms
+        self._received_bytes = 0
+
+    @property
+    def closed(self) -> int:
+        """Number of connections closed since the start because their readers were too slow."""
+        return sum(links.stalled_closes for group in self._readers.values() for links in group)
+
+    def bytes_by_kind(self) -> Mapping[str, int]:
+        """Return the buffered bytes.
+
+        :returns: bytes by kind; those of incomplete replies as of the last check.
+        """
+        return {
+            RESPONSES: sum(links.pending_bytes for links in self._readers[RESPONSES]),
+            REPLIES: self._received_bytes + self._pool.links.pending_bytes,
+            MESSAGES: sum(links.pending_bytes for links in self._readers[MESSAGES]),
+        }
+
+    def refuses_requests(self) -> bool:
+        """Return whether new requests are refused.
+
+        :returns: whether more bytes are buffered than allowed.
+        """
+        return sum(self.bytes_by_kind().values()) > self._limit.limit_bytes
+
+    def on_unsent(self) -> None:
+        """Check the limit if a response that could not be written whole exceeds it."""
+        if self.refuses_requests():
+            self.check()
+
+    def check(self) -> None:
+        """Pause or resume replies, and close slow readers if the limit is exceeded."""
+        self._received_bytes = self._pool.received_bytes
+        self._limit.update(self.bytes_by_kind(), self._now_ms())
+        if self._limit.refuses_requests:
+            self._close(self._limit.readers_to_close(self._unread()))
+        if self._limit.pauses_reading:
+            self._pool.pause_large_replies()
+        else:
+            self._pool.resume_replies()
+
+    def _unread(self) -> list[Reader]:
+        return [
+            Reader((kind, index, stalled.link), stalled.unsent_bytes, stalled.quiet_ms)
+            for kind, group in self._readers.items()
+            for index, links in enumerate(group)
+            for stalled in links.stalled_links()
+        ]
+
+    def _close(self, readers: Sequence[Reader]) -> None:
+        for number, reader in enumerate(readers):
+            kind, index, link = reader.key
+            links = self._readers[kind][index]
+            if number < MAX_SINGLE_EVENTS:
+                log_event(
+                    "slow-reader-closed",
+                    level="warning",
+                    kind=kind,
+                    ip=links.peer_ip(link),
+                    unread_bytes=reader.unread_bytes,
+                    quiet_ms=round(reader.quiet_ms),
+                    why="over-limit",
+                )
+            links.reset(link)
+        others = readers[MAX_SINGLE_EVENTS:]
+        if others:
+            unread_bytes = sum(reader.unread_bytes for reader in others)
+            log_event(
+                "slow-readers-closed",
+                level="warning",
+                count=len(others),
+                unread_bytes=unread_bytes,
+            )
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -19,7 +19,7 @@
     decode_members,
     encode_heartbeat,
 )
-from rhubarbhinge.net import Datagrams
+from rhubarbhinge.net import Datagrams, Links
 from rhubarbhinge.peers._heartbeat_extras import NO_EXTRAS, HeartbeatExtras
 from rhubarbhinge.peers._paths import MEMBERS_PATH
 from rhubarbhinge.peers._published_status import published_status
@@ -108,6 +108,11 @@
         timers.every(LOG_INTERVAL_MS, self._check_peers)
         self.membership.start()
 
+    @property
+    def links(self) -> Links:
+        """The connections of other entries, for the accounting of buffered bytes."""
+        return self._server.links
+
     @property
     def sent_bytes(self) -> int:
         """Bytes of published state and member lists sent to other entries since the start."""
