forward, gateway: tests of paused replies and of refusals while buffers are full

What callers saw: Retry-After of 40 to 60 ms while buffers are full, as for other refusals. Cause: slow readers are closed every 250 ms, so that a caller that returns earlier may be refused again. Change: the delay is 250 ms or more before jitter. Bytes of a reply that came with its headers are no longer counted twice. Tests of the refusal and of large replies that are paused and resumed. Conclusion: refused callers return after the next check.

--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -76,8 +76,9 @@
 
     @property
     def held_bytes(self) -> int:
-        """Number of bytes of the expected reply received so far; 0 once it is complete."""
-        return self._head_bytes + self._body_bytes
+        """Number of bytes of an incomplete reply, to within the size of its headers."""
+        # The read that completes the headers counts as headers, with what it has of the body.
+        return max(self._head_bytes, self._body_bytes)
 
     def feed(self, data: bytes) -> list[RawReply]:
         """Parse received bytes.
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -87,6 +87,28 @@
         self.wait(lambda: name in self.outcomes)
         return self.outcomes[name]
 
+    def test_only_large_replies_are_paused_and_none_is_lost(self):
+        """Guards against small replies that wait behind slow readers, and paused ones that never
+        end."""
+        body = b"x" * 400_000
+        self.send("large"), self.send("small")
+        links = [link for link, _ in self.received(2)]
+        names = [b"Id: large" in request for _, request in self.requests]
+        large, small = links if names[0] else reversed(links)
+        data = reply("large", body)
+        self.searcher.links.send(large, data[:200_000])
+        self.wait(lambda: self.pool.received_bytes > 190_000)
+        self.pool.pause_large_replies()
+        self.searcher.links.send(large, data[200_000:])
+        self.searcher.links.send(small, reply("small"))
+        self.wait(lambda: "small" in self.outcomes)
+        run_until(self.root, lambda: False, 0.05)
+        self.assertLessEqual(self.pool.received_bytes, 200_000)
+        self.pool.resume_replies()
+        self.wait(lambda: "large" in self.outcomes)
+        self.assertEqual(self.outcomes["large"].reply.body, body)
+        self.assertEqual(self.pool.received_bytes, 0)
+
     def test_a_connection_is_reused(self):
         for place, name in enumerate(("r1", "r2", "r3")):
             self.send(name)
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -35,6 +35,9 @@
 """Delay before callers may retry, as a fraction of the latency objective."""
 MIN_RETRY_AFTER_MS = 50.0
 """Minimum delay before callers may retry; a shorter one would meet the same shortage."""
+BUFFER_RETRY_AFTER_MS = 250.0
+"""Minimum delay before callers may retry while the buffers are full: slow readers are closed at
+this interval."""
 MAX_LOGGED_SHARDS = 8
 """Maximum number of missing shards named in a log line."""
 SAMPLING_INTERVAL = 64
@@ -97,7 +100,8 @@
     def refuse_for_memory(self) -> None:
         """Refuse the request because too much is buffered for callers that read slowly."""
         message = "Too many responses wait for callers that read slowly."
-        self._answer(self._refusal("buffer-full", message), "buffer-full")
+        answer = self._refusal("buffer-full", message, BUFFER_RETRY_AFTER_MS)
+        self._answer(answer, "buffer-full")
 
     def watch(self, one_first: bool) -> None:
         """Watch for searchers that end while executing the request.
@@ -237,9 +241,11 @@
             answer = failed("too-few-shards", "Too few shards answered.")
             self._answer(answer, "too-few-shards", missing)
 
-    def _refusal(self, code: str, message: str) -> Response:
+    def _refusal(
+        self, code: str, message: str, min_delay_ms: float = MIN_RETRY_AFTER_MS
+    ) -> Response:
         pause_ms = max(
-            MIN_RETRY_AFTER_MS,
+            min_delay_ms,
             RETRY_AFTER_FRACTION * self._route.target_latency_ms,
             self._dependencies.balancer_delay_ms(),
         )
--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -60,6 +60,7 @@
         self.answers: list[Response] = []
         delegation = ShardDelegation(lambda request, terms, served: {}, None)
         self.balancer_delay_ms = 0.0
+        self.is_buffer_full = False
         self.link_bits_per_ms = 0.0
         self.metrics = self.world.metrics
         dependencies = GatewayDependencies(
@@ -72,6 +73,7 @@
             AnswerLeadTime(lambda: self.link_bits_per_ms),
             lambda: self.balancer_delay_ms,
             Quarantine(self.world.timers.now_ms, lambda name: True, lambda: None, random.Random(1)),
+            lambda: self.is_buffer_full,
         )
         self.gateway = Gateway(dependencies)
 
@@ -97,6 +99,16 @@
         self.assertEqual(self.status(), 503)
         self.assertLess(self.retry_after(), 1.0)
 
+    def test_request_is_refused_unrun_while_slow_readers_fill_the_buffers(self):
+        """Guards against new requests that add to buffers which are full already."""
+        self.is_buffer_full = True
+        self.send_request("/one/x")
+        self.assertEqual((self.status(), self.world.attempts), (503, []))
+        self.assertTrue(0.2 <= self.retry_after() <= 0.3, self.retry_after())
+        self.is_buffer_full = False
+        self.send_request("/one/x")
+        self.assertEqual(len(self.world.attempts), 1)
+
     def test_sample_of_successful_requests_is_logged_with_steps(self):
         log = RecordingEventLog()
         use_event_log(log)
