--- a/rhubarbhinge/gateway/_slow_readers.py
+++ b/rhubarbhinge/gateway/_slow_readers.py
@@ -14,8 +14,8 @@
 MESSAGES = "messages"
 """Kind of bytes: messages that other entries have not taken."""
 MAX_SINGLE_EVENTS = 5
-"""Maximum number of connections closed by one check that have a log line each. Hundreds of slow
-readers may be closed together, and would use up the log's budget."""
+"""Maximum number of closed connections that have a log line each between two periodic checks.
+Hundreds of slow readers may be closed together, and would use up the log's budget."""
 
 
 class SlowReaders:
@@ -41,6 +41,8 @@
         self._readers = {RESPONSES: (responses,), MESSAGES: tuple(messages)}
         self._now_ms = now_ms
         self._received_bytes = 0
+        self._closed_in_period = 0
+        self._unlogged_bytes = 0
 
     @property
     def closed(self) -> int:
@@ -66,11 +68,16 @@
         return sum(self.bytes_by_kind().values()) > self._limit.limit_bytes
 
     def on_unsent(self) -> None:
-        """Check the limit if a response that could not be written whole exceeds it."""
+        """Enforce the limit if a response that could not be written whole exceeds it."""
         if self.refuses_requests():
-            self.check()
+            self._enforce()
 
     def check(self) -> None:
+        """Enforce the limit; called periodically."""
+        self._log_others()
+        self._enforce()
+
+    def _enforce(self) -> None:
         """Pause or resume replies, and close slow readers if the limit is exceeded."""
         self._received_bytes = self._pool.received_bytes
         self._limit.update(self.bytes_by_kind(), self._now_ms())
@@ -90,10 +97,13 @@
         ]
 
     def _close(self, readers: Sequence[Reader]) -> None:
-        for number, reader in enumerate(readers):
+        for reader in readers:
             kind, index, link = reader.key
             links = self._readers[kind][index]
-            if number < MAX_SINGLE_EVENTS:
+            self._closed_in_period += 1
+            if self._closed_in_period > MAX_SINGLE_EVENTS:
+                self._unlogged_bytes += reader.unread_bytes
+            else:
                 log_event(
                     "slow-reader-closed",
                     level="warning",
@@ -104,12 +114,14 @@
                     why="over-limit",
                 )
             links.reset(link)
-        others = readers[MAX_SINGLE_EVENTS:]
-        if others:
-            unread_bytes = sum(reader.unread_bytes for reader in others)
+
+    def _log_others(self) -> None:
+        others = self._closed_in_period - MAX_SINGLE_EVENTS
+        if others > 0:
             log_event(
                 "slow-readers-closed",
                 level="warning",
-                count=len(others),
-                unread_bytes=unread_bytes,
+                count=others,
+                unread_bytes=self._unlogged_bytes,
             )
+        self._closed_in_period = self._unlogged_bytes = 0
--- a/rhubarbhinge/gateway/tests/test_slow_readers.py
+++ b/rhubarbhinge/gateway/tests/test_slow_readers.py
@@ -132,6 +132,16 @@
         self.slow_readers.check()
         self.assertEqual((self.pool.paused, self.closed_events()), (False, []))
 
+    def test_log_is_bounded_when_many_are_closed(self):
+        """Guards against a log used up by hundreds of closes, one for each response queued."""
+        self.serve()
+        stuck = [self.connect().send(GET % b"stuck") for _ in range(12)]
+        self.tree.until(lambda: self.slow_readers.closed == len(stuck) - 1)
+        self.slow_readers.check()
+        self.assertEqual(len(self.closed_events()), 5)
+        self.assertEqual(self.log.events[-1][0], "slow-readers-closed")
+        self.assertEqual(self.log.events[-1][1]["count"], 6)
+
     def test_large_replies_count(self):
         """Guards against replies of searchers that fill the memory without refusing requests."""
         self.serve()
