--- a/rhubarbhinge/forward/_reply_reader.py
+++ b/rhubarbhinge/forward/_reply_reader.py
@@ -74,6 +74,12 @@
         """Whether any bytes of the expected reply have been received."""
         return self._in_message or self._head_bytes > 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of an incomplete reply, to within the size of its headers."""
+        # The read that completes the headers counts as headers, with what it has of the body.
+        return max(self._head_bytes, self._body_bytes)
+
     def feed(self, data: bytes) -> list[RawReply]:
         """Parse received bytes.
 
--- a/rhubarbhinge/gateway/_gateway_dependencies.py
+++ b/rhubarbhinge/gateway/_gateway_dependencies.py
@@ -28,6 +28,8 @@
         entries, or 0 if it does not.
     :param quarantine: tracks requests that crash the searchers executing them.
     :param admission: admission control of forwarded requests; None admits all.
+    :param is_buffer_full: returns whether so much is buffered for slow readers that new requests
+        are refused.
     """
 
     context: CallContext
@@ -40,3 +42,4 @@
     balancer_delay_ms: Callable[[], float]
     quarantine: Quarantine
     admission: ForwardAdmission | None = None
+    is_buffer_full: Callable[[], bool] = lambda: False
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -38,6 +38,9 @@
 """Delay before callers may retry, as a fraction of the latency objective."""
 MIN_RETRY_AFTER_MS = 50.0
 """Minimum delay before callers may retry; a shorter one would meet the same shortage."""
+BUFFER_RETRY_AFTER_MS = 250.0
+"""Minimum delay before callers may retry while the buffers are full: slow readers are closed at
+this interval."""
 MAX_LOGGED_SHARDS = 8
 """Maximum number of missing shards named in a log line."""
 SAMPLING_INTERVAL = 64
@@ -102,6 +105,12 @@
         answer = refused("quarantined", message, decision.retry_after_ms)
         self._answer(answer, "quarantined")
 
+    def refuse_for_memory(self) -> None:
+        """Refuse the request because too much is buffered for callers that read slowly."""
+        message = "Too many responses wait for callers that read slowly."
+        answer = self._refusal("buffer-full", message, BUFFER_RETRY_AFTER_MS)
+        self._answer(answer, "buffer-full")
+
     def watch(self, one_first: bool) -> None:
         """Watch for searchers that end while executing the request.
 
@@ -272,8 +281,10 @@
             answer = failed("too-few-shards", "Too few shards answered.")
             self._answer(answer, "too-few-shards", missing)
 
-    def _refusal(self, code: str, message: str) -> Response:
-        pause_ms = self._min_pause_ms() * self._dependencies.rng.uniform(0.8, 1.2)
+    def _refusal(
+        self, code: str, message: str, min_delay_ms: float = MIN_RETRY_AFTER_MS
+    ) -> Response:
+        pause_ms = self._min_pause_ms(min_delay_ms) * self._dependencies.rng.uniform(0.8, 1.2)
         return refused(code, message, pause_ms)
 
     def _refusal_after_wait(self, code: str) -> Response:
@@ -283,9 +294,9 @@
             return self._refusal(code, message)
         return refused(code, message, self._retry_after_ms(self._min_pause_ms()))
 
-    def _min_pause_ms(self) -> float:
+    def _min_pause_ms(self, min_delay_ms: float = MIN_RETRY_AFTER_MS) -> float:
         return max(
-            MIN_RETRY_AFTER_MS,
+            min_delay_ms,
             RETRY_AFTER_FRACTION * self._route.target_latency_ms,
             self._dependencies.balancer_delay_ms(),
         )
