--- a/rhubarbhinge/gateway/tests/test_gateway.py
+++ b/rhubarbhinge/gateway/tests/test_gateway.py
@@ -73,7 +73,7 @@
             AnswerLeadTime(lambda: self.link_bits_per_ms),
             lambda: self.balancer_delay_ms,
             Quarantine(self.world.timers.now_ms, lambda name: True, lambda: None, random.Random(1)),
-            lambda: self.is_buffer_full,
+            is_buffer_full=lambda: self.is_buffer_full,
         )
         self.gateway = Gateway(dependencies)
 
