reach: checks of a failure domain started by the report of another entry

Callers of a partitioned domain got 502 from each entry in turn, as each had to find out by a search of its own that the other domains were unreachable.

DomainChecks.on_report checks a domain that another entry has reported. Only the check's own result counts: in contrast to a suspicion of the entry's own, the searchers of the sample stay in use until the result is known, and searchers whose connections are all in use are not sampled, as their silence proves nothing. After a check that found the domain reachable, reports start none for 1 s. A check whose timer runs late is evaluated after the next poll, as what has arrived meanwhile may not have been read.

The searchers of an unreachable domain are kept in the order in which they are known.

--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -109,16 +109,18 @@
             heapq.heappush(connections.waiting, pending)
         return pending
 
-    def open_ahead(self, observed: ObservedSearcher) -> None:
+    def open_ahead(self, observed: ObservedSearcher) -> bool:
         """Open a connection without a request, to check whether a searcher is reachable.
 
         :param observed: the searcher.
+        :returns: whether a connection to it is being opened; False at its limit of connections.
         """
         connections = self._connections(observed)
         if not connections.opening and connections.count < self._max_connections(observed):
             self._open(observed, connections, None)
         elif not connections.count:
             del self._by_searcher[observed.start]
+        return connections.opening > 0
 
     def verify(self, observed: ObservedSearcher) -> None:
         """Send no more requests to a searcher until a new connection to it has been established.
--- a/rhubarbhinge/gateway/_domain_checks.py
+++ b/rhubarbhinge/gateway/_domain_checks.py
@@ -2,6 +2,9 @@
 
 import random
 from collections.abc import Callable
+from itertools import islice
+
+from msgspec import Struct
 
 from rhubarbhinge.fleet import DomainReachability, Fleet, ObservedSearcher
 from rhubarbhinge.forward import ConnectionPool
@@ -18,6 +21,26 @@
 """A failure domain counts as unreachable if no searcher of the sample has answered within this
 time. Opening a connection takes 6 ms plus two network crossings; a connection that opens later
 makes the domain count as reachable again."""
+LATE_RESULT_MS = 5.0
+"""A check that ends later than planned by more than this is evaluated after the next poll, as a
+process that was busy may not have read yet what has arrived meanwhile."""
+REPORT_INTERVAL_MS = 1_000.0
+"""Shortest time between a check that found a domain reachable and the next one that a report
+starts. Reports are repeated with each heartbeat, every second, for as long as the views differ."""
+
+
+class _Check(Struct, frozen=True):
+    """A check in progress.
+
+    :param failure_domain: the domain.
+    :param since_ms: when it started; data that arrives later proves that the domain is reachable.
+    :param by_report: searchers to which it opened connections, if a report started it. They stay in
+        use until the result is known.
+    """
+
+    failure_domain: str
+    since_ms: float
+    by_report: tuple[ObservedSearcher, ...] = ()
 
 
 class DomainChecks:
@@ -34,6 +57,7 @@
     :param reachability: tracks which failure domains are heard from.
     :param rng: selects the samples.
     :param on_change: called when the searchers of a domain go down or come back together.
+    :ivar checks_by_report: number of checks started by reports of other entries.
     """
 
     def __init__(
@@ -51,8 +75,21 @@
         self._reachability = reachability
         self._rng = rng
         self._on_change = on_change
+        self.checks_by_report = 0
         self._being_checked: set[str] = set()
-        self._down: dict[str, set[ObservedSearcher]] = {}
+        self._reachable_ms: dict[str, float] = {}
+        # Insertion-ordered, so that the same seed draws the same samples.
+        self._down: dict[str, dict[ObservedSearcher, None]] = {}
+
+    def unreachable(self) -> tuple[str, ...]:
+        """Return the failure domains that this entry has verified to be unreachable.
+
+        :returns: those that have searchers.
+        """
+        if not self._down:
+            return ()
+        with_searchers = {one.searcher.failure_domain for one in self._fleet.all() if one.usable}
+        return tuple(domain for domain in self._down if domain in with_searchers)
 
     def suspect(self, failure_domain: str) -> None:
         """Check a failure domain that may be unreachable.
@@ -61,7 +98,6 @@
         """
         if failure_domain in self._being_checked or failure_domain in self._down:
             return
-        self._being_checked.add(failure_domain)
         sample = self._sample(self._usable(failure_domain))
         log_event(
             "domain-suspected",
@@ -69,10 +105,38 @@
             failure_domain=failure_domain,
             sample=len(sample),
         )
-        since_ms = self._timers.now_ms()
+        check = _Check(failure_domain, self._timers.now_ms())
         for observed in sample:
             self._pool.verify(observed)
-        self._timers.after(VERIFY_TIMEOUT_MS, lambda: self._finish_check(failure_domain, since_ms))
+        self._start(check)
+
+    def on_report(self, failure_domain: str, reporter: str) -> None:
+        """Check a failure domain that another entry has reported as unreachable.
+
+        In contrast to a suspicion of this entry's own, nothing is taken out of use before the check
+        has found the domain unreachable from here.
+
+        :param failure_domain: the domain.
+        :param reporter: name of the entry that reported it.
+        """
+        if failure_domain in self._being_checked or failure_domain in self._down:
+            return
+        now_ms = self._timers.now_ms()
+        reachable_ms = self._reachable_ms.get(failure_domain, float("-inf"))
+        if now_ms - reachable_ms < REPORT_INTERVAL_MS:
+            return
+        sample = self._open_sample(failure_domain)
+        if not sample:
+            return
+        self.checks_by_report += 1
+        log_event(
+            "domain-reported",
+            level="warning",
+            failure_domain=failure_domain,
+            peer=reporter,
+            sample=len(sample),
+        )
+        self._start(_Check(failure_domain, now_ms, sample))
 
     def on_heard(self, failure_domain: str) -> None:
         """Use the searchers of a failure domain again, as something was received from it.
@@ -92,19 +156,34 @@
         """Reconnect to unreachable searchers, but only to a sample in each unreachable domain."""
         in_unreachable_domains: set[ObservedSearcher] = set()
         for down in self._down.values():
-            in_unreachable_domains |= down
+            in_unreachable_domains.update(down)
             for observed in self._sample([one for one in down if one.usable]):
                 self._pool.open_ahead(observed)
         for observed in self._fleet.all():
             if observed.is_down and observed.usable and observed not in in_unreachable_domains:
                 self._pool.open_ahead(observed)
 
-    def _finish_check(self, failure_domain: str, since_ms: float) -> None:
+    def _start(self, check: _Check) -> None:
+        self._being_checked.add(check.failure_domain)
+        self._timers.after(VERIFY_TIMEOUT_MS, lambda: self._on_check_due(check))
+
+    def _on_check_due(self, check: _Check) -> None:
+        if self._timers.now_ms() - check.since_ms > VERIFY_TIMEOUT_MS + LATE_RESULT_MS:
+            self._timers.after(0, lambda: self._finish_check(check))
+        else:
+            self._finish_check(check)
+
+    def _finish_check(self, check: _Check) -> None:
+        failure_domain = check.failure_domain
         self._being_checked.discard(failure_domain)
-        if self._reachability.received_since(failure_domain, since_ms):
+        if self._reachability.received_since(failure_domain, check.since_ms):
+            self._reachable_ms[failure_domain] = self._timers.now_ms()
             return
+        for observed in check.by_report:
+            if observed.usable and not observed.is_down:
+                self._pool.verify(observed)
         usable = self._usable(failure_domain)
-        self._down[failure_domain] = set(usable)
+        self._down[failure_domain] = dict.fromkeys(usable)
         for observed in usable:
             self._pool.suspend_searcher(observed)
         log_event(
@@ -124,5 +203,15 @@
             and not observed.is_down
         ]
 
+    def _open_sample(self, failure_domain: str) -> tuple[ObservedSearcher, ...]:
+        """Open connections to a sample, without searchers at their limit of connections.
+
+        If all connections to a searcher are in use, its silence for the duration of a check proves
+        nothing.
+        """
+        usable = self._usable(failure_domain)
+        opening = filter(self._pool.open_ahead, self._rng.sample(usable, len(usable)))
+        return tuple(islice(opening, SAMPLE_SIZE))
+
     def _sample(self, searchers: list[ObservedSearcher]) -> list[ObservedSearcher]:
         return self._rng.sample(searchers, min(SAMPLE_SIZE, len(searchers)))
