reach: entries of a failure domain share reachability and recent requests

In a partitioned domain an entry without a request in its window of 5 to 10 s counted as ready. The load balancer moves the callers of a domain only when none of its entries is ready, so they stayed with entries that could not serve them.

Heartbeats within a domain carry the domains found unreachable and the recent requests by route. LocalRounds sends them at once when a domain goes down or comes back, to 8 entries each, and to all entries when an entry that has had requests becomes not ready. DomainReadiness judges by own and reported requests, and keeps those by which an entry became not ready until they can be served again: callers that have left send none. With a single failure domain nothing changes.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -15,6 +15,7 @@
 from rhubarbhinge.gateway._call_terms import delegated_call_terms
 from rhubarbhinge.gateway._connection_limit import connection_limit
 from rhubarbhinge.gateway._domain_checks import DomainChecks
+from rhubarbhinge.gateway._domain_sharing import several_domains, sharing_extras
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
@@ -22,6 +23,7 @@
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
+from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._serving_state import ServingState
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
 from rhubarbhinge.gateway._shutdown import Shutdown
@@ -112,7 +114,7 @@
             self._pool,
             self._reachability,
             self._rng,
-            lambda: self._serving_state.update(),
+            self._domain_changed,
         )
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         cost_function = expected_cost(settings.failure_domain, self._rng)
@@ -148,6 +150,16 @@
             self._plan_changed,
             settings.freshness,
         )
+        self._has_several_domains = several_domains(
+            settings.failure_domain, self._fleet, lambda: self._peers.membership
+        )
+        self._readiness = DomainReadiness(
+            self.timers.now_ms,
+            lambda: self._follower.plan,
+            self._fleet,
+            lambda: self._gateway.recent_requests(),
+            self._has_several_domains,
+        )
         self._peers = Peers(
             self.timers,
             peer_client,
@@ -161,6 +173,7 @@
             lambda: source.reads_platform,
             quarantine,
             settings.capacity,
+            sharing_extras(self._domain_checks, self._readiness, self._has_several_domains),
         ).register(self)
         membership = self._peers.membership
         source.set_peers(
@@ -193,7 +206,7 @@
         )
         self._gateway = Gateway(dependencies)
         self._serving_state = ServingState(
-            self.timers.now_ms, self._fleet, self._gateway.can_serve, self._serving_changed
+            self.timers.now_ms, self._fleet, self._readiness.is_ready, self._serving_changed
         )
         self._delegate_server = DelegateServer(
             self.timers,
@@ -228,6 +241,7 @@
             self._link_usage,
             quarantine,
             event_log,
+            self._domain_checks,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
@@ -289,8 +303,15 @@
         if self._event_log is not None:
             self._event_log.flush()
 
+    def _domain_changed(self) -> None:
+        self._serving_state.update()
+        if self._has_several_domains():
+            self._peers.local_rounds.announce()
+
     def _serving_changed(self, serving: bool) -> None:
         self._callers.close_after_responses(not serving)
+        if not serving and self._has_several_domains() and self._readiness.requests_to_report():
+            self._peers.local_rounds.announce_to_all()
 
     def _accept_callers(self) -> None:
         if not self._accepts_callers:
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
@@ -12,6 +13,9 @@
 CONNECTIONS = ScalarMetric("searcher_connections", "Connections to searchers, open or being opened")
 WAITING = ScalarMetric("requests_waiting", "Requests that wait for a connection to a searcher")
 UNREACHABLE = ScalarMetric("searchers_unreachable", "Searchers to which no connection can be made")
+REPORTED_CHECKS = ScalarMetric(
+    "reported_domain_checks_total", "Checks of failure domains that reports started", True
+)
 EVACUATED = ScalarMetric("evacuated_domains", "Failure domains whose searchers get no requests")
 BAD_LOADS = ScalarMetric("bad_loads_total", "Replies of searchers whose load made no sense", True)
 QUARANTINED = ScalarMetric("quarantined_requests", "Requests refused as they end searchers")
@@ -66,6 +70,7 @@
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
     :param event_log: the buffered event log; None if events are written elsewhere.
+    :param domain_checks: checks of failure domains.
     """
 
     def __init__(
@@ -79,6 +84,7 @@
         link_usage: LinkUsage,
         quarantine: Quarantine,
         event_log: EventLog | None,
+        domain_checks: DomainChecks,
     ):
         self._follower = follower
         self._peers = peers
@@ -89,6 +95,7 @@
         self._link_usage = link_usage
         self._quarantine = quarantine
         self._event_log = event_log
+        self._domain_checks = domain_checks
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -101,6 +108,7 @@
         metrics.set_members({"alive": len(self._peers.membership.all_live())})
         metrics.set_drains(sum(observed.is_leaving for observed in self._fleet.all()))
         metrics.set_scalar(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
+        metrics.set_scalar(REPORTED_CHECKS, self._domain_checks.checks_by_report)
         metrics.set_scalar(EVACUATED, len(self._follower.evacuated))
         metrics.set_scalar(CONNECTIONS, self._pool.open_connections)
         metrics.set_scalar(BAD_LOADS, self._pool.bad_loads)
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -1,15 +1,16 @@
 """Routing of callers' requests."""
 
-from collections.abc import Callable
+from collections.abc import Mapping
 
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward import CallerRequest
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
+from rhubarbhinge.gateway._readiness import can_serve
 from rhubarbhinge.gateway._recent_requests import RecentRequests
 from rhubarbhinge.gateway._request_handler import RequestHandler
 from rhubarbhinge.gateway._responses import refused, unknown_route
 from rhubarbhinge.gateway._weighted_round_robin import WeightedRoundRobin
-from rhubarbhinge.plans import Route, ServingPlan
+from rhubarbhinge.plans import ServingPlan
 from rhubarbhinge.quarantine import ONE_FIRST, Quarantined
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.web import Request, Responder, Response
@@ -46,27 +47,17 @@
             del self._delays[name]
 
     def can_serve(self) -> bool:
-        """Check whether most recent requests could be served here, if they could be anywhere.
-
-        Requests for which too few searchers are published are not counted, as no other entry could
-        serve them either.
+        """Check whether most recent requests to this entry could be served here.
 
         :returns: whether the routes of at least half of the counted requests have enough reachable
             searchers.
         """
-        plan = self._follower.plan
-        if plan is None:
-            return False
         fleet = self._dependencies.context.fleet
-        by_name = {route.name: route for route in plan.routes}
-        servable = served = 0
-        for name, requests in self._recent_requests.counts():
-            route = by_name.get(name)
-            if route is not None and _has_enough(route, fleet.is_published):
-                servable += requests
-                if _has_enough(route, fleet.is_reachable):
-                    served += requests
-        return 2 * served >= servable
+        return can_serve(self._follower.plan, fleet, self.recent_requests())
+
+    def recent_requests(self) -> Mapping[str, int]:
+        """Return the number of recent requests of callers by route."""
+        return dict(self._recent_requests.counts())
 
     def handle(self, request: Request, responder: Responder) -> None:
         """Handle a request of a caller.
@@ -129,10 +120,3 @@
             delays = Delays(INITIAL_DELAY_FRACTION * target_latency_ms)
             self._delays[route_name] = delays
         return delays
-
-
-def _has_enough(route: Route, has_searcher: Callable[[str], bool]) -> bool:
-    """Check whether enough services of a route have a searcher according to a predicate."""
-    if route.shards is None:
-        return any(has_searcher(part.name) for part in route.services)
-    return route.shards.is_enough(sum(has_searcher(name) for name in route.shards.services))
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -21,6 +21,7 @@
 )
 from rhubarbhinge.net import Datagrams
 from rhubarbhinge.peers._heartbeat_extras import NO_EXTRAS, HeartbeatExtras
+from rhubarbhinge.peers._local_rounds import LocalRounds
 from rhubarbhinge.peers._paths import MEMBERS_PATH
 from rhubarbhinge.peers._published_status import published_status
 from rhubarbhinge.peers._quarantine_gossip import QuarantineGossip
@@ -64,6 +65,7 @@
     :ivar membership: the members of the fleet.
     :ivar reports: the members' latest reports on the published state.
     :ivar quarantine_gossip: spreads suspicions about requests that crash searchers.
+    :ivar local_rounds: sends heartbeats at once to entries of this failure domain.
     """
 
     channel = "peers"
@@ -97,6 +99,7 @@
             timers, me, seed_ips, rng, self._send, lambda: published_status(follower)
         )
         self.quarantine_gossip = QuarantineGossip(timers, self.membership, quarantine, rng)
+        self.local_rounds = LocalRounds(timers, self.membership, rng)
         self._table_sync = TableSync(timers.now_ms, self._fetch_members)
         self._state_pull = StatePull(
             timers, client, follower, self.reports, port, failure_domain, rng
