--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -17,6 +17,7 @@
 from rhubarbhinge.gateway._capacity_delegation import CapacityDelegation, ShardCounts
 from rhubarbhinge.gateway._connection_limit import connection_limit
 from rhubarbhinge.gateway._domain_checks import DomainChecks
+from rhubarbhinge.gateway._domain_sharing import several_domains, sharing_extras
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
@@ -25,6 +26,7 @@
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
+from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._retry_loans import loan_requests, loan_service
 from rhubarbhinge.gateway._serving_state import ServingState
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
@@ -117,7 +119,7 @@
             self._pool,
             self._reachability,
             self._rng,
-            lambda: self._serving_state.update(),
+            self._domain_changed,
         )
         self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         loans = loan_requests(
@@ -162,6 +164,16 @@
             self._plan_changed,
             settings.freshness,
         )
+        self._has_several_domains = several_domains(
+            settings.failure_domain, self._fleet, lambda: self._peers.membership
+        )
+        self._readiness = DomainReadiness(
+            self.timers.now_ms,
+            lambda: self._follower.plan,
+            self._fleet,
+            lambda: self._gateway.recent_requests(),
+            self._has_several_domains,
+        )
         self._peers = Peers(
             self.timers,
             peer_client,
@@ -175,9 +187,8 @@
             lambda: source.reads_platform,
             quarantine,
             settings.capacity,
-            loans=loan_service(
-                self.timers, self._budget, self._fleet, lambda: self._peers.membership
-            ),
+            sharing_extras(self._domain_checks, self._readiness, self._has_several_domains),
+            loan_service(self.timers, self._budget, self._fleet, lambda: self._peers.membership),
         ).register(self)
         membership = self._peers.membership
         source.set_peers(
@@ -234,7 +245,7 @@
         )
         self._gateway = Gateway(dependencies)
         self._serving_state = ServingState(
-            self.timers.now_ms, self._fleet, self._gateway.can_serve, self._serving_changed
+            self.timers.now_ms, self._fleet, self._readiness.is_ready, self._serving_changed
         )
         self._delegate_server = DelegateServer(
             self.timers,
@@ -285,6 +296,7 @@
             shard_counts,
             loans,
             self._slow_readers,
+            self._domain_checks,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
@@ -348,8 +360,15 @@
         if self._event_log is not None:
             self._event_log.flush()
 
+    def _domain_changed(self) -> None:
+        self._serving_state.update()
+        if self._has_several_domains():
+            self._peers.local_rounds.announce()
+
     def _serving_changed(self, serving: bool) -> None:
         self._callers.close_after_responses(not serving)
+        if not serving and self._has_several_domains() and self._readiness.requests_to_report():
+            self._peers.local_rounds.announce_to_all()
 
     def _accept_callers(self) -> None:
         if not self._accepts_callers:
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -3,6 +3,7 @@
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
 from rhubarbhinge.gateway._capacity_delegation import ShardCounts
+from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._forward_admission import ForwardAdmission
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._slow_readers import MESSAGES, REPLIES, RESPONSES, SlowReaders
@@ -15,6 +16,9 @@
 CONNECTIONS = ScalarMetric("searcher_connections", "Connections to searchers, open or being opened")
 WAITING = ScalarMetric("requests_waiting", "Requests that wait for a connection to a searcher")
 UNREACHABLE = ScalarMetric("searchers_unreachable", "Searchers to which no connection can be made")
+REPORTED_CHECKS = ScalarMetric(
+    "reported_domain_checks_total", "Checks of failure domains that reports started", True
+)
 EVACUATED = ScalarMetric("evacuated_domains", "Failure domains whose searchers get no requests")
 BAD_LOADS = ScalarMetric("bad_loads_total", "Replies of searchers whose load made no sense", True)
 QUARANTINED = ScalarMetric("quarantined_requests", "Requests refused as they end searchers")
@@ -101,6 +105,7 @@
     :param shard_counts: counts the shards delegated and kept.
     :param loans: requests for loans of retry budget.
     :param slow_readers: limits the bytes buffered for others.
+    :param domain_checks: checks of failure domains.
     """
 
     def __init__(
@@ -118,6 +123,7 @@
         shard_counts: ShardCounts,
         loans: LoanRequests,
         slow_readers: SlowReaders,
+        domain_checks: DomainChecks,
     ):
         self._follower = follower
         self._peers = peers
@@ -132,6 +138,7 @@
         self._shard_counts = shard_counts
         self._loans = loans
         self._slow_readers = slow_readers
+        self._domain_checks = domain_checks
 
     def update(self, metrics: Metrics) -> None:
         """Set the current values.
@@ -144,6 +151,7 @@
         metrics.set_members({"alive": len(self._peers.membership.all_live())})
         metrics.set_drains(sum(observed.is_leaving for observed in self._fleet.all()))
         metrics.set_scalar(UNREACHABLE, sum(observed.is_down for observed in self._fleet.all()))
+        metrics.set_scalar(REPORTED_CHECKS, self._domain_checks.checks_by_report)
         metrics.set_scalar(EVACUATED, len(self._follower.evacuated))
         metrics.set_scalar(CONNECTIONS, self._pool.open_connections)
         metrics.set_scalar(BAD_LOADS, self._pool.bad_loads)
