fleet, forward: send windows and reports of full searchers

Each entry of a domain may have as many requests in flight at a searcher as its connection limit allows, regardless of the others, and learns of a full searcher only by refusals of its own, which cost retry budget.

A searcher that refuses now gets a send window (AIMD) at each entry. Requests beyond it wait in the queue of its connections. Entries report the searchers that refuse most of their requests in heartbeats; receivers that have not used such a searcher lately raise its cost.

The pool counted a connection at a searcher's earlier record if the last idle connection had expired when a request was sent: closing it removed the record that the request then used. Closing and starting what waits are now separate.

--- a/rhubarbhinge/fleet/__init__.py
+++ b/rhubarbhinge/fleet/__init__.py
@@ -15,6 +15,7 @@
 from rhubarbhinge.fleet._observed import ObservedSearcher
 from rhubarbhinge.fleet._reported_load import ReportedLoad
 from rhubarbhinge.fleet._searcher import Searcher, SearcherStart
+from rhubarbhinge.fleet._send_window import SendWindow
 
 __all__ = [
     "ColdRule",
@@ -28,6 +29,7 @@
     "ReportedLoad",
     "Searcher",
     "SearcherStart",
+    "SendWindow",
     "allow_all",
     "best_searcher",
     "expected_cost",
--- a/rhubarbhinge/fleet/_fleet.py
+++ b/rhubarbhinge/fleet/_fleet.py
@@ -25,6 +25,7 @@
         self._on_left = on_left
         self._by_incarnation: dict[str, ObservedSearcher] = {}
         self._by_service: dict[str, dict[str, ObservedSearcher]] = {}
+        self._by_mark: dict[int, ObservedSearcher] = {}
         self._evacuated: set[str] = set()
 
     def of_service(self, service: str) -> Iterable[ObservedSearcher]:
@@ -58,6 +59,21 @@
         """
         return self._by_incarnation.values()
 
+    def by_mark(self, mark: int) -> ObservedSearcher | None:
+        """Return the searcher with a mark.
+
+        :param mark: :attr:`SearcherStart.mark` of its start.
+        :returns: the searcher; None if there is none.
+        """
+        return self._by_mark.get(mark)
+
+    @property
+    def reduced_windows(self) -> int:
+        """Number of searchers whose send window is below its limit."""
+        now_ms = self._now_ms()
+        windows = (one.send_window for one in self._by_incarnation.values())
+        return sum(window is not None and window.is_reduced(now_ms) for window in windows)
+
     def put(self, searcher: Searcher) -> None:
         """Add or update a searcher.
 
@@ -73,6 +89,7 @@
             known.evacuated = searcher.failure_domain in self._evacuated
             self._by_incarnation[searcher.incarnation] = known
             self._by_service.setdefault(searcher.service, {})[searcher.incarnation] = known
+            self._by_mark[known.start.mark] = known
             return
         was_usable = known.usable
         if known.searcher.draining and not searcher.draining:
@@ -115,6 +132,8 @@
         del of_service[incarnation]
         if not of_service:
             del self._by_service[known.searcher.service]
+        if self._by_mark.get(known.start.mark) is known:
+            del self._by_mark[known.start.mark]
         if not known.gone:
             known.gone = True
             self._on_left(known)
--- a/rhubarbhinge/fleet/_observed.py
+++ b/rhubarbhinge/fleet/_observed.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet._cold_sends import WINDOW_MS, ColdSends
 from rhubarbhinge.fleet._searcher import Searcher
+from rhubarbhinge.fleet._send_window import SendWindow
 
 SMOOTHING = 0.3
 """Weight of a new observation; after three slow replies in a row they dominate the estimate."""
@@ -14,6 +15,10 @@
 sheds load."""
 REFUSAL_HALF_LIFE_MS = 3_000.0
 """Half-life of the refusal rate without new observations."""
+REPORT_MAX_AGE_MS = 3_000.0
+"""Age at which a refusal rate reported by another entry is dropped; it has halved by then."""
+OWN_PRECEDENCE_MS = 1_000.0
+"""An own request this recent tells more about the searcher than a report."""
 REFUSAL_PAUSE_MS = 60.0
 """How long a searcher that refused is avoided: about one execution, after which a slot is free."""
 LOSSES_TO_AVOID = 2
@@ -32,6 +37,7 @@
     :ivar evacuated: whether the failure domain of the searcher is evacuated.
     :ivar returned_ms: time at which the searcher last became reachable again, or the evacuation of
         its domain ended; it may be cold since. Minus infinity if neither has happened.
+    :ivar send_window: limit of the requests in flight; None if the searcher has not refused lately.
     """
 
     __slots__ = (
@@ -43,6 +49,7 @@
         "evacuated",
         "is_down",
         "returned_ms",
+        "send_window",
         "_last_used_ms",
         "_cold_sends",
         "_slowness",
@@ -51,6 +58,8 @@
         "_losses",
         "_refusals",
         "_refusals_ms",
+        "_reported_refusals",
+        "_reported_ms",
     )
 
     def __init__(self, searcher: Searcher, now_ms: float):
@@ -62,6 +71,7 @@
         self.evacuated = False
         self.is_down = False
         self.returned_ms = float("-inf")
+        self.send_window: SendWindow | None = None
         self._last_used_ms = float("-inf")
         self._cold_sends: ColdSends | None = None
         self._slowness = 1.0
@@ -70,6 +80,8 @@
         self._losses = 0
         self._refusals = 0.0
         self._refusals_ms = now_ms
+        self._reported_refusals = 0.0
+        self._reported_ms = now_ms
 
     @property
     def usable(self) -> bool:
@@ -126,12 +138,62 @@
     def refusal_share(self, now_ms: float) -> float:
         """Estimate the fraction of requests that the searcher refuses.
 
+        :param now_ms: current time.
+        :returns: a fraction from 0 to 1, by own observations and the report of another entry.
+        """
+        own = self.own_refusal_share(now_ms)
+        if not self._reported_refusals:
+            return own
+        age_ms = now_ms - self._reported_ms
+        if age_ms >= REPORT_MAX_AGE_MS:
+            self._reported_refusals = 0.0
+            return own
+        return max(own, self._reported_refusals * 0.5 ** (age_ms / REFUSAL_HALF_LIFE_MS))
+
+    def own_refusal_share(self, now_ms: float) -> float:
+        """Estimate the fraction of requests that the searcher refuses by own observations alone.
+
         :param now_ms: current time.
         :returns: a fraction from 0 to 1.
         """
         age = (now_ms - self._refusals_ms) / REFUSAL_HALF_LIFE_MS
         return self._refusals * 0.5**age
 
+    @property
+    def last_refusal_share(self) -> float:
+        """Fraction of requests that the searcher refused as of the last own observation."""
+        return self._refusals
+
+    def refusal_age_ms(self, now_ms: float) -> float:
+        """Return the age of the last own observation that changed the refusal rate.
+
+        :param now_ms: current time.
+        :returns: the age.
+        """
+        return now_ms - self._refusals_ms
+
+    def on_refusals_reported(self, share: float, age_ms: float, now_ms: float) -> bool:
+        """Record the refusal rate that another entry observed.
+
+        It is ignored if this entry has used the searcher recently or after that observation, and
+        forgotten with the next own observation.
+
+        :param share: fraction of requests refused at the time of the observation.
+        :param age_ms: age of the observation.
+        :param now_ms: current time.
+        :returns: True if the report is used.
+        """
+        observed_ms = now_ms - age_ms
+        if age_ms >= REPORT_MAX_AGE_MS or observed_ms <= self._last_used_ms:
+            return False
+        if now_ms - self._last_used_ms <= OWN_PRECEDENCE_MS:
+            return False
+        if self._reported_refusals and observed_ms < self._reported_ms:
+            return False
+        self._reported_refusals = share
+        self._reported_ms = observed_ms
+        return True
+
     def oldest_ms(self, now_ms: float) -> float:
         """Return the age of the oldest open request.
 
@@ -184,6 +246,7 @@
         self._losses = 0
         self.on_connected(now_ms)
         self._observe(delay_ms / max(typical_ms, 1.0), now_ms)
+        self._reported_refusals = 0.0
         if self._refusals:
             self._observe_refusal(0.0, now_ms)
 
@@ -195,6 +258,7 @@
         """
         self.started_ms.pop(attempt, None)
         self._losses = 0
+        self._reported_refusals = 0.0
         self._observe(MAX_SLOWNESS / 4, now_ms)
 
     def on_refused(self, attempt: int, now_ms: float) -> None:
@@ -205,8 +269,31 @@
         """
         self.started_ms.pop(attempt, None)
         self._avoid_until_ms = now_ms + REFUSAL_PAUSE_MS
+        self._reported_refusals = 0.0
         self._observe_refusal(1.0, now_ms)
 
+    def on_capacity(
+        self, refused: bool, limit: int, typical_ms: float, now_ms: float
+    ) -> SendWindow | None:
+        """Adapt the send window to a reply, creating it with the first refusal.
+
+        :param refused: whether the searcher refused the request for lack of capacity.
+        :param limit: present limit of requests in flight.
+        :param typical_ms: typical latency of such requests.
+        :param now_ms: current time.
+        :returns: the window if it was reduced.
+        """
+        window = self.send_window
+        if refused:
+            if window is None:
+                window = self.send_window = SendWindow(limit)
+            return window if window.on_refused(limit, typical_ms, now_ms) else None
+        if window is not None and window.is_restored(now_ms):
+            self.send_window = None
+        elif window is not None:
+            window.on_reply(limit, now_ms)
+        return None
+
     def on_unreachable(self) -> None:
         """Record that no connection could be established; the searcher is down until one can."""
         self.is_down = True
@@ -253,6 +340,6 @@
         self._slowness_ms = now_ms
 
     def _observe_refusal(self, refused: float, now_ms: float) -> None:
-        previous = self.refusal_share(now_ms)
+        previous = self.own_refusal_share(now_ms)
         self._refusals = previous + REFUSAL_SMOOTHING * (refused - previous)
         self._refusals_ms = now_ms
--- a/rhubarbhinge/forward/_connections.py
+++ b/rhubarbhinge/forward/_connections.py
@@ -28,12 +28,15 @@
 class SearcherConnections(Struct):
     """Connections to one searcher, and the queue of exchanges that wait for one.
 
-    Idle connections are reused in LIFO order.
+    Idle connections are reused in LIFO order. ``in_flight`` counts those that have an exchange,
+    also while they are being opened.
     """
 
     idle: list[Connection] = field(default_factory=list)
     count: int = 0
     opening: int = 0
+    in_flight: int = 0
+    wake_up_due: bool = False
     waiting: list[PendingExchange] = field(default_factory=list)
 
     def pop_waiting(self) -> PendingExchange | None:
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -15,6 +15,8 @@
 from rhubarbhinge.forward._pending_exchange import PendingExchange
 from rhubarbhinge.forward._reply_outcome import is_reply_to, outcome_of, record_reply
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
+from rhubarbhinge.forward._searcher_reply import SearcherReply
+from rhubarbhinge.forward._window_events import log_reduction
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.telemetry import log_event
 from rhubarbhinge.timing import TimerService
@@ -100,6 +102,10 @@
         now_ms = self._timers.now_ms()
         observed.on_sent(pending.number, now_ms)
         connections = self._connections(observed)
+        if connections.waiting or not self._has_room(observed, connections, now_ms):
+            heapq.heappush(connections.waiting, pending)
+            self._start_waiting(observed, connections)
+            return pending
         conn = self._take_idle(connections, now_ms)
         if conn is not None:
             self._write(conn, pending, now_ms)
@@ -149,9 +155,10 @@
         connections = self._by_searcher.get(observed.start)
         if connections is None:
             return
+        # First, as dropping a connection starts what waits.
+        self._withdraw_waiting(connections, FailureReason.LEAVING)
         for conn in list(connections.idle):
             self._drop(conn)
-        self._withdraw_waiting(connections, FailureReason.LEAVING)
 
     def close_idle(self) -> None:
         """Close idle connections whose keep-alive time has expired."""
@@ -168,9 +175,50 @@
             conn = connections.idle.pop()
             if conn.idle_until_ms > now_ms and self._links.is_idle(conn.link):
                 return conn
-            self._drop(conn)
+            self._close(conn, connections)
         return None
 
+    def _has_room(
+        self, observed: ObservedSearcher, connections: SearcherConnections, now_ms: float
+    ) -> bool:
+        """Check whether the searcher's send window admits another request."""
+        window = observed.send_window
+        if window is None:
+            return True
+        return connections.in_flight < window.size(self._max_connections(observed), now_ms)
+
+    def _start_waiting(
+        self, observed: ObservedSearcher, connections: SearcherConnections, replace: bool = False
+    ) -> None:
+        """Send queued exchanges while there are connections and room in the send window.
+
+        :param replace: whether one connection may be opened in place of one just closed, even if
+            the limit of connections has been lowered since.
+        """
+        now_ms = self._timers.now_ms()
+        while connections.waiting and self._has_room(observed, connections, now_ms):
+            may_open = replace or connections.count < self._max_connections(observed)
+            if not connections.idle and not may_open:
+                return
+            waiting = self._next_sendable(connections, now_ms)
+            if waiting is None:
+                return
+            conn = self._take_idle(connections, now_ms)
+            if conn is None:
+                self._open(observed, connections, waiting)
+                replace = False
+            else:
+                self._write(conn, waiting, now_ms)
+        if connections.waiting and not connections.wake_up_due:
+            connections.wake_up_due = True
+            restored_in_ms = max(0.0, observed.send_window.restored_at_ms - now_ms)
+            self._timers.after(restored_in_ms, lambda: self._wake_up(observed, connections))
+
+    def _wake_up(self, observed: ObservedSearcher, connections: SearcherConnections) -> None:
+        """Start what waits when the send window may have been restored."""
+        connections.wake_up_due = False
+        self._start_waiting(observed, connections)
+
     def _open(
         self,
         observed: ObservedSearcher,
@@ -184,10 +232,13 @@
         conn = Connection(link, observed, pending=pending)
         if pending is not None:
             pending.link = link
+            connections.in_flight += 1
         self._by_link[link] = conn
 
     def _write(self, conn: Connection, pending: PendingExchange, now_ms: float) -> None:
         exchange = pending.exchange
+        if conn.pending is None:
+            self._connections(conn.searcher).in_flight += 1
         conn.pending = pending
         conn.reader.wants_body = exchange.request.wants_body
         pending.link = conn.link
@@ -199,6 +250,13 @@
         )
         self._links.send(conn.link, data)
 
+    def _take_pending(self, conn: Connection) -> PendingExchange | None:
+        """Detach a connection from its exchange, which is then no longer in flight."""
+        pending, conn.pending = conn.pending, None
+        if pending is not None:
+            self._connections(conn.searcher).in_flight -= 1
+        return pending
+
     def _opened(self, link: int, inbound: bool) -> None:
         conn = self._by_link.get(link)
         if conn is None:
@@ -218,7 +276,7 @@
 
     def _close_unusable(self, conn: Connection) -> None:
         """Close a connection whose searcher became unusable while it was being established."""
-        pending, conn.pending = conn.pending, None
+        pending = self._take_pending(conn)
         if pending is not None:
             self._withdraw(pending, FailureReason.LEAVING)
         self._drop(conn)
@@ -249,7 +307,8 @@
             self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
-        conn.pending = None
+        self._take_pending(conn)
+        self._adapt_window(pending, reply, now_ms)
         reusable = raw.reusable and last and not conn.skipped
         if reusable and pending.exchange.searcher.usable:
             self._release(conn, reply.keep_alive_ms)
@@ -262,6 +321,17 @@
             self._on_wrong_searcher(conn.searcher)
         self._report(pending, outcome_of(reply, delay_ms))
 
+    def _adapt_window(self, pending: PendingExchange, reply: SearcherReply, now_ms: float) -> None:
+        """Adapt the searcher's send window to a reply, before its place is given to another."""
+        observed = pending.exchange.searcher
+        if reply.wrong_searcher or not (reply.not_run or observed.send_window):
+            return
+        limit = self._max_connections(observed)
+        typical_ms = pending.exchange.delays.quantile(0.5)
+        window = observed.on_capacity(reply.not_run, limit, typical_ms, now_ms)
+        if window is not None:
+            log_reduction(observed, window, limit, now_ms)
+
     def _skip(self, conn: Connection, more_may_come: bool, request_id: str) -> None:
         """Skip a late reply to an earlier request; the expected one may follow."""
         conn.skipped += 1
@@ -278,10 +348,14 @@
     def _release(self, conn: Connection, keep_alive_ms: float | None) -> None:
         connections = self._connections(conn.searcher)
         now_ms = self._timers.now_ms()
-        waiting = self._next_sendable(connections, now_ms)
-        if waiting is not None:
-            self._write(conn, waiting, now_ms)
-            return
+        observed = conn.searcher
+        if connections.waiting and self._has_room(observed, connections, now_ms):
+            waiting = self._next_sendable(connections, now_ms)
+            if waiting is not None:
+                self._write(conn, waiting, now_ms)
+                if observed.send_window is not None:
+                    self._start_waiting(observed, connections)
+                return
         idle_ms = (
             DEFAULT_KEEP_ALIVE_MS if keep_alive_ms is None else keep_alive_ms - KEEP_ALIVE_MARGIN_MS
         )
@@ -290,6 +364,8 @@
             return
         conn.idle_until_ms = now_ms + idle_ms
         connections.idle.append(conn)
+        if connections.waiting:
+            self._start_waiting(observed, connections)
 
     def _next_sendable(
         self, connections: SearcherConnections, now_ms: float
@@ -312,9 +388,12 @@
             exchange.searcher.on_cancelled(pending.number, waited_ms, typical_ms, now_ms)
         if conn is None or conn.pending is not pending:
             return
-        conn.pending = None
+        self._take_pending(conn)
+        connections = self._connections(exchange.searcher)
         if conn.is_open:
             self._drop(conn)
+        elif connections.waiting and exchange.searcher.send_window is not None:
+            self._start_waiting(exchange.searcher, connections)
 
     def _closed(self, link: int, reason: CloseReason) -> None:
         conn = self._by_link.get(link)
@@ -338,7 +417,7 @@
             self._fail(conn, NotRun(FailureReason.UNREACHABLE), reason.value)
 
     def _fail(self, conn: Connection, outcome: Outcome, code: str, check_end: bool = False) -> None:
-        pending, conn.pending = conn.pending, None
+        pending = self._take_pending(conn)
         observed = conn.searcher
         now_ms = self._timers.now_ms()
         if isinstance(outcome, NotRun):
@@ -414,18 +493,22 @@
             pending.on_outcome(outcome)
 
     def _drop(self, conn: Connection) -> None:
-        if self._by_link.pop(conn.link, None) is None:
+        """Close a connection, and start what waits in its place."""
+        if conn.link not in self._by_link:
             return
         observed = conn.searcher
         connections = self._connections(observed)
+        self._close(conn, connections)
+        if connections.waiting:
+            self._start_waiting(observed, connections, replace=True)
+        if not connections.count:
+            del self._by_searcher[observed.start]
+
+    def _close(self, conn: Connection, connections: SearcherConnections) -> None:
+        del self._by_link[conn.link]
         connections.count -= 1
         if not conn.is_open:
             connections.opening -= 1
         if conn in connections.idle:
             connections.idle.remove(conn)
         self._links.abort(conn.link)
-        waiting = self._next_sendable(connections, self._timers.now_ms())
-        if waiting is not None:
-            self._open(observed, connections, waiting)
-        elif not connections.count:
-            del self._by_searcher[observed.start]
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -18,8 +18,10 @@
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
+from rhubarbhinge.gateway._full_searchers import FullSearchers
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
+from rhubarbhinge.gateway._heartbeat_extras import heartbeat_extras
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
 from rhubarbhinge.gateway._serving_state import ServingState
@@ -148,6 +150,7 @@
             self._plan_changed,
             settings.freshness,
         )
+        full_searchers = FullSearchers(self._fleet, self.timers.now_ms)
         self._peers = Peers(
             self.timers,
             peer_client,
@@ -161,6 +164,7 @@
             lambda: source.reads_platform,
             quarantine,
             settings.capacity,
+            heartbeat_extras(full_searchers),
         ).register(self)
         membership = self._peers.membership
         source.set_peers(
@@ -227,6 +231,7 @@
             self._budget,
             self._link_usage,
             quarantine,
+            full_searchers,
             event_log,
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -2,6 +2,7 @@
 
 from rhubarbhinge.fleet import Fleet
 from rhubarbhinge.forward import ConnectionPool
+from rhubarbhinge.gateway._full_searchers import FullSearchers
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.peers import Peers, SharedSource
 from rhubarbhinge.published import Follower
@@ -14,6 +15,13 @@
 UNREACHABLE = ScalarMetric("searchers_unreachable", "Searchers to which no connection can be made")
 EVACUATED = ScalarMetric("evacuated_domains", "Failure domains whose searchers get no requests")
 BAD_LOADS = ScalarMetric("bad_loads_total", "Replies of searchers whose load made no sense", True)
+WINDOWS_REDUCED = ScalarMetric(
+    "send_windows_reduced",
+    "Searchers to which fewer requests are sent at once as they refused some",
+)
+REPORTS_APPLIED = ScalarMetric(
+    "full_searcher_reports_total", "Reports of full searchers by other entries that were used", True
+)
 QUARANTINED = ScalarMetric("quarantined_requests", "Requests refused as they end searchers")
 QUARANTINE_REFUSED = ScalarMetric(
     "quarantine_refused_total", "Attempts at quarantined requests that were refused", True
@@ -65,6 +73,7 @@
     :param budget: the retry budget.
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
+    :param full_searchers: reports of searchers that refuse many requests.
     :param event_log: the buffered event log; None if events are written elsewhere.
     """
 
@@ -78,6 +87,7 @@
         budget: RetryBudget,
         link_usage: LinkUsage,
         quarantine: Quarantine,
+        full_searchers: FullSearchers,
         event_log: EventLog | None,
     ):
         self._follower = follower
@@ -88,6 +98,7 @@
         self._budget = budget
         self._link_usage = link_usage
         self._quarantine = quarantine
+        self._full_searchers = full_searchers
         self._event_log = event_log
 
     def update(self, metrics: Metrics) -> None:
@@ -114,6 +125,8 @@
         metrics.set_scalar(STORE_ERA, self._follower.revision.era)
         metrics.set_scalar(UNUSABLE_ENTRIES, len(self._follower.unusable))
         metrics.set_scalar(UNUSABLE_ENTRIES_FOUND, self._follower.unusable.total_found)
+        metrics.set_scalar(WINDOWS_REDUCED, self._fleet.reduced_windows)
+        metrics.set_scalar(REPORTS_APPLIED, self._full_searchers.applied)
         metrics.set_scalar(QUARANTINED, self._quarantine.quarantined_count)
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
         for kind, total in self._link_usage.totals().items():
--- a/rhubarbhinge/members/__init__.py
+++ b/rhubarbhinge/members/__init__.py
@@ -1,6 +1,7 @@
 """Gossip membership of the fleet's entries, at a cost per entry independent of the fleet size."""
 
 from rhubarbhinge.members._heartbeat import (
+    MAX_FULL_SEARCHERS,
     FullSearcher,
     Heartbeat,
     HeartbeatError,
@@ -15,6 +16,7 @@
 from rhubarbhinge.members._vm_capacity import UNKNOWN_CAPACITY, VmCapacity
 
 __all__ = [
+    "MAX_FULL_SEARCHERS",
     "UNKNOWN_CAPACITY",
     "FullSearcher",
     "Heartbeat",
