--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -209,10 +209,12 @@
                 replace = False
             else:
                 self._write(conn, waiting, now_ms)
-        if connections.waiting and not connections.wake_up_due:
-            connections.wake_up_due = True
-            restored_in_ms = max(0.0, observed.send_window.restored_at_ms - now_ms)
-            self._timers.after(restored_in_ms, lambda: self._wake_up(observed, connections))
+        window = observed.send_window
+        if not connections.waiting or connections.wake_up_due or window.is_restored(now_ms):
+            return
+        connections.wake_up_due = True
+        restored_in_ms = window.restored_at_ms - now_ms
+        self._timers.after(restored_in_ms, lambda: self._wake_up(observed, connections))
 
     def _wake_up(self, observed: ObservedSearcher, connections: SearcherConnections) -> None:
         """Start what waits when the send window may have been restored."""
--- a/rhubarbhinge/forward/_window_events.py
+++ b/rhubarbhinge/forward/_window_events.py
@@ -27,5 +27,4 @@
         searcher=observed.searcher.incarnation,
         window=window.size(limit, now_ms),
         limit=limit,
-        refused=round(observed.refusal_share(now_ms), 2),
     )
