--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -17,18 +17,20 @@
 from rhubarbhinge.gateway._capacity_delegation import CapacityDelegation, ShardCounts
 from rhubarbhinge.gateway._connection_limit import connection_limit
 from rhubarbhinge.gateway._domain_checks import DomainChecks
-from rhubarbhinge.gateway._domain_sharing import several_domains, sharing_extras
 from rhubarbhinge.gateway._endpoints import metrics_handler, readiness_handler
 from rhubarbhinge.gateway._entry_metrics import EntryMetrics
 from rhubarbhinge.gateway._entry_settings import EntrySettings
 from rhubarbhinge.gateway._forward_admission import ForwardAdmission, service_queues
+from rhubarbhinge.gateway._full_searchers import FullSearchers
 from rhubarbhinge.gateway._gateway import Gateway
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
+from rhubarbhinge.gateway._heartbeat_extras import heartbeat_extras
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
 from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._retry_loans import loan_requests, loan_service
 from rhubarbhinge.gateway._serving_state import ServingState
+from rhubarbhinge.gateway._several_domains import several_domains
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
 from rhubarbhinge.gateway._shutdown import Shutdown
 from rhubarbhinge.gateway._slow_readers import SlowReaders
@@ -174,6 +176,7 @@
             lambda: self._gateway.recent_requests(),
             self._has_several_domains,
         )
+        full_searchers = FullSearchers(self._fleet, self.timers.now_ms)
         self._peers = Peers(
             self.timers,
             peer_client,
@@ -187,7 +190,9 @@
             lambda: source.reads_platform,
             quarantine,
             settings.capacity,
-            sharing_extras(self._domain_checks, self._readiness, self._has_several_domains),
+            heartbeat_extras(
+                self._domain_checks, self._readiness, self._has_several_domains, full_searchers
+            ),
             loan_service(self.timers, self._budget, self._fleet, lambda: self._peers.membership),
         ).register(self)
         membership = self._peers.membership
@@ -292,6 +297,7 @@
             self._link_usage,
             quarantine,
             admission,
+            full_searchers,
             event_log,
             shard_counts,
             loans,
--- a/rhubarbhinge/gateway/_entry_metrics.py
+++ b/rhubarbhinge/gateway/_entry_metrics.py
@@ -5,6 +5,7 @@
 from rhubarbhinge.gateway._capacity_delegation import ShardCounts
 from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._forward_admission import ForwardAdmission
+from rhubarbhinge.gateway._full_searchers import FullSearchers
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._slow_readers import MESSAGES, REPLIES, RESPONSES, SlowReaders
 from rhubarbhinge.peers import Peers, SharedSource
@@ -21,6 +22,13 @@
 )
 EVACUATED = ScalarMetric("evacuated_domains", "Failure domains whose searchers get no requests")
 BAD_LOADS = ScalarMetric("bad_loads_total", "Replies of searchers whose load made no sense", True)
+WINDOWS_REDUCED = ScalarMetric(
+    "send_windows_reduced",
+    "Searchers to which fewer requests are sent at once as they refused some",
+)
+REPORTS_APPLIED = ScalarMetric(
+    "full_searcher_reports_total", "Reports of full searchers by other entries that were used", True
+)
 QUARANTINED = ScalarMetric("quarantined_requests", "Requests refused as they end searchers")
 QUARANTINE_REFUSED = ScalarMetric(
     "quarantine_refused_total", "Attempts at quarantined requests that were refused", True
@@ -101,6 +109,7 @@
     :param link_usage: usage of the VM's network link.
     :param quarantine: tracks requests that crash the searchers executing them.
     :param admission: admission control of forwarded requests.
+    :param full_searchers: reports of searchers that refuse many requests.
     :param event_log: the buffered event log; None if events are written elsewhere.
     :param shard_counts: counts the shards delegated and kept.
     :param loans: requests for loans of retry budget.
@@ -119,6 +128,7 @@
         link_usage: LinkUsage,
         quarantine: Quarantine,
         admission: ForwardAdmission,
+        full_searchers: FullSearchers,
         event_log: EventLog | None,
         shard_counts: ShardCounts,
         loans: LoanRequests,
@@ -134,6 +144,7 @@
         self._link_usage = link_usage
         self._quarantine = quarantine
         self._admission = admission
+        self._full_searchers = full_searchers
         self._event_log = event_log
         self._shard_counts = shard_counts
         self._loans = loans
@@ -168,6 +179,8 @@
         metrics.set_scalar(STORE_ERA, self._follower.revision.era)
         metrics.set_scalar(UNUSABLE_ENTRIES, len(self._follower.unusable))
         metrics.set_scalar(UNUSABLE_ENTRIES_FOUND, self._follower.unusable.total_found)
+        metrics.set_scalar(WINDOWS_REDUCED, self._fleet.reduced_windows)
+        metrics.set_scalar(REPORTS_APPLIED, self._full_searchers.applied)
         metrics.set_scalar(QUARANTINED, self._quarantine.quarantined_count)
         metrics.set_scalar(QUARANTINE_REFUSED, self._quarantine.refused)
         metrics.set_scalar(SHARDS_DELEGATED, self._shard_counts.delegated)
--- a/rhubarbhinge/gateway/tests/simulated_domain.py
+++ b/rhubarbhinge/gateway/tests/simulated_domain.py
@@ -6,9 +6,11 @@
 from rhubarbhinge.fleet import DomainReachability, ObservedSearcher, Searcher
 from rhubarbhinge.fleet import Fleet as Searchers
 from rhubarbhinge.gateway._domain_checks import DomainChecks
-from rhubarbhinge.gateway._domain_sharing import several_domains, sharing_extras
+from rhubarbhinge.gateway._full_searchers import FullSearchers
+from rhubarbhinge.gateway._heartbeat_extras import heartbeat_extras
 from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._serving_state import ServingState
+from rhubarbhinge.gateway._several_domains import several_domains
 from rhubarbhinge.members import Heartbeat
 from rhubarbhinge.members.tests.simulated import Fleet, Node
 from rhubarbhinge.peers._local_rounds import LocalRounds
@@ -91,7 +93,10 @@
         self.readiness = DomainReadiness(
             self.now_ms, lambda: PLAN, searchers, own, self.has_several
         )
-        self.extras = sharing_extras(self.view.checks, self.readiness, self.has_several)
+        full_searchers = FullSearchers(searchers, self.now_ms)
+        self.extras = heartbeat_extras(
+            self.view.checks, self.readiness, self.has_several, full_searchers
+        )
         self.rounds = LocalRounds(self, self.membership, rng)
         self.state = ServingState(
             self.now_ms, self.view.searchers, self.readiness.is_ready, self._serving_changed
--- a/rhubarbhinge/members/__init__.py
+++ b/rhubarbhinge/members/__init__.py
@@ -1,6 +1,7 @@
 """Gossip membership of the fleet's entries, at a cost per entry independent of the fleet size."""
 
 from rhubarbhinge.members._heartbeat import (
+    MAX_FULL_SEARCHERS,
     MAX_ROUTES,
     FullSearcher,
     Heartbeat,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "MAX_ROUTES",
+    "MAX_FULL_SEARCHERS",
     "UNKNOWN_CAPACITY",
     "FullSearcher",
     "Heartbeat",
