delegation: return attempts of entries that were held up and sent nothing

Callers saw 502 (too-few-shards) some 70 ms after a search was sent, with 4.9 s left: an entry that does not accept delegated shards within 30 ms is given up, and its attempts counted as used, as it may have sent them. Two such entries use up both attempts of a shard.

A delegate that is held up reads the request together with its cancellation and sends nothing, but could not say so. The cancellation of a request that was not accepted now asks for a reply (last field, ignored by earlier releases). The delegate lists all shards as untried if it has not begun, else it replies that the search may have run. The client keeps the request until then, at most 2 s. Meanwhile the search goes on as before; a call that has no attempt left waits, and sends the shard again if one is returned. The wait ends at once when the delegate has begun or the link closes.

--- a/rhubarbhinge/delegation/_client.py
+++ b/rhubarbhinge/delegation/_client.py
@@ -7,7 +7,13 @@
 from msgspec.structs import replace
 
 from rhubarbhinge.delegation._capacity_split import SplitCandidate, near_best
-from rhubarbhinge.delegation._client_state import Call, Link, OnReply, split_candidates
+from rhubarbhinge.delegation._client_state import (
+    Call,
+    Link,
+    OnGivenUp,
+    OnReply,
+    split_candidates,
+)
 from rhubarbhinge.delegation._domain_capacities import DomainCapacities
 from rhubarbhinge.delegation._link_codec import LinkCodec
 from rhubarbhinge.delegation._messages import (
@@ -44,6 +50,10 @@
 """A delegate that has accepted a request replies with its results so far when the reply is due. If
 it has not replied this long after, it is stalled and its shards are searched in another way. Twice
 the usual lag of a busy entry, plus a round trip."""
+GIVEN_UP_TIMEOUT_MS = 2_000.0
+"""Time for which the reply to the cancellation of a request that was not accepted is awaited,
+unless the search ends before. Links to unreachable hosts are closed sooner. The limit is for
+processes that hang, and for earlier releases, which never reply."""
 UNREACHABLE_REASONS = (CloseReason.SILENT, CloseReason.CONNECT_TIMEOUT)
 """Close reasons of links to unreachable hosts; a process that exits closes its links otherwise."""
 
@@ -53,13 +63,16 @@
 
     :param client: the client.
     :param number: the request's number.
+    :ivar on_given_up: called if the request is not accepted in time and the delegate may still
+        reply that it has not begun; None to report the failure at once.
     """
 
-    __slots__ = ("_client", "_number")
+    __slots__ = ("_client", "_number", "on_given_up")
 
     def __init__(self, client: "DelegateClient", number: int):
         self._client = client
         self._number = number
+        self.on_given_up: OnGivenUp | None = None
 
     def cancel(self) -> None:
         """Cancel the request; the delegate cancels its attempts at searchers."""
@@ -175,7 +188,9 @@
         timer = self._timers.after(ACCEPT_TIMEOUT_MS, lambda: self._on_timeout(number, "not-taken"))
         now_ms = self._timers.now_ms()
         due_ms = now_ms + request.reply_after_ms + REPLY_GRACE_MS
+        handle = DelegateCall(self, number)
         self._calls[number] = Call(
+            handle,
             link,
             ip,
             request.request_id,
@@ -190,7 +205,7 @@
         # Flushed before connections to the searchers of this entry's own shards are opened, which
         # would take up most of the time within which the request has to be accepted.
         self._links.flush(link)
-        return DelegateCall(self, number)
+        return handle
 
     def cancel(self, number: int) -> None:
         """Cancel a request.
@@ -200,7 +215,8 @@
         call = self._calls.pop(number, None)
         if call is not None:
             call.timer.cancel()
-            self._send(call.link, DelegateCancel(number))
+            if not call.is_given_up:
+                self._send(call.link, DelegateCancel(number))
 
     def grant(self, number: int, services: tuple[str, ...]) -> None:
         """Grant one more attempt at each of some shards of a request.
@@ -263,6 +279,9 @@
         call = self._calls.get(getattr(message, "number", 0))
         if call is None:
             return
+        if call.is_given_up:
+            self._on_message_after_giving_up(call, message)
+            return
         call.timer.cancel()
         if isinstance(message, DelegateReply):
             call.replied = True
@@ -286,6 +305,36 @@
             number = message.number
             call.timer = self._timers.after(left_ms, lambda: self._on_timeout(number, "silent"))
 
+    def _on_message_after_giving_up(self, call: Call, message: Message) -> None:
+        """Process a message about a request that was given up before it was accepted.
+
+        An acceptance alone does not show that the delegate has begun: one that is held up reads the
+        request together with its cancellation.
+        """
+        if isinstance(message, DelegateAccepted):
+            return
+        never_ran = isinstance(message, DelegateReply) and not (
+            message.may_have_run or message.services or message.pending
+        )
+        if never_ran:
+            self._settle(message.number, "not-begun", message)
+        else:
+            self._settle(message.number, "begun")
+
+    def _settle(self, number: int, outcome: str, reply: DelegateReply | None = None) -> None:
+        """Report the result of a request that was given up."""
+        call = self._calls.pop(number)
+        call.timer.cancel()
+        log_event(
+            "delegate-settled",
+            request=call.request_id,
+            ip=call.ip,
+            outcome=outcome,
+            shards=len(reply.untried) if reply is not None else 0,
+            after_ms=round(self._timers.now_ms() - call.sent_ms, 1),
+        )
+        call.on_reply(reply)
+
     def _on_timeout(self, number: int, code: str) -> None:
         """Process pending input before a request times out.
 
@@ -300,8 +349,19 @@
         call = self._calls.get(number)
         if call is None:
             return
-        self._send(call.link, DelegateCancel(number))
-        self._fail(number, code)
+        on_given_up = call.handle.on_given_up
+        if code != "not-taken" or on_given_up is None:
+            self._send(call.link, DelegateCancel(number))
+            self._fail(number, code)
+            return
+        self._send(call.link, DelegateCancel(number, wants_reply=True))
+        call.is_given_up = True
+        call.pending_shards = 0
+        call.timer = self._timers.after(
+            GIVEN_UP_TIMEOUT_MS, lambda: self._settle(number, "timeout")
+        )
+        self._on_failure(call, code)
+        on_given_up()
 
     def _closed(self, link: int, reason: CloseReason) -> None:
         state = self._by_link.pop(link)
@@ -314,11 +374,19 @@
             self._fail(number, reason.value)
 
     def _fail(self, number: int, code: str) -> None:
-        call = self._calls.pop(number, None)
+        call = self._calls.get(number)
         if call is None:
             # The failure of one request made the search cancel its other requests.
             return
+        if call.is_given_up:
+            self._settle(number, code)
+            return
+        del self._calls[number]
         call.timer.cancel()
+        self._on_failure(call, code)
+        call.on_reply(None)
+
+    def _on_failure(self, call: Call, code: str) -> None:
         self._back_off(call.ip)
         log_event(
             "delegate-failed",
@@ -329,7 +397,6 @@
             after_ms=round(self._timers.now_ms() - call.sent_ms, 1),
             unsent_bytes=self._links.unsent_bytes(call.link),
         )
-        call.on_reply(None)
 
     def _back_off(self, ip: str) -> None:
         self._backoff_until_ms[ip] = self._timers.now_ms() + FAILURE_BACKOFF_MS
--- a/rhubarbhinge/delegation/_client_state.py
+++ b/rhubarbhinge/delegation/_client_state.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
 
 from msgspec import Struct, field
 
@@ -16,6 +17,15 @@
 OnReply = Callable[[DelegateReply | None], None]
 """Called with each reply, of which the last has no pending shards; or with None when the delegate
 failed and the remaining shards have to be searched in another way."""
+OnGivenUp = Callable[[], None]
+"""Called when a request is given up before it is known whether the delegate has begun. The result
+follows: a reply that lists all shards as untried, or None when the delegate may have sent them."""
+
+
+class GivenUpHandle(Protocol):
+    """Part of the handle of a request that the client uses."""
+
+    on_given_up: OnGivenUp | None
 
 
 class Link(Struct, eq=False):
@@ -40,6 +50,7 @@
 class Call(Struct, eq=False):
     """State of a request.
 
+    :param handle: the handle that was returned to the requester.
     :param link: the link on which it was sent.
     :param ip: IP address of the entry.
     :param request_id: id of the caller's request.
@@ -50,8 +61,11 @@
     :param due_ms: time until which the first results have to arrive.
     :param pending_shards: number of its shards without a result.
     :param replied: whether any results have arrived.
+    :param is_given_up: whether it was given up, while the delegate may still reply that it has not
+        begun.
     """
 
+    handle: GivenUpHandle
     link: int
     ip: str
     request_id: str
@@ -62,6 +76,7 @@
     due_ms: float
     pending_shards: int
     replied: bool = False
+    is_given_up: bool = False
 
 
 def split_candidates(
--- a/rhubarbhinge/delegation/_delegated_sender.py
+++ b/rhubarbhinge/delegation/_delegated_sender.py
@@ -9,6 +9,7 @@
     Attempt,
     Exchange,
     FailureReason,
+    GivenUp,
     Lost,
     NotRun,
     Outcome,
@@ -55,7 +56,8 @@
         """Start an attempt.
 
         :param exchange: the request and its searcher.
-        :param on_outcome: called once with the outcome, not before this method returns.
+        :param on_outcome: called once with the final outcome, possibly after ``GivenUp``, and not
+            before this method returns.
         :returns: a handle to cancel the attempt.
         """
         domain = exchange.searcher.searcher.failure_domain
@@ -69,6 +71,7 @@
         attempt.call = self._client.send(
             addresses[0], request, attempt.on_reply, attempt.deny_attempts
         )
+        attempt.call.on_given_up = attempt.give_up
         return attempt
 
 
@@ -113,6 +116,7 @@
         "_sent_ms",
         "_finished",
         "_searcher_exited",
+        "_given_up",
         "call",
     )
 
@@ -132,6 +136,7 @@
         self._sent_ms = timers.now_ms()
         self._finished = False
         self._searcher_exited = False
+        self._given_up = False
         self.call: DelegateCall | None = None
         exchange.searcher.on_sent(number, self._sent_ms)
         exchange.searcher.on_written(number, self._sent_ms)
@@ -142,11 +147,20 @@
             return
         self._finished = True
         self.call.cancel()
+        if self._given_up:
+            return
         now_ms = self._timers.now_ms()
         waited_ms = now_ms - self._sent_ms
         typical_ms = self._exchange.delays.quantile(0.5)
         self._exchange.searcher.on_cancelled(self._number, waited_ms, typical_ms, now_ms)
 
+    def give_up(self) -> None:
+        """Report that the delegate has not accepted the request in time and may not have begun."""
+        if not self._finished:
+            self._given_up = True
+            self._exchange.searcher.on_withdrawn(self._number)
+            self._on_outcome(GivenUp())
+
     def deny_attempts(self, services: tuple[str, ...], report: AttemptReport) -> tuple[str, ...]:
         """Grant no further attempts, as this object stands for a single one.
 
@@ -168,6 +182,9 @@
         self._on_outcome(self._outcome(reply))
 
     def _outcome(self, reply: DelegateReply | None) -> Outcome:
+        if self._given_up:
+            has_not_run = reply is not None and not reply.may_have_run
+            return NotRun(FailureReason.UNREACHABLE) if has_not_run else Lost(FailureReason.BROKEN)
         exchange, now_ms = self._exchange, self._timers.now_ms()
         searcher, service = exchange.searcher, exchange.searcher.searcher.service
         if reply is not None and reply.services == (service,):
--- a/rhubarbhinge/delegation/_messages.py
+++ b/rhubarbhinge/delegation/_messages.py
@@ -95,9 +95,12 @@
     """Cancels a request.
 
     :param number: number of the request.
+    :param wants_reply: whether to reply with the shards of which no searcher received the request;
+        False also from earlier releases, which don't ask for a reply.
     """
 
     number: int
+    wants_reply: bool = False
 
 
 class AttemptRequest(Struct, frozen=True):
@@ -173,7 +176,10 @@
 
 
 class _WireCancel(msgspec.Struct, frozen=True, array_like=True, tag=CANCEL):
+    """Earlier releases omit the fields after ``number``, and ignore them."""
+
     number: Count
+    wants_reply: bool = False
 
 
 class _WireAttemptRequest(msgspec.Struct, frozen=True, array_like=True, tag=ATTEMPT_REQUEST):
@@ -264,7 +270,7 @@
         return _WireAttemptGrant(message.number, message.services)
     if isinstance(message, DelegateAccepted):
         return _WireAccepted(message.number, min(message.sub_queries, MAX_SUB_QUERIES))
-    return _WireCancel(message.number)
+    return _WireCancel(message.number, message.wants_reply)
 
 
 def _from_wire(sent: _Wire, body: bytes) -> Message:
@@ -305,5 +311,5 @@
     return (
         DelegateAccepted(sent.number, sent.sub_queries)
         if isinstance(sent, _WireAccepted)
-        else DelegateCancel(sent.number)
+        else DelegateCancel(sent.number, sent.wants_reply)
     )
--- a/rhubarbhinge/delegation/_server.py
+++ b/rhubarbhinge/delegation/_server.py
@@ -126,6 +126,8 @@
             search = state.searches.pop(message.number, None)
             if search is not None:
                 search.cancel()
+                if message.wants_reply:
+                    self._send(link, search.cancellation_reply())
         elif isinstance(message, AttemptGrant):
             search = state.searches.get(message.number)
             if search is not None:
@@ -180,6 +182,7 @@
         self._reply_due = False
         self._reported = False
         self._cancelled = False
+        self._started = False
         caller_request = CallerRequest(
             request.request_id, request.head, request.body, request.left_ms
         )
@@ -196,6 +199,7 @@
         """Send the request to the shards, unless the search was cancelled in the meantime."""
         if self._cancelled:
             return
+        self._started = True
         timers = self._context.timers
         self._timer = timers.after(self._due_ms - timers.now_ms(), self._on_reply_due)
         if not self._request.searcher:
@@ -209,6 +213,15 @@
             self._timer.cancel()
         self._calls.cancel()
 
+    def cancellation_reply(self) -> DelegateReply:
+        """Return the reply to the cancellation: all shards are untried if the search never started.
+
+        :returns: the reply; a search that started reports that it may have run, as cancelled
+            requests may still reach searchers.
+        """
+        untried = () if self._started else self._request.services
+        return DelegateReply(self._request.number, (), (), untried, (), self._started, b"")
+
     def _on_shard_end(self, end: ShardOutcome) -> None:
         self._may_have_run = self._may_have_run or end.may_have_run
         if end.reply is not None:
--- a/rhubarbhinge/delegation/tests/test_client_server.py
+++ b/rhubarbhinge/delegation/tests/test_client_server.py
@@ -226,6 +226,37 @@
         running = [attempt for attempt in self.world.attempts if not attempt.cancelled]
         self.assertEqual((running, self.replies, self.server.active_requests), ([], [], 0))
 
+    def give_up(self, client: DelegateClient, call) -> list[str]:
+        """Let a request time out before its acceptance, which the client has not read yet."""
+        given_up = []
+        call.on_given_up = lambda: given_up.append("given-up")
+        client._time_out(call._number, "not-taken")
+        return given_up
+
+    def test_delegate_that_reads_request_and_cancellation_together_replies_untried(self):
+        """Guards against attempts that count although the held-up delegate sent nothing."""
+        client = self.client(self.server._links.bound_port)
+        call = client.send(self.open(client), REQUEST, self.replies.append, self.grant)
+        self.assertEqual(self.give_up(client, call), ["given-up"])
+        self.assertEqual(self.replies, [])
+        self.wait(lambda: self.replies)
+        untried = DelegateReply(call._number, (), (), ("s0", "s1"), (), False, b"")
+        self.assertEqual((self.replies, self.world.attempts), ([untried], []))
+
+    def test_delegate_that_has_begun_settles_a_given_up_request_as_failed(self):
+        client = self.start_request()
+        self.assertEqual(self.give_up(client, self.call), ["given-up"])
+        self.wait(lambda: self.replies)
+        self.assertEqual((self.replies, client._calls), ([None], {}))
+        self.assertTrue(all(attempt.cancelled for attempt in self.world.attempts))
+
+    def test_closed_link_settles_a_given_up_request_as_failed(self):
+        client = self.start_request()
+        self.give_up(client, self.call)
+        self.server._on_message = lambda link, state, message: self.server._links.abort(link)
+        self.wait(lambda: self.replies)
+        self.assertEqual((self.replies, client._calls), ([None], {}))
+
     def test_missing_reply_after_acceptance_fails_the_request(self):
         # E.g. a process that is frozen or starved of CPU, whose kernel still acknowledges packets.
         self.server._send_reply = lambda link, state, reply: None
--- a/rhubarbhinge/delegation/tests/test_delegated_sender.py
+++ b/rhubarbhinge/delegation/tests/test_delegated_sender.py
@@ -4,7 +4,15 @@
 
 from rhubarbhinge.delegation import DelegatedSender, DelegateReply, DelegateRequest
 from rhubarbhinge.fleet import Searcher
-from rhubarbhinge.forward import Exchange, FailureReason, Lost, NotRun, Replied, SearchTerms
+from rhubarbhinge.forward import (
+    Exchange,
+    FailureReason,
+    GivenUp,
+    Lost,
+    NotRun,
+    Replied,
+    SearchTerms,
+)
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeAttempt, FakeWorld
 from rhubarbhinge.gather import AttemptReport
 
@@ -116,6 +124,18 @@
         self.assertEqual(self.outcomes, expected)
         self.assertEqual(len(self.remote.started_ms), 0)
 
+    def test_given_up_attempt_ends_as_not_run_if_the_delegate_sent_nothing(self):
+        """Guards against a searcher that counts as busy, and a lost attempt, for an unsent send."""
+        self.send()
+        self.client.on_given_up()
+        self.assertEqual(len(self.remote.started_ms), 0)
+        self.reply(untried=("s0",), ran=False)
+        self.send()
+        self.client.on_given_up()
+        self.client.reply(None)
+        not_run, lost = NotRun(FailureReason.UNREACHABLE), Lost(FailureReason.BROKEN)
+        self.assertEqual(self.outcomes, [GivenUp(), not_run, GivenUp(), lost])
+
     def test_reply_for_another_shard_is_a_failure(self):
         self.send()
         self.reply(services=("s1",))
--- a/rhubarbhinge/delegation/tests/test_messages.py
+++ b/rhubarbhinge/delegation/tests/test_messages.py
@@ -21,6 +21,7 @@
 from rhubarbhinge.delegation._messages import (
     ACCEPTED,
     ATTEMPT_REQUEST,
+    CANCEL,
     HEAD_LENGTH_BYTES,
     MAX_SUB_QUERIES,
     REPLY,
@@ -95,6 +96,13 @@
         reply = DelegateReply(7, ("s",), ("sig",), (), ("p",), True, b"x" * 16)
         self.assertEqual(_head(encode_message(reply)), [REPLY, 7, ["s"], ["sig"], [], True, ["p"]])
 
+    def test_cancellation_with_and_without_a_wanted_reply(self):
+        """Guards against refusing earlier releases, which neither send nor read the last field."""
+        self.assertEqual(decode_message(_framed([CANCEL, 4], b"")), DelegateCancel(4))
+        cancel = DelegateCancel(4, wants_reply=True)
+        self.assertEqual(_head(encode_message(cancel)), [CANCEL, 4, True])
+        self.assertEqual(decode_message(encode_message(cancel)), cancel)
+
     def test_acceptance_with_and_without_load(self):
         """Guards against refusing earlier releases, and against impossible loads."""
         self.assertEqual(decode_message(_framed([ACCEPTED, 3], b"")), DelegateAccepted(3, 0))
--- a/rhubarbhinge/forward/__init__.py
+++ b/rhubarbhinge/forward/__init__.py
@@ -7,7 +7,7 @@
 from rhubarbhinge.forward._dialect import Dialect
 from rhubarbhinge.forward._exchange import Attempt, Exchange, SendAttempt
 from rhubarbhinge.forward._fingerprint import fingerprint
-from rhubarbhinge.forward._outcome import FailureReason, Lost, NotRun, Outcome, Replied
+from rhubarbhinge.forward._outcome import FailureReason, GivenUp, Lost, NotRun, Outcome, Replied
 from rhubarbhinge.forward._pool import ConnectionPool
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyReader
 from rhubarbhinge.forward._request_trace import RequestTrace
@@ -27,6 +27,7 @@
     "Exchange",
     "Failed",
     "FailureReason",
+    "GivenUp",
     "Lost",
     "NotRun",
     "Outcome",
--- a/rhubarbhinge/forward/_exchange.py
+++ b/rhubarbhinge/forward/_exchange.py
@@ -47,4 +47,5 @@
 
 
 SendAttempt = Callable[[Exchange, Callable[[Outcome], None]], Attempt]
-"""Starts an exchange. The callback is called once with the outcome, never before this returns."""
+"""Starts an exchange. The callback is called once with the final outcome, possibly after
+:class:`rhubarbhinge.forward.GivenUp`, and never before this returns."""
--- a/rhubarbhinge/forward/_outcome.py
+++ b/rhubarbhinge/forward/_outcome.py
@@ -58,7 +58,15 @@
     searcher_exited: bool = False
 
 
-Outcome = Replied | NotRun | Lost
+class GivenUp(Struct, frozen=True):
+    """The attempt was given up before it is known whether a searcher gets the request.
+
+    Another searcher may be tried meanwhile. The final outcome follows: :class:`NotRun` or
+    :class:`Lost`.
+    """
+
+
+Outcome = Replied | NotRun | Lost | GivenUp
 
 
 def outcome_fields(outcome: Outcome) -> dict:
@@ -70,6 +78,8 @@
     if isinstance(outcome, Replied):
         delay_ms = round(outcome.delay_ms, 1)
         return {"outcome": "replied", "status": outcome.reply.status, "delay_ms": delay_ms}
+    if isinstance(outcome, GivenUp):
+        return {"outcome": "given-up"}
     return {
         "outcome": "not-run" if isinstance(outcome, NotRun) else "lost",
         "why": outcome.reason.value,
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -9,6 +9,7 @@
 from rhubarbhinge.forward._exchange import Attempt, Exchange
 from rhubarbhinge.forward._outcome import (
     FailureReason,
+    GivenUp,
     Lost,
     NotRun,
     Outcome,
@@ -51,6 +52,9 @@
     :param ran: number of searchers of the service that may have executed the request before this
         call. They count towards the attempt limit, and make every attempt of this call an extra
         send.
+    :param unsettled: number of these of which :meth:`settle_prior` will report whether the request
+        reached the searcher. While an attempt may still be returned, the call does not fail for
+        lack of attempts.
     """
 
     __slots__ = (
@@ -64,6 +68,10 @@
         "_open_attempts",
         "_tried",
         "_ran",
+        "_prior",
+        "_unsettled_prior",
+        "_given_up",
+        "_was_settled",
         "_refusals",
         "_arrived",
         "_failed_reply",
@@ -83,6 +91,7 @@
         on_result: Callable[["ServiceCall", Result], None],
         trace: RequestTrace,
         ran: int = 0,
+        unsettled: int = 0,
     ):
         self._context = context
         self._request = request
@@ -95,7 +104,11 @@
         self._tried: set[SearcherStart] = set()
         self._ran = ran
         self._refusals = 0
-        self._arrived = ran > 0
+        self._prior = ran
+        self._unsettled_prior = unsettled
+        self._given_up: set[SearcherStart] = set()
+        self._was_settled = False
+        self._arrived = False
         self._failed_reply: SearcherReply | None = None
         self._last_reason: FailureReason | None = None
         self._may_have_run = False
@@ -110,7 +123,11 @@
     @property
     def arrived(self) -> bool:
         """Whether the request may have reached a searcher, even if the searcher refused it."""
-        return self._arrived or any(attempt.sent for attempt in self._open_attempts.values())
+        return (
+            self._arrived
+            or self._prior > 0
+            or any(attempt.sent for attempt in self._open_attempts.values())
+        )
 
     def start(self) -> None:
         """Send the request to the searcher with the lowest expected latency."""
@@ -118,7 +135,7 @@
             self._trace.note("attempt-not-sent", self.service, why="no-attempts")
             self._context.timers.after(0, self._finish_unsuccessfully)
             return
-        if not self._claim_attempt(self._ran, self._retry):
+        if not self._claim_attempt(self._ran, self._on_retry_granted):
             return
         chosen = self._choose()
         if chosen is None or not self._take_budget():
@@ -129,6 +146,19 @@
         if self._terms.idempotent and self._terms.hedge_ms is not None:
             self._start_timer(self._terms.hedge_ms, self._hedge)
 
+    def settle_prior(self, not_run: bool) -> None:
+        """Process whether a prior attempt, one of the unsettled ones, reached a searcher.
+
+        :param not_run: whether it did not, in which case it no longer counts.
+        """
+        if self.finished:
+            return
+        self._unsettled_prior -= 1
+        if not_run:
+            self._prior -= 1
+            self._ran -= 1
+        self._on_settled(not_run)
+
     def cancel(self) -> None:
         """Cancel the call; its result is not reported."""
         self.finished = True
@@ -240,7 +270,15 @@
         self._trace.note(
             "attempt-ended", self.service, start.incarnation, **outcome_fields(outcome)
         )
+        if isinstance(outcome, GivenUp):
+            self._given_up.add(start)
+            if self._terms.idempotent:
+                self._retry()
+            return
         self._open_attempts.pop(start, None)
+        if start in self._given_up:
+            self._settle(start, outcome)
+            return
         if isinstance(outcome, Replied):
             self._replied(outcome.reply)
         elif isinstance(outcome, NotRun):
@@ -248,6 +286,37 @@
         else:
             self._lost(start, outcome)
 
+    def _settle(self, start: SearcherStart, outcome: Outcome) -> None:
+        """Process the final outcome of an attempt that was given up."""
+        self._given_up.discard(start)
+        not_run = isinstance(outcome, NotRun)
+        if not_run:
+            self._ran -= 1
+            # The request never left the other entry, which says nothing about the searcher.
+            self._tried.discard(start)
+        else:
+            self._arrived = True
+            self._may_have_run = True
+        self._last_reason = outcome.reason
+        self._on_settled(not_run)
+
+    def _on_settled(self, not_run: bool) -> None:
+        """Continue if the call only waited for this; it was retried when the attempt was given up.
+
+        A returned attempt is not sent beside one in progress, which would be an additional hedge.
+        """
+        self._was_settled = True
+        if not self._is_in_progress:
+            if not_run or self._terms.idempotent:
+                self._retry()
+            else:
+                self._finish_unsuccessfully()
+
+    @property
+    def _is_in_progress(self) -> bool:
+        """Whether an attempt that was not given up is in progress."""
+        return len(self._open_attempts) > len(self._given_up)
+
     def _replied(self, reply: SearcherReply) -> None:
         self._arrived = True
         self._may_have_run = True
@@ -269,7 +338,7 @@
         if self._terms.idempotent:
             self._retry()
         else:
-            self._finish_unsuccessfully()
+            self._finish_unsuccessfully(is_final=True)
 
     def _not_run(self, reason: FailureReason) -> None:
         self._last_reason = reason
@@ -278,7 +347,7 @@
             self._arrived = True
             self._refusals += 1
         if reason is FailureReason.TOO_LATE:
-            self._finish_unsuccessfully()
+            self._finish_unsuccessfully(is_final=True)
         else:
             self._retry()
 
@@ -286,9 +355,9 @@
         if self.finished:
             return
         if self._refusals >= MAX_REFUSALS or self._ran >= self._terms.max_attempts:
-            self._finish_unsuccessfully()
+            self._finish_unsuccessfully(is_final=self._refusals >= MAX_REFUSALS)
             return
-        if not self._claim_attempt(self._ran, self._retry):
+        if not self._claim_attempt(self._ran, self._on_retry_granted):
             return
         now_ms = self._context.timers.now_ms()
         chosen = self._choose()
@@ -303,10 +372,15 @@
         else:
             self._send(chosen, "retry")
 
+    def _on_retry_granted(self) -> None:
+        """Retry, unless an attempt was sent after another one settled while this was awaited."""
+        if not (self._was_settled and self._is_in_progress):
+            self._retry()
+
     def _retry_paused(self) -> None:
-        if self.finished or self._open_attempts:
+        if self.finished or self._is_in_progress:
             return
-        if self._is_past_deadline():
+        if self._is_past_deadline() or self._ran >= self._terms.max_attempts:
             self._finish_unsuccessfully()
             return
         chosen = self._choose()
@@ -323,10 +397,19 @@
         """
         return self._context.timers.now_ms() >= self._terms.deadline_ms
 
-    def _finish_unsuccessfully(self) -> None:
-        """Finish without a success, unless an attempt is still in progress."""
-        if self.finished or self._open_attempts:
+    def _finish_unsuccessfully(self, is_final: bool = False) -> None:
+        """Finish without a success, unless an attempt is in progress or may still be returned.
+
+        :param is_final: whether a returned attempt could not be sent again.
+        """
+        if self.finished or self._is_in_progress:
+            return
+        if not is_final and (self._unsettled_prior or self._given_up):
+            # Until an attempt is returned, this call must not hold up those of other services.
+            self._terms.control.on_call_finished(self.service)
             return
+        self._may_have_run = self._may_have_run or bool(self._given_up)
+        self._arrived = self._arrived or bool(self._given_up)
         if self._failed_reply is not None:
             self._finish(ReplyReceived(self._failed_reply))
         elif self._may_have_run:
--- a/rhubarbhinge/gather/_scatter_gather.py
+++ b/rhubarbhinge/gather/_scatter_gather.py
@@ -51,6 +51,7 @@
         self._signatures: dict[str, str] = {}
         self._bodies: list[bytes] = []
         self._delegated: dict[str, tuple[DelegatedSearch, list[str]]] = {}
+        self._given_up: dict[str, tuple[DelegatedSearch, list[str]]] = {}
         self._delegated_attempts: Counter[str] = Counter()
         self._may_have_run = False
         self._past_due = False
@@ -93,10 +94,11 @@
         self._finished = True
         if self._timer is not None:
             self._timer.cancel()
-        self._may_have_run = self._may_have_run or self._calls.may_have_run or bool(self._delegated)
+        searches = [*self._delegated.values(), *self._given_up.values()]
+        self._may_have_run = self._may_have_run or self._calls.may_have_run or bool(searches)
         self._calls.cancel()
-        searches, self._delegated = self._delegated, {}
-        for search, _ in searches.values():
+        self._delegated, self._given_up = {}, {}
+        for search, _ in searches:
             search.cancel()
 
     def time_out(self) -> None:
@@ -120,6 +122,7 @@
             lambda part: self._on_partial_result(address, part),
             lambda wanted, report: self._grant_attempts(address, wanted, report),
         )
+        search.on_given_up = lambda: self._on_given_up(address)
         self._delegated[address] = (search, services)
         self._delegated_attempts.update(services)
 
@@ -159,6 +162,9 @@
     def _on_partial_result(self, address: str, part: PartialResult | None) -> None:
         if self._finished:
             return
+        if address in self._given_up:
+            self._settle(address, part)
+            return
         search, services = self._delegated.pop(address)
         in_time = "none" if part is None else len(part.services)
         self._trace.note("ask-ended", ",".join(services), entry=address, parts=in_time)
@@ -176,6 +182,37 @@
             self._merge_part(part)
         self._finish_if_possible()
 
+    def _on_given_up(self, address: str) -> None:
+        """Search shards in another way while the entry that got them may not have begun.
+
+        Its attempts count until it replies that it has not.
+        """
+        if self._finished:
+            return
+        _, services = self._delegated[address]
+        self._trace.note("ask-ended", ",".join(services), entry=address, parts="given-up")
+        for name in services:
+            self._control.on_call_finished(name)
+        if self._finished:
+            # A call that was granted an attempt by this ended the search.
+            return
+        self._given_up[address] = self._delegated.pop(address)
+        self._calls.start(services, prior_attempts=self._delegated_attempts, unsettled=1)
+        self._finish_if_possible()
+
+    def _settle(self, address: str, part: PartialResult | None) -> None:
+        """Take back the attempts of an entry that was given up if it has not begun."""
+        _, services = self._given_up.pop(address)
+        never_ran = part is not None and not (part.may_have_run or part.services or part.pending)
+        untried = set(part.untried if never_ran else ()).intersection(services)
+        self._delegated_attempts.subtract(untried)
+        self._may_have_run = self._may_have_run or not never_ran
+        if untried:
+            self._trace.note("attempts-returned", ",".join(sorted(untried)), entry=address)
+        for name in services:
+            self._calls.settle(name, name in untried)
+        self._finish_if_possible()
+
     def _merge_part(self, part: PartialResult) -> None:
         self._may_have_run = self._may_have_run or part.may_have_run
         self._signatures.update(zip(part.services, part.signatures, strict=True))
@@ -208,6 +245,8 @@
         It fails as soon as too few shards can still reply. It is answered once no shard is pending,
         or once enough shards have replied and the answer is due.
         """
+        if self._finished:
+            return
         shards = self._terms.shards
         pending = self._pending_shards()
         if not shards.is_enough(len(self._signatures) + pending):
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -80,7 +80,10 @@
         return any(call.may_have_run for call in self._calls.values())
 
     def start(
-        self, services: Iterable[str], prior_attempts: Mapping[str, int] = NO_PRIOR_ATTEMPTS
+        self,
+        services: Iterable[str],
+        prior_attempts: Mapping[str, int] = NO_PRIOR_ATTEMPTS,
+        unsettled: int = 0,
     ) -> None:
         """Send the request to shards.
 
@@ -88,6 +91,8 @@
         :param prior_attempts: for each shard, how many searchers may have executed the request
             before. These count towards the attempt limit, and further attempts are charged to the
             retry budget.
+        :param unsettled: number of the prior attempts at each shard that :meth:`settle` will
+            report about.
         """
         calls = [
             ServiceCall(
@@ -99,6 +104,7 @@
                 self._on_call_end,
                 self._trace,
                 prior_attempts.get(name, 0),
+                unsettled,
             )
             for name in services
         ]
@@ -106,6 +112,16 @@
         for call in calls:
             call.start()
 
+    def settle(self, service: str, not_run: bool) -> None:
+        """Process whether a prior attempt at a shard reached a searcher.
+
+        :param service: the shard.
+        :param not_run: whether it did not, in which case it no longer counts.
+        """
+        call = self._calls.get(service)
+        if call is not None:
+            call.settle_prior(not_run)
+
     def cancel(self) -> None:
         """Cancel all pending calls."""
         calls, self._calls = self._calls, {}
--- a/rhubarbhinge/gather/_shard_delegation.py
+++ b/rhubarbhinge/gather/_shard_delegation.py
@@ -51,7 +51,14 @@
 
 
 class DelegatedSearch(Protocol):
-    """Handle of shards delegated to another entry."""
+    """Handle of shards delegated to another entry.
+
+    :ivar on_given_up: called if the search is given up before it is known whether the other entry
+        has begun; the result follows, either untried shards or None. If it is None, such a search
+        fails at once.
+    """
+
+    on_given_up: Callable[[], None] | None
 
     def grant(self, services: tuple[str, ...]) -> None:
         """Grant one more attempt at shards for which it was denied when requested.
