gather: grant deferred attempts after the first results of another entry

Callers saw 504 after the whole deadline, with two of four shards missing: an entry that searches shards for another one requested a second attempt at all four. Before any reply only two shards may be sent to another searcher, so two requests were deferred.

The first partial result releases deferred requests, but while it was processed its entry was not registered, so that the permissions were dropped and the pending shards waited for them until the deadline. Shards that are still pending are now registered before.

The new test in test_ended_searchers fails before the change, as nothing is granted.

--- a/rhubarbhinge/gather/_scatter_gather.py
+++ b/rhubarbhinge/gather/_scatter_gather.py
@@ -168,18 +168,20 @@
         search, services = self._delegated.pop(address)
         in_time = "none" if part is None else len(part.services)
         self._trace.note("ask-ended", ",".join(services), entry=address, parts=in_time)
+        is_usable = part is not None and _is_valid(part, services)
+        if is_usable and part.pending:
+            # Before calls are reported as finished, which may grant attempts at these shards.
+            self._delegated[address] = (search, list(part.pending))
         for name in services:
             if part is None or name not in part.pending:
                 self._control.on_call_finished(name)
-        if part is None or not _is_valid(part, services):
+        if is_usable:
+            self._merge_part(part)
+        else:
             # The records of unexpected shards cannot be separated from the rest of the part.
             search.cancel()
             self._may_have_run = True
             self._calls.start(services, prior_attempts=self._delegated_attempts)
-        else:
-            if part.pending:
-                self._delegated[address] = (search, list(part.pending))
-            self._merge_part(part)
         self._finish_if_possible()
 
     def _on_given_up(self, address: str) -> None:
--- a/rhubarbhinge/gather/tests/test_ended_searchers.py
+++ b/rhubarbhinge/gather/tests/test_ended_searchers.py
@@ -6,7 +6,7 @@
 """
 
 from rhubarbhinge.forward import FailureReason, Lost, NotRun
-from rhubarbhinge.gather import AttemptReport, EndedSearcher, ShardDelegation
+from rhubarbhinge.gather import AttemptReport, EndedSearcher, PartialResult, ShardDelegation
 from rhubarbhinge.gather.tests.scatter_gather_case import SHARDS, ScatterGatherCase
 from rhubarbhinge.quarantine import RequestWatch
 
@@ -106,6 +106,16 @@
         attempt = next(one for one in self.world.attempts if one.service == service)
         return attempt.exchange.searcher.start.mark
 
+    def test_deferred_attempts_of_another_entry_are_granted_after_its_first_results(self):
+        """Guards against permissions that are dropped while results are processed."""
+        address = "10.0.0.9"
+        self.start(delegated={address: list(SHARDS)})
+        granted = self.delegated.grant_attempts[address](SHARDS)
+        self.assertEqual(granted, ("s0", "s1"))
+        first = PartialResult(("s0", "s1"), ("f0", "f1"), (), ("s2", "s3"), True, b"")
+        self.delegated.on_part[address](first)
+        self.assertEqual(self.delegated.granted, ["s2", "s3"])
+
     def test_one_first_search_goes_to_all_shards_after_the_first_reply(self):
         self.start(one_first=True)
         self.assertEqual(len(self.world.attempts), 1)
