--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -27,6 +27,7 @@
 from rhubarbhinge.gateway._heartbeat_extras import heartbeat_extras
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
+from rhubarbhinge.gateway._overload_metrics import overload_metrics
 from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._retry_loans import loan_requests, loan_service
 from rhubarbhinge.gateway._serving_state import ServingState
@@ -296,13 +297,17 @@
             self._budget,
             self._link_usage,
             quarantine,
-            admission,
-            full_searchers,
             event_log,
-            shard_counts,
-            loans,
-            self._slow_readers,
-            self._domain_checks,
+            overload_metrics(
+                self._fleet,
+                self._budget,
+                loans,
+                admission,
+                self._domain_checks,
+                full_searchers,
+                shard_counts,
+                self._slow_readers,
+            ),
         )
         self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
