gateway, soak: callers leave the smaller side of a partition; bursts, slow readers and refusals in the soak

What callers saw: in a domain that is cut off, searches were refused until the cut healed, as its entries stayed ready. Cause: readiness asked for half of the requests, and requests to routes that any entry can serve were the more frequent ones. Change: on the smaller side of a partition an entry is ready only if it can serve nine in ten of its domain's requests, since entries of the larger side can serve all of its callers. Elsewhere half is enough, as before.

The soak sends bursts of requests to single services from callers that repeat at once, has callers that read slowly, and checks that each 503 says when to come back.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -28,10 +28,10 @@
 from rhubarbhinge.gateway._link_usage import LinkUsage
 from rhubarbhinge.gateway._live_settings import LiveSettings, ReadSettings
 from rhubarbhinge.gateway._overload_metrics import overload_metrics
+from rhubarbhinge.gateway._partition import minority_side, several_domains
 from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._retry_loans import loan_requests, loan_service
 from rhubarbhinge.gateway._serving_state import ServingState
-from rhubarbhinge.gateway._several_domains import several_domains
 from rhubarbhinge.gateway._shard_delegation import shard_delegation
 from rhubarbhinge.gateway._shutdown import Shutdown
 from rhubarbhinge.gateway._slow_readers import SlowReaders
@@ -176,6 +176,7 @@
             self._fleet,
             lambda: self._gateway.recent_requests(),
             self._has_several_domains,
+            minority_side(settings.failure_domain, self._fleet, self._domain_checks.unreachable),
         )
         full_searchers = FullSearchers(self._fleet, self.timers.now_ms)
         self._peers = Peers(
--- a/rhubarbhinge/gateway/_readiness.py
+++ b/rhubarbhinge/gateway/_readiness.py
@@ -14,6 +14,12 @@
 hears from two entries every second and from one other, drawn at random, so from some ten in this
 time."""
 
+MIN_SERVED_SHARE = 0.5
+"""Share of the requests that an entry has to be able to serve to be ready."""
+MIN_SERVED_SHARE_IN_MINORITY = 0.9
+"""The same on the smaller side of a partition. Entries of the larger side can serve the callers of
+this one too, so that all are better served there than some of them here."""
+
 
 class _Report(Struct, frozen=True):
     """The recent requests of another entry.
@@ -39,6 +45,7 @@
     :param own_requests: returns the number of recent requests to this entry by route.
     :param has_several_domains: returns whether the deployment has more than one failure domain;
         only then do requests of others count, and none are kept.
+    :param is_in_minority: returns whether this entry is on the smaller side of a partition.
     """
 
     def __init__(
@@ -48,12 +55,14 @@
         fleet: Fleet,
         own_requests: Callable[[], Mapping[str, int]],
         has_several_domains: Callable[[], bool],
+        is_in_minority: Callable[[], bool] = lambda: False,
     ):
         self._now_ms = now_ms
         self._plan = plan
         self._fleet = fleet
         self._own_requests = own_requests
         self._has_several_domains = has_several_domains
+        self._is_in_minority = is_in_minority
         self._reports: dict[str, _Report] = {}
         self._not_served: Mapping[str, int] = {}
         self._own_not_served: Mapping[str, int] = {}
@@ -90,11 +99,12 @@
         if plan is None or not self._has_several_domains():
             return can_serve(plan, self._fleet, own)
         requests = self._with_reported(own)
-        if not can_serve(plan, self._fleet, requests):
+        share = MIN_SERVED_SHARE_IN_MINORITY if self._is_in_minority() else MIN_SERVED_SHARE
+        if not can_serve(plan, self._fleet, requests, share):
             self._not_served = requests
             self._own_not_served = own or self._own_not_served
             return False
-        if not can_serve(plan, self._fleet, self._not_served):
+        if not can_serve(plan, self._fleet, self._not_served, share):
             return False
         self._not_served = self._own_not_served = {}
         return True
@@ -109,7 +119,12 @@
         return total
 
 
-def can_serve(plan: ServingPlan | None, fleet: Fleet, requests: Mapping[str, int]) -> bool:
+def can_serve(
+    plan: ServingPlan | None,
+    fleet: Fleet,
+    requests: Mapping[str, int],
+    min_share: float = MIN_SERVED_SHARE,
+) -> bool:
     """Check whether most of some requests could be served here, if they could be anywhere.
 
     Requests for which too few searchers are published are not counted, as no other entry could
@@ -118,8 +133,9 @@
     :param plan: the current plan; None if there is none yet.
     :param fleet: the searchers.
     :param requests: number of requests by route.
-    :returns: whether the routes of at least half of the counted requests have enough reachable
-        searchers; False without a plan.
+    :param min_share: share of the counted requests that has to be servable.
+    :returns: whether the routes of so many requests have enough reachable searchers; False without
+        a plan.
     """
     if plan is None:
         return False
@@ -131,7 +147,7 @@
             servable += count
             if _has_enough(route, fleet.is_reachable):
                 served += count
-    return 2 * served >= servable
+    return served >= min_share * servable
 
 
 def _has_enough(route: Route, has_searcher: Callable[[str], bool]) -> bool:
--- a/rhubarbhinge/gateway/tests/simulated_domain.py
+++ b/rhubarbhinge/gateway/tests/simulated_domain.py
@@ -8,9 +8,9 @@
 from rhubarbhinge.gateway._domain_checks import DomainChecks
 from rhubarbhinge.gateway._full_searchers import FullSearchers
 from rhubarbhinge.gateway._heartbeat_extras import heartbeat_extras
+from rhubarbhinge.gateway._partition import several_domains
 from rhubarbhinge.gateway._readiness import DomainReadiness
 from rhubarbhinge.gateway._serving_state import ServingState
-from rhubarbhinge.gateway._several_domains import several_domains
 from rhubarbhinge.members import Heartbeat
 from rhubarbhinge.members.tests.simulated import Fleet, Node
 from rhubarbhinge.peers._local_rounds import LocalRounds
--- a/rhubarbhinge/gateway/tests/test_readiness.py
+++ b/rhubarbhinge/gateway/tests/test_readiness.py
@@ -7,6 +7,7 @@
 import unittest
 
 from rhubarbhinge.fleet import Fleet, Searcher
+from rhubarbhinge.gateway._partition import minority_side
 from rhubarbhinge.gateway._readiness import MAX_REPORT_AGE_MS, DomainReadiness
 from rhubarbhinge.members import MAX_ROUTES, Heartbeat
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, WeightedService
@@ -33,6 +34,7 @@
             self.fleet.put(Searcher(f"i-{name}", name, "10.0.0.1", 80, f"hall-{name}", 2))
         self.far, self.near = self.fleet.all()
         self.own: dict[str, int] = {}
+        self.in_minority = False
         self.plan = ServingPlan(1, (route("far"), route("near")), {}, CallerLimits())
         self.readiness = DomainReadiness(
             self.timers.now_ms,
@@ -40,6 +42,7 @@
             self.fleet,
             lambda: self.own,
             lambda: True,
+            lambda: self.in_minority,
         )
 
     def test_requests_of_others_count_while_their_latest_report_is_recent(self):
@@ -54,6 +57,30 @@
         self.readiness.on_heartbeat(heartbeat("a-2", far=2))
         self.assertFalse(self.readiness.is_ready())
 
+    def test_callers_leave_the_smaller_side_of_a_partition_although_most_requests_are_served(self):
+        """Frequent requests that any entry can serve must not keep the callers of searches in a
+        partitioned domain, as both kinds are served on the other side."""
+        self.far.on_unreachable()
+        self.own = {"near": 7, "far": 3}
+        self.assertTrue(self.readiness.is_ready())
+        self.in_minority = True
+        self.assertFalse(self.readiness.is_ready())
+        self.in_minority = False
+        self.assertTrue(self.readiness.is_ready())
+
+    def test_only_the_side_with_fewer_domains_is_the_minority(self):
+        """Callers must not be sent to the smaller side by entries of the larger one."""
+        for domain in ("a", "b", "c"):
+            self.fleet.put(Searcher(f"i-{domain}", "s", "10.0.0.2", 80, domain, 2))
+        self.fleet.remove("i-far")
+        self.fleet.remove("i-near")
+        for unreachable, expected in (((), False), (("a",), False), (("a", "b"), False)):
+            side = minority_side("d", self.fleet, lambda found=unreachable: found)
+            self.assertEqual(side(), expected, unreachable)
+        self.assertTrue(minority_side("d", self.fleet, lambda: ("a", "b", "c"))())
+        self.assertTrue(minority_side("a", self.fleet, lambda: ("b", "c"))())
+        self.assertFalse(minority_side("a", self.fleet, lambda: ("b",))())
+
     def test_entry_is_ready_again_only_when_its_searchers_are_back(self):
         self.far.on_unreachable()
         self.own = {"far": 3}
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -11,6 +11,8 @@
 
 WAIT_S = 3.0
 """How long callers say that they wait."""
+SLOW_READ_BYTES, SLOW_READ_S = 16, 0.01
+"""A caller that reads slowly takes so many bytes at a time, with such a pause after each."""
 SLACK_S = 0.5
 """They go on reading for so much longer."""
 TRIES = 6
@@ -51,15 +53,15 @@
     def _run(self) -> None:
         for asked in self._asked:
             time.sleep(max(0.0, self._started_s + asked.at_s - time.monotonic()))
-            status = self._ask(asked.id, asked.path, asked.leave_s)
+            status = self._ask(asked.id, asked.path, asked.leave_s, asked.slowly)
             if asked.at_once and status not in (0, 200):
                 again = f"{asked.id}-again"
                 self._ask(again, asked.path, None)
 
-    def _ask(self, request_id: str, path: str, leave_s: float | None) -> int:
+    def _ask(self, request_id: str, path: str, leave_s: float | None, slowly: bool = False) -> int:
         if self._connection is None and not self._connect():
             return 0
-        exchanged = _exchange(self._connection, self._entry, path, request_id, leave_s)
+        exchanged = _exchange(self._connection, self._entry, path, request_id, leave_s, slowly)
         self.exchanged.append(exchanged)
         if not exchanged.status or exchanged.headers.get("connection", "").lower() == "close":
             self._drop()
@@ -109,6 +111,7 @@
     path: str,
     request_id: str,
     leave_s: float | None,
+    slowly: bool = False,
 ) -> Exchanged:
     sent_s = time.monotonic()
     headers = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": str(int(WAIT_S * 1e3))}
@@ -117,7 +120,7 @@
         connection.sock.settimeout(leave_s or WAIT_S + SLACK_S)
         connection.request("GET", path, headers=headers)
         response = connection.getresponse()
-        body = response.read()
+        body = _read_slowly(response) if slowly else response.read()
         status = response.status
         answered = {name.lower(): value for name, value in response.getheaders()}
     except (OSError, http.client.HTTPException):
@@ -125,3 +128,11 @@
     left = leave_s is not None and status == 0
     ended_s = time.monotonic()
     return Exchanged(request_id, path, entry.name, sent_s, ended_s, status, answered, body, left)
+
+
+def _read_slowly(response: http.client.HTTPResponse) -> bytes:
+    pieces = []
+    while piece := response.read(SLOW_READ_BYTES):
+        pieces.append(piece)
+        time.sleep(SLOW_READ_S)
+    return b"".join(pieces)
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -113,6 +113,15 @@
             yield (one.id, f"{one.status}, and it was begun") if one.id in begun else None
 
 
+def _refusals_tell_when(seen: Seen) -> Iterator[Finding]:
+    """What is refused as not run says when to come back."""
+    for one in seen.exchanged:
+        if one.status == 503:
+            delay = one.headers.get("retry-after", "")
+            is_told = delay.replace(".", "", 1).isdigit() and float(delay) > 0
+            yield None if is_told else (one.id, f"Retry-After {delay!r}")
+
+
 def _at_most_once(seen: Seen) -> Iterator[Finding]:
     """What must not repeat is begun once at most."""
     counts = Counter(arrival.id for arrival in seen.arrivals if arrival.begun)
@@ -268,6 +277,7 @@
 CHECKS: dict[str, Check] = {
     "answers are whole and own": _answers_are_whole_and_own,
     "not run is true": _not_run_is_true,
+    "refusals tell when": _refusals_tell_when,
     "at most once": _at_most_once,
     "attempts": _attempts,
     "nothing unasked": _nothing_unasked,
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -69,8 +69,13 @@
 """Kinds of faults of a run for the published state."""
 KINDS = (*WEIGHTS, RESTORED, *SILENCES)
 """All kinds of faults."""
-LEAVES_SHARE, AT_ONCE_SHARE = 0.05, 0.1
-"""Parts of the callers' requests whose caller leaves early, or repeats at once after a failure."""
+LEAVES_SHARE, AT_ONCE_SHARE, SLOW_SHARE = 0.05, 0.1, 0.05
+"""Parts of the callers' requests whose caller leaves early, repeats at once after a failure, or
+reads the answer slowly."""
+BURST_GAP_S = 8.0
+"""Mean time between bursts of requests to single searchers."""
+BURST_S = (0.5, 2.0)
+"""How long a burst lasts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +103,7 @@
     :param path: its path.
     :param leave_s: when its caller leaves; None if it waits.
     :param at_once: whether it is sent again at once, with another id, when it fails.
+    :param slowly: whether its caller reads the answer slowly.
     """
 
     at_s: float
@@ -105,6 +111,7 @@
     path: str
     leave_s: float | None
     at_once: bool
+    slowly: bool = False
 
 
 def draw_faults(seed: int, seconds: float) -> tuple[Fault, ...]:
@@ -166,6 +173,8 @@
     :returns: the requests, by time.
     """
     rng = random.Random(f"requests {seed} {caller}")
+    # Drawn apart, so that the requests of a seed stay what they were.
+    reading_rng = random.Random(f"reading {seed} {caller}")
     asked = []
     at_s = 0.0
     while True:
@@ -176,4 +185,46 @@
         request_id = f"s{seed}-c{caller}-{len(asked)}"
         leave_s = rng.uniform(0.005, 0.2) if rng.random() < LEAVES_SHARE else None
         at_once = rng.random() < AT_ONCE_SHARE
-        asked.append(Asked(round(at_s, 3), request_id, f"/{kind}/{request_id}", leave_s, at_once))
+        slowly = reading_rng.random() < SLOW_SHARE
+        path = f"/{kind}/{request_id}"
+        asked.append(Asked(round(at_s, 3), request_id, path, leave_s, at_once, slowly))
+
+
+def draw_bursts(seed: int, seconds: float) -> tuple[tuple[float, float], ...]:
+    """Draw the bursts of requests of a run.
+
+    :param seed: the seed.
+    :param seconds: length of the traffic.
+    :returns: their starts and ends, from the start of the traffic.
+    """
+    rng = random.Random(f"bursts {seed}")
+    bursts = []
+    at_s = CALM_BEFORE_S + rng.expovariate(1.0 / BURST_GAP_S)
+    while at_s < seconds - CALM_AFTER_S:
+        end_s = at_s + rng.uniform(*BURST_S)
+        bursts.append((at_s, end_s))
+        at_s = end_s + rng.expovariate(1.0 / BURST_GAP_S)
+    return tuple(bursts)
+
+
+def draw_burst_requests(
+    seed: int, caller: int, bursts: tuple[tuple[float, float], ...], rate: float
+) -> tuple[Asked, ...]:
+    """Draw the requests of a caller that sends in bursts only, and repeats failed ones at once.
+
+    :param seed: the seed.
+    :param caller: the caller's number.
+    :param bursts: starts and ends of the bursts.
+    :param rate: its requests a second in a burst.
+    :returns: the requests, by time.
+    """
+    rng = random.Random(f"burst requests {seed} {caller}")
+    asked = []
+    for start_s, end_s in bursts:
+        at_s = start_s + rng.expovariate(rate)
+        while at_s < end_s:
+            request_id = f"s{seed}-b{caller}-{len(asked)}"
+            path = f"/{rng.choice(('any', 'once'))}/{request_id}"
+            asked.append(Asked(round(at_s, 3), request_id, path, None, at_once=True))
+            at_s += rng.expovariate(rate)
+    return tuple(asked)
--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -8,13 +8,23 @@
 
 from tools.soak._callers import Caller, ask_once
 from tools.soak._checks import Checked, check_all
-from tools.soak._plan import Fault, draw_faults, draw_requests, draw_state_faults
+from tools.soak._plan import (
+    Fault,
+    draw_burst_requests,
+    draw_bursts,
+    draw_faults,
+    draw_requests,
+    draw_state_faults,
+)
 from tools.soak._seen import Seen
 from tools.soak._world import World
 
 CALLERS = 6
 RATE = 6.0
 """Requests a second of each caller."""
+BURST_CALLERS = 8
+BURST_RATE = 25.0
+"""Requests a second of each caller that sends in bursts only."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +68,15 @@
                 )
                 for n in range(CALLERS)
             ]
+            bursts = () if state_only else draw_bursts(seed, seconds)
+            callers += [
+                Caller(
+                    world.deployment,
+                    f"burst caller {seed} {n}",
+                    draw_burst_requests(seed, n, bursts, BURST_RATE),
+                )
+                for n in range(BURST_CALLERS)
+            ]
             started_s = time.monotonic()
             for caller in callers:
                 caller.start(started_s)
--- a/tools/tests/test_soak_checks.py
+++ b/tools/tests/test_soak_checks.py
@@ -9,6 +9,8 @@
     CHANGED,
     KINDS,
     STATE_KINDS,
+    draw_burst_requests,
+    draw_bursts,
     draw_faults,
     draw_requests,
     draw_state_faults,
@@ -23,14 +25,15 @@
 def search(request_id: str, entry: str = "vm-1", sent_s: float = 10.0) -> Exchanged:
     records = [record for name in SHARDS for record in Searcher.records(name, request_id)]
     body = b"".join(sorted(records, reverse=True)[:TOP_K])
-    headers = {"x-part-seals": ", ".join(f"{name}.{request_id}" for name in SHARDS)}
+    signatures = ", ".join(f"{name}.{request_id}" for name in SHARDS)
+    headers = {"x-part-seals": signatures, "retry-after": "0.2"}
     path = f"/search/{request_id}"
     return Exchanged(request_id, path, entry, sent_s, sent_s + 0.05, 200, headers, body)
 
 
 def once(request_id: str, status: int = 200) -> Exchanged:
     body = b"".join(Searcher.records("a", request_id)) if status == 200 else b""
-    headers = {"x-response-seal": f"a.{request_id}"}
+    headers = {"x-response-seal": f"a.{request_id}", "retry-after": "0.2"}
     return Exchanged(request_id, f"/once/{request_id}", "vm-1", 11.0, 11.1, status, headers, body)
 
 
@@ -101,6 +104,13 @@
         self.seen.arrivals.append(Arrival("o2", "a", "i-a-1", 11.0, True))
         self.assertEqual(self.broken(), {"not run is true"})
 
+    def test_a_refusal_that_does_not_tell_when_to_come_back_is_found(self):
+        for delay in ("", "0", "soon"):
+            refused = replace(once("o3", 503), sent_s=8.0, headers={"retry-after": delay})
+            self.seen = good_run()
+            self.seen.exchanged.append(refused)
+            self.assertEqual(self.broken(), {"refusals tell when"}, delay)
+
     def test_a_second_run_of_what_must_not_repeat_is_found(self):
         self.seen.arrivals.append(Arrival("o1", "a", "i-a-2", 11.05, True))
         self.assertEqual(self.broken(), {"at most once"})
@@ -182,6 +192,14 @@
         self.assertEqual(draw_requests(5, 1, 9.0, 5.0), draw_requests(5, 1, 9.0, 5.0))
         self.assertNotEqual(draw_requests(5, 1, 9.0, 5.0), draw_requests(5, 2, 9.0, 5.0))
 
+    def test_bursts_are_told_by_their_seed_and_end_before_the_calm(self):
+        bursts = draw_bursts(7, 60.0)
+        self.assertEqual(bursts, draw_bursts(7, 60.0))
+        asked = draw_burst_requests(7, 0, bursts, 25.0)
+        self.assertTrue(asked)
+        for one in asked:
+            self.assertTrue(any(start_s <= one.at_s <= end_s for start_s, end_s in bursts))
+
     def test_every_kind_of_fault_can_be_carried_out(self):
         drawn = {fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0)}
         self.assertEqual(drawn, set(KINDS))
