--- a/rhubarbhinge/admission/_forecast.py
+++ b/rhubarbhinge/admission/_forecast.py
@@ -39,12 +39,12 @@
     """
     one_turn_ms = turn_ms(queue, service_ms)
     ahead = [one for one in queue.waiting if one.virtual_start_ms <= request.virtual_start_ms]
-    rivals = [
+    ahead_on_time = [
         one
         for one in ahead
         if not one.late and one.on_time_until_ms >= max(now_ms, request.on_time_until_ms)
     ]
-    on_time_ms = now_ms + len(rivals) // queue.concurrency * one_turn_ms
+    on_time_ms = now_ms + len(ahead_on_time) // queue.concurrency * one_turn_ms
     if on_time_ms <= request.on_time_until_ms:
         return on_time_ms
     turns = _turns(ahead, queue.concurrency, one_turn_ms, now_ms)
--- a/rhubarbhinge/delegation/_client.py
+++ b/rhubarbhinge/delegation/_client.py
@@ -1,4 +1,4 @@
-"""Client side of delegation: requests to entries of other failure domains."""
+"""Client side of delegation: requests to other entries."""
 
 import itertools
 import random
@@ -87,7 +87,7 @@
 
 
 class DelegateClient(BaseComponent):
-    """Sends search requests to entries of other failure domains, over one link to each.
+    """Sends search requests to other entries, over one link to each.
 
     :param timers: the timer service.
     :param membership: the other entries; is informed of those that respond.
--- a/rhubarbhinge/delegation/_domain_capacities.py
+++ b/rhubarbhinge/delegation/_domain_capacities.py
@@ -35,7 +35,7 @@
     live: list[Member]
     is_uneven: bool
     ranked: list[Member]
-    draws: dict[str, float]
+    hashes: dict[str, float]
     own_share: float
 
 
@@ -83,14 +83,14 @@
         live, me = self._members.live(failure_domain), self._members.me
         view = self._views.get(failure_domain)
         if view is None or view.me is not me or view.live != live:
-            known_draws = view.draws if view is not None and view.me.name == me.name else {}
-            view = _make_view(me, failure_domain, live, known_draws)
+            known_hashes = view.hashes if view is not None and view.me.name == me.name else {}
+            view = _make_view(me, failure_domain, live, known_hashes)
             self._views[failure_domain] = view
         return view
 
 
 def _make_view(
-    me: Member, failure_domain: str, live: list[Member], known_draws: dict[str, float]
+    me: Member, failure_domain: str, live: list[Member], known_hashes: dict[str, float]
 ) -> _DomainView:
     is_own_domain = me.failure_domain == failure_domain
     entries = [*live, me] if is_own_domain else live
@@ -99,17 +99,18 @@
     smallest = min(known, default=0.0)
     is_uneven = bool(known) and max(known) >= UNEVEN_RATIO * smallest
     weights = {name: (rate or smallest) if is_uneven else 1.0 for name, rate in rates.items()}
-    draws = {
-        member.name: known_draws.get(member.name) or _draw(me.name, member.name) for member in live
+    hashes = {
+        member.name: known_hashes.get(member.name) or _exponential_hash(me.name, member.name)
+        for member in live
     }
-    ranked = sorted(live, key=lambda member: draws[member.name] / weights[member.name])
+    ranked = sorted(live, key=lambda member: hashes[member.name] / weights[member.name])
     own_share = 0.0
     if is_uneven and is_own_domain:
         own_share = weights[me.name] / sum(weights.values())
-    return _DomainView(me, live, is_uneven, ranked, draws, own_share)
+    return _DomainView(me, live, is_uneven, ranked, hashes, own_share)
 
 
-def _draw(requester: str, name: str) -> float:
+def _exponential_hash(requester: str, name: str) -> float:
     """Return an exponentially distributed number that depends only on two names."""
     number = int.from_bytes(score(requester, name), "little")
     return -math.log((number + 0.5) / SCORE_RANGE)
--- a/rhubarbhinge/fleet/_send_window.py
+++ b/rhubarbhinge/fleet/_send_window.py
@@ -89,4 +89,4 @@
         """
         self._limit = limit
         if not self.is_restored(now_ms):
-            self._size = min(float(limit), self._size + 1.0 / self._size)
+            self._size = max(MIN_WINDOW, min(float(limit), self._size + 1.0 / self._size))
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -144,6 +144,8 @@
         if connections.waiting or not self._has_room(observed, connections, now_ms):
             heapq.heappush(connections.waiting, pending)
             self._start_waiting(observed, connections)
+            if pending.is_forwarded and pending.link is None:
+                self._schedule_review()
             return pending
         conn = self._take_idle(connections, now_ms)
         if conn is not None:
@@ -209,7 +211,7 @@
         connections = self._by_searcher.get(observed.start)
         if connections is None:
             return
-        # First, as dropping a connection starts what waits.
+        # Withdrawn first: dropping a connection would send queued requests in its place.
         self._withdraw_waiting(connections, FailureReason.LEAVING)
         for conn in list(connections.idle):
             self._drop(conn)
@@ -241,7 +243,10 @@
             self._schedule_review()
 
     def _connections(self, observed: ObservedSearcher) -> SearcherConnections:
-        return self._by_searcher.setdefault(observed.start, SearcherConnections())
+        connections = self._by_searcher.get(observed.start)
+        if connections is None:
+            connections = self._by_searcher[observed.start] = SearcherConnections()
+        return connections
 
     def _take_idle(self, connections: SearcherConnections, now_ms: float) -> Connection | None:
         while connections.idle:
--- a/rhubarbhinge/forward/_service_call.py
+++ b/rhubarbhinge/forward/_service_call.py
@@ -24,8 +24,8 @@
 from rhubarbhinge.timing import TimerHandle
 
 MAX_REFUSALS = 4
-"""Maximum number of refused attempts per call. A refused request is not executed, but still counts
-as extra load on the service."""
+"""Maximum number of attempts per call that are refused, or removed from a queue that is too long.
+A refused request is not executed, but still counts as extra load on the service."""
 NOT_SENT_REASONS = (
     FailureReason.UNREACHABLE,
     FailureReason.LEAVING,
@@ -114,6 +114,7 @@
         self._prior = ran
         self._unsettled_prior = unsettled
         self._given_up: set[SearcherStart] = set()
+        # Whether an attempt that was given up, here or before this call, had its final outcome.
         self._was_settled = False
         self._arrived = False
         self._failed_reply: SearcherReply | None = None
@@ -358,10 +359,12 @@
         self._ran -= 1
         if reason not in NOT_SENT_REASONS:
             self._arrived = True
+        if reason not in NOT_SENT_REASONS or reason is FailureReason.QUEUE_TOO_LONG:
+            # A request must not wait in the queue of every searcher in turn.
             self._refusals += 1
         if reason is FailureReason.TOO_LATE:
             self._finish_unsuccessfully(is_final=True)
-        elif reason is FailureReason.QUEUE_TOO_LONG and self._open_attempts:
+        elif reason is FailureReason.QUEUE_TOO_LONG and self._is_in_progress:
             # The other attempt decides. Without one, another searcher may have a shorter queue.
             return
         else:
@@ -412,6 +415,7 @@
             self._send(chosen, kind)
         elif chosen is None or not self._wait_for_loan(kind):
             self._trace.note("retry-not-sent", self.service, **self._not_sent_fields(chosen))
+            self._stop_waiting_for_loan()
             self._finish_unsuccessfully()
 
     def _wait_for_loan(self, kind: str) -> bool:
@@ -449,7 +453,8 @@
     def _finish_unsuccessfully(self, is_final: bool = False) -> None:
         """Finish without a success, unless an attempt is in progress or may still be returned.
 
-        :param is_final: whether a returned attempt could not be sent again.
+        :param is_final: whether to finish even if an attempt that was given up may turn out not to
+            have run.
         """
         if self.finished or self._is_in_progress:
             return
--- a/rhubarbhinge/forward/tests/test_queue_review.py
+++ b/rhubarbhinge/forward/tests/test_queue_review.py
@@ -6,11 +6,12 @@
 from msgspec.structs import replace
 
 from rhubarbhinge.admission import virtual_start_ms
-from rhubarbhinge.fleet import Delays
+from rhubarbhinge.fleet import Delays, Searcher
 from rhubarbhinge.forward import (
     Exchange,
     Failed,
     FailureReason,
+    GivenUp,
     Lost,
     NotRun,
     Refused,
@@ -22,6 +23,7 @@
 from rhubarbhinge.forward._pending_exchange import PendingExchange
 from rhubarbhinge.forward._queue_review import review
 from rhubarbhinge.forward._search_terms import SearchTerms
+from rhubarbhinge.forward._service_call import MAX_REFUSALS
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
 
 
@@ -90,8 +92,8 @@
 
 
 class WaitedInVainTest(unittest.TestCase):
-    def start(self, unsent: bool, **terms) -> None:
-        self.world = FakeWorld()
+    def start(self, unsent: bool, world: FakeWorld | None = None, **terms) -> None:
+        self.world = world or FakeWorld()
         self.world.unsent_next = unsent
         self.results = []
         self.call = ServiceCall(
@@ -124,6 +126,28 @@
         self.world.attempts[1].end(NotRun(FailureReason.TOO_LATE))
         self.assertEqual(self.results, [Failed(FailureReason.TOO_LATE)])
 
+    def test_request_does_not_wait_in_the_queue_of_every_searcher_in_turn(self):
+        # Otherwise its refusal comes later with every searcher of the service.
+        self.world = FakeWorld()
+        for place in range(3, 21):
+            searcher = Searcher(f"shard-{place}", "shard", "10.0.0.1", 80, "hall-a", 2)
+            self.world.fleet.put(searcher)
+        self.start(unsent=True, world=self.world, hedge_ms=None, retry_until_ms=0.0)
+        while not self.results:
+            self.world.attempts[-1].end(NotRun(FailureReason.QUEUE_TOO_LONG))
+        self.assertEqual(len(self.world.attempts), MAX_REFUSALS)
+        self.assertEqual(self.results, [Refused(FailureReason.QUEUE_TOO_LONG)])
+
+    def test_attempt_whose_fate_is_open_does_not_keep_a_call_from_other_searchers(self):
+        # An entry that was given up may take two seconds to tell whether it has begun.
+        self.world = FakeWorld()
+        self.world.fleet.put(Searcher("shard-3", "shard", "10.0.0.1", 80, "hall-a", 2))
+        self.start(unsent=False, world=self.world, hedge_ms=None, max_attempts=3)
+        self.world.unsent_next = True
+        self.world.attempts[0].end(GivenUp())
+        self.world.attempts[1].end(NotRun(FailureReason.QUEUE_TOO_LONG))
+        self.assertEqual(len(self.world.attempts), 3)
+
     def test_another_searcher_is_tried_if_the_queue_is_too_long(self):
         self.start(unsent=True, hedge_ms=None, retry_until_ms=0.0)
         for attempt in range(2):
--- a/rhubarbhinge/forward/tests/test_send_windows.py
+++ b/rhubarbhinge/forward/tests/test_send_windows.py
@@ -7,7 +7,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbhinge.forward import NotRun, Outcome, Replied
+from rhubarbhinge.forward import (
+    CallerRequest,
+    Exchange,
+    FailureReason,
+    NotRun,
+    Outcome,
+    Replied,
+)
 from rhubarbhinge.forward.tests.simulated_links import SimulatedEntry, SlotSearcher
 from rhubarbhinge.utils.fake_timers import FakeTimers
 
@@ -196,3 +203,38 @@
         self.assertLess(shares[3], plain.refused_share(600.0, 800.0) * 0.75)
         self.assertLess(len(searcher.arrivals), len(plain.arrivals))
         self.assertGreater(busy, 0.85)
+
+
+class WaitingForwardedRequestTest(unittest.TestCase):
+    """Guards against forwarded requests that are refused at their deadline only."""
+
+    def check_refused_early(self, entry: SimulatedEntry, timers: FakeTimers) -> None:
+        outcomes = []
+        request = CallerRequest("forwarded", b"GET /x HTTP/1.1\r\n", b"", None)
+        deadline_ms = timers.now_ms() + 500.0
+        exchange = Exchange(
+            entry.observed, request, deadline_ms, entry.delays, virtual_start_ms=timers.now_ms()
+        )
+        entry.pool.send(exchange, outcomes.append)
+        for _ in range(50):
+            timers.advance(10.0)
+        self.assertEqual(outcomes, [NotRun(FailureReason.TOO_LATE)])
+
+    def start(self, limit: int) -> tuple[SimulatedEntry, FakeTimers]:
+        timers = FakeTimers(0.0)
+        entry = SimulatedEntry(timers, limit)
+        for _ in range(64):
+            entry.delays.add(100.0)
+        entry.send("first", lambda outcome: None, 1e6)
+        entry.links.connect(entry.links.opening[0])
+        return entry, timers
+
+    def test_request_that_waits_for_the_send_window(self):
+        entry, timers = self.start(limit=4)
+        entry.observed.on_capacity(True, 2, 100.0, timers.now_ms())
+        self.check_refused_early(entry, timers)
+
+    def test_request_that_waits_behind_a_shard(self):
+        entry, timers = self.start(limit=1)
+        entry.send("shard", lambda outcome: None, 1e6)
+        self.check_refused_early(entry, timers)
--- a/rhubarbhinge/gateway/_forward_admission.py
+++ b/rhubarbhinge/gateway/_forward_admission.py
@@ -48,7 +48,7 @@
     ]
 
 
-class Arrival(Struct, frozen=True):
+class AdmittedRequest(Struct, frozen=True):
     """A forwarded request that was admitted.
 
     :param virtual_start_ms: position of the request in queues.
@@ -93,7 +93,7 @@
         deadline_ms: float,
         delays: Delays,
         min_retry_ms: float,
-    ) -> Arrival | Rejected:
+    ) -> AdmittedRequest | Rejected:
         """Decide on a request that arrives now.
 
         :param request: the request.
@@ -123,9 +123,9 @@
             _log_rejected(request.id, decision)
             return decision
         if not caller:
-            return Arrival(start_ms, lambda: None)
+            return AdmittedRequest(start_ms, lambda: None)
         state.callers[caller] += 1
-        return Arrival(start_ms, lambda: _leave(state.callers, caller))
+        return AdmittedRequest(start_ms, lambda: _leave(state.callers, caller))
 
     def retry_after_ms(self, service: str, delays: Delays, min_retry_ms: float) -> float:
         """Assign a return time to a caller whose request waited in vain.
--- a/rhubarbhinge/gateway/_readiness.py
+++ b/rhubarbhinge/gateway/_readiness.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from rhubarbhinge.fleet import Fleet
-from rhubarbhinge.members import MAX_ROUTES, Heartbeat
+from rhubarbhinge.members import MAX_REPORTED_ROUTES, Heartbeat
 from rhubarbhinge.plans import Route, ServingPlan
 
 MAX_REPORT_AGE_MS = 10_000.0
@@ -84,10 +84,11 @@
         While it is not ready, those by which it became so are among them, as an entry that starts
         meanwhile would otherwise count as ready and get all callers of the domain.
 
-        :returns: number of requests by route, the most frequent first; ``MAX_ROUTES`` at most.
+        :returns: number of requests by route, the most frequent first, at most
+            ``MAX_REPORTED_ROUTES``.
         """
         requests = Counter(self._own_requests()) | Counter(self._own_not_served)
-        return dict(requests.most_common(MAX_ROUTES))
+        return dict(requests.most_common(MAX_REPORTED_ROUTES))
 
     def is_ready(self) -> bool:
         """Check whether this entry can serve most recent requests of its failure domain.
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -18,7 +18,7 @@
     ServiceCall,
 )
 from rhubarbhinge.gateway._call_terms import call_terms
-from rhubarbhinge.gateway._forward_admission import Arrival
+from rhubarbhinge.gateway._forward_admission import AdmittedRequest
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._responses import failed, refused, timed_out
 from rhubarbhinge.gather import Gathered, GatherTerms, ScatterGather, TooFewShards
@@ -50,7 +50,6 @@
 """Status logged for a request whose caller disconnected before the answer."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Status codes that tell callers that the request was not executed."""
-
 WAITED_REASONS = (FailureReason.TOO_LATE, FailureReason.QUEUE_TOO_LONG)
 """Reasons of refusals after which callers return once the queue has drained."""
 
@@ -148,7 +147,7 @@
         self._register_cancellation(call.cancel, lambda: self._on_timeout(call))
         call.start()
 
-    def _arrive(self, service: str, delays: Delays) -> Arrival | Rejected:
+    def _arrive(self, service: str, delays: Delays) -> AdmittedRequest | Rejected:
         return self._dependencies.admission.arrive(
             self._request,
             service,
@@ -344,7 +343,7 @@
 
 
 def _do_nothing() -> None:
-    """Stand in for leaving admission control, for requests that it has not admitted."""
+    """Do nothing; for requests that admission control does not count."""
 
 
 def _is_success(status: int) -> bool:
--- a/rhubarbhinge/gateway/tests/test_readiness.py
+++ b/rhubarbhinge/gateway/tests/test_readiness.py
@@ -9,7 +9,7 @@
 from rhubarbhinge.fleet import Fleet, Searcher
 from rhubarbhinge.gateway._partition import minority_side
 from rhubarbhinge.gateway._readiness import MAX_REPORT_AGE_MS, DomainReadiness
-from rhubarbhinge.members import MAX_ROUTES, Heartbeat
+from rhubarbhinge.members import MAX_REPORTED_ROUTES, Heartbeat
 from rhubarbhinge.plans import CallerLimits, Route, ServingPlan, WeightedService
 from rhubarbhinge.utils.fake_timers import FakeTimers
 from rhubarbhinge.utils.testing_revisions import make_revision
@@ -103,6 +103,8 @@
         self.assertTrue(self.readiness.is_ready())
 
     def test_most_frequent_routes_are_reported(self):
-        self.own = {f"route-{number}": number for number in range(1, MAX_ROUTES + 4)}
+        self.own = {f"route-{number}": number for number in range(1, MAX_REPORTED_ROUTES + 4)}
         reported = self.readiness.requests_to_report()
-        self.assertEqual(list(reported), [f"route-{11 - place}" for place in range(MAX_ROUTES)])
+        self.assertEqual(
+            list(reported), [f"route-{11 - place}" for place in range(MAX_REPORTED_ROUTES)]
+        )
--- a/rhubarbhinge/gather/_scatter_gather.py
+++ b/rhubarbhinge/gather/_scatter_gather.py
@@ -54,6 +54,7 @@
         self._given_up: dict[str, tuple[DelegatedSearch, list[str]]] = {}
         self._delegated_attempts: Counter[str] = Counter()
         self._may_have_run = False
+        self._unmerged_shards = 0
         self._past_due = False
         self._finished = False
         self._timer = None
@@ -172,15 +173,21 @@
         if is_usable and part.pending:
             # Before calls are reported as finished, which may grant attempts at these shards.
             self._delegated[address] = (search, list(part.pending))
-        for name in services:
-            if part is None or name not in part.pending:
-                self._control.on_call_finished(name)
+        finished = [name for name in services if not (is_usable and name in part.pending)]
+        self._may_have_run = self._may_have_run or not is_usable or part.may_have_run
+        # These shards stay pending meanwhile: a call that is granted an attempt may end at once.
+        self._unmerged_shards = len(finished)
+        for name in finished:
+            self._control.on_call_finished(name)
+        self._unmerged_shards = 0
+        if self._finished:
+            search.cancel()
+            return
         if is_usable:
             self._merge_part(part)
         else:
             # The records of unexpected shards cannot be separated from the rest of the part.
             search.cancel()
-            self._may_have_run = True
             self._calls.start(services, prior_attempts=self._delegated_attempts)
         self._finish_if_possible()
 
@@ -258,7 +265,8 @@
 
     def _pending_shards(self) -> int:
         delegated = sum(len(services) for _, services in self._delegated.values())
-        return self._calls.pending_count + delegated + len(self._unsent)
+        pending = self._calls.pending_count + delegated + len(self._unsent)
+        return pending + self._unmerged_shards
 
     def _on_answer_due(self) -> None:
         self._past_due = True
--- a/rhubarbhinge/gather/tests/test_ended_searchers.py
+++ b/rhubarbhinge/gather/tests/test_ended_searchers.py
@@ -116,6 +116,22 @@
         self.delegated.on_part[address](first)
         self.assertEqual(self.delegated.granted, ["s2", "s3"])
 
+    def test_call_that_ends_while_an_entry_fails_does_not_end_the_search(self):
+        """Guards against shards that count as lost between the failure of the entry that has them
+        and their search in another way."""
+        address = "10.0.0.9"
+        self.start(delegated={address: list(SHARDS[1:])})
+        pending = self.search._pending_shards()
+        seen = []
+        finish = self.watch.on_call_finished
+        self.watch.on_call_finished = lambda name: (
+            seen.append(self.search._pending_shards()),
+            finish(name),
+        )
+        self.delegated.on_part[address](None)
+        self.assertEqual(set(seen), {pending})
+        self.assertEqual(self.ends, [])
+
     def test_one_first_search_goes_to_all_shards_after_the_first_reply(self):
         self.start(one_first=True)
         self.assertEqual(len(self.world.attempts), 1)
--- a/rhubarbhinge/members/__init__.py
+++ b/rhubarbhinge/members/__init__.py
@@ -2,7 +2,8 @@
 
 from rhubarbhinge.members._heartbeat import (
     MAX_FULL_SEARCHERS,
-    MAX_ROUTES,
+    MAX_HEARTBEAT_BYTES,
+    MAX_REPORTED_ROUTES,
     FullSearcher,
     Heartbeat,
     HeartbeatError,
@@ -17,7 +18,8 @@
 from rhubarbhinge.members._vm_capacity import UNKNOWN_CAPACITY, VmCapacity
 
 __all__ = [
-    "MAX_ROUTES",
+    "MAX_HEARTBEAT_BYTES",
+    "MAX_REPORTED_ROUTES",
     "MAX_FULL_SEARCHERS",
     "UNKNOWN_CAPACITY",
     "FullSearcher",
--- a/rhubarbhinge/members/_heartbeat.py
+++ b/rhubarbhinge/members/_heartbeat.py
@@ -17,7 +17,7 @@
 
 VERSION = 2
 """Version of the format; heartbeats of any other version are rejected."""
-MAX_BYTES = 8_192
+MAX_HEARTBEAT_BYTES = 8_192
 """Greatest accepted size of a heartbeat; one with all fields at their bounds takes about 4 KB."""
 MAX_UPDATES = 16
 """Most updates in a heartbeat; at about 65 bytes each they fit into one packet of 1,400 bytes."""
@@ -25,7 +25,7 @@
 """Most suspicions in a heartbeat, at about 110 bytes each."""
 MAX_DOMAINS = 64
 """Most failure domains in a heartbeat; the planned fleet has seven."""
-MAX_ROUTES = 8
+MAX_REPORTED_ROUTES = 8
 """Most routes whose requests a heartbeat counts; the callers of a deployment use three to five."""
 MAX_FULL_SEARCHERS = 8
 """Most full searchers in a heartbeat, at about 20 bytes each."""
@@ -139,7 +139,7 @@
     cores_percent: CapacityUnits = 0
     link_mbps: CapacityUnits = 0
     unreachable_domains: Annotated[list[Name], msgspec.Meta(max_length=MAX_DOMAINS)] = []
-    recent_requests: Annotated[dict[Name, Count], msgspec.Meta(max_length=MAX_ROUTES)] = {}
+    recent_requests: Annotated[dict[Name, Count], msgspec.Meta(max_length=MAX_REPORTED_ROUTES)] = {}
     full_searchers: Annotated[list[FullSearcher], msgspec.Meta(max_length=MAX_FULL_SEARCHERS)] = []
 
 
@@ -170,7 +170,7 @@
             heartbeat.plan_version,
             *heartbeat.capacity.to_wire(),
             list(heartbeat.unreachable_domains[:MAX_DOMAINS]),
-            dict(islice(heartbeat.recent_requests.items(), MAX_ROUTES)),
+            dict(islice(heartbeat.recent_requests.items(), MAX_REPORTED_ROUTES)),
             list(heartbeat.full_searchers[:MAX_FULL_SEARCHERS]),
         )
     )
@@ -183,7 +183,7 @@
     :returns: the heartbeat.
     :raises HeartbeatError: when the datagram is not a valid heartbeat.
     """
-    if len(data) > MAX_BYTES:
+    if len(data) > MAX_HEARTBEAT_BYTES:
         raise HeartbeatError(f"heartbeat of {len(data)} bytes is too long")
     try:
         sent = _decode_json(data)
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from rhubarbhinge.members import (
+    MAX_HEARTBEAT_BYTES,
     UNKNOWN_CAPACITY,
     Heartbeat,
     HeartbeatError,
@@ -140,9 +141,12 @@
         suspicions = self.quarantine_gossip.outgoing()
         if suspicions:
             heartbeat = replace(heartbeat, suspicions=suspicions)
+        data = encode_heartbeat(heartbeat)
         if self._is_local(ip):
-            heartbeat = self._extras.add_to(heartbeat)
-        self._datagrams.send(ip, self._port, encode_heartbeat(heartbeat))
+            with_extras = encode_heartbeat(self._extras.add_to(heartbeat))
+            # Receivers reject heartbeats that are too long, as names are at their bounds.
+            data = with_extras if len(with_extras) <= MAX_HEARTBEAT_BYTES else data
+        self._datagrams.send(ip, self._port, data)
 
     def _is_local(self, ip: str) -> bool:
         table = self.membership.table
--- a/rhubarbhinge/retries/_loan_requests.py
+++ b/rhubarbhinge/retries/_loan_requests.py
@@ -114,7 +114,7 @@
 
         :param service: name of the service.
         """
-        entry = self._turns.choose(service, self._entries())
+        entry = self._turns.choose(service, self._entries)
         if entry is not None:
             asked_ms = self._now_ms()
             self._ask(entry, service, lambda reply: self._on_reply(service, entry, asked_ms, reply))
--- a/rhubarbhinge/retries/_loan_turns.py
+++ b/rhubarbhinge/retries/_loan_turns.py
@@ -67,21 +67,23 @@
         turns = self._turns.get(service)
         return turns is not None and turns.is_asking
 
-    def choose(self, service: str, entries: Sequence[str]) -> str | None:
+    def choose(self, service: str, entries: Callable[[], Sequence[str]]) -> str | None:
         """Choose the entry to ask, which is then taken to be asked until the outcome is known.
 
         :param service: name of the service.
-        :param entries: names of the other entries that may be asked.
+        :param entries: returns the names of the other entries that may be asked.
         :returns: name of the entry; None if none is to be asked now.
         """
         now_ms = self._now_ms()
         turns = self._turns.get(service)
         if turns is not None and (turns.is_asking or now_ms < turns.paused_until_ms):
             return None
+        if self._is_failing_often(now_ms):
+            return None
         candidates = [
-            name for name in entries if self._unsupported_until_ms.get(name, now_ms) <= now_ms
+            name for name in entries() if self._unsupported_until_ms.get(name, now_ms) <= now_ms
         ]
-        if not candidates or self._is_failing_often(now_ms):
+        if not candidates:
             return None
         if turns is None:
             self._drop_idle(now_ms)
@@ -134,7 +136,9 @@
         if now_ms - self._period_ms >= FAILED_PERIOD_MS:
             self._period_ms = now_ms
             self._failed_in_period = 0
-        return self._failed_in_period >= MAX_FAILED_PER_S
+        # Outstanding requests may all fail.
+        outstanding = sum(turns.is_asking for turns in self._turns.values())
+        return self._failed_in_period + outstanding >= MAX_FAILED_PER_S
 
     def _drop_idle(self, now_ms: float) -> None:
         if len(self._turns) >= MAX_IDLE_SERVICES:
--- a/rhubarbhinge/retries/tests/test_loan_requests.py
+++ b/rhubarbhinge/retries/tests/test_loan_requests.py
@@ -26,25 +26,25 @@
         self.turns = LoanTurns(self.timers.now_ms, random.Random(1))
 
     def test_one_request_per_service_is_outstanding(self):
-        self.assertIsNotNone(self.turns.choose("s", ENTRIES))
-        self.assertIsNone(self.turns.choose("s", ENTRIES))
-        self.assertIsNotNone(self.turns.choose("t", ENTRIES))
+        self.assertIsNotNone(self.turns.choose("s", lambda: ENTRIES))
+        self.assertIsNone(self.turns.choose("s", lambda: ENTRIES))
+        self.assertIsNotNone(self.turns.choose("t", lambda: ENTRIES))
 
     def test_three_refusals_are_followed_by_a_pause(self):
         """Guards against entries that add to an overload by asking each other."""
         for _ in range(3):
-            self.assertIsNotNone(self.turns.choose("s", ENTRIES))
+            self.assertIsNotNone(self.turns.choose("s", lambda: ENTRIES))
             self.turns.on_failed("s")
-        self.assertIsNone(self.turns.choose("s", ENTRIES))
+        self.assertIsNone(self.turns.choose("s", lambda: ENTRIES))
         self.timers.advance(1_000.0)
-        self.assertIsNotNone(self.turns.choose("s", ENTRIES))
+        self.assertIsNotNone(self.turns.choose("s", lambda: ENTRIES))
 
     def test_requests_are_bounded_when_all_services_are_short(self):
         """Guards against hundreds of requests per second: a search has an extra send for each
         shard, and all entries may be short for all shards."""
         asked = 0
         for number in range(90):
-            while self.turns.choose(f"s-{number}", ENTRIES) is not None:
+            while self.turns.choose(f"s-{number}", lambda: ENTRIES) is not None:
                 self.turns.on_failed(f"s-{number}")
                 asked += 1
         self.assertEqual((asked, self.turns.failed), (20, 20))
@@ -52,19 +52,19 @@
     def test_all_entries_are_asked_before_one_is_asked_again(self):
         asked = []
         for _ in range(2 * len(ENTRIES)):
-            asked.append(self.turns.choose("s", ENTRIES))
+            asked.append(self.turns.choose("s", lambda: ENTRIES))
             self.turns.on_granted("s")
         self.assertEqual(sorted(asked[: len(ENTRIES)]), sorted(ENTRIES))
         self.assertNotEqual(asked[: len(ENTRIES)], ENTRIES)
 
     def test_an_entry_of_an_earlier_release_is_left_out_for_a_while(self):
-        self.assertEqual(self.turns.choose("s", ["vm-1"]), "vm-1")
+        self.assertEqual(self.turns.choose("s", lambda: ["vm-1"]), "vm-1")
         self.turns.on_unsupported("vm-1")
         self.turns.on_failed("s")
         self.timers.advance(29_000.0)
-        self.assertIsNone(self.turns.choose("s", ["vm-1"]))
+        self.assertIsNone(self.turns.choose("s", lambda: ["vm-1"]))
         self.timers.advance(1_000.0)
-        self.assertEqual(self.turns.choose("s", ["vm-1"]), "vm-1")
+        self.assertEqual(self.turns.choose("s", lambda: ["vm-1"]), "vm-1")
 
 
 class DemandAtOneEntryTest(unittest.TestCase):
