--- a/rhubarbhinge/forward/_connections.py
+++ b/rhubarbhinge/forward/_connections.py
@@ -26,8 +26,8 @@
     """Connections to one searcher, and the queue of exchanges that wait for one.
 
     Idle connections are reused in LIFO order. ``in_flight`` counts those that have an exchange,
-    also while they are being opened; ``wake_up_due`` is whether the queue will be tried again once the
-    send window is restored.
+    also while they are being opened; ``wake_up_due`` is whether the queue will be tried again once
+    the send window is restored.
     """
 
     idle: list[Connection] = field(default_factory=list)
