admission, peers: one quantile for the shortest time of a request; a heartbeat is encoded once

The lower quartile of delays stood as a constant in the review of queues and in admission control, where both have to agree; it is one constant now. Heartbeats within a domain were encoded twice each, without and with what they carry for other parts; they are encoded again only if they are too long. No change of behaviour.

--- a/rhubarbhinge/admission/__init__.py
+++ b/rhubarbhinge/admission/__init__.py
@@ -14,6 +14,7 @@
 from rhubarbhinge.admission._limiter import WINDOW_MS, Limiter
 from rhubarbhinge.admission._queue import (
     CALLER_STEP_MS,
+    LOWER_QUARTILE,
     MAX_CALLER_STEPS,
     PRIORITY_STEP_MS,
     QueuedRequest,
@@ -28,6 +29,7 @@
     "Admitted",
     "CALLER_STEP_MS",
     "Decision",
+    "LOWER_QUARTILE",
     "Limiter",
     "MAX_AHEAD_MS",
     "MAX_CALLER_STEPS",
--- a/rhubarbhinge/admission/_queue.py
+++ b/rhubarbhinge/admission/_queue.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+LOWER_QUARTILE = 0.25
+"""Quantile of delays that counts as the shortest time of a request."""
 PRIORITY_STEP_MS = 100.0
 """Head start of a request over one of the next lower priority. Less urgent requests are overtaken
 only by those that arrive within this time, a fraction of any objective of forwarded requests."""
--- a/rhubarbhinge/delegation/_domain_capacities.py
+++ b/rhubarbhinge/delegation/_domain_capacities.py
@@ -11,7 +11,7 @@
 
 UNEVEN_RATIO = 2.0
 """Ratio of the largest to the smallest capacity from which a failure domain is uneven. Below it an
-even split ends at most twice as late, which measured loads don't predict any better."""
+even split ends at most twice as late, which reported loads don't predict any better."""
 SCORE_RANGE = 1 << (8 * SCORE_BYTES)
 """Number of different scores."""
 
--- a/rhubarbhinge/forward/_queue_review.py
+++ b/rhubarbhinge/forward/_queue_review.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from rhubarbhinge.admission import QueuedRequest, SearcherQueue, turn_ms, unservable
+from rhubarbhinge.admission import LOWER_QUARTILE, QueuedRequest, SearcherQueue, turn_ms, unservable
 from rhubarbhinge.forward._connections import SearcherConnections
 from rhubarbhinge.forward._outcome import FailureReason
 from rhubarbhinge.forward._pending_exchange import PendingExchange
@@ -10,8 +10,6 @@
 REVIEW_INTERVAL_MS = 50.0
 """Interval at which waiting requests are reviewed: a caller learns of a refusal within a fraction
 of a request's work."""
-OPTIMISTIC_QUANTILE = 0.25
-"""Quantile of delays that counts as the shortest time of a request."""
 
 
 def searcher_queue(
@@ -84,7 +82,7 @@
     delays = {id(one.exchange.delays): one.exchange.delays for one in waiting}.values()
     if not all(one.is_measured for one in delays):
         return 0.0
-    return min((one.quantile(OPTIMISTIC_QUANTILE) for one in delays), default=float("inf"))
+    return min((one.quantile(LOWER_QUARTILE) for one in delays), default=float("inf"))
 
 
 def _queued(waiting: list[PendingExchange], now_ms: float) -> tuple[QueuedRequest, ...]:
--- a/rhubarbhinge/gateway/_forward_admission.py
+++ b/rhubarbhinge/gateway/_forward_admission.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from rhubarbhinge.admission import (
+    LOWER_QUARTILE,
     QueuedRequest,
     QueueFigures,
     Rejected,
@@ -21,8 +22,6 @@
 from rhubarbhinge.forward import CallerRequest, ConnectionPool, least_on_time_ms, least_useful_ms
 from rhubarbhinge.telemetry import Metrics, ScalarMetric, log_event
 
-LOWER_QUARTILE = 0.25
-"""Quantile of delays that counts as the shortest time of a request."""
 REFUSED = ScalarMetric(
     "admission_refused_total", "Forwarded requests refused by admission control", True
 )
--- a/rhubarbhinge/peers/_peers.py
+++ b/rhubarbhinge/peers/_peers.py
@@ -141,11 +141,11 @@
         suspicions = self.quarantine_gossip.outgoing()
         if suspicions:
             heartbeat = replace(heartbeat, suspicions=suspicions)
-        data = encode_heartbeat(heartbeat)
-        if self._is_local(ip):
-            with_extras = encode_heartbeat(self._extras.add_to(heartbeat))
-            # Receivers reject heartbeats that are too long, as names are at their bounds.
-            data = with_extras if len(with_extras) <= MAX_HEARTBEAT_BYTES else data
+        is_local = self._is_local(ip)
+        data = encode_heartbeat(self._extras.add_to(heartbeat) if is_local else heartbeat)
+        if is_local and len(data) > MAX_HEARTBEAT_BYTES:
+            # Receivers reject heartbeats that are too long, which names at their bounds can cause.
+            data = encode_heartbeat(heartbeat)
         self._datagrams.send(ip, self._port, data)
 
     def _is_local(self, ip: str) -> bool:
