--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,6 +32,7 @@
 CALLERS = 48
 THINK_S = 0.7
 LOST_ALLOWED = 3
+"""Requests that one machine may lose."""
 FAULT_ENDS = 3
 
 
@@ -65,7 +66,7 @@
     await asyncio.sleep(SETTLE_S)
     ends: collections.Counter[str] = collections.Counter()
     statuses: collections.Counter[tuple[str, int]] = collections.Counter()
-    lost: list[str] = []
+    lost: collections.Counter[str] = collections.Counter()
     stop = asyncio.Event()
 
     async def restart_ended(entry: rigs.Entry) -> None:
@@ -106,7 +107,7 @@
             rig.record.note("answered", request=request_id, status=answer.status, why=answer.why)
             passed_on = any(request_id in one.runs for one in sound)
             if not answer.status and answer.why != "timeout" and was_kept and passed_on:
-                lost.append(request_id)
+                lost[entry.name] += 1
                 rig.record.note("lost", request=request_id, entry=entry.name)
             await asyncio.sleep(rng.expovariate(1.0 / THINK_S))
         kept.close()
@@ -129,13 +130,14 @@
     faulty = [name for name, count in ends.items() if count >= FAULT_ENDS]
     rig.record.note("resets", count=resets)
     rig.record.note("ends", **ends)
-    rig.record.note("LOST", requests=len(lost), ids=",".join(lost))
+    rig.record.note("LOST", **lost)
     rig.record.note("FAULT", machines=",".join(faulty))
     print(
         f"answers {dict(statuses)}, resets {resets}, ends {dict(ends)}, "
-        f"LOST {len(lost)}, Fault at {len(faulty)} machines"
+        f"LOST {dict(lost)}, Fault at {len(faulty)} machines"
     )
-    return rigs.BROKEN if len(lost) > LOST_ALLOWED or len(faulty) >= 2 else rigs.HELD
+    is_lost = any(count > LOST_ALLOWED for count in lost.values())
+    return rigs.BROKEN if is_lost or len(faulty) >= 2 else rigs.HELD
 
 
 if __name__ == "__main__":
