net: a reset while a connect completes closes only that connection

Callers saw connections closed without an answer, at searchers that were sound: while searchers of another service reset new connections, entries ended with exit code 70 and took all their connections with them.

Cause: Links reads the pending error of a connecting socket, and then compares its two addresses to detect a connection to itself. If the peer's reset arrives in between, getpeername raises ENOTCONN, which was taken for a broken invariant. Evidence: the entries that ended logged fail_stop error=OSError(107), with is_self_connected innermost.

A failure of the second call now counts as a failed connect, as the same reset did if it came a moment sooner. Nothing has been sent by then, so the request is reported as not run, which is true.

--- a/rhubarbhinge/net/_links.py
+++ b/rhubarbhinge/net/_links.py
@@ -397,9 +397,7 @@
             self._on_open(link.number, True)
 
     def _finish_connecting(self, link: Link) -> None:
-        error_code = take_socket_error(link.sock)
-        if not error_code and is_self_connected(link.sock):
-            error_code = errno.ECONNREFUSED
+        error_code = _connect_error(link.sock)
         if error_code:
             self._handle_socket_error(link, error_code)
             return
@@ -536,6 +534,18 @@
         return True
 
 
+def _connect_error(sock: socket.socket) -> int:
+    """Return the error number of a connect that has completed, or 0 if the socket is connected."""
+    error_code = take_socket_error(sock)
+    if error_code:
+        return error_code
+    try:
+        return errno.ECONNREFUSED if is_self_connected(sock) else 0
+    except OSError as error:
+        # The peer may reset the connection after its error was read.
+        return take_socket_error(sock) or error.errno
+
+
 def _peek(link: Link) -> bytes | None:
     """Return the next unread byte, ``b""`` at the end of the stream, or None without input."""
     try:
--- a/rhubarbhinge/net/_listener.py
+++ b/rhubarbhinge/net/_listener.py
@@ -60,8 +60,13 @@
                 if error.errno in _RESOURCE_ERRORS:
                     self._pause_accepting()
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError:
+                # The peer may have reset the connection while it waited to be accepted.
+                sock.close()
+                continue
             yield sock, address[0]
 
     def close(self) -> None:
--- a/rhubarbhinge/net/_sockets.py
+++ b/rhubarbhinge/net/_sockets.py
@@ -1,5 +1,6 @@
 """Creation and inspection of non-blocking sockets."""
 
+import contextlib
 import fcntl
 import socket
 import struct
@@ -70,14 +71,18 @@
     """
     socket.inet_pton(socket.AF_INET, ip)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    if detect_dead_peers:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    return sock, sock.connect_ex((ip, port))
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if detect_dead_peers:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        return sock, sock.connect_ex((ip, port))
+    except OSError:
+        sock.close()
+        raise
 
 
 def take_socket_error(sock: socket.socket) -> int:
@@ -120,9 +125,12 @@
 def reset_on_close(sock: socket.socket) -> None:
     """Make closing a socket reset its connection and discard what the kernel has not sent.
 
-    :param sock: a connected socket.
+    This has no effect if the connection no longer exists.
+
+    :param sock: the socket.
     """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
 def is_self_connected(sock: socket.socket) -> bool:
@@ -131,8 +139,9 @@
     This happens if nothing listens on a local port and the kernel chooses the same port for the
     outgoing connection (simultaneous open, RFC 9293, section 3.5).
 
-    :param sock: a connected socket.
+    :param sock: a socket that was connected.
     :returns: whether local and remote address are equal.
+    :raises OSError: if the peer has reset the connection meanwhile.
     """
     return sock.getsockname() == sock.getpeername()
 
--- a/rhubarbhinge/net/tests/test_links.py
+++ b/rhubarbhinge/net/tests/test_links.py
@@ -7,6 +7,7 @@
 
 from rhubarbhinge.net import CloseReason, Links
 from rhubarbhinge.net._link import Link
+from rhubarbhinge.net._sockets import reset_on_close, take_socket_error
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 
@@ -161,6 +162,25 @@
         peer.close()
         self.until(lambda: self.near.closed == [(link, CloseReason.RESET)])
 
+    # A reset right after the connection was established ended the process.
+    def test_reset_while_a_connect_completes_closes_only_that_link(self):
+        listener, port = self.raw_peer()
+        resets = iter([True, False])
+
+        def take_error_before_reset(sock):
+            error_code = take_socket_error(sock)
+            if next(resets):
+                peer, _ = listener.accept()
+                reset_on_close(peer)
+                peer.close()
+            return error_code
+
+        with mock.patch("rhubarbhinge.net._links.take_socket_error", take_error_before_reset):
+            link = self.near.links.open(LOOPBACK, port, 5000)
+            self.until(lambda: self.near.closed == [(link, CloseReason.UNREACHABLE)])
+        self.assertEqual([], self.near.opened)
+        self.connect()
+
     def test_failed_connects_are_reported_asynchronously(self):
         self.far.links.stop_listening()
         refused = self.near.links.open(LOOPBACK, self.port, 5000)
--- a/rhubarbhinge/utils/testing.py
+++ b/rhubarbhinge/utils/testing.py
@@ -12,12 +12,18 @@
 """Maximum duration of one event loop iteration's poll, in seconds."""
 
 
-def run_until(root: BaseComponent, predicate: Callable[[], bool], timeout_s: float = 10.0) -> bool:
+def run_until(
+    root: BaseComponent,
+    predicate: Callable[[], bool],
+    timeout_s: float = 10.0,
+    tick_s: float = TICK_S,
+) -> bool:
     """Run the event loop of a component tree until a condition holds or a timeout has elapsed.
 
     :param root: root of the tree; its event loop must not be running elsewhere.
     :param predicate: the condition, checked after each event loop iteration.
     :param timeout_s: the timeout in seconds.
+    :param tick_s: maximum duration of one iteration's poll, in seconds.
     :returns: whether the condition holds.
     """
     root._running = True
@@ -25,7 +31,7 @@
     while not predicate():
         if time.monotonic() > end_s:
             return False
-        root.tick(TICK_S)
+        root.tick(tick_s)
     return True
 
 
