forward: never send a request twice on one connection

Callers saw requests that must not be repeated run twice, or got 503 for requests that ran: a searcher refused the first attempt, got a second one on the same connection, and sent its first refusal once more while it executed the second. The refusal was taken for the reply to the second attempt.

Cause: all attempts of a request share its id, which is all that matches a reply to a request. ServiceCall forgets the searchers that it tried before a later retry, and the pool prefers the connection that became idle last.

A connection now remembers the ids sent on it, and no id is sent twice: a retry gets another connection, in place of an idle one at the limit. As the pool sends everything that reaches a searcher, this holds for hedges, shards, requests for other entries and repetitions by callers too. A connection is closed after 128 requests, which bounds the memory. A refusal without an id counts only for the first request on a connection, for the same reason.

--- a/rhubarbhinge/delegation/_delegated_sender.py
+++ b/rhubarbhinge/delegation/_delegated_sender.py
@@ -25,8 +25,7 @@
     """Sends single-shard requests to searchers of other failure domains via an entry near them.
 
     The delegate sends the request only to the searcher chosen here, so that no searcher gets a
-    request twice: if a faulty one replied twice to the first, the second reply could be mistaken
-    for that to the second request.
+    request twice.
 
     Most of these requests are hedges. Over the compressed link between two entries, one takes
     some 300 bytes between the domains; a separate request and reply take 630. Requests that are
--- a/rhubarbhinge/forward/_connections.py
+++ b/rhubarbhinge/forward/_connections.py
@@ -9,9 +9,17 @@
 from rhubarbhinge.forward._pending_exchange import PendingExchange
 from rhubarbhinge.forward._reply_reader import ReplyReader
 
+MAX_REQUESTS_PER_CONNECTION = 128
+"""Maximum number of requests sent on one connection; bounds the memory for their ids."""
+
 
 class Connection(Struct, eq=False):
-    """State of one connection."""
+    """State of one connection.
+
+    ``request_ids`` are the ids of all requests sent on it. A searcher may repeat a reply at any
+    later time, and only the id tells to which request it belongs. No id is therefore sent twice on
+    one connection: a late reply to the first attempt would be taken for the reply to the second.
+    """
 
     link: int
     searcher: ObservedSearcher
@@ -20,6 +28,20 @@
     pending: PendingExchange | None = None
     idle_until_ms: float = 0.0
     skipped: int = 0
+    request_ids: set[str] = field(default_factory=set)
+
+    def has_sent(self, pending: PendingExchange) -> bool:
+        """Check whether an earlier attempt at the same request was sent on this connection.
+
+        :param pending: an exchange that is to be sent.
+        :returns: whether it has to be sent on another connection.
+        """
+        return pending.exchange.request.id in self.request_ids
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether further requests may be sent, as far as this side is concerned."""
+        return not self.skipped and len(self.request_ids) < MAX_REQUESTS_PER_CONNECTION
 
 
 class SearcherConnections(Struct):
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -147,10 +147,10 @@
             if pending.is_forwarded and pending.link is None:
                 self._schedule_review()
             return pending
-        conn = self._take_idle(connections, now_ms)
+        conn = self._take_idle(connections, pending, now_ms)
         if conn is not None:
             self._write(conn, pending, now_ms)
-        elif connections.count < self._max_connections(observed):
+        elif connections.idle or connections.count < self._max_connections(observed):
             self._open(observed, connections, pending)
         else:
             heapq.heappush(connections.waiting, pending)
@@ -248,13 +248,21 @@
             connections = self._by_searcher[observed.start] = SearcherConnections()
         return connections
 
-    def _take_idle(self, connections: SearcherConnections, now_ms: float) -> Connection | None:
-        while connections.idle:
+    def _take_idle(
+        self, connections: SearcherConnections, pending: PendingExchange, now_ms: float
+    ) -> Connection | None:
+        """Take an idle connection on which the request has not been sent before."""
+        found, used = None, []
+        while connections.idle and found is None:
             conn = connections.idle.pop()
-            if conn.idle_until_ms > now_ms and self._links.is_idle(conn.link):
-                return conn
-            self._close(conn, connections)
-        return None
+            if conn.idle_until_ms <= now_ms or not self._links.is_idle(conn.link):
+                self._close(conn, connections)
+            elif conn.has_sent(pending):
+                used.append(conn)
+            else:
+                found = conn
+        connections.idle.extend(reversed(used))
+        return found
 
     def _has_room(
         self, observed: ObservedSearcher, connections: SearcherConnections, now_ms: float
@@ -281,7 +289,7 @@
             waiting = self._next_sendable(connections, now_ms)
             if waiting is None:
                 return
-            conn = self._take_idle(connections, now_ms)
+            conn = self._take_idle(connections, waiting, now_ms)
             if conn is None:
                 self._open(observed, connections, waiting)
                 replace = False
@@ -305,6 +313,9 @@
         connections: SearcherConnections,
         pending: PendingExchange | None,
     ) -> None:
+        if connections.idle and connections.count >= self._max_connections(observed):
+            # Only connections on which the request was sent before are idle.
+            self._close(connections.idle[0], connections)
         searcher = observed.searcher
         connections.count += 1
         connections.opening += 1
@@ -320,6 +331,7 @@
         if conn.pending is None:
             self._connections(conn.searcher).in_flight += 1
         conn.pending = pending
+        conn.request_ids.add(exchange.request.id)
         conn.reader.wants_body = exchange.request.wants_body
         pending.link = conn.link
         pending.sent_ms = now_ms
@@ -383,13 +395,14 @@
     def _replied(self, conn: Connection, raw: RawReply, last: bool) -> None:
         pending = conn.pending
         reply = self._dialect.decode_reply(raw)
-        if not is_reply_to(reply, pending.exchange.request.id):
+        is_first = len(conn.request_ids) == 1
+        if not is_reply_to(reply, pending.exchange.request.id, is_first):
             self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
         self._take_pending(conn)
         self._adapt_window(pending, reply, now_ms)
-        reusable = raw.reusable and last and not conn.skipped
+        reusable = raw.reusable and last and conn.accepts_requests
         if reusable and pending.exchange.searcher.usable:
             self._release(conn, reply.keep_alive_ms)
         else:
@@ -432,7 +445,11 @@
         if connections.waiting and self._has_room(observed, connections, now_ms):
             waiting = self._next_sendable(connections, now_ms)
             if waiting is not None:
-                self._write(conn, waiting, now_ms)
+                if conn.has_sent(waiting):
+                    self._close(conn, connections)
+                    self._open(observed, connections, waiting)
+                else:
+                    self._write(conn, waiting, now_ms)
                 if observed.send_window is not None:
                     self._start_waiting(observed, connections)
                 return
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 from circuits import BaseComponent
 from msgspec.structs import replace
@@ -219,6 +220,56 @@
         self.answer(1, reply("r2", b"own"))
         self.assertEqual(self.outcome("r2").reply.body, b"own")
 
+    # The repeated refusal of a first attempt was taken for the reply to the second, which ran.
+    def test_a_repeated_refusal_is_not_attributed_to_the_retry(self):
+        refusal = reply("r1", status="503 Full", more="not-run: 1\r\n")
+        for self.most in (2, 1):
+            with self.subTest(most=self.most):
+                self.requests.clear()
+                self.send("r1")
+                self.received(1)
+                self.answer(0, refusal)
+                self.assertEqual(self.outcome("r1"), NotRun(FailureReason.NO_ROOM))
+                self.outcomes.clear()
+                self.send("r1")
+                self.received(2)
+                self.answer(0, refusal)
+                self.answer(1, reply("r1", b"own"))
+                self.assertEqual(self.outcome("r1").reply.body, b"own")
+                self.assertLessEqual(self.pool.open_connections, self.most)
+                self.outcomes.clear()
+
+    def test_a_queued_retry_is_not_sent_on_the_connection_of_the_first_attempt(self):
+        self.most = 1
+        self.send("r1")
+        self.received(1)
+        self.send("r1")
+        self.answer(0, reply("r1", b"first"))
+        self.received(2)
+        self.assertNotEqual(self.requests[0][0], self.requests[1][0])
+
+    def test_a_refusal_without_id_is_not_attributed_to_a_later_request(self):
+        self.send("r1")
+        self.received(1)
+        self.answer(0, reply("r1"))
+        self.outcome("r1")
+        self.send("r2")
+        self.received(2)
+        self.assertEqual(self.requests[0][0], self.requests[1][0])
+        self.answer(1, reply("", status="503 Full", more="not-run: 1\r\n") + reply("r2", b"own"))
+        self.assertEqual(self.outcome("r2").reply.body, b"own")
+
+    def test_a_connection_is_closed_after_its_maximum_number_of_requests(self):
+        with mock.patch("rhubarbhinge.forward._connections.MAX_REQUESTS_PER_CONNECTION", 2):
+            for number in range(3):
+                self.send(f"r{number}")
+                self.received(number + 1)
+                self.answer(number, reply(f"r{number}"))
+                self.outcome(f"r{number}")
+        first, second, third = (link for link, _ in self.requests)
+        self.assertEqual(first, second)
+        self.assertNotEqual(second, third)
+
     def test_unsolicited_bytes_close_an_idle_connection(self):
         self.send("r1")
         self.received(1)
