gateway: answer every request before a stopping entry ends

Callers saw connections closed without an answer 5.5 s after the SIGTERM of an entry: of requests that waited there for a searcher, which no searcher had, and of requests that searchers still executed.

Cause: only Shutdown knew when the process would end. Admission, the review of the queues, the deadline told to searchers and the timer of each request went by the callers' deadlines, which may be 15 s away.

Requests that wait are refused as soon as their turn is expected too late at the pace of the queue, with 503 and Retry-After, so that another entry can serve them; those that arrive too late are refused on arrival. What searchers still execute at the limit is answered 502. Searches for other entries are replied to with what is known; shards that were not sent return as untried.

--- a/rhubarbhinge/delegation/_server.py
+++ b/rhubarbhinge/delegation/_server.py
@@ -1,5 +1,6 @@
 """Server side of delegation: searches on behalf of other entries."""
 
+import math
 from collections.abc import Callable
 
 from circuits import BaseComponent
@@ -65,6 +66,7 @@
         self._delays_of = delays_of
         self._sub_queries = sub_queries
         self._unstarted_sub_queries = 0
+        self._latest_deadline_ms = math.inf
         self._by_link: dict[int, _Link] = {}
         self._links = Links(self._opened, self._received, self._closed, bind).register(self)
 
@@ -88,6 +90,16 @@
         """Bytes of replies that are queued for sending."""
         return self._links.pending_bytes
 
+    def limit_deadlines(self, latest_ms: float) -> None:
+        """Complete all requests by a given time, those in progress and later ones.
+
+        :param latest_ms: time by which this entry has to reply, as it shuts down.
+        """
+        self._latest_deadline_ms = latest_ms
+        for link in self._by_link.values():
+            for search in link.searches.values():
+                search.end_at(latest_ms)
+
     def _opened(self, link: int, inbound: bool) -> None:
         self._by_link[link] = _Link()
 
@@ -123,6 +135,8 @@
                 ),
             )
             state.searches[message.number] = search
+            if math.isfinite(self._latest_deadline_ms):
+                search.end_at(self._latest_deadline_ms)
             # Messages received together with this one are processed first, as opening connections
             # takes up to 20 ms per request, which would delay the acceptance of the others.
             self._unstarted_sub_queries += len(message.services)
@@ -199,6 +213,7 @@
         )
         self._due_ms = context.timers.now_ms() + request.reply_after_ms
         self._timer: TimerHandle | None = None
+        self._end_timer: TimerHandle | None = None
 
     def start(self) -> None:
         """Send the request to the shards, unless the search was cancelled in the meantime."""
@@ -211,11 +226,18 @@
             self._context.budget.on_request(self._request.services)
         self._calls.start(self._request.services)
 
+    def end_at(self, time_ms: float) -> None:
+        """Reply at the latest at a given time, with the results received until then.
+
+        :param time_ms: the time.
+        """
+        timers = self._context.timers
+        self._end_timer = timers.after(max(0.0, time_ms - timers.now_ms()), self._end)
+
     def cancel(self) -> None:
         """Cancel the attempts at searchers."""
         self._cancelled = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._cancel_timers()
         self._calls.cancel()
 
     def cancellation_reply(self) -> DelegateReply:
@@ -227,7 +249,26 @@
         untried = () if self._started else self._request.services
         return DelegateReply(self._request.number, (), (), untried, (), self._started, b"")
 
+    def _end(self) -> None:
+        if not self._started:
+            self._cancelled = True
+            self._on_reply(self.cancellation_reply())
+            return
+        for outcome in self._calls.end():
+            self._record(outcome)
+        self._send_reply()
+
+    def _cancel_timers(self) -> None:
+        for timer in (self._timer, self._end_timer):
+            if timer is not None:
+                timer.cancel()
+
     def _on_shard_end(self, end: ShardOutcome) -> None:
+        self._record(end)
+        if self._reply_due or not self._calls.pending_count:
+            self._send_reply()
+
+    def _record(self, end: ShardOutcome) -> None:
         self._may_have_run = self._may_have_run or end.may_have_run
         if end.reply is not None:
             self._parts[end.service] = end.reply
@@ -235,8 +276,6 @@
             self._untried.append(end.service)
         else:
             self._failed.append(end.service)
-        if self._reply_due or not self._calls.pending_count:
-            self._send_reply()
 
     def _on_reply_due(self) -> None:
         self._reply_due = True
@@ -263,7 +302,7 @@
                 pending=len(pending),
             )
         if not pending:
-            self._timer.cancel()
+            self._cancel_timers()
         self._on_reply(
             DelegateReply(
                 self._request.number,
--- a/rhubarbhinge/delegation/tests/test_client_server.py
+++ b/rhubarbhinge/delegation/tests/test_client_server.py
@@ -226,6 +226,48 @@
         running = [attempt for attempt in self.world.attempts if not attempt.cancelled]
         self.assertEqual((running, self.replies, self.server.active_requests), ([], [], 0))
 
+    def limit_deadlines(self, left_ms: float) -> None:
+        self.server.limit_deadlines(self.timers.now_ms() + left_ms)
+
+    # A process that ended cut the searches of other entries, which then learned nothing of them.
+    def test_search_is_replied_to_before_a_limited_deadline(self):
+        self.start_request()
+        first, second = self.world.attempts
+        first.end(replied())
+        self.limit_deadlines(20.0)
+        self.wait(lambda: self.replies)
+        (reply,) = self.replies
+        self.assertEqual((reply.services, reply.untried, reply.pending), ((first.service,), (), ()))
+        self.assertTrue(reply.may_have_run)
+        self.assertTrue(second.cancelled)
+        self.assertEqual(self.server.active_requests, 0)
+
+    def test_shards_that_wait_at_a_limited_deadline_are_untried(self):
+        self.world.unsent_next = True
+        self.start_request()
+        self.limit_deadlines(0.0)
+        self.wait(lambda: self.replies)
+        self.assertEqual(set(self.replies[0].untried), {"s0", "s1"})
+        self.assertFalse(self.replies[0].may_have_run)
+
+    def test_request_after_a_limited_deadline_is_untried(self):
+        client = self.client(self.server._links.bound_port)
+        address = self.open(client)
+        self.limit_deadlines(0.0)
+        client.send(address, REQUEST, self.replies.append, self.grant)
+        self.wait(lambda: self.replies)
+        self.assertEqual(self.replies[0].untried, ("s0", "s1"))
+        self.assertEqual(self.world.attempts, [])
+
+    def test_reply_before_a_limited_deadline_is_sent_once(self):
+        self.start_request()
+        self.limit_deadlines(50.0)
+        for attempt in self.world.attempts:
+            attempt.end(replied())
+        self.wait(lambda: self.replies)
+        run_until(self.root, lambda: False, 0.1)
+        self.assertEqual(len(self.replies), 1)
+
     def give_up(self, client: DelegateClient, call) -> list[str]:
         """Let a request time out before its acceptance, which the client has not read yet."""
         given_up = []
--- a/rhubarbhinge/forward/_pending_exchange.py
+++ b/rhubarbhinge/forward/_pending_exchange.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from rhubarbhinge.fleet import Delays
 from rhubarbhinge.forward._exchange import Exchange
 from rhubarbhinge.forward._outcome import Outcome
@@ -105,6 +107,16 @@
         """Whether the request was written to a connection."""
         return self.sent_ms is not None
 
+    def limit_deadline(self, latest_ms: float) -> None:
+        """Bring the deadline forward, if it is later than a given time.
+
+        :param latest_ms: the time.
+        """
+        exchange = self.exchange
+        if exchange.deadline_ms > latest_ms:
+            due_ms = min(exchange.due_ms, latest_ms)
+            self.exchange = replace(exchange, deadline_ms=latest_ms, due_ms=due_ms)
+
     def cancel(self) -> None:
         """Cancel the exchange."""
         if not self.finished:
--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 
 from circuits import BaseComponent
@@ -14,7 +15,12 @@
 from rhubarbhinge.forward._exit_checks import ExitChecks
 from rhubarbhinge.forward._outcome import FailureReason, Lost, NotRun, Outcome
 from rhubarbhinge.forward._pending_exchange import PendingExchange
-from rhubarbhinge.forward._queue_review import REVIEW_INTERVAL_MS, review, searcher_queue
+from rhubarbhinge.forward._queue_review import (
+    REVIEW_INTERVAL_MS,
+    review,
+    searcher_queue,
+    withdraw_expected_late,
+)
 from rhubarbhinge.forward._reply_outcome import is_reply_to, outcome_of, record_reply
 from rhubarbhinge.forward._reply_reader import RawReply, ReplyError
 from rhubarbhinge.forward._searcher_reply import SearcherReply
@@ -74,6 +80,7 @@
         self._paused_links: set[int] = set()
         self._exit_checks = ExitChecks(timers, self.open_ahead)
         self._review_timer: TimerHandle | None = None
+        self._latest_deadline_ms = math.inf
         self._links = Links(
             self._opened, self._received, self._closed, detect_dead_peers=True
         ).register(self)
@@ -136,6 +143,7 @@
         pending = PendingExchange(
             next(self._attempt_numbers), exchange, on_outcome, self._cancelled
         )
+        pending.limit_deadline(self._latest_deadline_ms)
         observed = exchange.searcher
         now_ms = self._timers.now_ms()
         observed.on_sent(pending.number, now_ms)
@@ -216,6 +224,22 @@
         for conn in list(connections.idle):
             self._drop(conn)
 
+    def limit_deadlines(self, latest_ms: float) -> None:
+        """Bring forward the deadlines of all requests that are not sent yet, and of later ones.
+
+        Forwarded requests whose turn is then expected too late fail at the next review of the
+        queues. Only a process that shuts down limits deadlines, so others can serve them.
+
+        :param latest_ms: the latest deadline.
+        """
+        self._latest_deadline_ms = latest_ms
+        queued = [one for each in self._by_searcher.values() for one in each.waiting]
+        connecting = [conn.pending for conn in self._by_link.values() if not conn.is_open]
+        for pending in (*queued, *connecting):
+            if pending is not None:
+                pending.limit_deadline(latest_ms)
+        self._schedule_review()
+
     def close_idle(self) -> None:
         """Close idle connections whose keep-alive time has expired."""
         now_ms = self._timers.now_ms()
@@ -238,6 +262,9 @@
             limit = max(1, self._max_connections(connections.waiting[0].exchange.searcher))
             for pending, reason in review(connections, limit, now_ms):
                 self._withdraw(pending, reason)
+            if math.isfinite(self._latest_deadline_ms):
+                for pending in withdraw_expected_late(connections, limit, now_ms):
+                    self._withdraw(pending, FailureReason.QUEUE_TOO_LONG)
             remaining = remaining or any(one.is_forwarded for one in connections.waiting)
         if remaining:
             self._schedule_review()
--- a/rhubarbhinge/forward/_queue_review.py
+++ b/rhubarbhinge/forward/_queue_review.py
@@ -1,6 +1,7 @@
 """Periodic review of the queue of one searcher."""
 
 import heapq
+import math
 
 from rhubarbhinge.admission import LOWER_QUARTILE, QueuedRequest, SearcherQueue, turn_ms, unservable
 from rhubarbhinge.forward._connections import SearcherConnections
@@ -67,6 +68,34 @@
     return removed
 
 
+def withdraw_expected_late(
+    connections: SearcherConnections, concurrency: int, now_ms: float
+) -> list[PendingExchange]:
+    """Remove the forwarded requests whose turn is expected too late at the recent pace.
+
+    While :func:`review` removes only what can't be served in any case, this is for requests that
+    another entry could serve meanwhile.
+
+    :param connections: connections to the searcher, and its queue.
+    :param concurrency: maximum number of requests in progress at the searcher.
+    :param now_ms: current time.
+    :returns: the requests removed.
+    """
+    pace_per_ms = connections.pace.per_ms(now_ms) or math.inf
+    removed, kept, turns = [], [], 0
+    for pending in sorted(one for one in connections.waiting if not one.finished):
+        exchange = pending.exchange
+        full_pace_per_ms = concurrency / max(1.0, exchange.delays.quantile(0.5))
+        turn_at_ms = now_ms + turns / min(pace_per_ms, full_pace_per_ms)
+        if pending.is_forwarded and turn_at_ms > exchange.deadline_ms - pending.least_ms:
+            removed.append(pending)
+        else:
+            kept.append(pending)
+            turns += 1
+    connections.waiting[:] = kept
+    return removed
+
+
 def _describe(
     connections: SearcherConnections,
     waiting: list[PendingExchange],
--- a/rhubarbhinge/forward/tests/test_queue_review.py
+++ b/rhubarbhinge/forward/tests/test_queue_review.py
@@ -21,7 +21,7 @@
 )
 from rhubarbhinge.forward._connections import SearcherConnections
 from rhubarbhinge.forward._pending_exchange import PendingExchange
-from rhubarbhinge.forward._queue_review import review
+from rhubarbhinge.forward._queue_review import review, withdraw_expected_late
 from rhubarbhinge.forward._search_terms import SearchTerms
 from rhubarbhinge.forward._service_call import MAX_REFUSALS
 from rhubarbhinge.forward.tests.fakes import REQUEST, FakeWorld, replied
@@ -52,6 +52,17 @@
             order.append(pending.number)
         return order
 
+    def test_requests_expected_too_late_at_the_recent_pace_are_withdrawn(self):
+        for number in range(20):
+            self.connections.pace.on_sent(50.0 * number)
+        for number in range(1, 8):
+            self.wait(number, 1_260.0 if number < 7 else 60_000.0)
+        self.wait(8, 60_000.0, due_ms=60_000.0, virtual_start_ms=None, priority=0)
+        removed = withdraw_expected_late(self.connections, 48, 1_000.0)
+        # 1,260 ms less 0.6 of 100 ms of work leaves 200 ms: five turns, one of them of the shard.
+        self.assertEqual([one.number for one in removed], [5, 6])
+        self.assertEqual(self.order(), [8, 1, 2, 3, 4, 7])
+
     def test_requests_without_time_for_a_reply_are_removed(self):
         # Otherwise their callers get the refusal at the deadline only.
         self.wait(1, 1_050.0)
--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -310,7 +310,9 @@
                 self._slow_readers,
             ),
         )
-        self._shutdown = Shutdown(self.timers, self._callers, self._delegate_server, self.stop)
+        self._shutdown = Shutdown(
+            self.timers, self._callers, self._delegate_server, self._limit_deadlines, self.stop
+        )
         self.timers.after(NO_PLAN_WAIT_MS, self._accept_callers)
         readiness = readiness_handler(
             lambda: self._settings.current.readiness_path, lambda: self.ready
@@ -340,6 +342,11 @@
         """Whether the load balancer may send callers to this entry."""
         return not self._stopping and self._serving_state.is_serving
 
+    def _limit_deadlines(self, latest_ms: float) -> None:
+        self._pool.limit_deadlines(latest_ms)
+        self._gateway.limit_deadlines(latest_ms)
+        self._delegate_server.limit_deadlines(latest_ms)
+
     def _settings_changed(self, settings: EntrySettings) -> None:
         self._budget.rule = settings.retry_budget
         self._peers.membership.set_seeds(settings.seed_ips)
--- a/rhubarbhinge/gateway/_gateway.py
+++ b/rhubarbhinge/gateway/_gateway.py
@@ -1,9 +1,10 @@
 """Routing of callers' requests."""
 
+import math
 from collections.abc import Mapping
 
 from rhubarbhinge.fleet import Delays
-from rhubarbhinge.forward import CallerRequest
+from rhubarbhinge.forward import CallerRequest, least_useful_ms
 from rhubarbhinge.gateway._gateway_dependencies import GatewayDependencies
 from rhubarbhinge.gateway._readiness import can_serve
 from rhubarbhinge.gateway._recent_requests import RecentRequests
@@ -33,6 +34,8 @@
         self._round_robin = WeightedRoundRobin()
         self._delays: dict[str, Delays] = {}
         self._recent_requests = RecentRequests(dependencies.context.timers.now_ms)
+        self._in_progress: set[RequestHandler] = set()
+        self._latest_deadline_ms = math.inf
 
     def on_plan(self, plan: ServingPlan) -> None:
         """Adopt a new plan.
@@ -48,6 +51,15 @@
         for name in self._delays.keys() - names:
             del self._delays[name]
 
+    def limit_deadlines(self, latest_ms: float) -> None:
+        """Answer all requests by a given time, those in progress and later ones.
+
+        :param latest_ms: time by which this entry has to answer, as it shuts down.
+        """
+        self._latest_deadline_ms = latest_ms
+        for handler in list(self._in_progress):
+            handler.limit_deadline(latest_ms)
+
     def can_serve(self) -> bool:
         """Check whether most recent requests to this entry could be served here.
 
@@ -79,8 +91,19 @@
             return
         self._recent_requests.add(route.name)
         handler = RequestHandler(
-            self._dependencies, caller_request, plan, route, responder, request.transit_ms
+            self._dependencies,
+            caller_request,
+            plan,
+            route,
+            responder,
+            request.transit_ms,
+            self._in_progress.discard,
         )
+        handler.limit_deadline(self._latest_deadline_ms)
+        delays = self.delays_of(route.name, route.target_latency_ms)
+        if self._ends_within(least_useful_ms(delays)):
+            handler.refuse_for_shutdown()
+            return
         if self._dependencies.is_buffer_full():
             handler.refuse_for_memory()
             return
@@ -91,12 +114,15 @@
             handler.refuse(decision)
             return
         handler.watch(decision == ONE_FIRST)
+        self._in_progress.add(handler)
         if route.shards is not None:
-            handler.gather(self.delays_of(route.name, route.target_latency_ms))
+            handler.gather(delays)
         else:
-            handler.forward(
-                self._round_robin.next(route), self.delays_of(route.name, route.target_latency_ms)
-            )
+            handler.forward(self._round_robin.next(route), delays)
+
+    def _ends_within(self, duration_ms: float) -> bool:
+        """Return whether the entry, which shuts down, has to answer within some time."""
+        return self._latest_deadline_ms - self._dependencies.context.timers.now_ms() < duration_ms
 
     def _route_not_found(self, caller_request: CallerRequest, plan: ServingPlan) -> Response:
         current = self._follower.is_current()
--- a/rhubarbhinge/gateway/_request_handler.py
+++ b/rhubarbhinge/gateway/_request_handler.py
@@ -41,6 +41,7 @@
 BUFFER_RETRY_AFTER_MS = 250.0
 """Minimum delay before callers may retry while the buffers are full: slow readers are closed at
 this interval."""
+STOPPING_MESSAGE = "This entry is shutting down."
 MAX_LOGGED_SHARDS = 8
 """Maximum number of missing shards named in a log line."""
 SAMPLING_INTERVAL = 64
@@ -63,6 +64,8 @@
     :param route: route of the request.
     :param responder: sends the response.
     :param transit_ms: round-trip time that adds to the latency seen by the caller.
+    :param on_end: called with the handler once the request has been answered or its caller has
+        disconnected.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         route: Route,
         responder: Responder,
         transit_ms: float = 0.0,
+        on_end: Callable[["RequestHandler"], None] = lambda handler: None,
     ):
         self._dependencies = dependencies
         self._context = dependencies.context
@@ -89,8 +93,11 @@
         self._answer_by_ms = self._deadline_ms
         self._missing: tuple[str, ...] = ()
         self._trace = RequestTrace(request.id, self._context.timers.now_ms)
+        self._on_end = on_end
+        self._is_deadline_limited = False
         self._timer: TimerHandle | None = None
         self._cancel: Callable[[], None] | None = None
+        self._on_deadline: Callable[[], None] | None = None
         self._watch: RequestWatch | None = None
         self._leave: Callable[[], None] = _do_nothing
         self._retry_after_ms: Callable[[float], float] | None = None
@@ -110,6 +117,23 @@
         answer = self._refusal("buffer-full", message, BUFFER_RETRY_AFTER_MS)
         self._answer(answer, "buffer-full")
 
+    def refuse_for_shutdown(self) -> None:
+        """Refuse the request because the entry ends before it could be served."""
+        self._answer(self._refusal("stopping", STOPPING_MESSAGE), "stopping")
+
+    def limit_deadline(self, latest_ms: float) -> None:
+        """Answer the request by a given time, even if its caller would wait longer.
+
+        :param latest_ms: time by which the entry has to answer, as it shuts down.
+        """
+        if self._deadline_ms <= latest_ms:
+            return
+        self._deadline_ms = latest_ms
+        self._is_deadline_limited = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._start_timer()
+
     def watch(self, one_first: bool) -> None:
         """Watch for searchers that end while executing the request.
 
@@ -212,11 +236,16 @@
         self, cancel: Callable[[], None], on_timeout: Callable[[], None]
     ) -> None:
         self._cancel = cancel
+        self._on_deadline = on_timeout
         self._responder.on_abandoned(self._on_caller_gone)
-        wait_ms = self._deadline_ms - self._started_ms
-        self._timer = self._context.timers.after(wait_ms, on_timeout)
+        self._start_timer()
+
+    def _start_timer(self) -> None:
+        left_ms = max(0.0, self._deadline_ms - self._context.timers.now_ms())
+        self._timer = self._context.timers.after(left_ms, self._on_deadline)
 
     def _on_caller_gone(self) -> None:
+        self._on_end(self)
         self._timer.cancel()
         self._cancel()
         self._leave()
@@ -232,10 +261,11 @@
     def _on_timeout(self, call: ServiceCall) -> None:
         may_have_run = call.may_have_run
         call.cancel()
+        why = "stopping" if self._is_deadline_limited else "timeout"
         if may_have_run:
-            self._answer(timed_out(), "timeout")
+            self._answer(self._no_reply_in_time(), why)
         else:
-            self._answer(self._refusal_after_wait("timeout"), "timeout")
+            self._answer(self._refusal_after_wait(why), why)
 
     def _on_forwarded(self, call: ServiceCall, result: Result) -> None:
         if isinstance(result, ReplyReceived):
@@ -275,7 +305,7 @@
             answer = self._refusal("too-few-shards", "Too few shards can answer.")
             self._answer(answer, "timeout" if result.timed_out else "no-shards", missing)
         elif result.timed_out:
-            self._answer(timed_out(), "timeout", missing)
+            self._answer(self._no_reply_in_time(), "timeout", missing)
         else:
             answer = failed("too-few-shards", "Too few shards answered.")
             self._answer(answer, "too-few-shards", missing)
@@ -293,6 +323,11 @@
             return self._refusal(code, message)
         return refused(code, message, self._retry_after_ms(self._min_pause_ms()))
 
+    def _no_reply_in_time(self) -> Response:
+        if self._is_deadline_limited:
+            return failed("stopping", STOPPING_MESSAGE)
+        return timed_out()
+
     def _min_pause_ms(self, min_delay_ms: float = MIN_RETRY_AFTER_MS) -> float:
         return max(
             min_delay_ms,
@@ -301,6 +336,7 @@
         )
 
     def _answer(self, answer: Response, why: str, missing: int = 0) -> None:
+        self._on_end(self)
         if self._timer is not None:
             self._timer.cancel()
         self._leave()
--- a/rhubarbhinge/gather/_shard_calls.py
+++ b/rhubarbhinge/gather/_shard_calls.py
@@ -128,6 +128,18 @@
         for call in calls.values():
             call.cancel()
 
+    def end(self) -> list[ShardOutcome]:
+        """Cancel all pending calls, and return what is known of them.
+
+        :returns: their outcomes, which are not reported otherwise.
+        """
+        calls = self._calls.values()
+        outcomes = [
+            ShardOutcome(call.service, None, call.arrived, call.may_have_run) for call in calls
+        ]
+        self.cancel()
+        return outcomes
+
     def _on_call_end(self, call: ServiceCall, result: Result) -> None:
         if self._calls.pop(call.service, None) is None:
             return
--- a/standins/operators/_entry_process.py
+++ b/standins/operators/_entry_process.py
@@ -25,7 +25,7 @@
 frontend = "{ip}:{callers}"
 readiness = "{ip}:{ready}"
 [bounds]
-grace_s = 6
+grace_s = {grace}
 config_apply_ms = 3000
 retry_budget_ratio = {ratio}
 retry_window_s = 10
@@ -65,7 +65,7 @@
         self.name = name
         self.ip: str = fields["ip"]
         self.callers: int = fields["callers"]
-        self._fields = {"name": name, "ratio": 0.2, "zone": "hall-a", **fields}
+        self._fields = {"name": name, "ratio": 0.2, "zone": "hall-a", "grace": 6, **fields}
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
         self._root = root
--- a/standins/tests/test_live_operators.py
+++ b/standins/tests/test_live_operators.py
@@ -163,6 +163,30 @@
         self.assertEqual(entry.stop(), 0)
         self.assertIn("event=stopped open_requests=0 late=false", entry.log())
 
+    # Requests that were open at the end of the grace time were cut without an answer.
+    def test_a_stop_answers_what_takes_longer_than_the_grace_time(self):
+        (entry,) = self.start()
+        for place in (1, 2):
+            self.searcher("store", place).delay_ms = 60_000.0
+        entry.write_settings(grace=2)
+        entry.signal(signal.SIGHUP)
+        self.assertTrue(entry.wait_log("event=settings-reloaded"), entry.log())
+        answers = []
+        threads = [
+            threading.Thread(target=lambda name=name: answers.append(entry.ask("/once/x", name)))
+            for name in ("r1", "r2", "r3")
+        ]
+        for thread in threads:
+            thread.start()
+        everyone = [self.searcher("store", place) for place in (1, 2)]
+        self.assertTrue(wait_until(lambda: sum(len(one.arrivals) for one in everyone) == 3))
+        entry.signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join(20.0)
+        self.assertEqual([502] * 3, [one.status for one in answers], entry.log())
+        self.assertEqual(entry.stop(), 0)
+        self.assertIn("event=stopped open_requests=0", entry.log())
+
     def test_one_entry_of_a_domain_reads_for_the_others(self):
         first, second = self.start(2)
         self.assertTrue(second.wait_log("event=reader-chosen reader=vm-1"), second.log())
