forward: a request cancelled while its connection opens is not reused

Seen by the review with the pool alone: once a connection is established, the pool reports to the exit checks that wait for it. If such a report cancels the request of this connection, the connection is closed, and was then put among the idle ones. The next send to the searcher raised KeyError, which ends the process. Requests of several callers that are quarantined together cancel each other like that.

The pool now checks whether the connection still exists after it reported.

The new test raised KeyError before.

--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -386,6 +386,9 @@
         conn.searcher.on_connected(now_ms)
         self._exit_checks.on_result(conn.searcher.start, ended=False)
         self._reachability.on_heard(conn.searcher.searcher.failure_domain)
+        if link not in self._by_link:
+            # A report of the check has cancelled the request, which closed the connection.
+            return
         if not conn.searcher.usable:
             self._close_unusable(conn)
         elif conn.pending is not None:
--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -19,6 +19,7 @@
     Replied,
 )
 from rhubarbhinge.forward.tests.scripted import PlainDialect, ScriptedSearcher, reply
+from rhubarbhinge.net import CloseReason
 from rhubarbhinge.timing import TimerService
 from rhubarbhinge.utils.testing import run_until, stop_tree
 
@@ -318,6 +319,26 @@
             self.assertEqual(self.outcome(name), Lost(FailureReason.BROKEN, searcher_exited=True))
         self.assertTrue(self.observed.is_down)
 
+    # A connection closed by such a cancellation was kept as idle, and the next send raised KeyError.
+    def test_an_exit_check_may_cancel_the_request_of_the_connection_that_ends_it(self):
+        self.send("r1")
+        self.received(1)
+        second = self.send("r2")
+        original = self.pool._report
+
+        def report(pending, outcome):
+            original(pending, outcome)
+            second.cancel()
+
+        self.pool._report = report
+        self.pool._closed(next(iter(self.pool._by_link)), CloseReason.RESET)
+        self.outcome("r1")
+        self.pool._report = original
+        self.send("r3")
+        self.wait(lambda: any(b"Id: r3" in request for _, request in self.requests))
+        self.answer(-1, reply("r3"))
+        self.assertIsInstance(self.outcome("r3"), Replied)
+
     def test_a_partial_reply_triggers_no_exit_check(self):
         self.send("r1")
         self.received(1)
