--- a/rhubarbhinge/forward/tests/test_pool.py
+++ b/rhubarbhinge/forward/tests/test_pool.py
@@ -319,7 +319,7 @@
             self.assertEqual(self.outcome(name), Lost(FailureReason.BROKEN, searcher_exited=True))
         self.assertTrue(self.observed.is_down)
 
-    # A connection closed by such a cancellation was kept as idle, and the next send raised KeyError.
+    # The closed connection was kept as an idle one, and the next send raised KeyError.
     def test_an_exit_check_may_cancel_the_request_of_the_connection_that_ends_it(self):
         self.send("r1")
         self.received(1)
