forward: close a connection after a refusal without an id

A refusal that names no request counted only for the first request on a connection since; on a later one it was skipped, and the attempt waited for its deadline.

Such a refusal can only be a repeated one if an earlier reply on the connection had no id either. It is accepted again, and the connection closed after it.

--- a/rhubarbhinge/forward/_pool.py
+++ b/rhubarbhinge/forward/_pool.py
@@ -425,14 +425,14 @@
     def _replied(self, conn: Connection, raw: RawReply, last: bool) -> None:
         pending = conn.pending
         reply = self._dialect.decode_reply(raw)
-        is_first = len(conn.request_ids) == 1
-        if not is_reply_to(reply, pending.exchange.request.id, is_first):
+        if not is_reply_to(reply, pending.exchange.request.id):
             self._skip(conn, raw.reusable or not last, reply.request_id)
             return
         now_ms = self._timers.now_ms()
         self._take_pending(conn)
         self._adapt_window(pending, reply, now_ms)
-        reusable = raw.reusable and last and conn.accepts_requests
+        # If a reply without an id was repeated, it would be taken for that to the next request.
+        reusable = raw.reusable and last and conn.accepts_requests and reply.request_id
         if reusable and pending.exchange.searcher.usable:
             self._release(conn, reply.keep_alive_ms)
         else:
--- a/rhubarbhinge/forward/_reply_outcome.py
+++ b/rhubarbhinge/forward/_reply_outcome.py
@@ -5,22 +5,20 @@
 from rhubarbhinge.forward._searcher_reply import SearcherReply
 
 
-def is_reply_to(reply: SearcherReply, request_id: str, is_first: bool) -> bool:
+def is_reply_to(reply: SearcherReply, request_id: str) -> bool:
     """Check whether a reply belongs to a request.
 
     A reply that names another request must not be attributed to this one. In particular it does not
     show that this one was not executed: an attempt in progress would be removed from the count, and
-    the request sent once more than allowed. A refusal that names no request is accepted for the
-    first request on a connection, as a searcher may refuse before it has read the request. Later
-    on, it may repeat the reply to an earlier request.
+    the request sent once more than allowed. A refusal that names no request is accepted, as a
+    searcher may refuse before it has read the request.
 
     :param reply: the reply.
-    :param request_id: id of the request, which was sent once on the connection.
-    :param is_first: whether it is the first request on the connection.
+    :param request_id: id of the request.
     :returns: True if the reply belongs to the request.
     """
     refuses = reply.not_run or reply.wrong_searcher
-    return reply.request_id == request_id or (is_first and not reply.request_id and refuses)
+    return reply.request_id == request_id or (not reply.request_id and refuses)
 
 
 def outcome_of(reply: SearcherReply, delay_ms: float) -> Outcome:
