retries: restarts don't renew the slack of the retry budget

Cause: an entry that started had its share of the slack at once, although the process before it had used it in the same window; and the shares of the others grew as soon as an entry left. Loans between entries considered both, an entry's own share did not.

An entry now uses no slack within its first window, and the largest number of processes within the window divides it. ProcessCounts, taken from the loans, serves both.

--- a/rhubarbhinge/retries/_budget.py
+++ b/rhubarbhinge/retries/_budget.py
@@ -1,10 +1,12 @@
 """Retry budget shared by the retries and hedges of all processes."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from msgspec import Struct
 
 from rhubarbhinge.retries._loans import LOAN_VALID_MS, BorrowedSends, LentSends
+from rhubarbhinge.retries._process_counts import ProcessCounts
 from rhubarbhinge.retries._window_counts import BUCKET_MS, WindowCounts
 
 
@@ -26,22 +28,32 @@
 
     Each process may spend in proportion to its own requests, plus an equal share of the slack. The
     sum therefore stays within the limit without any coordination, as long as no more processes send
-    than are counted. What a process lends to another one counts as spent by itself, so that the
-    other one may spend it in addition to its own share.
+    than are counted. The largest number within the window counts, as a process that has left may
+    have spent its share before. What a process lends to another one counts as spent by itself, so
+    that the other one may spend it in addition to its own share.
 
     :param rule: the shared limit; it may be replaced, except for its window.
     :param now_ms: returns the current time.
     :param processes: returns the number of processes that may be sending.
+    :param slack_from_ms: time from which this process uses its share of the slack. An earlier
+        process of the same VM may have used the share of the window in which this one starts.
     :ivar granted: number of extra sends granted since startup.
     :ivar refused: number of extra sends refused since startup.
     :ivar on_short: called with the name of a service when an extra send was refused, or when none
         is left after one was granted and another one was refused within the last window.
     """
 
-    def __init__(self, rule: BudgetRule, now_ms: Callable[[], float], processes: Callable[[], int]):
+    def __init__(
+        self,
+        rule: BudgetRule,
+        now_ms: Callable[[], float],
+        processes: Callable[[], int],
+        slack_from_ms: float = -math.inf,
+    ):
         self.rule = rule
         self._now_ms = now_ms
-        self._processes = processes
+        self._process_counts = ProcessCounts(rule.window_ms + BUCKET_MS, now_ms, processes)
+        self._slack_from_ms = slack_from_ms
         # Counts are kept in buckets: requests expire one bucket early and extra sends one bucket
         # late, so that the limit is never exceeded.
         self._requests = WindowCounts(rule.window_ms - BUCKET_MS)
@@ -76,7 +88,7 @@
         :param service: name of the service.
         :returns: number of extra sends; below 1 if none is available.
         """
-        own = self._own_left(service, self._processes())
+        own = self._own_left(service, self._process_counts.observe())
         borrowed = self._borrowed.available(service)
         return max(0.0, own) + borrowed if borrowed else own
 
@@ -95,7 +107,7 @@
         :returns: True if it is granted, in which case it is counted as sent.
         """
         now_ms = self._now_ms()
-        if self._own_left(service, self._processes()) >= 1.0:
+        if self._own_left(service, self._process_counts.observe()) >= 1.0:
             self._extra_sends.add((service,), now_ms)
         elif not self._borrowed.take(service):
             self.refused += 1
@@ -130,16 +142,17 @@
         self._borrowed.add(service, granted, asked_ms + min(valid_ms, LOAN_VALID_MS))
 
     def observe_processes(self) -> None:
-        """Record the number of processes that may be sending, which limits later loans.
+        """Record the number of processes that may be sending, which limits later shares and loans.
 
         To be called several times per second, as the number is only known while it is current.
         """
+        self._process_counts.observe()
         self._lent.observe_processes()
 
     def _own_left(self, service: str, processes: int) -> float:
         """Return how much is left of this process's own budget."""
         now_ms = self._now_ms()
-        slack = self.rule.slack / max(1, processes)
+        slack = self.rule.slack / processes if now_ms >= self._slack_from_ms else 0.0
         allowed = self.rule.ratio * self._requests.count(service, now_ms) + slack
         spent = self._extra_sends.count(service, now_ms) + self._lent.active(service)
         return allowed - spent
--- a/rhubarbhinge/retries/_loans.py
+++ b/rhubarbhinge/retries/_loans.py
@@ -1,8 +1,8 @@
 """Extra sends lent to other entries, and those borrowed from them."""
 
-from collections import deque
 from collections.abc import Callable
 
+from rhubarbhinge.retries._process_counts import ProcessCounts
 from rhubarbhinge.retries._window_counts import BUCKET_MS, WindowCounts
 
 LOAN_VALID_MS = 2_000.0
@@ -26,13 +26,11 @@
 
     def __init__(self, window_ms: float, now_ms: Callable[[], float], processes: Callable[[], int]):
         self._now_ms = now_ms
-        self._processes = processes
-        self._kept_ms = window_ms + LOAN_VALID_MS + BUCKET_MS
-        self._lent = WindowCounts(self._kept_ms)
-        # Process counts, each greater than all later ones, with the time at which it was seen.
-        self._process_counts: deque[tuple[float, int]] = deque()
+        kept_ms = window_ms + LOAN_VALID_MS + BUCKET_MS
+        self._lent = WindowCounts(kept_ms)
+        self._process_counts = ProcessCounts(kept_ms, now_ms, processes)
         # An earlier process of this VM may have lent or sent until this one started.
-        self._may_lend_from_ms = now_ms() + self._kept_ms
+        self._may_lend_from_ms = now_ms() + kept_ms
         self.total = 0
 
     def active(self, service: str) -> int:
@@ -46,19 +44,9 @@
     def observe_processes(self) -> int:
         """Record the number of processes that may be sending.
 
-        A process that has just left may have spent a share of the smaller size, so that for loans
-        the shares of those that stay grow only once its sends are out of the window.
-
         :returns: the largest number within the time for which loans are counted; 1 at least.
         """
-        now_ms, count = self._now_ms(), max(1, self._processes())
-        counts = self._process_counts
-        while counts and now_ms - counts[0][0] > self._kept_ms:
-            counts.popleft()
-        while counts and counts[-1][1] <= count:
-            counts.pop()
-        counts.append((now_ms, count))
-        return counts[0][1]
+        return self._process_counts.observe()
 
     def lend(self, service: str, left: float, share: float) -> int:
         """Lend some extra sends, which are counted as spent.
--- a/rhubarbhinge/retries/tests/test_budget.py
+++ b/rhubarbhinge/retries/tests/test_budget.py
@@ -40,6 +40,46 @@
         self.now_ms = 11_100.0
         self.assertTrue(self.budget.take("s"))
 
+    # Each process that started had a share of the slack that the one before it had used already.
+    def test_no_window_exceeds_the_limit_while_processes_are_restarted(self):
+        rng = random.Random(7)
+        live: dict[int, RetryBudget] = {}
+        stopped: dict[int, float] = {}
+        requests: list[float] = []
+        extras: list[float] = []
+
+        def start(vm: int) -> None:
+            slack_from_ms = self.now_ms + RULE.window_ms
+            live[vm] = RetryBudget(RULE, lambda: self.now_ms, lambda: len(live), slack_from_ms)
+
+        for vm in range(6):
+            start(vm)
+        for _ in range(12_000):
+            self.now_ms += rng.expovariate(1 / 8.0)
+            for budget in live.values():
+                budget.observe_processes()
+            if rng.random() < 0.006 and len(live) > 4:
+                vm = rng.choice(list(live))
+                del live[vm]
+                stopped[vm] = self.now_ms
+            for vm in [vm for vm, since_ms in stopped.items() if self.now_ms > since_ms + 600.0]:
+                del stopped[vm]
+                start(vm)
+            budget = rng.choice(list(live.values()))
+            if rng.random() < 0.2:
+                budget.on_request(("s",))
+                requests.append(self.now_ms)
+            elif budget.take("s"):
+                extras.append(self.now_ms)
+        self.check_windows(requests, extras)
+
+    def test_shares_grow_only_once_the_sends_of_a_process_that_left_are_out_of_the_window(self):
+        self.budget.observe_processes()
+        self.processes = 7
+        self.assertEqual(sum(self.budget.take("s") for _ in range(50)), 7)
+        self.now_ms = 10_600.0
+        self.assertEqual(sum(self.budget.take("s") for _ in range(50)), 8)
+
     def test_no_window_of_all_processes_exceeds_the_limit(self):
         rng = random.Random(5)
         budgets = [RetryBudget(RULE, lambda: self.now_ms, lambda: 8) for _ in range(8)]
@@ -53,6 +93,9 @@
                 requests.append(self.now_ms)
             elif budget.take("s"):
                 extras.append(self.now_ms)
+        self.check_windows(requests, extras)
+
+    def check_windows(self, requests: list[float], extras: list[float]) -> None:
         for start in range(0, int(self.now_ms), 500):
             window = sum(start <= at < start + RULE.window_ms for at in extras)
             asked = max(
