soak: repeated refusals, resets of new connections, short grace times

Searchers now refuse most requests for a while and send each refusal once more 25 to 50 ms later; reset their connections and each new one as soon as it is open; and a change of the settings draws a grace time of 2 or 6 s. A request that waited for over 0.5 s at an entry and got no answer counts as cut off. Refusals of the stand-in searchers name the request, as the protocol says.

An arrival that a searcher refused counted as begun if the same request was begun there later; only the last arrivals count, as many as were begun.

--- a/standins/http/_connection.py
+++ b/standins/http/_connection.py
@@ -1,6 +1,8 @@
 """One caller's connection."""
 
 import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING
 
 from standins.http._heads import Head, answer_head, parse_head
@@ -12,6 +14,7 @@
 
 _MOST_HEAD_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _MALFORMED = answer_head(400, (("Connection", "close"),), 0)
 
 
@@ -40,7 +43,9 @@
         self._transport = transport
         self._peer_ip = transport.get_extra_info("peername")[0]
         hold_ms = self._server.opened(self)
-        if hold_ms is None:
+        if hold_ms is None and self._server.resets:
+            self.reset()
+        elif hold_ms is None:
             transport.abort()
         elif hold_ms > 0:
             self._held = True
@@ -73,6 +78,21 @@
         elif self._unread:
             asyncio.get_running_loop().call_soon(self._advance)
 
+    def repeat(self, reply: Reply) -> None:
+        """Send an answer once more, whatever has been asked since.
+
+        :param reply: the answer.
+        """
+        if self._transport is not None:
+            self._write(reply)
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self._transport.abort()
+
     def close(self) -> None:
         """Close the connection after what was written."""
         if self._transport is not None:
--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -20,6 +20,7 @@
     :param on_gone: Called with a connection that was closed while its request was open.
     :param on_opened: Called at each accept with the number of open connections, this one included;
         gives the time to hold the connection, in milliseconds, or None to close it at once.
+    :param resets: Whether a connection that is closed at once is reset.
     """
 
     def __init__(
@@ -27,7 +28,9 @@
         on_request: Callable[[Connection, Request], None],
         on_gone: Callable[[Connection], None],
         on_opened: Callable[[int], float | None],
+        resets: bool = False,
     ) -> None:
+        self.resets = resets
         self._on_request = on_request
         self._on_gone = on_gone
         self._on_opened = on_opened
--- a/standins/operators/_searcher.py
+++ b/standins/operators/_searcher.py
@@ -28,6 +28,9 @@
     :ivar work_ms: gives how long a request with a path takes, in place of ``delay_ms``.
     :ivar slots: how many requests it executes at a time.
     :ivar refuses: whether it has no room.
+    :ivar takes_every: takes one request of so many and refuses the others.
+    :ivar repeats_after_ms: sends each refusal once more after so long; None for not at all.
+    :ivar resets_new: whether it resets new connections.
     :ivar ends_on: a part of the paths of requests that end it, some time after it began them.
     :ivar on_ended: told the path of the request that has ended it.
     :ivar gone: whether it has left for good, and is not to start again.
@@ -50,6 +53,9 @@
         self.work_ms: Callable[[str], float] = lambda path: self.delay_ms
         self.slots = SLOTS
         self.refuses = False
+        self.takes_every = 1
+        self.repeats_after_ms: float | None = None
+        self.resets_new = False
         self.ends_on = ""
         self.on_ended: Callable[[str], None] = lambda path: None
         self.gone = False
@@ -61,7 +67,7 @@
         self.left: list[str] = []
         self.port = 0
         self._breaks_off = False
-        self._server = Server(self._requested, self._gone, lambda count: 0.0)
+        self._server = self._new_server()
         self._open: dict[Connection, tuple[str, asyncio.TimerHandle]] = {}
         self._waiting: deque[tuple[Connection, str, str]] = deque()
 
@@ -89,7 +95,7 @@
         :param born: Unix time of its start, in ms.
         """
         self.born = born
-        self._server = Server(self._requested, self._gone, lambda count: 0.0)
+        self._server = self._new_server()
         self._server.listen("127.0.0.1", self.port)
 
     def crash(self) -> None:
@@ -124,6 +130,11 @@
             "sequence": 1,
         }
 
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in self._server.open_connections:
+            connection.reset()
+
     @staticmethod
     def records(service: str, request_id: str, count: int = 5) -> list[bytes]:
         """Work out the records of an answer.
@@ -155,12 +166,26 @@
             self._breaks_off = False
             connection.reply(Reply(200, delivery=Delivery.LOST))
             return
-        if self.refuses or len(self._waiting) >= QUEUE:
-            connection.reply(Reply(503, b"", (("X-Not-Executed", "1"),)))
+        sheds = len(self.arrivals) % self.takes_every > 0
+        if self.refuses or sheds or len(self._waiting) >= QUEUE:
+            self._refuse(connection, request_id)
             return
         self._waiting.append((connection, request_id, request.path))
         self._execute_next()
 
+    def _refuse(self, connection: Connection, request_id: str) -> None:
+        refusal = Reply(503, b"", (("X-Not-Executed", "1"), ("X-Request-Id", request_id)))
+        connection.reply(refusal)
+        if self.repeats_after_ms is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.repeats_after_ms / 1e3, connection.repeat, refusal)
+
+    def _new_server(self) -> Server:
+        def hold_ms(count: int) -> float | None:
+            return None if self.resets_new else 0.0
+
+        return Server(self._requested, self._gone, hold_ms, resets=True)
+
     def _execute_next(self) -> None:
         while self._waiting and len(self._open) < self.slots:
             connection, request_id, path = self._waiting.popleft()
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -20,6 +20,8 @@
 """Once so many searchers have ended under a request, so many more attempts may arrive."""
 STOP_S = 6.0
 """The grace of a stop."""
+CROSSED_S = 0.5
+"""A request that is cut off sooner may have crossed the close of its connection."""
 BACK_SHARE = 0.95
 """Part of the requests that is served once all is calm."""
 STORE_CALLS_PER_S = 2_000
@@ -124,10 +126,17 @@
 
 def _at_most_once(seen: Seen) -> Iterator[Finding]:
     """What must not repeat is begun once at most."""
-    counts = Counter(arrival.id for arrival in seen.arrivals if arrival.begun)
+    begun: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in seen.arrivals:
+        if arrival.begun:
+            begun[arrival.id].append(arrival)
     for one in seen.exchanged:
-        if one.path.startswith("/once/") and counts[one.id]:
-            yield (one.id, f"begun {counts[one.id]} times") if counts[one.id] > 1 else None
+        if one.path.startswith("/once/") and one.id in begun:
+            where = ", ".join(
+                f"{arrival.searcher} {arrival.at_s - one.sent_s:.3f} s" for arrival in begun[one.id]
+            )
+            twice = len(begun[one.id]) > 1
+            yield (one.id, f"{one.status} of {one.entry}, begun at {where}") if twice else None
 
 
 def _attempts(seen: Seen) -> Iterator[Finding]:
@@ -206,11 +215,13 @@
 
 
 def _stops_cut_nobody_off(seen: Seen) -> Iterator[Finding]:
-    """Who sent a request that an entry passed on gets an answer, unless the entry was killed or
-    frozen meanwhile; one that crosses the close of its connection is not passed on."""
+    """Who sent a request that an entry passed on, or that waited there, gets an answer, unless the
+    entry was killed or frozen meanwhile; one that crosses the close of its connection is neither.
+    """
     arrived = {arrival.id for arrival in seen.arrivals}
     for one in seen.exchanged:
-        if one.left or one.id not in arrived:
+        waited = one.ended_s - one.sent_s > CROSSED_S
+        if one.left or not (waited or one.id in arrived):
             continue
         spans = seen.disturbed.get(one.entry, [])
         hit = any(start_s < one.ended_s and one.sent_s < end_s for start_s, end_s in spans)
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -51,10 +51,15 @@
     "links-slow": (0.5, 2.0),
     "links-silent": (0.3, 1.5),
     "store-out-of-reach": (0.5, 6.0),
+    "refusals-repeated": (1.0, 4.0),
+    "connections-reset": (0.5, 3.0),
 }
 """How long those last that are taken back."""
 RESTORED = "store-restored"
 CHANGED = "route-added"
+SEARCHER_GAP_S = 5.0
+"""Mean time between faults of searchers in what they send on connections."""
+SEARCHER_FAULTS = ("refusals-repeated", "connections-reset")
 SILENCES = ("store-connections-silent", "store-out-of-reach", "searcher-connections-silent")
 STATE_KINDS = (
     *SILENCES[:2],
@@ -67,7 +72,7 @@
     "searcher-leaves",
 )
 """Kinds of faults of a run for the published state."""
-KINDS = (*WEIGHTS, RESTORED, *SILENCES)
+KINDS = (*WEIGHTS, RESTORED, *SILENCES, *SEARCHER_FAULTS)
 """All kinds of faults."""
 LEAVES_SHARE, AT_ONCE_SHARE, SLOW_SHARE = 0.05, 0.1, 0.05
 """Parts of the callers' requests whose caller leaves early, repeats at once after a failure, or
@@ -134,7 +139,14 @@
     silences = _drawn(
         random.Random(f"silences {seed}"), seconds, SILENCE_GAP_S, lambda rng: rng.choice(SILENCES)
     )
-    return tuple(sorted((*faults, *restores, *silences), key=lambda fault: fault.at_s))
+    of_searchers = _drawn(
+        random.Random(f"searcher faults {seed}"),
+        seconds,
+        SEARCHER_GAP_S,
+        lambda rng: rng.choice(SEARCHER_FAULTS),
+    )
+    drawn = (*faults, *restores, *silences, *of_searchers)
+    return tuple(sorted(drawn, key=lambda fault: fault.at_s))
 
 
 def draw_state_faults(seed: int, seconds: float) -> tuple[Fault, ...]:
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -31,6 +32,10 @@
 WATCH_S, STARVED_S = 0.5, 0.2
 """How often it is looked at, and what an entry waits for a processor meanwhile for it to count as
 held up, as if it were frozen."""
+GRACES_S = (2, 6)
+"""Grace times that a change of the settings chooses from; callers wait for 3 s."""
+REPEAT_AFTER_MS = (25.0, 50.0)
+"""A refusal that is sent twice comes again after such a time."""
 SLOW_MS, LINK_DELAY_S = 400.0, 0.1
 
 
@@ -113,11 +118,7 @@
             else:
                 self.seen.ended_by_itself.append(entry.name)
         for searcher in self.deployment.searchers.values():
-            begun = set(searcher.begun)
-            for request_id, at_s in zip(searcher.arrivals, searcher.arrived_s, strict=True):
-                name, service = searcher.incarnation, searcher.service
-                begins = request_id in begun
-                self.seen.arrivals.append(Arrival(request_id, service, name, at_s, begins))
+            self.seen.arrivals.extend(_arrivals(searcher))
 
     def _begin(self, fault: Fault) -> None:
         name = fault.kind.replace("-", "_")
@@ -171,7 +172,8 @@
     def _settings_read_again(self, fault: Fault, rng: random.Random) -> None:
         entry = rng.choice(self.deployment.entries)
         if self._take(entry):
-            entry.write_settings(ratio=rng.choice((0.1, 0.2, 0.3)))
+            ratio = rng.choice((0.1, 0.2, 0.3))
+            entry.write_settings(ratio=ratio, grace=rng.choice(GRACES_S))
             entry.signal(signal.SIGHUP)
             self._stopping.discard(entry.name)
 
@@ -262,6 +264,38 @@
 
         self._for_a_while(fault, self._some(rng, 0.5), set_refuses(True), set_refuses(False))
 
+    def _refusals_repeated(self, fault: Fault, rng: random.Random) -> None:
+        """All searchers of a route to one service refuse most requests, each twice."""
+        searchers = [
+            one
+            for one in self.deployment.searchers.values()
+            if one.service in SHARDS[:2] and one.incarnation not in self.seen.left_s
+        ]
+
+        def harm(searcher: Searcher) -> None:
+            searcher.takes_every = 3
+            searcher.delay_ms = REPEAT_AFTER_MS[1]
+            searcher.repeats_after_ms = rng.uniform(*REPEAT_AFTER_MS)
+
+        def heal(searcher: Searcher) -> None:
+            searcher.takes_every = 1
+            searcher.delay_ms = WORK_MS
+            searcher.repeats_after_ms = None
+
+        self._for_a_while(fault, searchers, harm, heal)
+
+    def _connections_reset(self, fault: Fault, rng: random.Random) -> None:
+        """Searchers reset their connections, and new ones as soon as they are open."""
+
+        def harm(searcher: Searcher) -> None:
+            searcher.resets_new = True
+            self.deployment.run(searcher.reset_connections)
+
+        def heal(searcher: Searcher) -> None:
+            searcher.resets_new = False
+
+        self._for_a_while(fault, self._some(rng, 0.5), harm, heal)
+
     def _for_a_while(self, fault, searchers, harm, heal) -> None:
         for searcher in searchers:
             harm(searcher)
@@ -325,6 +359,22 @@
             time.sleep(rng.uniform(0.05, 1.0))
 
 
+def _arrivals(searcher: Searcher) -> list[Arrival]:
+    """Tell which arrivals at a searcher were begun.
+
+    One that it had refused may come once more and is begun then, so that the last ones count.
+    """
+    begun = Counter(searcher.begun)
+    arrivals = []
+    came = list(zip(searcher.arrivals, searcher.arrived_s, strict=True))
+    for request_id, at_s in reversed(came):
+        begins = begun[request_id] > 0
+        begun[request_id] -= begins
+        name, service = searcher.incarnation, searcher.service
+        arrivals.append(Arrival(request_id, service, name, at_s, begins))
+    return arrivals[::-1]
+
+
 def _waited_s(pid: int) -> float:
     """Read for how long a process has been waiting for a processor while it could run."""
     try:
--- a/tools/tests/test_soak_checks.py
+++ b/tools/tests/test_soak_checks.py
@@ -158,6 +158,15 @@
         self.seen.disturbed = {"vm-1": [(10.04, 12.0)]}
         self.assertEqual(self.broken(), set())
 
+    def test_a_caller_whose_request_waited_and_was_cut_off_is_found(self):
+        for ended_s, expected in ((12.0, {"nobody is cut off"}), (11.1, set())):
+            self.seen = good_run()
+            self.seen.calm_from_s = 20.0
+            self.seen.exchanged.append(search("r8", sent_s=21.0))
+            self.seen.exchanged.append(replace(once("o8"), sent_s=21.0))
+            self.seen.exchanged.append(replace(once("o9", 0), ended_s=ended_s))
+            self.assertEqual(self.broken(), expected)
+
     def test_late_attempts_at_a_fatal_request_are_found(self):
         for number in range(3, 7):
             self.seen.exchanged.append(fatal(number, 20.0))
