retries: entries use their share of the slack from their start again

Callers got 502 in place of 503 for a request that ends its searchers, from entries that had started less than 10 s before: since such an entry had no slack in the retry budget.

--- a/rhubarbhinge/gateway/_entry.py
+++ b/rhubarbhinge/gateway/_entry.py
@@ -124,12 +124,7 @@
             self._rng,
             self._domain_changed,
         )
-        self._budget = RetryBudget(
-            settings.retry_budget,
-            self.timers.now_ms,
-            self._processes,
-            self.timers.now_ms() + settings.retry_budget.window_ms,
-        )
+        self._budget = RetryBudget(settings.retry_budget, self.timers.now_ms, self._processes)
         loans = loan_requests(
             self.timers,
             self._budget,
--- a/rhubarbhinge/retries/_budget.py
+++ b/rhubarbhinge/retries/_budget.py
@@ -1,6 +1,5 @@
 """Retry budget shared by the retries and hedges of all processes."""
 
-import math
 from collections.abc import Callable, Iterable
 
 from msgspec import Struct
@@ -35,25 +34,16 @@
     :param rule: the shared limit; it may be replaced, except for its window.
     :param now_ms: returns the current time.
     :param processes: returns the number of processes that may be sending.
-    :param slack_from_ms: time from which this process uses its share of the slack. An earlier
-        process of the same VM may have used the share of the window in which this one starts.
     :ivar granted: number of extra sends granted since startup.
     :ivar refused: number of extra sends refused since startup.
     :ivar on_short: called with the name of a service when an extra send was refused, or when none
         is left after one was granted and another one was refused within the last window.
     """
 
-    def __init__(
-        self,
-        rule: BudgetRule,
-        now_ms: Callable[[], float],
-        processes: Callable[[], int],
-        slack_from_ms: float = -math.inf,
-    ):
+    def __init__(self, rule: BudgetRule, now_ms: Callable[[], float], processes: Callable[[], int]):
         self.rule = rule
         self._now_ms = now_ms
         self._process_counts = ProcessCounts(rule.window_ms + BUCKET_MS, now_ms, processes)
-        self._slack_from_ms = slack_from_ms
         # Counts are kept in buckets: requests expire one bucket early and extra sends one bucket
         # late, so that the limit is never exceeded.
         self._requests = WindowCounts(rule.window_ms - BUCKET_MS)
@@ -152,7 +142,7 @@
     def _own_left(self, service: str, processes: int) -> float:
         """Return how much is left of this process's own budget."""
         now_ms = self._now_ms()
-        slack = self.rule.slack / processes if now_ms >= self._slack_from_ms else 0.0
+        slack = self.rule.slack / processes
         allowed = self.rule.ratio * self._requests.count(service, now_ms) + slack
         spent = self._extra_sends.count(service, now_ms) + self._lent.active(service)
         return allowed - spent
