--- a/review/4/play.py
+++ b/review/4/play.py
@@ -76,6 +76,7 @@
     await asyncio.gather(*fetches)
     rig.note("search with a body at the limit:", answer.status, answer.headers)
     rig.note("fetches passed on from kept connections and closed without an answer:", *lost)
+    await asyncio.sleep(1.0)
     ended = entry.popen.poll()
     rig.note("the entry's process", "runs" if ended is None else f"ended itself with {ended}")
     print(f"lost {len(lost)}, search {answer.status}, process ended with {ended}")
